--- /dev/null
+++ b/crates/linkhold-core/src/classify.rs
@@ -0,0 +1,546 @@
+//! Classification of SQL text: what a statement may need from a back end.
+//!
+//! Classification errs to the primary. A text that cannot be parsed, a
+//! function that is not known to be free of effects, a locking clause or a
+//! data-modifying common table expression all count as writes.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{
+    Declare, Expr, FunctionArguments, ObjectName, Query, Select, Set, SetExpr, Statement,
+    TableFactor, TransactionAccessMode, TransactionMode, Visit, Visitor,
+};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+/// Functions known to have no effects and no dependence on session state.
+/// Any other function sends its statement to the primary.
+const PURE_FUNCTIONS: &[&str] = &[
+    "abs",
+    "array_agg",
+    "avg",
+    "bool_and",
+    "bool_or",
+    "ceil",
+    "ceiling",
+    "char_length",
+    "coalesce",
+    "concat",
+    "concat_ws",
+    "count",
+    "current_date",
+    "current_timestamp",
+    "date",
+    "date_part",
+    "date_trunc",
+    "dense_rank",
+    "exp",
+    "extract",
+    "first_value",
+    "floor",
+    "format",
+    "generate_series",
+    "greatest",
+    "hex",
+    "ifnull",
+    "initcap",
+    "json_agg",
+    "json_build_object",
+    "lag",
+    "last_value",
+    "lead",
+    "least",
+    "left",
+    "length",
+    "ln",
+    "log",
+    "lower",
+    "lpad",
+    "ltrim",
+    "max",
+    "md5",
+    "min",
+    "mod",
+    "now",
+    "nullif",
+    "percentile_cont",
+    "position",
+    "power",
+    "printf",
+    "rank",
+    "replace",
+    "reverse",
+    "right",
+    "round",
+    "row_number",
+    "rpad",
+    "rtrim",
+    "sign",
+    "split_part",
+    "sqrt",
+    "string_agg",
+    "strpos",
+    "substr",
+    "substring",
+    "sum",
+    "to_char",
+    "to_date",
+    "to_json",
+    "to_jsonb",
+    "to_number",
+    "to_timestamp",
+    "total",
+    "trim",
+    "trunc",
+    "unnest",
+    "upper",
+    "version",
+];
+
+/// A feature that needs a back end session of its own, which transaction
+/// pooling cannot give. Such statements are refused, not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsupported {
+    /// `COPY` in either direction.
+    Copy,
+    /// `LISTEN` and `UNLISTEN`.
+    Listen,
+    /// Temporary tables.
+    TemporaryTable,
+    /// Session-level advisory locks.
+    AdvisoryLock,
+    /// Cursors declared `WITH HOLD`.
+    HoldableCursor,
+    /// SQL-level `PREPARE` and `EXECUTE`.
+    SqlPrepare,
+    /// Session settings changed inside a multi-statement string or by function.
+    HiddenSetting,
+    /// Two-phase commit, which hands a transaction to another session.
+    TwoPhaseCommit,
+}
+
+impl Unsupported {
+    /// Name of the feature for messages.
+    pub fn feature(self) -> &'static str {
+        match self {
+            Self::Copy => "COPY",
+            Self::Listen => "LISTEN",
+            Self::TemporaryTable => "temporary tables",
+            Self::AdvisoryLock => "session advisory locks",
+            Self::HoldableCursor => "cursors WITH HOLD",
+            Self::SqlPrepare => "SQL-level PREPARE",
+            Self::HiddenSetting => "SET in a multi-statement string or by function",
+            Self::TwoPhaseCommit => "two-phase commit",
+        }
+    }
+}
+
+/// What one statement is to the proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatementKind {
+    /// Reads only; any sufficiently fresh instance will do.
+    Read,
+    /// May write, or its effects are not known.
+    Write,
+    /// Not understood by the parser; may do anything, ending a transaction
+    /// included.
+    Opaque,
+    /// Starts a transaction.
+    Begin {
+        /// Declared `READ ONLY`.
+        read_only: bool,
+    },
+    /// Ends a transaction, keeping its effects.
+    Commit,
+    /// Ends a transaction, dropping its effects.
+    Rollback,
+    /// Changes a session setting.
+    Set {
+        /// Lower-case name.
+        name: String,
+        /// Value without quotes.
+        value: String,
+        /// `SET LOCAL`: ends with the transaction.
+        local: bool,
+    },
+    /// Returns one setting, or all, to its default.
+    Reset {
+        /// Lower-case name; `None` for `RESET ALL`.
+        name: Option<String>,
+    },
+    /// Shows a setting.
+    Show {
+        /// Lower-case name.
+        name: String,
+    },
+    /// `DISCARD ALL`.
+    DiscardAll,
+    /// `DEALLOCATE` of one prepared statement, or of all.
+    Deallocate {
+        /// Name; `None` for all.
+        name: Option<String>,
+    },
+    /// Refused under transaction pooling.
+    Unsupported(Unsupported),
+}
+
+/// What a request as a whole needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Access {
+    /// A fresh enough instance.
+    Read,
+    /// The primary.
+    Write,
+}
+
+/// Classification of one SQL text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Classified {
+    /// One entry for each statement of the text.
+    pub statements: Vec<StatementKind>,
+}
+
+impl Classified {
+    /// Access needed outside an explicit transaction.
+    pub fn access(&self) -> Access {
+        let only_reads = self.statements.iter().all(|kind| {
+            matches!(
+                kind,
+                StatementKind::Read
+                    | StatementKind::Show { .. }
+                    | StatementKind::Set { .. }
+                    | StatementKind::Reset { .. }
+            )
+        });
+        if only_reads {
+            Access::Read
+        } else {
+            Access::Write
+        }
+    }
+
+    /// Whether the text may end an explicit transaction and keep its effects.
+    pub fn may_commit(&self) -> bool {
+        self.statements
+            .iter()
+            .any(|kind| matches!(kind, StatementKind::Commit | StatementKind::Opaque))
+    }
+
+    /// The first feature in the text that is refused.
+    pub fn unsupported(&self) -> Option<Unsupported> {
+        let multiple = self.statements.len() > 1;
+        self.statements.iter().find_map(|kind| match kind {
+            StatementKind::Unsupported(feature) => Some(*feature),
+            StatementKind::Set { local: false, .. }
+            | StatementKind::Reset { .. }
+            | StatementKind::DiscardAll
+            | StatementKind::Deallocate { .. }
+                if multiple =>
+            {
+                Some(Unsupported::HiddenSetting)
+            }
+            _ => None,
+        })
+    }
+
+    /// The statement, if the text holds exactly one.
+    pub fn single(&self) -> Option<&StatementKind> {
+        match self.statements.as_slice() {
+            [kind] => Some(kind),
+            _ => None,
+        }
+    }
+}
+
+/// Classifies a text of zero or more statements.
+pub fn classify(text: &str) -> Classified {
+    if let Some(kind) = classify_reset(text) {
+        return Classified {
+            statements: vec![kind],
+        };
+    }
+    let statements = match Parser::parse_sql(&PostgreSqlDialect {}, text) {
+        Ok(parsed) => parsed.iter().map(classify_statement).collect(),
+        Err(_) => vec![classify_unparsed(text)],
+    };
+    Classified { statements }
+}
+
+/// `RESET` and `DEALLOCATE ALL`, recognised by their first words because the
+/// parser does not know them in every form.
+fn classify_reset(text: &str) -> Option<StatementKind> {
+    let words = words(text)?;
+    match words.as_slice() {
+        [reset, all] if reset == "reset" && all == "all" => {
+            Some(StatementKind::Reset { name: None })
+        }
+        [reset, name] if reset == "reset" => Some(StatementKind::Reset {
+            name: Some(name.clone()),
+        }),
+        [deallocate, all] if deallocate == "deallocate" && all == "all" => {
+            Some(StatementKind::Deallocate { name: None })
+        }
+        _ => None,
+    }
+}
+
+/// Lower-case words of a short single statement.
+fn words(text: &str) -> Option<Vec<String>> {
+    const LONGEST: usize = 200;
+    let statement = text.trim().trim_end_matches(';').trim_end();
+    if statement.len() > LONGEST || statement.contains(';') {
+        return None;
+    }
+    Some(
+        statement
+            .split_whitespace()
+            .map(str::to_ascii_lowercase)
+            .collect(),
+    )
+}
+
+/// A text the parser rejects goes to the primary, unless it names a feature
+/// that must not leak from one session to the next.
+fn classify_unparsed(text: &str) -> StatementKind {
+    let lower = text.to_ascii_lowercase();
+    let mentions = |word: &str| {
+        lower
+            .split(|character: char| !character.is_alphanumeric() && character != '_')
+            .any(|candidate| candidate == word)
+    };
+    if mentions("copy") {
+        StatementKind::Unsupported(Unsupported::Copy)
+    } else if mentions("listen") {
+        StatementKind::Unsupported(Unsupported::Listen)
+    } else if mentions("temp") || mentions("temporary") {
+        StatementKind::Unsupported(Unsupported::TemporaryTable)
+    } else if mentions("hold") {
+        StatementKind::Unsupported(Unsupported::HoldableCursor)
+    } else if mentions("set") || mentions("reset") || mentions("discard") {
+        StatementKind::Unsupported(Unsupported::HiddenSetting)
+    } else if mentions("prepare") || mentions("prepared") {
+        StatementKind::Unsupported(Unsupported::SqlPrepare)
+    } else {
+        StatementKind::Opaque
+    }
+}
+
+fn classify_statement(statement: &Statement) -> StatementKind {
+    match statement {
+        Statement::Query(_) => classify_query(statement),
+        Statement::Explain { analyze: false, .. } => StatementKind::Read,
+        Statement::StartTransaction { modes, .. } => StatementKind::Begin {
+            read_only: modes.contains(&TransactionMode::AccessMode(
+                TransactionAccessMode::ReadOnly,
+            )),
+        },
+        Statement::Commit { .. } => StatementKind::Commit,
+        Statement::Rollback {
+            savepoint: None, ..
+        } => StatementKind::Rollback,
+        Statement::Set(set) => classify_set(set),
+        Statement::ShowVariable { variable } => StatementKind::Show {
+            name: joined(variable.iter().map(|ident| ident.value.as_str())),
+        },
+        Statement::Discard { .. } => StatementKind::DiscardAll,
+        Statement::Deallocate { name, .. } => StatementKind::Deallocate {
+            name: (!name.value.eq_ignore_ascii_case("all")).then(|| name.value.clone()),
+        },
+        Statement::Copy { .. } => StatementKind::Unsupported(Unsupported::Copy),
+        Statement::LISTEN { .. } | Statement::UNLISTEN { .. } => {
+            StatementKind::Unsupported(Unsupported::Listen)
+        }
+        Statement::CreateTable(table) if table.temporary => {
+            StatementKind::Unsupported(Unsupported::TemporaryTable)
+        }
+        Statement::CreateView {
+            temporary: true, ..
+        } => StatementKind::Unsupported(Unsupported::TemporaryTable),
+        Statement::Declare { stmts } if stmts.iter().any(is_holdable) => {
+            StatementKind::Unsupported(Unsupported::HoldableCursor)
+        }
+        Statement::Prepare { .. } | Statement::Execute { .. } => {
+            StatementKind::Unsupported(Unsupported::SqlPrepare)
+        }
+        other => match effects_of(other) {
+            Effects::Unsupported(feature) => StatementKind::Unsupported(feature),
+            Effects::None | Effects::Some => StatementKind::Write,
+        },
+    }
+}
+
+fn is_holdable(declare: &Declare) -> bool {
+    declare.hold == Some(true)
+}
+
+fn classify_query(statement: &Statement) -> StatementKind {
+    match effects_of(statement) {
+        Effects::None => StatementKind::Read,
+        Effects::Some => StatementKind::Write,
+        Effects::Unsupported(feature) => StatementKind::Unsupported(feature),
+    }
+}
+
+fn classify_set(set: &Set) -> StatementKind {
+    let hidden = StatementKind::Unsupported(Unsupported::HiddenSetting);
+    match set {
+        Set::SingleAssignment {
+            scope,
+            variable,
+            values,
+            ..
+        } => StatementKind::Set {
+            name: object_name(variable),
+            value: joined_values(values),
+            local: matches!(scope, Some(sqlparser::ast::ContextModifier::Local)),
+        },
+        Set::SetTimeZone { local, value } => StatementKind::Set {
+            name: "timezone".to_owned(),
+            value: unquoted(value),
+            local: *local,
+        },
+        Set::SetNames { charset_name, .. } => StatementKind::Set {
+            name: "client_encoding".to_owned(),
+            value: charset_name.value.clone(),
+            local: false,
+        },
+        // Affects the current transaction only.
+        Set::SetTransaction { session: false, .. } => StatementKind::Write,
+        _ => hidden,
+    }
+}
+
+fn joined_values(values: &[Expr]) -> String {
+    let texts: Vec<String> = values.iter().map(unquoted).collect();
+    texts.join(", ")
+}
+
+fn unquoted(value: &Expr) -> String {
+    match value {
+        Expr::Value(value) => value
+            .clone()
+            .into_string()
+            .unwrap_or_else(|| value.to_string()),
+        other => other.to_string(),
+    }
+}
+
+fn object_name(name: &ObjectName) -> String {
+    joined(
+        name.0
+            .iter()
+            .filter_map(|part| part.as_ident())
+            .map(|ident| ident.value.as_str()),
+    )
+}
+
+fn joined<'a>(parts: impl Iterator<Item = &'a str>) -> String {
+    let parts: Vec<&str> = parts.collect();
+    parts.join(".").to_ascii_lowercase()
+}
+
+/// What a walk over a statement found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effects {
+    None,
+    Some,
+    Unsupported(Unsupported),
+}
+
+fn effects_of(statement: &Statement) -> Effects {
+    let mut finder = EffectFinder {
+        statements: 0,
+        effects: Effects::None,
+    };
+    let _ = statement.visit(&mut finder);
+    finder.effects
+}
+
+/// Walks a statement looking for anything that is more than a read.
+struct EffectFinder {
+    statements: usize,
+    effects: Effects,
+}
+
+impl EffectFinder {
+    fn raise(&mut self, effects: Effects) -> ControlFlow<()> {
+        self.effects = effects;
+        match effects {
+            Effects::Unsupported(_) => ControlFlow::Break(()),
+            Effects::None | Effects::Some => ControlFlow::Continue(()),
+        }
+    }
+
+    fn check_function(&mut self, name: &ObjectName) -> ControlFlow<()> {
+        let full = object_name(name);
+        let bare = full.rsplit('.').next().unwrap_or_default();
+        if bare == "set_config" {
+            return self.raise(Effects::Unsupported(Unsupported::HiddenSetting));
+        }
+        let session_lock = bare.contains("advisory") && !bare.contains("xact");
+        if session_lock {
+            return self.raise(Effects::Unsupported(Unsupported::AdvisoryLock));
+        }
+        if PURE_FUNCTIONS.contains(&bare) {
+            return ControlFlow::Continue(());
+        }
+        self.raise(Effects::Some)
+    }
+}
+
+impl Visitor for EffectFinder {
+    type Break = ();
+
+    fn pre_visit_statement(&mut self, _statement: &Statement) -> ControlFlow<()> {
+        self.statements += 1;
+        // A nested statement is a data-modifying common table expression.
+        if self.statements > 1 {
+            return self.raise(Effects::Some);
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        if !query.locks.is_empty() || selects_into(&query.body) {
+            return self.raise(Effects::Some);
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
+        match expr {
+            Expr::Function(function) => {
+                if matches!(function.args, FunctionArguments::Subquery(_)) {
+                    return self.raise(Effects::Some);
+                }
+                self.check_function(&function.name)
+            }
+            _ => ControlFlow::Continue(()),
+        }
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | TableFactor::Function { name, .. } => self.check_function(name),
+            _ => ControlFlow::Continue(()),
+        }
+    }
+}
+
+fn selects_into(body: &SetExpr) -> bool {
+    match body {
+        SetExpr::Select(select) => has_into(select),
+        SetExpr::SetOperation { left, right, .. } => selects_into(left) || selects_into(right),
+        SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => false,
+        SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_) => true,
+    }
+}
+
+fn has_into(select: &Select) -> bool {
+    select.into.is_some()
+}
--- /dev/null
+++ b/crates/linkhold-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decision logic of linkhold.
+//!
+//! Everything here is pure: events and the current time go in, decisions come
+//! out. There is no I/O, no clock, no logging and no source of randomness, so
+//! the same code runs in a real node, in a simulation and in property tests.
+
+pub mod admission;
+pub mod classify;
+pub mod group_view;
+pub mod outcome;
+pub mod position;
+pub mod request_key;
+pub mod routing;
+pub mod table;
+pub mod token;
--- /dev/null
+++ b/crates/linkhold/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
