Serve a request end to end through separate processes

Cause: nothing ran yet. A node process now speaks the PostgreSQL protocol to callers, reads the table from the platform, probes each instance, acknowledges a write once a majority holds it and serves a read from any instance that has reached the majority fence.

--- a/crates/linkhold-core/src/lib.rs
+++ b/crates/linkhold-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod outcome;
 pub mod position;
 pub mod request_key;
+pub mod retry_budget;
 pub mod routing;
 pub mod table;
 pub mod token;
--- /dev/null
+++ b/crates/linkhold/src/backend/pool.rs
@@ -0,0 +1,219 @@
+//! Pool of connections to one instance, within this node's share of its
+//! connection limit.
+
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use super::connection::{BackendConnection, BackendError, Target};
+use crate::log_event::{Event, EventName};
+use crate::settings::Settings;
+
+/// Connections to one instance. Cheap to clone; clones share the connections.
+#[derive(Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    target: Target,
+    settings: Arc<Settings>,
+    idle: Mutex<Vec<BackendConnection>>,
+    permits: Arc<Semaphore>,
+    limit: Mutex<usize>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(
+        address: SocketAddr,
+        database: String,
+        limit: usize,
+        settings: Arc<Settings>,
+    ) -> Self {
+        let target = Target {
+            address,
+            database: database.into(),
+            user: settings.backend_user.as_str().into(),
+        };
+        Self {
+            shared: Arc::new(Shared {
+                target,
+                settings,
+                idle: Mutex::default(),
+                permits: Arc::new(Semaphore::new(limit)),
+                limit: Mutex::new(limit),
+            }),
+        }
+    }
+
+    /// Takes an idle connection, or makes one within the limit. Waits while
+    /// the limit is in use.
+    ///
+    /// A connection is made only while holding a permit and with none idle,
+    /// so lent and idle connections together never exceed the limit.
+    pub async fn take(&self) -> Result<PooledConnection, BackendError> {
+        let waiting = self.shared.permits.clone().acquire_owned();
+        let timeout = self.shared.settings.connect_timeout;
+        let permit = tokio::time::timeout(timeout, waiting)
+            .await
+            .map_err(|_| BackendError::LimitReached)?
+            .expect("the semaphore is never closed");
+        let connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        Ok(PooledConnection {
+            connection: Some(connection),
+            pool: self.clone(),
+            _permit: permit,
+        })
+    }
+
+    /// A connection that does not count against the pool's limit; the share
+    /// leaves room for it.
+    pub async fn connect_for_probe(&self) -> Result<BackendConnection, BackendError> {
+        self.connect().await
+    }
+
+    /// Makes connections in the background until this many are idle.
+    pub fn keep_warm(&self, wanted: usize) {
+        let pool = self.clone();
+        if self.idle().len() >= wanted {
+            return;
+        }
+        tokio::spawn(async move {
+            let Ok(_permit) = pool.shared.permits.clone().try_acquire_owned() else {
+                return;
+            };
+            if let Ok(connection) = pool.connect().await {
+                pool.idle().push(connection);
+            }
+        });
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.idle().clear();
+    }
+
+    /// Changes the limit. Connections beyond a lowered limit are closed as
+    /// they come back.
+    pub fn set_limit(&self, limit: usize) {
+        let mut current = self.shared.limit.lock().expect("no panic while held");
+        if limit > *current {
+            self.shared.permits.add_permits(limit - *current);
+        } else {
+            self.shrink(*current - limit);
+        }
+        *current = limit;
+    }
+
+    /// Idle connections now.
+    pub fn idle_count(&self) -> usize {
+        self.idle().len()
+    }
+
+    /// Connections lent to sessions now.
+    pub fn lent_count(&self) -> usize {
+        self.limit()
+            .saturating_sub(self.shared.permits.available_permits())
+    }
+
+    /// The limit in force.
+    pub fn limit(&self) -> usize {
+        *self.shared.limit.lock().expect("no panic while held")
+    }
+
+    /// Address that is dialled.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.target.address
+    }
+
+    fn shrink(&self, count: usize) {
+        let permits = self.shared.permits.clone();
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        if count == 0 {
+            return;
+        }
+        self.idle().clear();
+        tokio::spawn(async move {
+            if let Ok(taken) = permits.acquire_many_owned(count).await {
+                taken.forget();
+            }
+        });
+    }
+
+    fn take_idle(&self) -> Option<BackendConnection> {
+        loop {
+            let connection = self.idle().pop()?;
+            if connection.is_reusable() {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<BackendConnection, BackendError> {
+        let settings = &self.shared.settings;
+        let connecting =
+            BackendConnection::connect(&self.shared.target, settings.statement_timeout);
+        let result = tokio::time::timeout(settings.connect_timeout, connecting)
+            .await
+            .unwrap_or(Err(BackendError::TimedOut));
+        if let Err(error) = &result {
+            Event::warn(EventName::ConnectFailed)
+                .field("database", &self.shared.target.database)
+                .field("address", self.shared.target.address)
+                .field("reason", error)
+                .log();
+        }
+        result
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<BackendConnection>> {
+        self.shared.idle.lock().expect("no panic while held")
+    }
+}
+
+/// A connection lent to one session.
+///
+/// # Invariant
+///
+/// It goes back to the pool only by [`PooledConnection::give_back`], which is
+/// called after a ReadyForQuery in idle state. Dropped in any other state the
+/// connection is closed, so that nothing of one session reaches the next.
+pub struct PooledConnection {
+    connection: Option<BackendConnection>,
+    pool: Pool,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl PooledConnection {
+    /// Returns the connection to its pool, or closes it if the limit has been
+    /// lowered in the meantime.
+    pub fn give_back(mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let mut idle = self.pool.idle();
+        if idle.len() < self.pool.limit() {
+            idle.push(connection);
+        }
+    }
+}
+
+impl Deref for PooledConnection {
+    type Target = BackendConnection;
+
+    fn deref(&self) -> &BackendConnection {
+        self.connection.as_ref().expect("present until given back")
+    }
+}
+
+impl DerefMut for PooledConnection {
+    fn deref_mut(&mut self) -> &mut BackendConnection {
+        self.connection.as_mut().expect("present until given back")
+    }
+}
--- /dev/null
+++ b/crates/linkhold/src/cli/mod.rs
@@ -0,0 +1,40 @@
+//! The command line.
+
+mod proxy;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+/// The command succeeded.
+pub const EXIT_OK: u8 = 0;
+/// The command ran and found something wrong: findings, conflicts, violations.
+pub const EXIT_FINDINGS: u8 = 1;
+/// The command could not run: bad flags, no answer, an address in use.
+pub const EXIT_FAILED: u8 = 2;
+
+fn command() -> Command {
+    Command::new("linkhold")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Database proxy with session consistency")
+        .after_help("Exit status: 0 done, 1 findings or violations, 2 could not run.")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(proxy::command())
+}
+
+/// Parses the command line and runs the command.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("proxy", arguments)) => proxy::run(arguments),
+        _ => unreachable!("clap demands a known subcommand"),
+    };
+    match result {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- a/crates/linkhold/src/main.rs
+++ b/crates/linkhold/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The `linkhold` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    linkhold::cli::run()
+}
--- /dev/null
+++ b/crates/linkhold/src/node.rs
@@ -0,0 +1,239 @@
+//! A node: its listener, its shared state and its orderly end.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use eyre::{Result, WrapErr};
+use linkhold_core::classify::{Classified, classify};
+use linkhold_core::retry_budget::RetryBudget;
+use linkhold_core::token::TokenKey;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::group::Directory;
+use crate::log_event::{Event, EventName};
+use crate::metrics::Metrics;
+use crate::session::{CancelRegistry, OpenConnection, run_session};
+use crate::settings::Settings;
+use crate::table_keeper::{AbortOnDropHandle, TableKeeper, TableSnapshot};
+
+/// Reported to callers until a back end has told its own version.
+const DEFAULT_SERVER_VERSION: &str = "16.0 (linkhold)";
+
+/// What all sessions of a node share.
+pub struct NodeShared {
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Databases.
+    pub directory: Directory,
+    /// Table in force.
+    pub table: TableSnapshot,
+    /// Sessions that can be cancelled.
+    pub cancels: CancelRegistry,
+    /// Classified statements.
+    pub cache: StatementCache,
+    /// Signs session tokens.
+    pub token_key: TokenKey,
+    /// Limits retries.
+    pub retry_budget: SharedRetryBudget,
+    /// True once the node leaves.
+    pub leaving: watch::Sender<bool>,
+}
+
+impl NodeShared {
+    /// Version to report for a database.
+    pub fn server_version(&self, _database: &str) -> String {
+        DEFAULT_SERVER_VERSION.to_owned()
+    }
+}
+
+/// A retry budget shared by sessions.
+#[derive(Default)]
+pub struct SharedRetryBudget(Mutex<RetryBudget>);
+
+impl SharedRetryBudget {
+    /// A request was answered.
+    pub fn earn(&self) {
+        self.budget().earn();
+    }
+
+    /// Takes the price of a retry.
+    pub fn try_spend(&self) -> bool {
+        self.budget().try_spend()
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.0.lock().expect("no panic while held")
+    }
+}
+
+/// Classifications of statements seen before, by a hash of their text.
+#[derive(Default)]
+pub struct StatementCache {
+    entries: Mutex<HashMap<u128, Arc<Classified>>>,
+}
+
+/// Statements kept in the cache.
+const CACHE_ENTRIES: usize = 8_192;
+/// Longer texts are classified each time.
+const LONGEST_CACHED: usize = 4_096;
+
+impl StatementCache {
+    /// Classifies a text.
+    pub fn classify(&self, text: &str) -> Arc<Classified> {
+        if text.len() > LONGEST_CACHED {
+            return Arc::new(classify(text));
+        }
+        let hash = xxh3_128(text.as_bytes());
+        if let Some(known) = self.entries().get(&hash) {
+            return known.clone();
+        }
+        let classified = Arc::new(classify(text));
+        let mut entries = self.entries();
+        if entries.len() >= CACHE_ENTRIES {
+            entries.clear();
+        }
+        entries.insert(hash, classified.clone());
+        classified
+    }
+
+    fn entries(&self) -> MutexGuard<'_, HashMap<u128, Arc<Classified>>> {
+        self.entries.lock().expect("no panic while held")
+    }
+}
+
+/// A running node. Dropping it ends it at once, as a crash would.
+pub struct Node {
+    shared: Arc<NodeShared>,
+    address: SocketAddr,
+    accepting: Option<JoinHandle<JoinSet<()>>>,
+    in_force: watch::Receiver<u64>,
+    _applying: AbortOnDropHandle,
+    _reading: AbortOnDropHandle,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(accepting) = &self.accepting {
+            accepting.abort();
+        }
+    }
+}
+
+impl Node {
+    /// Starts a node.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let listener = TcpListener::bind(settings.listen)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
+        let address = listener.local_addr()?;
+        let settings = Arc::new(settings);
+        let metrics = Arc::new(Metrics::default());
+        let (table, table_changes, reading) =
+            TableKeeper::start(settings.table.clone(), settings.table_poll);
+        let shared = Arc::new(NodeShared {
+            directory: Directory::new(settings.clone(), metrics.clone()),
+            token_key: TokenKey::new(settings.token_key.as_bytes()),
+            settings,
+            metrics,
+            table,
+            cancels: CancelRegistry::default(),
+            cache: StatementCache::default(),
+            retry_budget: SharedRetryBudget::default(),
+            leaving: watch::Sender::new(false),
+        });
+        let (in_force_sender, in_force) = watch::channel(0);
+        let applying = tokio::spawn(apply_tables(shared.clone(), table_changes, in_force_sender));
+        let accepting = tokio::spawn(accept(shared.clone(), listener));
+        Event::info(EventName::NodeStarted)
+            .field("node", &shared.settings.node)
+            .field("zone", &shared.settings.zone)
+            .field("listen", address)
+            .log();
+        Ok(Self {
+            shared,
+            address,
+            accepting: Some(accepting),
+            in_force,
+            _applying: AbortOnDropHandle::new(applying),
+            _reading: reading,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// State shared by its sessions.
+    pub fn shared(&self) -> &Arc<NodeShared> {
+        &self.shared
+    }
+
+    /// Waits until a table of at least this version is in force.
+    pub async fn wait_for_table(&self, version: u64) {
+        let mut changes = self.in_force.clone();
+        // The sender lives as long as the node.
+        let _ = changes.wait_for(|known| *known >= version).await;
+    }
+
+    /// Ends the node in order: no new sessions, and each session ends between
+    /// requests and outside a transaction. After the drain time-out what is
+    /// left is ended as it stands.
+    pub async fn stop(mut self) {
+        Event::info(EventName::NodeLeaving)
+            .field("node", &self.shared.settings.node)
+            .log();
+        self.shared.leaving.send_replace(true);
+        if let Some(accepting) = self.accepting.take()
+            && let Ok(mut sessions) = accepting.await
+        {
+            let drained = async { while sessions.join_next().await.is_some() {} };
+            let timeout = self.shared.settings.drain_timeout;
+            let all_ended = tokio::time::timeout(timeout, drained).await.is_ok();
+            Event::info(EventName::NodeStopped)
+                .field("node", &self.shared.settings.node)
+                .field("drained", all_ended)
+                .log();
+        }
+    }
+}
+
+/// Puts each table version in force as it is read.
+async fn apply_tables(
+    shared: Arc<NodeShared>,
+    mut changes: watch::Receiver<u64>,
+    in_force: watch::Sender<u64>,
+) {
+    while changes.changed().await.is_ok() {
+        let table = shared.table.load_full();
+        shared.directory.apply(&table.topology);
+        in_force.send_replace(table.version);
+    }
+}
+
+/// Accepts sessions until the node leaves; returns those still running.
+async fn accept(shared: Arc<NodeShared>, listener: TcpListener) -> JoinSet<()> {
+    let mut sessions = JoinSet::new();
+    let mut leaving = shared.leaving.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let shared = shared.clone();
+                    sessions.spawn(async move {
+                        let _open = OpenConnection::new(shared.clone());
+                        run_session(shared, stream).await;
+                    });
+                }
+            }
+            Some(_) = sessions.join_next() => {}
+            _ = leaving.wait_for(|leaving| *leaving) => return sessions,
+        }
+    }
+}
--- /dev/null
+++ b/crates/linkhold/src/platform.rs
@@ -0,0 +1,125 @@
+//! Client of the platform's table service.
+
+use std::time::Duration;
+
+use reqwest::{Client, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Time after which a request to the platform counts as failed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a request to the platform failed.
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    /// No usable answer; an edit may or may not have taken effect.
+    #[error("the platform did not answer: {0}")]
+    NoAnswer(String),
+    /// The table has moved on since the expected version.
+    #[error("the table has moved on")]
+    Conflict,
+    /// The version does not exist.
+    #[error("no such version")]
+    NotFound,
+}
+
+/// A stored version of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct TableVersion {
+    /// Version; 0 is the empty table before the first edit.
+    pub version: u64,
+    /// Identity of the edit that made it.
+    pub edit_id: String,
+    /// Who made it.
+    pub author: String,
+    /// CSV text.
+    pub body: String,
+}
+
+/// An edit to be stored.
+#[derive(Clone, Debug, Serialize)]
+pub struct TableEdit {
+    /// Version the edit was made from.
+    pub expected_version: u64,
+    /// Identity, so that a lost answer can be resolved.
+    pub edit_id: String,
+    /// Who makes it.
+    pub author: String,
+    /// CSV text.
+    pub body: String,
+}
+
+/// A version in the table's history.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HistoryEntry {
+    /// Version.
+    pub version: u64,
+    /// Identity of the edit.
+    pub edit_id: String,
+    /// Who made it.
+    pub author: String,
+}
+
+/// Client of one table of the table service.
+#[derive(Clone)]
+pub struct PlatformClient {
+    client: Client,
+    table_url: String,
+}
+
+impl PlatformClient {
+    /// A client for table `name` at the platform's base URL.
+    pub fn new(base_url: &str, name: &str) -> Self {
+        let client = Client::builder()
+            .timeout(REQUEST_TIMEOUT)
+            .no_proxy()
+            .build()
+            .expect("a client without TLS can always be built");
+        let table_url = format!("{}/tables/{name}", base_url.trim_end_matches('/'));
+        Self { client, table_url }
+    }
+
+    /// The newest version.
+    pub async fn read(&self) -> Result<TableVersion, PlatformError> {
+        let response = self.client.get(&self.table_url).send().await;
+        decode(checked(response)?).await
+    }
+
+    /// A given version.
+    pub async fn read_version(&self, version: u64) -> Result<TableVersion, PlatformError> {
+        let request = self
+            .client
+            .get(&self.table_url)
+            .query(&[("version", version)]);
+        decode(checked(request.send().await)?).await
+    }
+
+    /// All versions.
+    pub async fn history(&self) -> Result<Vec<HistoryEntry>, PlatformError> {
+        let url = format!("{}/history", self.table_url);
+        decode(checked(self.client.get(url).send().await)?).await
+    }
+
+    /// Stores an edit if its expected version is still the newest.
+    pub async fn edit(&self, edit: &TableEdit) -> Result<TableVersion, PlatformError> {
+        let request = self.client.put(&self.table_url).json(edit);
+        decode(checked(request.send().await)?).await
+    }
+}
+
+fn checked(response: reqwest::Result<Response>) -> Result<Response, PlatformError> {
+    let response = response.map_err(|error| PlatformError::NoAnswer(error.to_string()))?;
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::CONFLICT => Err(PlatformError::Conflict),
+        StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
+        status => Err(PlatformError::NoAnswer(status.to_string())),
+    }
+}
+
+async fn decode<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, PlatformError> {
+    response
+        .json()
+        .await
+        .map_err(|error| PlatformError::NoAnswer(error.to_string()))
+}
--- /dev/null
+++ b/crates/linkhold/src/session/mod.rs
@@ -0,0 +1,333 @@
+//! A caller's session.
+//!
+//! [`run_session`] reads units of work ([`unit`]), answers some itself
+//! ([`local`]) and runs the others on a leased back end connection
+//! ([`lease`], [`exchange`]). What is said when something fails is decided in
+//! [`request`] and nowhere else.
+
+mod cancel;
+mod exchange;
+mod lease;
+mod local;
+mod plan;
+mod request;
+mod startup;
+mod state;
+mod unit;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use linkhold_core::outcome::{Failure, NotRun};
+use linkhold_wire::reply::{self, ErrorFields, SessionStatus};
+use linkhold_wire::{FrameReader, WireError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub use cancel::{CancelRegistry, CancelSlot};
+use lease::Lease;
+use startup::{Opening, open_session};
+use state::SessionState;
+use unit::{Unit, UnitEnd, read_unit};
+
+use crate::console;
+use crate::log_event::{Event, EventName};
+use crate::metrics::count;
+use crate::node::NodeShared;
+
+/// SQLSTATE "protocol violation".
+const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE "feature not supported".
+const FEATURE_NOT_SUPPORTED: &str = "0A000";
+/// How long a node waits for a caller to close after it was told to leave.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
+
+/// What a session holds on to between units.
+struct Held {
+    lease: Lease,
+    /// An explicit transaction, as opposed to a batch that goes on after a
+    /// Flush.
+    in_transaction: bool,
+    /// Status last reported by the back end.
+    status: SessionStatus,
+}
+
+/// One caller's session.
+struct Session {
+    node: Arc<NodeShared>,
+    stream: TcpStream,
+    reader: FrameReader,
+    output: BytesMut,
+    database: Arc<str>,
+    state: SessionState,
+    held: Option<Held>,
+    /// After an error in a batch, messages are ignored up to the next Sync.
+    skip_until_sync: bool,
+    /// The transaction was lost with its connection; the caller has yet to
+    /// end it.
+    lost_transaction: bool,
+    cancel: Arc<CancelSlot>,
+}
+
+/// Why a session stops waiting for input.
+enum Input {
+    Ready,
+    Closed,
+    Leave,
+}
+
+/// Serves one client connection to its end.
+pub async fn run_session(node: Arc<NodeShared>, mut stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut reader = FrameReader::default();
+    let opening = Box::pin(open_session(&node, &mut stream, &mut reader)).await;
+    let opened = match opening {
+        Ok(Opening::Session(opened)) => opened,
+        Ok(Opening::Done) => return,
+        Err(error) => {
+            reject(&node, &mut stream, &error).await;
+            return;
+        }
+    };
+    if opened.is_console {
+        console::run(&node, &mut stream, &mut reader).await;
+        return;
+    }
+    let mut session = Session {
+        stream,
+        reader,
+        output: BytesMut::new(),
+        database: opened.database,
+        state: opened.state,
+        held: None,
+        skip_until_sync: false,
+        lost_transaction: false,
+        cancel: opened.cancel,
+        node,
+    };
+    if let Err(error) = session.run().await {
+        let node = session.node.clone();
+        reject(&node, &mut session.stream, &error).await;
+    }
+}
+
+/// Tells a caller who broke the protocol, and says so in the log. Failures of
+/// the connection itself have nobody left to tell.
+async fn reject(node: &NodeShared, stream: &mut TcpStream, error: &WireError) {
+    if matches!(error, WireError::Io(_)) {
+        return;
+    }
+    Event::warn(EventName::ProtocolViolation)
+        .field("node", &node.settings.node)
+        .field("reason", error)
+        .log();
+    let fields = ErrorFields::fatal(PROTOCOL_VIOLATION, error.to_string());
+    let mut output = BytesMut::new();
+    reply::put_error(&mut output, &fields);
+    say_goodbye(stream, &output).await;
+}
+
+/// Sends last words and waits a little for the caller to close, so that the
+/// words are not lost to a reset.
+async fn say_goodbye(stream: &mut TcpStream, output: &[u8]) {
+    if stream.write_all(output).await.is_err() || stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut scratch = [0; 1024];
+    let drain =
+        async { while matches!(stream.read(&mut scratch).await, Ok(count) if count > 0) {} };
+    let _ = tokio::time::timeout(CLOSE_WAIT, drain).await;
+}
+
+impl Session {
+    async fn run(&mut self) -> Result<(), WireError> {
+        loop {
+            if self.reader.is_empty() {
+                self.reader.release_memory();
+                match self.wait_for_input().await {
+                    Input::Ready => {}
+                    Input::Closed => return Ok(()),
+                    Input::Leave => {
+                        self.leave().await;
+                        return Ok(());
+                    }
+                }
+            }
+            // Boxed so that an idle session does not keep room for it.
+            let goes_on = Box::pin(self.step()).await?;
+            if !goes_on {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Waits for bytes from the caller. When the node leaves, a session ends
+    /// here: between requests, outside a transaction and with nothing
+    /// received that has not been answered.
+    async fn wait_for_input(&mut self) -> Input {
+        let mut leaving = self.node.leaving.subscribe();
+        let at_rest = self.held.is_none() && !self.lost_transaction;
+        let must_leave = async {
+            if !at_rest || leaving.wait_for(|leaving| *leaving).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            ready = self.stream.readable() => match ready {
+                Ok(()) => Input::Ready,
+                Err(_) => Input::Closed,
+            },
+            () = must_leave => match self.stream.try_read_buf(self.reader.raw()) {
+                Ok(0) => Input::Closed,
+                Ok(_) => Input::Ready,
+                Err(_) => Input::Leave,
+            },
+        }
+    }
+
+    async fn leave(&mut self) {
+        let failure = Failure::NotRun(NotRun::Stopping);
+        let fields = ErrorFields::fatal(failure.sqlstate(), "the node is leaving; connect again")
+            .with_detail(failure.detail(0.0));
+        reply::put_error(&mut self.output, &fields);
+        let output = self.output.split();
+        say_goodbye(&mut self.stream, &output).await;
+    }
+
+    /// Reads and serves one unit. `false` when the session has ended.
+    async fn step(&mut self) -> Result<bool, WireError> {
+        let unit = read_unit(
+            &mut self.reader,
+            &mut self.stream,
+            &mut self.state,
+            &self.node.cache,
+        )
+        .await?;
+        let Some(unit) = unit else {
+            return Ok(false);
+        };
+        match unit {
+            Unit::Terminate => return Ok(false),
+            Unit::Unexpected => return Err(WireError::Malformed("frontend")),
+            unit => self.serve(&unit).await?,
+        }
+        self.flush().await?;
+        Ok(true)
+    }
+
+    async fn serve(&mut self, unit: &Unit) -> Result<(), WireError> {
+        if self.skip_until_sync {
+            if ends_with_sync(unit) {
+                self.skip_until_sync = false;
+                self.put_ready();
+            }
+            return Ok(());
+        }
+        if let Some(feature) = unit.unsupported() {
+            let message = format!(
+                "{} cannot be used through pooled connections; the statement was not run",
+                feature.feature()
+            );
+            let fields = ErrorFields::error(FEATURE_NOT_SUPPORTED, message)
+                .with_detail("outcome=not_run reason=unsupported");
+            self.put_failure(unit, &fields);
+            return Ok(());
+        }
+        if self.answer_locally(unit) {
+            return Ok(());
+        }
+        if self.lost_transaction {
+            self.answer_in_lost_transaction(unit);
+            return Ok(());
+        }
+        self.run_unit(unit).await
+    }
+
+    /// Transaction status as the caller must see it.
+    fn status(&self) -> SessionStatus {
+        match &self.held {
+            Some(held) if held.in_transaction => held.status,
+            _ if self.lost_transaction => SessionStatus::Error,
+            _ => SessionStatus::Idle,
+        }
+    }
+
+    fn put_ready(&mut self) {
+        let status = self.status();
+        reply::put_ready(&mut self.output, status);
+    }
+
+    /// Ends a unit with an error.
+    fn put_failure(&mut self, unit: &Unit, fields: &ErrorFields) {
+        reply::put_error(&mut self.output, fields);
+        self.end_failed_unit(unit);
+    }
+
+    /// Ends a unit whose error is already in the output.
+    fn end_failed_unit(&mut self, unit: &Unit) {
+        if ends_with_sync(unit) {
+            self.put_ready();
+        } else {
+            self.skip_until_sync = true;
+        }
+    }
+
+    async fn flush(&mut self) -> Result<(), WireError> {
+        if !self.output.is_empty() {
+            let output = std::mem::take(&mut self.output);
+            self.stream.write_all(&output).await?;
+        }
+        Ok(())
+    }
+
+    fn count_failure(&self, failure: Failure) {
+        self.node.metrics.count_failure(failure);
+        if let Failure::Unknown(reason) = failure {
+            Event::warn(EventName::UnknownOutcome)
+                .field("database", &self.database)
+                .field("reason", reason.reason())
+                .log();
+        }
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.node.cancels.remove(&self.cancel);
+    }
+}
+
+fn ends_with_sync(unit: &Unit) -> bool {
+    !matches!(
+        unit,
+        Unit::Extended {
+            end: UnitEnd::Flush,
+            ..
+        }
+    )
+}
+
+/// Counts an open client connection for as long as it lives.
+pub struct OpenConnection(Arc<NodeShared>);
+
+impl OpenConnection {
+    /// Counts one more.
+    pub fn new(node: Arc<NodeShared>) -> Self {
+        count(&node.metrics.connections_accepted);
+        count(&node.metrics.connections_open);
+        Self(node)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0
+            .metrics
+            .connections_open
+            .fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/linkhold/src/session/startup.rs
@@ -0,0 +1,247 @@
+//! Opening of a session: encryption requests, cancel requests, start-up
+//! parameters.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use linkhold_core::outcome::{Failure, NotRun};
+use linkhold_wire::reply::{self, ErrorFields, SessionStatus};
+use linkhold_wire::{FrameReader, WireError};
+use pgwire::messages::startup::Startup;
+use pgwire::messages::{
+    DecodeContext, PgWireFrontendMessage, ProtocolVersion, SslNegotiationMetaMessage,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::cancel::CancelSlot;
+use super::local::apply_linkhold_setting;
+use super::{PROTOCOL_VIOLATION, SessionState, say_goodbye};
+use crate::backend::SessionSettings;
+use crate::console;
+use crate::node::NodeShared;
+
+/// Longest start-up message, as in PostgreSQL.
+const MAX_STARTUP_LENGTH: usize = 10_000;
+const REFUSE_ENCRYPTION: &[u8] = b"N";
+/// Prefix of linkhold's own settings.
+const OWN_PREFIX: &str = "linkhold.";
+/// Parameters that say who connects to what; all others are settings.
+const IDENTITY_PARAMETERS: [&str; 4] = ["user", "database", "replication", "options"];
+const INVALID_AUTHORIZATION: &str = "28000";
+
+/// What became of a new connection.
+pub enum Opening {
+    /// A session is open.
+    Session(Opened),
+    /// A cancel request or a refused start; nothing is left to do.
+    Done,
+}
+
+/// An opened session.
+pub struct Opened {
+    /// The database.
+    pub database: Arc<str>,
+    /// Settings and tokens from the start-up parameters.
+    pub state: SessionState,
+    /// For cancel requests.
+    pub cancel: Arc<CancelSlot>,
+    /// The operators' console, not a database.
+    pub is_console: bool,
+}
+
+/// Reads the first messages of a connection and answers them.
+pub async fn open_session(
+    node: &NodeShared,
+    stream: &mut TcpStream,
+    reader: &mut FrameReader,
+) -> Result<Opening, WireError> {
+    let startup = match read_first_message(node, stream, reader).await? {
+        Some(startup) => startup,
+        None => return Ok(Opening::Done),
+    };
+    match check(node, &startup) {
+        Ok((database, state)) => {
+            let is_console = &*database == console::DATABASE;
+            let cancel = node.cancels.register();
+            let greeting = greeting(node, &database, &startup, &cancel);
+            stream.write_all(&greeting).await?;
+            Ok(Opening::Session(Opened {
+                database,
+                state,
+                cancel,
+                is_console,
+            }))
+        }
+        Err(fields) => {
+            let mut output = BytesMut::new();
+            reply::put_error(&mut output, &fields);
+            say_goodbye(stream, &output).await;
+            Ok(Opening::Done)
+        }
+    }
+}
+
+async fn read_first_message(
+    node: &NodeShared,
+    stream: &mut TcpStream,
+    reader: &mut FrameReader,
+) -> Result<Option<Startup>, WireError> {
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    loop {
+        if !first_message_is_sound(reader.raw()) {
+            return Err(WireError::Malformed("start-up"));
+        }
+        match PgWireFrontendMessage::decode(reader.raw(), &context) {
+            Ok(Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None))) => {
+                context.awaiting_frontend_ssl = false;
+            }
+            Ok(Some(PgWireFrontendMessage::SslNegotiation(_))) => {
+                stream.write_all(REFUSE_ENCRYPTION).await?;
+            }
+            Ok(Some(PgWireFrontendMessage::CancelRequest(request))) => {
+                let secret = request.secret_key.as_i32().unwrap_or_default();
+                node.cancels.cancel((request.pid, secret)).await;
+                return Ok(None);
+            }
+            Ok(Some(PgWireFrontendMessage::Startup(startup))) => return Ok(Some(startup)),
+            Ok(Some(_)) | Err(_) => return Err(WireError::Malformed("start-up")),
+            Ok(None) => {
+                if stream.read_buf(reader.raw()).await? == 0 {
+                    return Ok(None);
+                }
+            }
+        }
+    }
+}
+
+/// Whether the length field can be right, and the message, once whole, ends
+/// as it must: checked here because the library's decoder assumes it.
+fn first_message_is_sound(buffer: &BytesMut) -> bool {
+    const SHORTEST: usize = 8;
+    const CANCEL_LENGTH: usize = 16;
+    let Some(length) = buffer.first_chunk::<4>() else {
+        return true;
+    };
+    let length = u32::from_be_bytes(*length) as usize;
+    if !(SHORTEST..=MAX_STARTUP_LENGTH).contains(&length) {
+        return false;
+    }
+    if buffer.len() < length || length == SHORTEST {
+        return true;
+    }
+    let is_cancel = buffer[4..8] == 80_877_102_u32.to_be_bytes();
+    if is_cancel {
+        return length >= CANCEL_LENGTH;
+    }
+    buffer[length - 1] == 0
+}
+
+/// Checks the start-up parameters and builds the session's state.
+fn check(node: &NodeShared, startup: &Startup) -> Result<(Arc<str>, SessionState), ErrorFields> {
+    const SUPPORTED_MAJOR: u16 = 3;
+    if startup.protocol_number_major != SUPPORTED_MAJOR {
+        return Err(ErrorFields::fatal(
+            PROTOCOL_VIOLATION,
+            "only protocol version 3 is supported",
+        ));
+    }
+    let parameters = &startup.parameters;
+    let Some(user) = parameters.get("user") else {
+        return Err(ErrorFields::fatal(
+            INVALID_AUTHORIZATION,
+            "no user name given",
+        ));
+    };
+    if parameters.contains_key("replication") {
+        return Err(ErrorFields::fatal(
+            super::FEATURE_NOT_SUPPORTED,
+            "replication connections are not proxied",
+        ));
+    }
+    let database: Arc<str> = parameters.get("database").unwrap_or(user).as_str().into();
+    let leaving = *node.leaving.borrow();
+    if leaving {
+        return Err(refusal(NotRun::Stopping));
+    }
+    if &*database != console::DATABASE && node.directory.get(&database).is_none() {
+        let reason = match node.table.load().version {
+            0 => NotRun::NoPrimary,
+            _ => NotRun::UnknownDatabase,
+        };
+        return Err(refusal(reason));
+    }
+    let mut state = SessionState::new(SessionSettings::new());
+    for (name, value) in requested_settings(parameters) {
+        if name.starts_with(OWN_PREFIX) {
+            apply_linkhold_setting(node, &database, &mut state, &name, Some(&value))?;
+        } else {
+            state.change_setting(&name, Some(value));
+        }
+    }
+    Ok((database, state))
+}
+
+fn refusal(reason: NotRun) -> ErrorFields {
+    let failure = Failure::NotRun(reason);
+    ErrorFields::fatal(failure.sqlstate(), failure.to_string())
+        .with_detail(failure.detail(rand::random()))
+}
+
+/// Settings from parameters and from `options` of the form `-c name=value`.
+fn requested_settings(parameters: &BTreeMap<String, String>) -> Vec<(String, String)> {
+    let is_valid_name = |name: &str| {
+        name.chars()
+            .all(|character| character.is_ascii_alphanumeric() || "._".contains(character))
+    };
+    let mut settings: Vec<(String, String)> = parameters
+        .iter()
+        .filter(|(name, _)| !IDENTITY_PARAMETERS.contains(&name.as_str()))
+        .filter(|(name, _)| is_valid_name(name))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.clone()))
+        .collect();
+    let options = parameters.get("options").map_or("", String::as_str);
+    let words = options
+        .split_whitespace()
+        .flat_map(|word| word.strip_prefix("-c").or(word.strip_prefix("--")))
+        .chain(
+            options
+                .split_whitespace()
+                .filter(|word| !word.starts_with('-')),
+        );
+    for word in words {
+        if let Some((name, value)) = word.split_once('=')
+            && is_valid_name(name)
+        {
+            settings.push((name.to_ascii_lowercase(), value.to_owned()));
+        }
+    }
+    settings
+}
+
+fn greeting(node: &NodeShared, database: &str, startup: &Startup, cancel: &CancelSlot) -> BytesMut {
+    let mut output = BytesMut::new();
+    reply::put_authentication_ok(&mut output);
+    let encoding = startup
+        .parameters
+        .get("client_encoding")
+        .map_or("UTF8", String::as_str);
+    let parameters = [
+        ("server_version", node.server_version(database)),
+        ("server_encoding", "UTF8".to_owned()),
+        ("client_encoding", encoding.to_owned()),
+        ("DateStyle", "ISO, MDY".to_owned()),
+        ("TimeZone", "UTC".to_owned()),
+        ("integer_datetimes", "on".to_owned()),
+        ("standard_conforming_strings", "on".to_owned()),
+        ("linkhold.node", node.settings.node.clone()),
+    ];
+    for (name, value) in &parameters {
+        reply::put_parameter_status(&mut output, name, value);
+    }
+    let (process, secret) = cancel.key();
+    reply::put_backend_key(&mut output, process, secret);
+    reply::put_ready(&mut output, SessionStatus::Idle);
+    output
+}
--- /dev/null
+++ b/crates/linkhold/src/settings/mod.rs
@@ -0,0 +1,86 @@
+//! Settings of a node: a TOML file with flags over it.
+//!
+//! Every finding is reported, with its line and key, before anything starts.
+
+mod check;
+mod reader;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use linkhold_core::group_view::CommitPromise;
+
+pub use check::parse;
+pub use reader::{Finding, Overrides};
+
+/// Where the table comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TableSource {
+    /// The platform's table service.
+    Platform {
+        /// Base URL.
+        url: String,
+        /// Name of the table.
+        name: String,
+    },
+    /// A CSV file, read again whenever it changes.
+    File(PathBuf),
+}
+
+/// How reads are routed; the two other policies are baselines for comparison.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReadPolicy {
+    /// Any instance that has reached the session's token or a majority fence.
+    #[default]
+    Fence,
+    /// The primary for a fixed time after a write of the same connection.
+    PinAfterWrite,
+    /// Always the primary.
+    PrimaryOnly,
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the node, unique in the fleet.
+    pub node: String,
+    /// Zone the node stands in.
+    pub zone: String,
+    /// Address callers connect to.
+    pub listen: SocketAddr,
+    /// Where the table comes from.
+    pub table: TableSource,
+    /// How often the table source is read.
+    pub table_poll: Duration,
+    /// Key that signs session tokens; the same on every node.
+    pub token_key: String,
+    /// User name on back ends.
+    pub backend_user: String,
+    /// Status query; answers `current_term log_term log_index role`.
+    pub status_query: String,
+    /// Longest wait for a status answer.
+    pub probe_timeout: Duration,
+    /// Time between status queries when no request asks for one.
+    pub probe_interval: Duration,
+    /// Longest wait for a connection to a back end.
+    pub connect_timeout: Duration,
+    /// Longest silence of a back end within a statement.
+    pub statement_timeout: Duration,
+    /// Number of nodes that share the table's limits.
+    pub fleet_size: u32,
+    /// Share of an instance's slots kept for writes, in percent.
+    pub write_reserve_percent: u32,
+    /// Longest time sessions may take to end when the node leaves.
+    pub drain_timeout: Duration,
+    /// What the database group promises when a commit returns.
+    pub commit_promise: CommitPromise,
+    /// How reads are routed.
+    pub read_policy: ReadPolicy,
+    /// Seconds added to the clock when an hour column is looked up, for
+    /// rehearsing a table.
+    pub hour_offset: i64,
+    /// Addresses to dial in place of those in the table.
+    pub address_map: HashMap<SocketAddr, SocketAddr>,
+}
