--- a/crates/linkhold/src/cli/mod.rs
+++ b/crates/linkhold/src/cli/mod.rs
@@ -1,10 +1,12 @@
 //! The command line.
 
 mod proxy;
+mod status;
+mod table;
 
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{Arg, ArgMatches, Command};
 
 /// The command succeeded.
 pub const EXIT_OK: u8 = 0;
@@ -21,6 +23,8 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(proxy::command())
+        .subcommand(table::command())
+        .subcommand(status::command())
 }
 
 /// Parses the command line and runs the command.
@@ -28,6 +32,8 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("proxy", arguments)) => proxy::run(arguments),
+        Some(("table", arguments)) => table::run(arguments),
+        Some(("status", arguments)) => status::run(arguments),
         _ => unreachable!("clap demands a known subcommand"),
     };
     match result {
@@ -38,3 +44,16 @@
         }
     }
 }
+
+/// Argument that names nodes.
+fn nodes_argument() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("ADDRESS")
+        .action(clap::ArgAction::Append)
+        .help("IP address and port of a node; may be repeated")
+}
+
+fn nodes_of(arguments: &ArgMatches) -> impl Iterator<Item = &String> {
+    arguments.get_many::<String>("node").unwrap_or_default()
+}
--- /dev/null
+++ b/crates/linkhold/src/cli/status.rs
@@ -0,0 +1,112 @@
+//! `linkhold status`: what nodes report of themselves.
+
+use clap::{ArgMatches, Command};
+use eyre::{Result, eyre};
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+use super::{EXIT_FINDINGS, EXIT_OK};
+use crate::console;
+
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new("status")
+        .about("Print groups, pools and counters of nodes as key=value lines")
+        .long_about(
+            "Print groups, pools and counters of nodes as key=value lines. Exit status 1 if a node \
+             does not answer or a database has no primary.",
+        )
+        .arg(super::nodes_argument())
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> Result<u8> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut code = EXIT_OK;
+        for node in super::nodes_of(arguments) {
+            match print_node(node).await {
+                Ok(true) => {}
+                Ok(false) => code = EXIT_FINDINGS,
+                Err(error) => {
+                    println!("node={node} error=\"{error}\"");
+                    code = EXIT_FINDINGS;
+                }
+            }
+        }
+        Ok(code)
+    })
+}
+
+/// Prints a node's listings; `false` if a database has no primary.
+async fn print_node(node: &str) -> Result<bool> {
+    let client = connect(node).await?;
+    let mut with_primary = std::collections::BTreeMap::new();
+    for listing in ["GROUPS", "POOLS", "STATS"] {
+        for row in show(&client, listing).await? {
+            let pairs: Vec<String> = row
+                .iter()
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect();
+            println!(
+                "node={node} listing={} {}",
+                listing.to_lowercase(),
+                pairs.join(" ")
+            );
+            if listing == "GROUPS" {
+                let database = row[0].1.clone();
+                let is_primary = row
+                    .iter()
+                    .any(|(name, value)| name == "role" && value == "primary");
+                *with_primary.entry(database).or_insert(false) |= is_primary;
+            }
+        }
+    }
+    Ok(with_primary.values().all(|has_primary| *has_primary))
+}
+
+/// Version of the table in force on a node; 0 if it has none.
+pub async fn table_version(node: &str) -> Result<u64> {
+    let client = connect(node).await?;
+    let rows = show(&client, "TABLE").await?;
+    let version = rows.first().map(|row| row[0].1.parse());
+    Ok(version.transpose()?.unwrap_or(0))
+}
+
+async fn connect(node: &str) -> Result<tokio_postgres::Client> {
+    let (host, port) = node
+        .rsplit_once(':')
+        .ok_or_else(|| eyre!("`{node}` is not an address and port"))?;
+    let text = format!(
+        "host={host} port={port} user=operator dbname={}",
+        console::DATABASE
+    );
+    let connecting = tokio_postgres::connect(&text, NoTls);
+    let (client, connection) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+async fn show(
+    client: &tokio_postgres::Client,
+    listing: &str,
+) -> Result<Vec<Vec<(String, String)>>> {
+    let messages = client.simple_query(&format!("SHOW {listing}")).await?;
+    let rows = messages.iter().filter_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some(
+            row.columns()
+                .iter()
+                .enumerate()
+                .map(|(index, column)| {
+                    let value = row.get(index).unwrap_or_default();
+                    (column.name().to_owned(), value.to_owned())
+                })
+                .collect(),
+        ),
+        _ => None,
+    });
+    Ok(rows.collect())
+}
--- /dev/null
+++ b/crates/linkhold/src/cli/table.rs
@@ -0,0 +1,327 @@
+//! `linkhold table`: checks, shows and edits the table.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr, bail};
+use linkhold_core::table::rebase::rebase;
+use linkhold_core::table::{Finding, Sheet, check};
+use rand::Rng;
+
+use super::{EXIT_FINDINGS, EXIT_OK};
+use crate::platform::{PlatformClient, PlatformError, TableEdit, TableVersion};
+
+/// Comment that `table show` writes and `table apply` reads.
+const VERSION_COMMENT: &str = "# version=";
+/// Tries of an edit before it is given up: each is lost to another editor or
+/// to an answer that did not come.
+const EDIT_ATTEMPTS: usize = 20;
+const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// The subcommand.
+pub fn command() -> Command {
+    let file = Arg::new("file")
+        .required(true)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("CSV file");
+    Command::new("table")
+        .about("Check, show and edit the table")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Report every finding of a table file; exit status 1 if there are any")
+                .arg(file.clone()),
+        )
+        .subcommand(
+            with_platform(Command::new("show"))
+                .about("Print the newest version as CSV, with its version in a comment")
+                .arg(
+                    Arg::new("version")
+                        .long("version")
+                        .value_parser(value_parser!(u64))
+                        .help("Print this version instead"),
+                ),
+        )
+        .subcommand(
+            with_platform(Command::new("apply"))
+                .about("Store an edited table")
+                .long_about(
+                    "Store an edited table. The file should come from `table show`: its version \
+                     comment names the version the edit was made from. If the table has moved on \
+                     since, the edit's changes are applied on top, unless another edit changed \
+                     the same cells; such conflicts are printed and nothing is stored (exit \
+                     status 1). A lost answer is resolved by reading back.",
+                )
+                .arg(file)
+                .arg(
+                    Arg::new("base")
+                        .long("base")
+                        .value_parser(value_parser!(u64))
+                        .help("Version the edit was made from, if the file has no comment"),
+                )
+                .arg(
+                    Arg::new("author")
+                        .long("author")
+                        .default_value("operator")
+                        .help("Name recorded with the edit"),
+                ),
+        )
+        .subcommand(with_platform(Command::new("history")).about("Print all versions, one a line"))
+        .subcommand(
+            with_platform(Command::new("status"))
+                .about("Print the stored version and the version in force on nodes")
+                .arg(super::nodes_argument()),
+        )
+}
+
+fn with_platform(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .required(true)
+                .value_name("URL")
+                .help("Base URL of the platform's table service"),
+        )
+        .arg(
+            Arg::new("name")
+                .long("name")
+                .default_value("linkhold")
+                .help("Name of the table"),
+        )
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> Result<u8> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    match arguments.subcommand() {
+        Some(("check", arguments)) => check_file(file_of(arguments)),
+        Some(("show", arguments)) => runtime.block_on(show(arguments)),
+        Some(("apply", arguments)) => runtime.block_on(apply(arguments)),
+        Some(("history", arguments)) => runtime.block_on(history(arguments)),
+        Some(("status", arguments)) => runtime.block_on(status(arguments)),
+        _ => unreachable!("clap demands a known subcommand"),
+    }
+}
+
+fn file_of(arguments: &ArgMatches) -> &Path {
+    arguments.get_one::<PathBuf>("file").expect("is required")
+}
+
+fn client_of(arguments: &ArgMatches) -> PlatformClient {
+    let url = arguments
+        .get_one::<String>("platform")
+        .expect("is required");
+    let name = arguments.get_one::<String>("name").expect("has a default");
+    PlatformClient::new(url, name)
+}
+
+fn read_file(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))
+}
+
+fn parse_and_check(text: &str) -> Result<Sheet, Vec<Finding>> {
+    let sheet = Sheet::parse(text)?;
+    check(&sheet)?;
+    Ok(sheet)
+}
+
+fn print_findings(path: &Path, findings: &[Finding]) -> u8 {
+    for finding in findings {
+        println!("{}: {finding}", path.display());
+    }
+    println!("findings={}", findings.len());
+    EXIT_FINDINGS
+}
+
+fn check_file(path: &Path) -> Result<u8> {
+    match parse_and_check(&read_file(path)?) {
+        Ok(sheet) => {
+            println!("findings=0 rows={}", sheet.rows.len());
+            Ok(EXIT_OK)
+        }
+        Err(findings) => Ok(print_findings(path, &findings)),
+    }
+}
+
+async fn show(arguments: &ArgMatches) -> Result<u8> {
+    let client = client_of(arguments);
+    let table = match arguments.get_one::<u64>("version") {
+        Some(version) => client.read_version(*version).await?,
+        None => client.read().await?,
+    };
+    println!("{VERSION_COMMENT}{}", table.version);
+    print!("{}", table.body);
+    Ok(EXIT_OK)
+}
+
+async fn history(arguments: &ArgMatches) -> Result<u8> {
+    for entry in client_of(arguments).history().await? {
+        println!(
+            "version={} author={} edit_id={}",
+            entry.version, entry.author, entry.edit_id
+        );
+    }
+    Ok(EXIT_OK)
+}
+
+async fn status(arguments: &ArgMatches) -> Result<u8> {
+    let stored = client_of(arguments).read().await?.version;
+    println!("stored_version={stored}");
+    let mut all_in_force = true;
+    for node in super::nodes_of(arguments) {
+        let version = super::status::table_version(node).await;
+        let in_force = version.as_ref().is_ok_and(|version| *version == stored);
+        all_in_force &= in_force;
+        match version {
+            Ok(version) => println!("node={node} version={version} in_force={in_force}"),
+            Err(error) => println!("node={node} error=\"{error}\""),
+        }
+    }
+    Ok(if all_in_force { EXIT_OK } else { EXIT_FINDINGS })
+}
+
+async fn apply(arguments: &ArgMatches) -> Result<u8> {
+    let path = file_of(arguments);
+    let text = read_file(path)?;
+    let edited = match parse_and_check(&text) {
+        Ok(sheet) => sheet,
+        Err(findings) => return Ok(print_findings(path, &findings)),
+    };
+    let base_version = match arguments.get_one::<u64>("base").copied().or(base_of(&text)) {
+        Some(version) => version,
+        None => bail!(
+            "{} has no `{VERSION_COMMENT}N` line; edit the output of `table show` or give --base",
+            path.display()
+        ),
+    };
+    let edit = Edit {
+        client: client_of(arguments),
+        base_version,
+        edited,
+        author: arguments
+            .get_one::<String>("author")
+            .expect("has a default")
+            .clone(),
+        edit_id: format!("{:016x}", rand::rng().random::<u64>()),
+    };
+    edit.store().await
+}
+
+/// Version named by the comment of `table show`.
+fn base_of(text: &str) -> Option<u64> {
+    let line = text
+        .lines()
+        .find(|line| line.starts_with(VERSION_COMMENT))?;
+    line[VERSION_COMMENT.len()..].trim().parse().ok()
+}
+
+/// An edit on its way into the store.
+struct Edit {
+    client: PlatformClient,
+    base_version: u64,
+    edited: Sheet,
+    author: String,
+    edit_id: String,
+}
+
+impl Edit {
+    /// Stores the edit on top of the newest version, again and again while
+    /// others edit or answers are lost. The edit's identity makes a repeated
+    /// request harmless.
+    async fn store(&self) -> Result<u8> {
+        let base = self.read_base().await?;
+        let mut last_error = None;
+        for _ in 0..EDIT_ATTEMPTS {
+            match self.attempt(&base).await {
+                Ok(Attempt::Stored(version)) => {
+                    println!("version={version} edit_id={}", self.edit_id);
+                    return Ok(EXIT_OK);
+                }
+                Ok(Attempt::Refused) => return Ok(EXIT_FINDINGS),
+                Err(PlatformError::Conflict) => {}
+                Err(error) => {
+                    last_error = Some(error);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        let reason = last_error.map_or("the table keeps changing".to_owned(), |error| {
+            error.to_string()
+        });
+        bail!(
+            "edit {} may or may not be stored ({reason}); look for it in `table history`",
+            self.edit_id
+        )
+    }
+
+    async fn read_base(&self) -> Result<Sheet> {
+        let base = match self.base_version {
+            0 => return Ok(Sheet::default()),
+            version => self.client.read_version(version).await?,
+        };
+        Sheet::parse(&base.body).map_err(|_| eyre::eyre!("version {} is not a table", base.version))
+    }
+
+    async fn attempt(&self, base: &Sheet) -> Result<Attempt, PlatformError> {
+        if let Some(stored) = self.find_stored().await? {
+            return Ok(Attempt::Stored(stored));
+        }
+        let current = self.client.read().await?;
+        let Some(merged) = self.merge(base, &current) else {
+            return Ok(Attempt::Refused);
+        };
+        let edit = TableEdit {
+            expected_version: current.version,
+            edit_id: self.edit_id.clone(),
+            author: self.author.clone(),
+            body: merged.to_csv(),
+        };
+        let stored = self.client.edit(&edit).await?;
+        Ok(Attempt::Stored(stored.version))
+    }
+
+    /// Version this edit made, if an earlier attempt took effect.
+    async fn find_stored(&self) -> Result<Option<u64>, PlatformError> {
+        let history = self.client.history().await?;
+        let stored = history.iter().find(|entry| entry.edit_id == self.edit_id);
+        Ok(stored.map(|entry| entry.version))
+    }
+
+    /// The edit on top of the current version, or `None` with the reasons
+    /// printed.
+    fn merge(&self, base: &Sheet, current: &TableVersion) -> Option<Sheet> {
+        if current.version == self.base_version {
+            return Some(self.edited.clone());
+        }
+        let current_sheet = Sheet::parse(&current.body).unwrap_or_default();
+        let merged = match rebase(base, &self.edited, &current_sheet) {
+            Ok(merged) => merged,
+            Err(conflicts) => {
+                for conflict in &conflicts {
+                    println!("conflict with version {}: {conflict}", current.version);
+                }
+                println!("conflicts={}", conflicts.len());
+                return None;
+            }
+        };
+        match check(&merged) {
+            Ok(_) => Some(merged),
+            Err(findings) => {
+                for finding in &findings {
+                    println!("together with version {}: {finding}", current.version);
+                }
+                println!("findings={}", findings.len());
+                None
+            }
+        }
+    }
+}
+
+enum Attempt {
+    Stored(u64),
+    Refused,
+}
