--- a/crates/linkhold-core/src/classify.rs
+++ b/crates/linkhold-core/src/classify.rs
@@ -254,7 +254,7 @@
 
 /// Classifies a text of zero or more statements.
 pub fn classify(text: &str) -> Classified {
-    if let Some(kind) = classify_reset(text) {
+    if let Some(kind) = classify_by_words(text) {
         return Classified {
             statements: vec![kind],
         };
@@ -266,9 +266,9 @@
     Classified { statements }
 }
 
-/// `RESET` and `DEALLOCATE ALL`, recognised by their first words because the
+/// `RESET`, `DEALLOCATE ALL` and `ABORT`, recognised by their words because the
 /// parser does not know them in every form.
-fn classify_reset(text: &str) -> Option<StatementKind> {
+fn classify_by_words(text: &str) -> Option<StatementKind> {
     let words = words(text)?;
     match words.as_slice() {
         [reset, all] if reset == "reset" && all == "all" => {
@@ -280,6 +280,7 @@
         [deallocate, all] if deallocate == "deallocate" && all == "all" => {
             Some(StatementKind::Deallocate { name: None })
         }
+        [abort] if abort == "abort" => Some(StatementKind::Rollback),
         _ => None,
     }
 }
--- a/crates/linkhold-standin/src/group/state.rs
+++ b/crates/linkhold-standin/src/group/state.rs
@@ -126,6 +126,9 @@
     pub transaction: u64,
     /// SQL text.
     pub text: String,
+    /// When it started.
+    #[serde(skip)]
+    pub at: Instant,
 }
 
 /// Counters and limits of one instance.
@@ -272,6 +275,7 @@
             connection,
             transaction,
             text: text.to_owned(),
+            at: Instant::now(),
         };
         self.records
             .lock()
--- a/crates/linkhold/tests/common/mod.rs
+++ b/crates/linkhold/tests/common/mod.rs
@@ -119,6 +119,13 @@
         response.json().await.expect("is JSON")
     }
 
+    /// Statements the instances have run, in order.
+    pub async fn records(&self) -> Vec<serde_json::Value> {
+        let url = format!("http://{}/records", self.process.pairs["control"]);
+        let response = self.client.get(url).send().await.expect("it answers");
+        response.json().await.expect("is JSON")
+    }
+
     pub async fn primary(&self) -> usize {
         let reports = self.reports().await;
         (0..reports.len())
