Add the demo: a whole system under load and faults, judged by a checker

Cause: what must always hold has to be seen to hold under failure, from what callers saw and what the databases hold.

--- a/crates/linkhold/src/cli/mod.rs
+++ b/crates/linkhold/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod demo;
 mod proxy;
 mod status;
 mod table;
@@ -22,6 +23,7 @@
         .after_help("Exit status: 0 done, 1 findings or violations, 2 could not run.")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo::command())
         .subcommand(proxy::command())
         .subcommand(table::command())
         .subcommand(status::command())
@@ -31,6 +33,7 @@
 pub fn run() -> ExitCode {
     let matches = command().get_matches();
     let result = match matches.subcommand() {
+        Some(("demo", arguments)) => demo::run(arguments),
         Some(("proxy", arguments)) => proxy::run(arguments),
         Some(("table", arguments)) => table::run(arguments),
         Some(("status", arguments)) => status::run(arguments),
--- a/crates/linkhold/src/cli/table.rs
+++ b/crates/linkhold/src/cli/table.rs
@@ -4,19 +4,15 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr, bail};
-use linkhold_core::table::rebase::rebase;
 use linkhold_core::table::{Finding, Sheet, check};
 use rand::Rng;
 
 use super::{EXIT_FINDINGS, EXIT_OK};
-use crate::platform::{PlatformClient, PlatformError, TableEdit, TableVersion};
+use crate::platform::PlatformClient;
+use crate::table_editor::{Edit, EditOutcome};
 
 /// Comment that `table show` writes and `table apply` reads.
 const VERSION_COMMENT: &str = "# version=";
-/// Tries of an edit before it is given up: each is lost to another editor or
-/// to an answer that did not come.
-const EDIT_ATTEMPTS: usize = 20;
-const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
 
 /// The subcommand.
 pub fn command() -> Command {
@@ -199,7 +195,6 @@
         ),
     };
     let edit = Edit {
-        client: client_of(arguments),
         base_version,
         edited,
         author: arguments
@@ -208,120 +203,41 @@
             .clone(),
         edit_id: format!("{:016x}", rand::rng().random::<u64>()),
     };
-    edit.store().await
+    let outcome = edit.store(&client_of(arguments)).await;
+    report_outcome(&edit, &outcome)
 }
 
-/// Version named by the comment of `table show`.
-fn base_of(text: &str) -> Option<u64> {
-    let line = text
-        .lines()
-        .find(|line| line.starts_with(VERSION_COMMENT))?;
-    line[VERSION_COMMENT.len()..].trim().parse().ok()
-}
-
-/// An edit on its way into the store.
-struct Edit {
-    client: PlatformClient,
-    base_version: u64,
-    edited: Sheet,
-    author: String,
-    edit_id: String,
-}
-
-impl Edit {
-    /// Stores the edit on top of the newest version, again and again while
-    /// others edit or answers are lost. The edit's identity makes a repeated
-    /// request harmless.
-    async fn store(&self) -> Result<u8> {
-        let base = self.read_base().await?;
-        let mut last_error = None;
-        for _ in 0..EDIT_ATTEMPTS {
-            match self.attempt(&base).await {
-                Ok(Attempt::Stored(version)) => {
-                    println!("version={version} edit_id={}", self.edit_id);
-                    return Ok(EXIT_OK);
-                }
-                Ok(Attempt::Refused) => return Ok(EXIT_FINDINGS),
-                Err(PlatformError::Conflict) => {}
-                Err(error) => {
-                    last_error = Some(error);
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-        let reason = last_error.map_or("the table keeps changing".to_owned(), |error| {
-            error.to_string()
-        });
-        bail!(
-            "edit {} may or may not be stored ({reason}); look for it in `table history`",
-            self.edit_id
-        )
-    }
-
-    async fn read_base(&self) -> Result<Sheet> {
-        let base = match self.base_version {
-            0 => return Ok(Sheet::default()),
-            version => self.client.read_version(version).await?,
-        };
-        Sheet::parse(&base.body).map_err(|_| eyre::eyre!("version {} is not a table", base.version))
-    }
-
-    async fn attempt(&self, base: &Sheet) -> Result<Attempt, PlatformError> {
-        if let Some(stored) = self.find_stored().await? {
-            return Ok(Attempt::Stored(stored));
-        }
-        let current = self.client.read().await?;
-        let Some(merged) = self.merge(base, &current) else {
-            return Ok(Attempt::Refused);
-        };
-        let edit = TableEdit {
-            expected_version: current.version,
-            edit_id: self.edit_id.clone(),
-            author: self.author.clone(),
-            body: merged.to_csv(),
-        };
-        let stored = self.client.edit(&edit).await?;
-        Ok(Attempt::Stored(stored.version))
-    }
-
-    /// Version this edit made, if an earlier attempt took effect.
-    async fn find_stored(&self) -> Result<Option<u64>, PlatformError> {
-        let history = self.client.history().await?;
-        let stored = history.iter().find(|entry| entry.edit_id == self.edit_id);
-        Ok(stored.map(|entry| entry.version))
-    }
-
-    /// The edit on top of the current version, or `None` with the reasons
-    /// printed.
-    fn merge(&self, base: &Sheet, current: &TableVersion) -> Option<Sheet> {
-        if current.version == self.base_version {
-            return Some(self.edited.clone());
+fn report_outcome(edit: &Edit, outcome: &EditOutcome) -> Result<u8> {
+    match outcome {
+        EditOutcome::Stored(version) => {
+            println!("version={version} edit_id={}", edit.edit_id);
+            Ok(EXIT_OK)
         }
-        let current_sheet = Sheet::parse(&current.body).unwrap_or_default();
-        let merged = match rebase(base, &self.edited, &current_sheet) {
-            Ok(merged) => merged,
-            Err(conflicts) => {
-                for conflict in &conflicts {
-                    println!("conflict with version {}: {conflict}", current.version);
-                }
-                println!("conflicts={}", conflicts.len());
-                return None;
+        EditOutcome::Conflicts { version, conflicts } => {
+            for conflict in conflicts {
+                println!("conflict with version {version}: {conflict}");
             }
-        };
-        match check(&merged) {
-            Ok(_) => Some(merged),
-            Err(findings) => {
-                for finding in &findings {
-                    println!("together with version {}: {finding}", current.version);
-                }
-                println!("findings={}", findings.len());
-                None
+            println!("conflicts={}", conflicts.len());
+            Ok(EXIT_FINDINGS)
+        }
+        EditOutcome::Findings { version, findings } => {
+            for finding in findings {
+                println!("together with version {version}: {finding}");
             }
+            println!("findings={}", findings.len());
+            Ok(EXIT_FINDINGS)
         }
+        EditOutcome::Unknown(reason) => bail!(
+            "edit {} may or may not be stored ({reason}); look for it in `table history`",
+            edit.edit_id
+        ),
     }
 }
 
-enum Attempt {
-    Stored(u64),
-    Refused,
+/// Version named by the comment of `table show`.
+fn base_of(text: &str) -> Option<u64> {
+    let line = text
+        .lines()
+        .find(|line| line.starts_with(VERSION_COMMENT))?;
+    line[VERSION_COMMENT.len()..].trim().parse().ok()
 }
--- /dev/null
+++ b/crates/linkhold/src/demo/checker.rs
@@ -0,0 +1,336 @@
+//! Compares what callers saw with what the databases hold.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use super::history::{CallerId, Events, ReadOutcome, WriteEvent, WriteOutcome};
+
+/// Time a leaving back end may still get new work.
+pub const LEAVING_GRACE: Duration = Duration::from_secs(3);
+/// Marker in a statement that names its caller's transaction.
+pub const TRANSACTION_MARK: &str = "/* transaction=";
+
+/// A statement as an instance ran it.
+#[derive(Clone, Debug)]
+pub struct RanStatement {
+    /// Which instance.
+    pub instance: usize,
+    /// Connection it came on.
+    pub connection: u64,
+    /// Transaction it ran in.
+    pub transaction: u64,
+    /// SQL text.
+    pub text: String,
+    /// When.
+    pub at: Instant,
+}
+
+/// What a database holds and did, as its own stand-in tells.
+#[derive(Clone, Debug, Default)]
+pub struct DatabaseTruth {
+    /// Identities of all rows, once for each row.
+    pub ids: Vec<String>,
+    /// Statements run, in order.
+    pub statements: Vec<RanStatement>,
+    /// Elections: when, term and instance.
+    pub elections: Vec<(Instant, u64, usize)>,
+    /// Most connections any instance ever had open, and its limit.
+    pub most_connections: usize,
+    /// Connections an instance accepts.
+    pub connection_limit: usize,
+}
+
+/// Kinds of violations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ViolationKind {
+    /// A session did not read its own acknowledged write.
+    StaleRead,
+    /// An acknowledged write is not there.
+    LostWrite,
+    /// A write is there more than once.
+    DoubleRun,
+    /// A write refused as not run is there.
+    FalseNotRun,
+    /// A write said to have completed is not there.
+    FalseCompleted,
+    /// Part of a transaction is there.
+    PartialTransaction,
+    /// Statements of two callers' transactions share one transaction.
+    MixedTransactions,
+    /// One transaction ran on two connections.
+    SplitTransaction,
+    /// An answer to another request.
+    WrongAnswer,
+    /// An answer that is not whole.
+    PartialAnswer,
+    /// A node's table went back to a lower version.
+    VersionReversal,
+    /// An accepted edit never came into force on a node.
+    EditNotInForce,
+    /// An accepted edit was undone by another one.
+    LostEdit,
+    /// A leaving back end got new work.
+    WorkAfterLeaving,
+    /// A request was cut by an orderly stop.
+    CutRequest,
+    /// More connections than the limit.
+    ConnectionOverrun,
+}
+
+/// A violation and where it was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Kind.
+    pub kind: ViolationKind,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}: {}", self.kind, self.detail)
+    }
+}
+
+/// Finds every violation of a run.
+pub fn check(events: &Events, truth: &[DatabaseTruth]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    check_writes(events, truth, &mut violations);
+    check_reads(events, &mut violations);
+    check_transactions(truth, &mut violations);
+    check_versions(events, &mut violations);
+    check_leaving(events, truth, &mut violations);
+    check_cuts(events, &mut violations);
+    check_connections(truth, &mut violations);
+    violations
+}
+
+fn add(violations: &mut Vec<Violation>, kind: ViolationKind, detail: String) {
+    violations.push(Violation { kind, detail });
+}
+
+fn check_writes(events: &Events, truth: &[DatabaseTruth], violations: &mut Vec<Violation>) {
+    let counts: Vec<HashMap<&str, usize>> = truth
+        .iter()
+        .map(|database| {
+            let mut counts = HashMap::new();
+            for id in &database.ids {
+                *counts.entry(id.as_str()).or_default() += 1;
+            }
+            counts
+        })
+        .collect();
+    let mut told: HashMap<(usize, &str), Vec<WriteOutcome>> = HashMap::new();
+    for write in &events.writes {
+        for id in &write.ids {
+            told.entry((write.database, id))
+                .or_default()
+                .push(write.outcome);
+        }
+        check_whole(write, &counts[write.database], violations);
+    }
+    for ((database, id), outcomes) in &told {
+        let count = counts[*database].get(id).copied().unwrap_or(0);
+        check_row(id, count, outcomes, violations);
+    }
+}
+
+/// All rows of a transaction are there, or none.
+fn check_whole(write: &WriteEvent, counts: &HashMap<&str, usize>, violations: &mut Vec<Violation>) {
+    let present = write
+        .ids
+        .iter()
+        .filter(|id| counts.contains_key(id.as_str()))
+        .count();
+    if present != 0 && present != write.ids.len() {
+        let detail = format!("{present} of {:?}", write.ids);
+        add(violations, ViolationKind::PartialTransaction, detail);
+    }
+}
+
+/// A row that several requests with one key may have tried to write.
+fn check_row(id: &str, count: usize, outcomes: &[WriteOutcome], violations: &mut Vec<Violation>) {
+    let detail = || format!("row {id} is there {count} times; told {outcomes:?}");
+    let any = |wanted: WriteOutcome| outcomes.contains(&wanted);
+    if count > 1 {
+        add(violations, ViolationKind::DoubleRun, detail());
+    }
+    if count == 0 && any(WriteOutcome::Acknowledged) {
+        add(violations, ViolationKind::LostWrite, detail());
+    }
+    if count == 0 && any(WriteOutcome::AlreadyCompleted) {
+        add(violations, ViolationKind::FalseCompleted, detail());
+    }
+    let all_not_run = outcomes
+        .iter()
+        .all(|outcome| *outcome == WriteOutcome::NotRun);
+    if count > 0 && all_not_run {
+        add(violations, ViolationKind::FalseNotRun, detail());
+    }
+}
+
+fn check_reads(events: &Events, violations: &mut Vec<Violation>) {
+    let mut own: HashMap<(CallerId, usize), Vec<(Duration, u64)>> = HashMap::new();
+    for write in &events.writes {
+        let told_done = matches!(
+            write.outcome,
+            WriteOutcome::Acknowledged | WriteOutcome::AlreadyCompleted
+        );
+        if told_done {
+            own.entry((write.caller, write.database))
+                .or_default()
+                .push((write.finished, write.sequence));
+        }
+    }
+    for read in &events.reads {
+        let ReadOutcome::Answered {
+            nonce,
+            sequence,
+            rows,
+        } = &read.outcome
+        else {
+            continue;
+        };
+        if *nonce != read.nonce {
+            let detail = format!("asked {}, got {nonce}", read.nonce);
+            add(violations, ViolationKind::WrongAnswer, detail);
+        }
+        if *rows != read.expected_rows {
+            let detail = format!("{rows} of {} rows", read.expected_rows);
+            add(violations, ViolationKind::PartialAnswer, detail);
+        }
+        let must_see = own
+            .get(&(read.caller, read.database))
+            .into_iter()
+            .flatten()
+            .filter(|(finished, _)| *finished <= read.started)
+            .map(|(_, sequence)| *sequence)
+            .max()
+            .unwrap_or(0);
+        if *sequence < must_see {
+            let detail = format!(
+                "caller {} in database {} saw {sequence} after {must_see} was acknowledged",
+                read.caller, read.database
+            );
+            add(violations, ViolationKind::StaleRead, detail);
+        }
+    }
+}
+
+fn check_transactions(truth: &[DatabaseTruth], violations: &mut Vec<Violation>) {
+    for database in truth {
+        let mut marks: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+        let mut connections: BTreeMap<&str, BTreeSet<(usize, u64)>> = BTreeMap::new();
+        for statement in &database.statements {
+            let mark = mark_of(&statement.text);
+            marks.entry(statement.transaction).or_default().extend(mark);
+            if let Some(mark) = mark {
+                let connection = (statement.instance, statement.connection);
+                connections.entry(mark).or_default().insert(connection);
+            }
+        }
+        for marks in marks.values().filter(|marks| marks.len() > 1) {
+            add(
+                violations,
+                ViolationKind::MixedTransactions,
+                format!("{marks:?}"),
+            );
+        }
+        for (mark, used) in connections.iter().filter(|(_, used)| used.len() > 1) {
+            let detail = format!("{mark} on {used:?}");
+            add(violations, ViolationKind::SplitTransaction, detail);
+        }
+    }
+}
+
+/// The caller's transaction that a statement's text names.
+fn mark_of(text: &str) -> Option<&str> {
+    let start = text.find(TRANSACTION_MARK)? + TRANSACTION_MARK.len();
+    let end = text[start..].find(' ')? + start;
+    Some(&text[start..end])
+}
+
+fn check_versions(events: &Events, violations: &mut Vec<Violation>) {
+    let mut newest: HashMap<usize, u64> = HashMap::new();
+    for event in &events.versions {
+        let known = newest.entry(event.node).or_default();
+        if event.version < *known {
+            let detail = format!("node {} went from {known} to {}", event.node, event.version);
+            add(violations, ViolationKind::VersionReversal, detail);
+        }
+        *known = (*known).max(event.version);
+    }
+    for lost in &events.lost_edits {
+        add(violations, ViolationKind::LostEdit, lost.clone());
+    }
+    let accepted = events.accepted_edits.iter().max().copied().unwrap_or(0);
+    for (node, version) in newest.iter().filter(|(_, version)| **version < accepted) {
+        let detail = format!("node {node} has {version}, accepted was {accepted}");
+        add(violations, ViolationKind::EditNotInForce, detail);
+    }
+}
+
+fn check_leaving(events: &Events, truth: &[DatabaseTruth], violations: &mut Vec<Violation>) {
+    for leaving in &events.leaving {
+        let from = leaving.at + LEAVING_GRACE;
+        // A transaction begun before may still go on.
+        let begun: HashSet<u64> = truth[leaving.database]
+            .statements
+            .iter()
+            .filter(|statement| statement.at < from)
+            .map(|statement| statement.transaction)
+            .collect();
+        let late = truth[leaving.database]
+            .statements
+            .iter()
+            .filter(|statement| {
+                statement.instance == leaving.instance
+                    && statement.at >= from
+                    && leaving.until.is_none_or(|until| statement.at < until)
+                    && !begun.contains(&statement.transaction)
+            });
+        let count = late.count();
+        if count > 0 {
+            let detail = format!(
+                "{count} statements at instance {} of database {}",
+                leaving.instance, leaving.database
+            );
+            add(violations, ViolationKind::WorkAfterLeaving, detail);
+        }
+    }
+}
+
+fn check_cuts(events: &Events, violations: &mut Vec<Violation>) {
+    if !events.no_cut_allowed {
+        return;
+    }
+    let writes = events
+        .writes
+        .iter()
+        .filter(|write| write.outcome == WriteOutcome::Cut);
+    let reads = events
+        .reads
+        .iter()
+        .filter(|read| read.outcome == ReadOutcome::Cut);
+    let cut = writes.count() + reads.count();
+    if cut > 0 {
+        add(
+            violations,
+            ViolationKind::CutRequest,
+            format!("{cut} requests"),
+        );
+    }
+}
+
+fn check_connections(truth: &[DatabaseTruth], violations: &mut Vec<Violation>) {
+    for database in truth {
+        if database.most_connections > database.connection_limit {
+            let detail = format!(
+                "{} of {}",
+                database.most_connections, database.connection_limit
+            );
+            add(violations, ViolationKind::ConnectionOverrun, detail);
+        }
+    }
+}
--- a/crates/linkhold/src/lib.rs
+++ b/crates/linkhold/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod cli;
 pub mod console;
+pub mod demo;
 pub mod group;
 pub mod log_event;
 pub mod metrics;
@@ -15,4 +16,5 @@
 pub mod platform;
 pub mod session;
 pub mod settings;
+pub mod table_editor;
 pub mod table_keeper;
--- a/crates/linkhold/src/session/request.rs
+++ b/crates/linkhold/src/session/request.rs
@@ -201,6 +201,11 @@
     }
 
     async fn run_write(&mut self, unit: &Unit) -> Result<(), WireError> {
+        // The key belongs to this request, whatever becomes of it.
+        let key = unit
+            .executes()
+            .then(|| self.state.request_key.take())
+            .flatten();
         let mut lease = match self.find_lease(Access::Write, unit.begins(), None).await {
             Ok(lease) => lease,
             Err(reason) => {
@@ -211,7 +216,7 @@
         if !unit.executes() {
             return self.run_preparation(unit, lease).await;
         }
-        if let Some(key) = self.state.request_key.take() {
+        if let Some(key) = key {
             return self.run_keyed(unit, lease, key).await;
         }
         match self.exchange(unit, &mut lease, AnswerPolicy::Hold).await? {
