--- /dev/null
+++ b/crates/linkhold/src/cli/bench.rs
@@ -0,0 +1,39 @@
+//! `linkhold bench`: measures a node beside the same load without one.
+
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::Result;
+
+use super::EXIT_OK;
+use crate::benchmark::{BenchmarkOptions, run as run_benchmark};
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new("bench")
+        .about("Measure statements, writes and idle connections, with and without a node")
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .default_value("3")
+                .value_parser(value_parser!(u64))
+                .help("Length of each measurement"),
+        )
+        .arg(
+            Arg::new("idle-connections")
+                .long("idle-connections")
+                .default_value("5000")
+                .value_parser(value_parser!(u64))
+                .help("Idle client connections to open"),
+        )
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> Result<u8> {
+    let number = |name: &str| -> u64 { *arguments.get_one(name).expect("has a default") };
+    run_benchmark(&BenchmarkOptions {
+        duration: Duration::from_secs(number("seconds").max(1)),
+        idle_connections: usize::try_from(number("idle-connections"))?,
+    })?;
+    Ok(EXIT_OK)
+}
--- a/crates/linkhold/src/cli/mod.rs
+++ b/crates/linkhold/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod bench;
 mod demo;
 mod proxy;
 mod status;
@@ -24,6 +25,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo::command())
+        .subcommand(bench::command())
         .subcommand(proxy::command())
         .subcommand(table::command())
         .subcommand(status::command())
@@ -34,6 +36,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("demo", arguments)) => demo::run(arguments),
+        Some(("bench", arguments)) => bench::run(arguments),
         Some(("proxy", arguments)) => proxy::run(arguments),
         Some(("table", arguments)) => table::run(arguments),
         Some(("status", arguments)) => status::run(arguments),
--- a/crates/linkhold/src/group/handle.rs
+++ b/crates/linkhold/src/group/handle.rs
@@ -10,7 +10,7 @@
 use linkhold_core::position::Position;
 use linkhold_core::routing::{Candidate, ReadScope, choose_for_read};
 use linkhold_core::table::{BackendState, Database};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, MutexGuard, Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -80,6 +80,7 @@
     view: watch::Receiver<Arc<GroupView>>,
     demand: Arc<ProbeDemand>,
     actor: ActorRef<ViewActor>,
+    unshared_round: Mutex<()>,
     _probes: JoinSet<()>,
 }
 
@@ -118,6 +119,7 @@
             view,
             demand,
             actor,
+            unshared_round: Mutex::default(),
             _probes: probes,
         }
     }
@@ -174,6 +176,12 @@
         }
     }
 
+    /// Keeps other requests from sharing the next round; only to measure what
+    /// sharing saves.
+    pub async fn own_round(&self) -> MutexGuard<'_, ()> {
+        self.unshared_round.lock().await
+    }
+
     /// A confirmed primary that takes new work.
     pub fn usable_primary(&self, view: &GroupView) -> Option<ConfirmedPrimary> {
         view.primary()
--- a/crates/linkhold/src/lib.rs
+++ b/crates/linkhold/src/lib.rs
@@ -6,6 +6,7 @@
 //! never waits on a mailbox.
 
 pub mod backend;
+pub mod benchmark;
 pub mod cli;
 pub mod console;
 pub mod demo;
--- a/crates/linkhold/src/session/request.rs
+++ b/crates/linkhold/src/session/request.rs
@@ -308,6 +308,10 @@
             return Ok(self.state.floor);
         };
         let group = &commit.group;
+        let _round_of_its_own = match self.node.settings.share_rounds {
+            true => None,
+            false => Some(group.own_round().await),
+        };
         let promise = self.node.settings.commit_promise;
         let mut pending = PendingCommit {
             instance: commit.instance,
--- a/crates/linkhold/src/settings/check.rs
+++ b/crates/linkhold/src/settings/check.rs
@@ -43,6 +43,7 @@
                 ("majority", CommitPromise::Majority),
             ],
         ),
+        share_rounds: true,
         read_policy: reader.choice(
             "read_policy",
             &[
--- a/crates/linkhold/src/settings/mod.rs
+++ b/crates/linkhold/src/settings/mod.rs
@@ -76,6 +76,9 @@
     pub drain_timeout: Duration,
     /// What the database group promises when a commit returns.
     pub commit_promise: CommitPromise,
+    /// Whether requests share rounds of status queries. Off only to measure
+    /// what sharing saves.
+    pub share_rounds: bool,
     /// How reads are routed.
     pub read_policy: ReadPolicy,
     /// Seconds added to the clock when an hour column is looked up, for
