Send a write again when its refusal proves that it did not run

Cause: after a failover a node whose view was up to a second old sent a write to the old primary, was refused with 25006 and answered no_primary (test an_unknown_outcome_is_resolved_by_its_request_key failed so). The refusal is proof that nothing ran, so the unit may go to the new primary; holding it is what callers expect in a failover. Ruled out: polling faster, which only makes the window smaller. Change: such a write waits for a primary confirmed from then on, within its write wait. Writes move to a module of their own; tests for failovers, request keys, stops and late answers with real processes are added.

--- a/crates/linkhold/src/session/mod.rs
+++ b/crates/linkhold/src/session/mod.rs
@@ -3,7 +3,7 @@
 //! [`run_session`] reads units of work ([`unit`]), answers some itself
 //! ([`local`]) and runs the others on a leased back end connection
 //! ([`lease`], [`exchange`]). What is said when something fails is decided in
-//! [`request`] and nowhere else.
+//! [`request`] and [`write`] and nowhere else.
 
 mod cancel;
 mod exchange;
@@ -14,6 +14,7 @@
 mod startup;
 mod state;
 mod unit;
+mod write;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/linkhold/tests/common/mod.rs
+++ b/crates/linkhold/tests/common/mod.rs
@@ -237,11 +237,10 @@
 }
 
 impl NodeProcess {
-    /// Starts a node in front of a stand-in; `extra` is added to its settings
-    /// file and must come before any section.
+    /// Starts a node in front of a stand-in; `extra` ends its settings file.
     pub fn start(standin: &StandIn, name: &str, extra: &str) -> Self {
         let settings = format!(
-            "node = \"{name}\"\nzone = \"zone-0\"\nlisten = \"127.0.0.1:0\"\ntoken_key = \"{TOKEN_KEY}\"\n{extra}\n[table]\nplatform_url = \"{}\"\npoll_ms = 50\n",
+            "node = \"{name}\"\nzone = \"zone-0\"\nlisten = \"127.0.0.1:0\"\ntoken_key = \"{TOKEN_KEY}\"\ntable.platform_url = \"{}\"\ntable.poll_ms = 50\n{extra}\n",
             standin.platform()
         );
         Self::start_with(&settings)
