Remove expired request keys, report refusals, bound client connections

Cause: request keys were kept for ever, refusals could not be explained from the log, and a node accepted any number of clients. Seen: an expired key disappears and a recent one stays; the list of log events in the documentation is checked against the code; a caller's text cannot forge a log line.

--- a/crates/linkhold/src/backend/connection.rs
+++ b/crates/linkhold/src/backend/connection.rs
@@ -7,7 +7,7 @@
 
 use bytes::BytesMut;
 use linkhold_wire::frontend::put_query;
-use linkhold_wire::reply::{ErrorFields, SessionStatus, read_data_row, ready_status};
+use linkhold_wire::reply::{ErrorFields, SessionStatus, complete_tag, read_data_row, ready_status};
 use linkhold_wire::{Frame, FrameReader, WireError, kind};
 use pgwire::messages::Message;
 use pgwire::messages::cancel::CancelRequest;
@@ -215,6 +215,7 @@
             match frame.kind() {
                 kind::DATA_ROW => result.rows.push(read_data_row(&frame)?),
                 kind::ERROR_RESPONSE => result.error = Some(ErrorFields::read(&frame)?),
+                kind::COMMAND_COMPLETE => result.tag = Some(complete_tag(&frame)?),
                 kind::READY_FOR_QUERY => {
                     result.status = Some(ready_status(&frame)?);
                     return Ok(result);
@@ -265,6 +266,8 @@
     pub rows: Vec<Vec<Option<Vec<u8>>>>,
     /// The error, if one was sent.
     pub error: Option<ErrorFields>,
+    /// Tag of the last completed statement.
+    pub tag: Option<String>,
     /// Transaction status at the end.
     pub status: Option<SessionStatus>,
 }
--- a/crates/linkhold/src/benchmark/mod.rs
+++ b/crates/linkhold/src/benchmark/mod.rs
@@ -4,14 +4,16 @@
 //! that the processor time of the node's threads can be read apart.
 
 mod connections;
+mod failover;
 mod process;
+mod reads;
 mod statements;
 mod writes;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eyre::{Result, eyre};
+use eyre::{Result, bail, eyre};
 use linkhold_core::request_key;
 use linkhold_standin::group::{Group, GroupOptions, LagProfile};
 use tokio::runtime::Runtime;
@@ -35,6 +37,8 @@
     pub duration: Duration,
     /// Idle connections to open.
     pub idle_connections: usize,
+    /// Which of [`PARTS`] to run.
+    pub parts: Vec<String>,
 }
 
 /// A group and a node on runtimes of their own.
@@ -159,11 +163,22 @@
     parse(&text, &Overrides::new()).map_err(|findings| eyre!("settings: {findings:?}"))
 }
 
-/// Runs all measurements and prints one line for each.
+/// Names of the measurements, in the order in which they run.
+pub const PARTS: [&str; 5] = ["statements", "writes", "connections", "failover", "reads"];
+
+/// Runs the named measurements and prints a line for each result.
 pub fn run(options: &BenchmarkOptions) -> Result<()> {
-    statements::run(options)?;
-    writes::run(options)?;
-    connections::run(options)
+    for part in &options.parts {
+        match part.as_str() {
+            "statements" => statements::run(options)?,
+            "writes" => writes::run(options)?,
+            "connections" => connections::run(options)?,
+            "failover" => failover::run(options)?,
+            "reads" => reads::run(options)?,
+            other => bail!("there is no measurement `{other}`"),
+        }
+    }
+    Ok(())
 }
 
 /// A table file that is removed with its owner.
--- a/crates/linkhold/src/cli/bench.rs
+++ b/crates/linkhold/src/cli/bench.rs
@@ -6,12 +6,20 @@
 use eyre::Result;
 
 use super::EXIT_OK;
-use crate::benchmark::{BenchmarkOptions, run as run_benchmark};
+use crate::benchmark::{BenchmarkOptions, PARTS, run as run_benchmark};
 
 /// The subcommand.
 pub fn command() -> Command {
     Command::new("bench")
-        .about("Measure statements, writes and idle connections, with and without a node")
+        .about("Measure statements, writes, idle connections, failovers and replica reads")
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("PART")
+                .action(clap::ArgAction::Append)
+                .value_parser(PARTS)
+                .help("Run this part; may be repeated. Without it all parts run"),
+        )
         .arg(
             Arg::new("seconds")
                 .long("seconds")
@@ -31,7 +39,12 @@
 /// Runs the subcommand.
 pub fn run(arguments: &ArgMatches) -> Result<u8> {
     let number = |name: &str| -> u64 { *arguments.get_one(name).expect("has a default") };
+    let parts: Vec<String> = match arguments.get_many::<String>("only") {
+        Some(parts) => parts.cloned().collect(),
+        None => PARTS.map(str::to_owned).to_vec(),
+    };
     run_benchmark(&BenchmarkOptions {
+        parts,
         duration: Duration::from_secs(number("seconds").max(1)),
         idle_connections: usize::try_from(number("idle-connections"))?,
     })?;
--- a/crates/linkhold/src/cli/demo.rs
+++ b/crates/linkhold/src/cli/demo.rs
@@ -72,6 +72,12 @@
                 .action(clap::ArgAction::SetTrue)
                 .help("Callers carry session tokens from node to node"),
         )
+        .arg(
+            Arg::new("only-duplicates")
+                .long("only-duplicates")
+                .action(clap::ArgAction::SetTrue)
+                .help("Every write is one keyed request sent through two nodes at once"),
+        )
         .arg(
             Arg::new("log")
                 .long("log")
@@ -105,6 +111,7 @@
         fault: Fault::from_name(word("fault")).expect("clap checks the value"),
         probe_interval: Duration::from_millis(number("probe-interval-ms").max(1)),
         tokens: arguments.get_flag("tokens"),
+        only_duplicates: arguments.get_flag("only-duplicates"),
     }
 }
 
--- a/crates/linkhold/src/demo/load.rs
+++ b/crates/linkhold/src/demo/load.rs
@@ -70,7 +70,12 @@
         for database in 0..sizes.databases {
             for _ in 0..sizes.writers {
                 let caller = new_caller(database);
-                tasks.spawn(run_writer(caller, sizes.writer_pause, stopped.clone()));
+                tasks.spawn(run_writer(
+                    caller,
+                    sizes.writer_pause,
+                    options.only_duplicates,
+                    stopped.clone(),
+                ));
             }
             for _ in 0..sizes.readers {
                 let caller = new_caller(database);
@@ -107,11 +112,21 @@
     }
 }
 
-async fn run_writer(mut caller: Caller, pause: Duration, stopped: watch::Receiver<bool>) {
+async fn run_writer(
+    mut caller: Caller,
+    pause: Duration,
+    only_duplicates: bool,
+    stopped: watch::Receiver<bool>,
+) {
     let mut sequence = 0;
     while !*stopped.borrow() {
         sequence += 1;
-        let wait = match WriteKind::pick(&mut caller.random) {
+        let kind = if only_duplicates {
+            WriteKind::DuplicatedKeyed
+        } else {
+            WriteKind::pick(&mut caller.random)
+        };
+        let wait = match kind {
             WriteKind::Single => write_single(&mut caller, sequence, false).await,
             WriteKind::Keyed => write_single(&mut caller, sequence, true).await,
             WriteKind::Transaction => write_transaction(&mut caller, sequence).await,
--- a/crates/linkhold/src/demo/mod.rs
+++ b/crates/linkhold/src/demo/mod.rs
@@ -48,6 +48,8 @@
     pub probe_interval: Duration,
     /// Whether each caller's sessions present tokens.
     pub tokens: bool,
+    /// Whether every write is one request sent through two nodes at once.
+    pub only_duplicates: bool,
 }
 
 /// Runs the demo and judges it.
--- a/crates/linkhold/src/demo/report.rs
+++ b/crates/linkhold/src/demo/report.rs
@@ -1,5 +1,6 @@
 //! Summary of a run.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
@@ -63,6 +64,8 @@
     pub cut: usize,
     /// Requests answered as completed before, under their key.
     pub already_completed: usize,
+    /// Requests sent through two nodes at once under one key.
+    pub duplicated: usize,
     /// Longest time from an accepted edit until all nodes had it in force.
     pub table_in_force_max_ms: u64,
     /// The violations.
@@ -128,6 +131,7 @@
             unknown: count_writes(WriteOutcome::Unknown) + count_reads(ReadOutcome::Failed),
             cut: count_writes(WriteOutcome::Cut) + count_reads(ReadOutcome::Cut),
             already_completed: count_writes(WriteOutcome::AlreadyCompleted),
+            duplicated: count_duplicated(events),
             table_in_force_max_ms: events.edit_in_force_ms.iter().max().copied().unwrap_or(0),
             violation_details: violations.iter().map(ToString::to_string).collect(),
         }
@@ -140,7 +144,7 @@
              writes={} replica_read_share={:.4} read_p50_ms={:.1} read_p99_ms={:.1} \
              write_p50_ms={:.1} write_p99_ms={:.1} failovers={} failover_gap_ms={:.0} \
              after_election_p50_ms={:.1} after_election_max_ms={:.1} election_max_ms={:.0} \
-             refusals_not_run={} unknown={} cut={} already_completed={} table_in_force_max_ms={}",
+             refusals_not_run={} unknown={} cut={} already_completed={} duplicated={} table_in_force_max_ms={}",
             self.profile,
             self.fault,
             self.policy,
@@ -164,6 +168,7 @@
             self.unknown,
             self.cut,
             self.already_completed,
+            self.duplicated,
             self.table_in_force_max_ms,
         )
     }
@@ -185,6 +190,15 @@
         .filter(|write| write.outcome == WriteOutcome::Acknowledged)
 }
 
+/// Identities that two writes of one caller share.
+fn count_duplicated(events: &Events) -> usize {
+    let mut seen = HashMap::new();
+    for write in &events.writes {
+        *seen.entry((write.database, &write.ids)).or_insert(0_usize) += 1;
+    }
+    seen.values().filter(|count| **count > 1).count()
+}
+
 /// Latencies in microseconds.
 fn histogram(latencies: impl Iterator<Item = Duration>) -> Histogram<u64> {
     const LONGEST_MICROSECONDS: u64 = 600_000_000;
--- a/crates/linkhold/src/group/handle.rs
+++ b/crates/linkhold/src/group/handle.rs
@@ -18,7 +18,7 @@
 use super::probe::{ProbeLoop, run_probe_loop};
 use super::view_actor::{ProbeFailed, ViewActor};
 use crate::metrics::Metrics;
-use crate::settings::Settings;
+use crate::settings::{Detection, Settings};
 
 /// Pause between rounds of probes while a request waits for a change.
 const POLL_PAUSE: Duration = Duration::from_millis(3);
@@ -77,6 +77,7 @@
     pub instances: Vec<Arc<InstanceHandle>>,
     zone: String,
     hour_offset: i64,
+    detection: Detection,
     view: watch::Receiver<Arc<GroupView>>,
     demand: Arc<ProbeDemand>,
     actor: ActorRef<ViewActor>,
@@ -116,6 +117,7 @@
             instances,
             zone: settings.zone.clone(),
             hour_offset: settings.hour_offset,
+            detection: settings.detection,
             view,
             demand,
             actor,
@@ -137,11 +139,30 @@
     /// Tells that an instance failed a request, so that the view is renewed
     /// at once and not at the next poll.
     pub async fn suspect(&self, instance: InstanceIndex) {
+        if self.detection == Detection::PollOnly {
+            return;
+        }
         // The owner is gone only when the handle is being dropped.
         let _ = self.actor.tell(ProbeFailed { instance }).await;
         self.demand.demand_after(self.demand.now());
     }
 
+    /// Waits for a primary that `check` accepts, as [`GroupHandle::wait_for`].
+    pub async fn wait_for_primary(
+        &self,
+        since: ProbeTag,
+        deadline: Instant,
+        mut check: impl FnMut(&GroupView) -> Option<ConfirmedPrimary>,
+    ) -> Option<ConfirmedPrimary> {
+        if self.detection == Detection::OnDemand {
+            return self.wait_for(since, deadline, check).await;
+        }
+        let mut view = self.view.clone();
+        let polled = view.wait_for(|view| check(view).is_some());
+        let found = tokio::time::timeout_at(deadline, polled).await.ok()?.ok()?;
+        found.primary()
+    }
+
     /// Waits until `check` finds what it looks for in a view, or the deadline.
     /// Answers newer than `since` are demanded at once, and again after each
     /// short pause for as long as the wait goes on.
--- a/crates/linkhold/src/lib.rs
+++ b/crates/linkhold/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod console;
 pub mod demo;
 pub mod group;
+pub mod housekeeping;
 pub mod log_event;
 pub mod metrics;
 pub mod node;
--- a/crates/linkhold/src/log_event.rs
+++ b/crates/linkhold/src/log_event.rs
@@ -43,11 +43,13 @@
     UnknownOutcome,
     /// A caller broke the protocol.
     ProtocolViolation,
+    /// Request keys past their retention were deleted.
+    KeysRemoved,
 }
 
 impl EventName {
     /// All events, for the documentation's check.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NodeStarted,
         Self::NodeLeaving,
         Self::NodeStopped,
@@ -62,6 +64,7 @@
         Self::Refusals,
         Self::UnknownOutcome,
         Self::ProtocolViolation,
+        Self::KeysRemoved,
     ];
 
     /// The name as logged.
@@ -81,6 +84,7 @@
             Self::Refusals => "refusals",
             Self::UnknownOutcome => "unknown_outcome",
             Self::ProtocolViolation => "protocol_violation",
+            Self::KeysRemoved => "keys_removed",
         }
     }
 }
--- a/crates/linkhold/src/node.rs
+++ b/crates/linkhold/src/node.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::group::Directory;
+use crate::housekeeping::{remove_expired_keys, report_refusals};
 use crate::log_event::{Event, EventName};
 use crate::metrics::Metrics;
 use crate::session::{CancelRegistry, OpenConnection, run_session};
@@ -113,8 +114,7 @@
     address: SocketAddr,
     accepting: Option<JoinHandle<JoinSet<()>>>,
     in_force: watch::Receiver<u64>,
-    _applying: AbortOnDropHandle,
-    _reading: AbortOnDropHandle,
+    _background: [AbortOnDropHandle; 4],
 }
 
 impl Drop for Node {
@@ -149,6 +149,8 @@
         });
         let (in_force_sender, in_force) = watch::channel(0);
         let applying = tokio::spawn(apply_tables(shared.clone(), table_changes, in_force_sender));
+        let reporting = tokio::spawn(report_refusals(shared.clone()));
+        let cleaning = tokio::spawn(remove_expired_keys(shared.clone()));
         let accepting = tokio::spawn(accept(shared.clone(), listener));
         Event::info(EventName::NodeStarted)
             .field("node", &shared.settings.node)
@@ -160,8 +162,12 @@
             address,
             accepting: Some(accepting),
             in_force,
-            _applying: AbortOnDropHandle::new(applying),
-            _reading: reading,
+            _background: [
+                reading,
+                AbortOnDropHandle::new(applying),
+                AbortOnDropHandle::new(reporting),
+                AbortOnDropHandle::new(cleaning),
+            ],
         })
     }
 
--- a/crates/linkhold/src/session/lease.rs
+++ b/crates/linkhold/src/session/lease.rs
@@ -86,7 +86,7 @@
         loop {
             let found = self
                 .group
-                .wait_for(since, deadline, |view| {
+                .wait_for_primary(since, deadline, |view| {
                     self.primary_confirmed_after(view, confirmed_after)
                 })
                 .await;
--- a/crates/linkhold/src/session/startup.rs
+++ b/crates/linkhold/src/session/startup.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::BytesMut;
 use linkhold_core::outcome::{Failure, NotRun};
@@ -161,6 +162,10 @@
         ));
     }
     let database: Arc<str> = parameters.get("database").unwrap_or(user).as_str().into();
+    let open = node.metrics.connections_open.load(Ordering::Relaxed);
+    if open > u64::from(node.settings.client_connections) {
+        return Err(refusal(NotRun::Overloaded));
+    }
     let leaving = *node.leaving.borrow();
     if leaving {
         return Err(refusal(NotRun::Stopping));
--- a/crates/linkhold/src/settings/check.rs
+++ b/crates/linkhold/src/settings/check.rs
@@ -8,12 +8,13 @@
 use linkhold_core::group_view::CommitPromise;
 
 use super::reader::{Finding, Overrides, Reader};
-use super::{ReadPolicy, Settings, TableSource};
+use super::{Detection, ReadPolicy, Settings, TableSource};
 
 const DEFAULT_STATUS_QUERY: &str = "SHOW linkhold.status";
 const SHORTEST_TOKEN_KEY: usize = 16;
 const MAX_MILLISECONDS: i64 = 600_000;
 const MAX_FLEET_SIZE: i64 = 10_000;
+const MAX_CLIENT_CONNECTIONS: i64 = 1_000_000;
 const SECONDS_PER_DAY: i64 = 86_400;
 const ADDRESS_MAP: &str = "address_map.";
 
@@ -35,6 +36,19 @@
         statement_timeout: milliseconds(&mut reader, "backend.statement_timeout_ms", 30_000, 10),
         fleet_size: small_number(&mut reader, "limits.fleet_size", 1, 1, MAX_FLEET_SIZE),
         write_reserve_percent: small_number(&mut reader, "limits.write_reserve_percent", 20, 0, 90),
+        client_connections: small_number(
+            &mut reader,
+            "limits.client_connections",
+            20_000,
+            1,
+            MAX_CLIENT_CONNECTIONS,
+        ),
+        key_cleanup_interval: milliseconds(
+            &mut reader,
+            "limits.key_cleanup_interval_ms",
+            600_000,
+            100,
+        ),
         drain_timeout: milliseconds(&mut reader, "limits.drain_timeout_ms", 30_000, 0),
         commit_promise: reader.choice(
             "backend.commit_promise",
@@ -44,6 +58,7 @@
             ],
         ),
         share_rounds: true,
+        detection: Detection::default(),
         read_policy: reader.choice(
             "read_policy",
             &[
--- a/crates/linkhold/src/settings/mod.rs
+++ b/crates/linkhold/src/settings/mod.rs
@@ -41,6 +41,17 @@
     PrimaryOnly,
 }
 
+/// How a node learns of another primary. Polling alone is a baseline for
+/// measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Detection {
+    /// A failed request and a waiting one each ask the instances at once.
+    #[default]
+    OnDemand,
+    /// Only the regular status queries tell.
+    PollOnly,
+}
+
 /// Checked settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -72,13 +83,19 @@
     pub fleet_size: u32,
     /// Share of an instance's slots kept for writes, in percent.
     pub write_reserve_percent: u32,
+    /// Client connections the node accepts.
+    pub client_connections: u32,
+    /// How often expired request keys are removed.
+    pub key_cleanup_interval: Duration,
     /// Longest time sessions may take to end when the node leaves.
     pub drain_timeout: Duration,
     /// What the database group promises when a commit returns.
     pub commit_promise: CommitPromise,
     /// Whether requests share rounds of status queries. Off only to measure
-    /// what sharing saves.
+    /// what sharing saves. Not a key of the file.
     pub share_rounds: bool,
+    /// How a node learns of another primary. Not a key of the file.
+    pub detection: Detection,
     /// How reads are routed.
     pub read_policy: ReadPolicy,
     /// Seconds added to the clock when an hour column is looked up, for
--- a/crates/linkhold/tests/command_line.rs
+++ b/crates/linkhold/tests/command_line.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
+use linkhold::log_event::{Event, EventName};
+
 use common::{HEADINGS, NodeProcess, StandIn, connect, eventually, rows};
 
 fn linkhold(arguments: &[&str]) -> Output {
@@ -219,3 +221,26 @@
     }
     assert_eq!(linkhold(&["nonsense"]).status.code(), Some(2));
 }
+
+#[test]
+fn the_documentation_lists_every_event() {
+    let documentation = include_str!("../../../docs/LOGS.md");
+    let listed: Vec<&str> = documentation
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split('`').next())
+        .collect();
+    assert_eq!(listed, EventName::ALL.map(EventName::as_str));
+}
+
+#[test]
+fn a_value_cannot_forge_a_line_or_a_key() {
+    let forged = "x level=error\nevent=node_stopped \"quoted\" \\";
+    let event = Event::info(EventName::ProtocolViolation).field("reason", forged);
+    let line = event.line();
+    assert!(!line.contains('\n'));
+    assert!(
+        line.ends_with(r#"reason="x level=error\u{a}event=node_stopped \"quoted\" \\""#),
+        "{line}"
+    );
+}
--- a/crates/linkhold/tests/failures.rs
+++ b/crates/linkhold/tests/failures.rs
@@ -386,3 +386,30 @@
     relays[1].set_link(Link::Open);
     assert_eq!(count(&client, "second").await, 1);
 }
+
+#[tokio::test]
+async fn expired_request_keys_are_removed_and_others_kept() {
+    let standin = StandIn::start(&["--connect-ms", "0"]);
+    standin.put_table(&standin.table(|_, _| {})).await;
+    let settings = "[limits]\nkey_cleanup_interval_ms = 100\n";
+    let node = NodeProcess::start(&standin, "node-1", settings);
+    let client = connect(&node.address, &standin.database).await;
+    let expired = linkhold_core::request_key::insert("expired", "completed", 1);
+    client
+        .batch_execute(&expired)
+        .await
+        .expect("is acknowledged");
+    client
+        .batch_execute("SET linkhold.request_key = 'recent'")
+        .await
+        .expect("is set");
+    client
+        .batch_execute(&insert("recent"))
+        .await
+        .expect("is acknowledged");
+    let query = "SELECT request_key FROM linkhold_requests ORDER BY request_key";
+    eventually("the expired key is gone", || async {
+        rows(&client, query).await.expect("is read") == [["recent"]]
+    })
+    .await;
+}
