Spend less processor time on a small statement

Change: an idle back end connection is asked whether it is alive only if its socket reported something; read buffers start at 1 KB and are used up before more is allocated; an answer is not copied into an empty output; statements of a unit are walked without a list; the leave signal is subscribed once a session.

--- a/crates/linkhold-wire/src/frame.rs
+++ b/crates/linkhold-wire/src/frame.rs
@@ -10,7 +10,10 @@
 pub const MAX_FRAME_LENGTH: usize = 16 * 1024 * 1024;
 
 const HEADER_LENGTH: usize = 5;
-const READ_CHUNK: usize = 8 * 1024;
+/// Room made for a read at first; enough for small statements.
+const SMALLEST_CHUNK: usize = 1024;
+/// Room made once reads fill what they were given.
+const LARGEST_CHUNK: usize = 16 * 1024;
 
 /// What can go wrong on a connection.
 #[derive(Debug, Error)]
@@ -81,9 +84,19 @@
 }
 
 /// Splits a byte stream into frames. Holds no memory while idle and empty.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FrameReader {
     buffer: BytesMut,
+    chunk: usize,
+}
+
+impl Default for FrameReader {
+    fn default() -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            chunk: SMALLEST_CHUNK,
+        }
+    }
 }
 
 impl FrameReader {
@@ -114,8 +127,12 @@
             if let Some(frame) = self.buffered()? {
                 return Ok(Some(frame));
             }
-            self.buffer.reserve(READ_CHUNK);
+            self.make_room();
+            let room = self.buffer.capacity() - self.buffer.len();
             let count = stream.read_buf(&mut self.buffer).await?;
+            if count == room {
+                self.chunk = LARGEST_CHUNK;
+            }
             if count == 0 {
                 return if self.buffer.is_empty() {
                     Ok(None)
@@ -126,6 +143,15 @@
         }
     }
 
+    /// Uses up what is allocated before it allocates again: frames taken out
+    /// keep the memory they came in.
+    fn make_room(&mut self) {
+        let room = self.buffer.capacity() - self.buffer.len();
+        if room < SMALLEST_CHUNK / 2 {
+            self.buffer.reserve(self.chunk);
+        }
+    }
+
     /// Whether nothing is buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -134,7 +160,7 @@
     /// Gives the buffer's memory back if nothing is in it.
     pub fn release_memory(&mut self) {
         if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
+            *self = Self::default();
         }
     }
 
--- a/crates/linkhold/src/backend/connection.rs
+++ b/crates/linkhold/src/backend/connection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures::FutureExt;
 use linkhold_wire::frontend::put_query;
 use linkhold_wire::reply::{ErrorFields, SessionStatus, complete_tag, read_data_row, ready_status};
 use linkhold_wire::{Frame, FrameReader, WireError, kind};
@@ -194,11 +195,16 @@
     }
 
     /// Whether the connection is idle and alive, as far as can be seen
-    /// without waiting.
+    /// without waiting. Asks the socket only if something has happened to it
+    /// since it was last read.
     pub fn is_reusable(&self) -> bool {
         if !self.reader.is_empty() {
             return false;
         }
+        let nothing_happened = self.stream.readable().now_or_never().is_none();
+        if nothing_happened {
+            return true;
+        }
         let mut byte = [0];
         let read = self.stream.try_read(&mut byte);
         matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
--- a/crates/linkhold/src/session/exchange.rs
+++ b/crates/linkhold/src/session/exchange.rs
@@ -14,6 +14,8 @@
 /// Answer bytes gathered before they are sent to the caller. Together with
 /// the read buffer this bounds what a streamed result takes in the node.
 const FLUSH_THRESHOLD: usize = 32 * 1024;
+/// Room made for an answer at first.
+const SMALL_ANSWER: usize = 512;
 /// Answer bytes of a write that are held back; beyond this, rows that come
 /// before the first completion are streamed.
 const HOLD_THRESHOLD: usize = 256 * 1024;
@@ -77,7 +79,7 @@
     pub async fn run(&mut self) -> Result<Exchange, ExchangeError> {
         let mut exchange = Exchange {
             status: None,
-            pending: BytesMut::new(),
+            pending: BytesMut::with_capacity(SMALL_ANSWER),
             error: None,
             last_tag: None,
             saw_commit: false,
--- a/crates/linkhold/src/session/lease.rs
+++ b/crates/linkhold/src/session/lease.rs
@@ -166,12 +166,11 @@
         let deadline = Instant::now() + self.group.row.load().read_wait;
         let choose = |view: &GroupView| {
             let required = self.required(view, since)?;
-            let usable = self.group.has_usable_replica(view);
             match self.group.choose(view, required, ReadScope::Replicas) {
                 Some(instance) if Some(instance) != avoid => Some(Some((instance, required))),
                 Some(_) => Some(None),
                 // Waiting cannot help if no replica could ever serve.
-                None if !usable => Some(None),
+                None if !self.group.has_usable_replica(view) => Some(None),
                 None => None,
             }
         };
--- a/crates/linkhold/src/session/mod.rs
+++ b/crates/linkhold/src/session/mod.rs
@@ -25,6 +25,7 @@
 use linkhold_wire::{FrameReader, WireError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 pub use cancel::{CancelRegistry, CancelSlot};
 use lease::Lease;
@@ -69,6 +70,7 @@
     /// end it.
     lost_transaction: bool,
     cancel: Arc<CancelSlot>,
+    leaving: watch::Receiver<bool>,
 }
 
 /// Why a session stops waiting for input.
@@ -107,6 +109,7 @@
         skip_until_sync: false,
         lost_transaction: false,
         cancel: opened.cancel,
+        leaving: node.leaving.subscribe(),
         node,
     };
     if let Err(error) = session.run().await {
@@ -169,7 +172,7 @@
     /// here: between requests, outside a transaction and with nothing
     /// received that has not been answered.
     async fn wait_for_input(&mut self) -> Input {
-        let mut leaving = self.node.leaving.subscribe();
+        let leaving = &mut self.leaving;
         let at_rest = self.held.is_none() && !self.lost_transaction;
         let must_leave = async {
             if !at_rest || leaving.wait_for(|leaving| *leaving).await.is_err() {
--- a/crates/linkhold/src/session/request.rs
+++ b/crates/linkhold/src/session/request.rs
@@ -247,7 +247,7 @@
         in_transaction: bool,
         status: SessionStatus,
     ) {
-        self.output.extend_from_slice(&exchange.pending);
+        self.put_answer(exchange.pending);
         match exchange.status {
             Some(SessionStatus::Idle) => {
                 lease.finish();
@@ -269,6 +269,15 @@
         self.end_failed_unit(unit);
     }
 
+    /// Adds an answer to the output, without a copy if there is nothing yet.
+    pub(super) fn put_answer(&mut self, answer: bytes::BytesMut) {
+        if self.output.is_empty() {
+            self.output = answer;
+        } else {
+            self.output.extend_from_slice(&answer);
+        }
+    }
+
     pub(super) fn hold(&mut self, lease: Lease, in_transaction: bool, status: SessionStatus) {
         self.held = Some(Held {
             lease,
--- a/crates/linkhold/src/session/unit.rs
+++ b/crates/linkhold/src/session/unit.rs
@@ -65,29 +65,25 @@
 
 impl Unit {
     /// All statements of the unit.
-    fn classifications(&self) -> Vec<&Classified> {
-        match self {
-            Self::Simple { classified, .. } => vec![classified],
-            Self::Extended { messages, .. } => messages
-                .iter()
-                .filter_map(|message| match message {
-                    ExtendedMessage::Parse(statement)
-                    | ExtendedMessage::Bind(_, Some(statement))
-                    | ExtendedMessage::Describe(_, Some(statement)) => {
-                        Some(statement.classified.as_ref())
-                    }
-                    _ => None,
-                })
-                .collect(),
-            Self::Terminate | Self::Unexpected => Vec::new(),
-        }
+    fn classifications(&self) -> impl Iterator<Item = &Classified> {
+        let (simple, messages): (Option<&Classified>, &[ExtendedMessage]) = match self {
+            Self::Simple { classified, .. } => (Some(classified), &[]),
+            Self::Extended { messages, .. } => (None, messages),
+            Self::Terminate | Self::Unexpected => (None, &[]),
+        };
+        let extended = messages.iter().filter_map(|message| match message {
+            ExtendedMessage::Parse(statement)
+            | ExtendedMessage::Bind(_, Some(statement))
+            | ExtendedMessage::Describe(_, Some(statement)) => Some(statement.classified.as_ref()),
+            _ => None,
+        });
+        simple.into_iter().chain(extended)
     }
 
     /// Access the unit needs outside a transaction.
     pub fn access(&self) -> Access {
         let any_write = self
             .classifications()
-            .iter()
             .any(|classified| classified.access() == Access::Write);
         if any_write {
             Access::Write
@@ -99,31 +95,27 @@
     /// First refused feature.
     pub fn unsupported(&self) -> Option<Unsupported> {
         self.classifications()
-            .iter()
             .find_map(|classified| classified.unsupported())
     }
 
     /// Whether the unit may commit an explicit transaction.
     pub fn may_commit(&self) -> bool {
         self.classifications()
-            .iter()
             .any(|classified| classified.may_commit())
     }
 
     /// Whether the unit starts an explicit transaction.
     pub fn begins(&self) -> bool {
         self.classifications()
-            .iter()
             .flat_map(|classified| &classified.statements)
             .any(|kind| matches!(kind, StatementKind::Begin { .. }))
     }
 
     /// The only statement of the unit, if it has exactly one.
     pub fn single_statement(&self) -> Option<&StatementKind> {
-        let classifications = self.classifications();
-        let first = classifications.first()?.single()?;
-        let same = classifications
-            .iter()
+        let first = self.classifications().next()?.single()?;
+        let same = self
+            .classifications()
             .all(|classified| classified.single() == Some(first));
         same.then_some(first)
     }
--- a/crates/linkhold/src/session/write.rs
+++ b/crates/linkhold/src/session/write.rs
@@ -241,7 +241,7 @@
         if refused {
             return Attempt::RefusedAsReplica;
         }
-        self.output.extend_from_slice(&exchange.pending);
+        self.put_answer(exchange.pending);
         self.end_failed_unit(unit);
         Attempt::Answered
     }
@@ -279,7 +279,7 @@
                 count(&self.node.metrics.writes);
                 self.state.raise_floor(position);
                 self.state.last_write = Some(Instant::now());
-                self.output.extend_from_slice(&exchange.pending);
+                self.put_answer(exchange.pending);
                 self.put_token();
                 self.put_ready();
             }
