Keep new work from back ends whose machine the platform lists as leaving

Cause: a back end leaves when the table or the platform's machine list says so; nodes knew the table alone. A newer term in a status answer now also asks all instances at once, without waiting for the next request.

--- a/crates/linkhold-standin/src/control.rs
+++ b/crates/linkhold-standin/src/control.rs
@@ -3,7 +3,8 @@
 //! `POST /instances/{i}/{action}` with action `crash`, `restart`, `isolate`
 //! or `heal`; `POST /instances/{i}/lag?milliseconds=N` and
 //! `.../answer-delay?milliseconds=N`; `GET /reports`; `GET /records`;
-//! `POST /platform?down=&delay_milliseconds=&lose_edit_answers=`.
+//! `POST /machines/{i}/{state}` lists an instance's machine as `live` or
+//! `leaving`; `POST /platform?down=&delay_milliseconds=&lose_edit_answers=`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,7 +19,7 @@
 use tokio::net::TcpListener;
 
 use crate::group::{Group, LagProfile};
-use crate::platform::{Platform, PlatformFaults};
+use crate::platform::{Machine, Platform, PlatformFaults};
 
 /// The stand-ins a process runs.
 pub struct Controlled {
@@ -41,6 +42,7 @@
         .route("/instances/{instance}/{action}", post(act))
         .route("/reports", get(reports))
         .route("/records", get(records))
+        .route("/machines/{instance}/{state}", post(list_machine))
         .route("/platform", post(set_platform))
         .with_state(controlled);
     Ok((address, async move { axum::serve(listener, router).await }))
@@ -82,6 +84,23 @@
     Json(controlled.group.records()).into_response()
 }
 
+async fn list_machine(
+    State(controlled): State<Shared>,
+    Path((instance, state)): Path<(usize, String)>,
+) -> Response {
+    let addresses = controlled.group.addresses();
+    let machines = addresses
+        .iter()
+        .enumerate()
+        .map(|(index, address)| Machine {
+            address: address.to_string(),
+            state: if index == instance { &state } else { "live" }.to_owned(),
+        })
+        .collect();
+    controlled.platform.set_machines(machines);
+    StatusCode::NO_CONTENT.into_response()
+}
+
 #[derive(Deserialize)]
 struct PlatformQuery {
     #[serde(default)]
--- a/crates/linkhold-standin/src/platform.rs
+++ b/crates/linkhold-standin/src/platform.rs
@@ -63,6 +63,15 @@
     pub author: String,
 }
 
+/// A machine in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    /// IP address and port of what runs there.
+    pub address: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
 /// How the platform misbehaves.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlatformFaults {
@@ -78,7 +87,7 @@
 struct Store {
     tables: HashMap<String, Vec<TableVersion>>,
     objects: HashMap<String, Vec<u8>>,
-    machines: Vec<String>,
+    machines: Vec<Machine>,
     faults: PlatformFaults,
     requests: u64,
 }
@@ -137,7 +146,7 @@
     }
 
     /// Sets the machines it lists.
-    pub fn set_machines(&self, machines: Vec<String>) {
+    pub fn set_machines(&self, machines: Vec<Machine>) {
         lock(&self.store).machines = machines;
     }
 
--- a/crates/linkhold/src/group/directory.rs
+++ b/crates/linkhold/src/group/directory.rs
@@ -12,6 +12,7 @@
 use super::instance::InstanceHandle;
 use crate::backend::Pool;
 use crate::log_event::{Event, EventName};
+use crate::machine_list::LeavingMachines;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -27,15 +28,21 @@
 pub struct Directory {
     settings: Arc<Settings>,
     metrics: Arc<Metrics>,
+    leaving_machines: LeavingMachines,
     databases: ArcSwap<BTreeMap<String, Arc<GroupHandle>>>,
 }
 
 impl Directory {
     /// An empty directory.
-    pub fn new(settings: Arc<Settings>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(
+        settings: Arc<Settings>,
+        metrics: Arc<Metrics>,
+        leaving_machines: LeavingMachines,
+    ) -> Self {
         Self {
             settings,
             metrics,
+            leaving_machines,
             databases: ArcSwap::default(),
         }
     }
@@ -105,7 +112,13 @@
             .iter()
             .map(|instance| Arc::new(self.start_instance(row, instance)))
             .collect();
-        GroupHandle::start(row.clone(), instances, &self.settings, &self.metrics)
+        GroupHandle::start(
+            row.clone(),
+            instances,
+            &self.settings,
+            &self.metrics,
+            self.leaving_machines.clone(),
+        )
     }
 
     fn start_instance(&self, row: &Database, instance: &Instance) -> InstanceHandle {
--- a/crates/linkhold/src/group/handle.rs
+++ b/crates/linkhold/src/group/handle.rs
@@ -9,7 +9,7 @@
 use linkhold_core::group_view::{ConfirmedPrimary, GroupView, InstanceIndex, ProbeTag};
 use linkhold_core::position::Position;
 use linkhold_core::routing::{Candidate, ReadScope, choose_for_read};
-use linkhold_core::table::{BackendState, Database};
+use linkhold_core::table::{BackendState, Database, Instance};
 use tokio::sync::{Mutex, MutexGuard, Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -17,6 +17,7 @@
 use super::instance::InstanceHandle;
 use super::probe::{ProbeLoop, run_probe_loop};
 use super::view_actor::{ProbeFailed, ViewActor};
+use crate::machine_list::LeavingMachines;
 use crate::metrics::Metrics;
 use crate::settings::{Detection, Settings};
 
@@ -78,6 +79,7 @@
     zone: String,
     hour_offset: i64,
     detection: Detection,
+    leaving_machines: LeavingMachines,
     view: watch::Receiver<Arc<GroupView>>,
     demand: Arc<ProbeDemand>,
     actor: ActorRef<ViewActor>,
@@ -92,6 +94,7 @@
         instances: Vec<Arc<InstanceHandle>>,
         settings: &Arc<Settings>,
         metrics: &Arc<Metrics>,
+        leaving_machines: LeavingMachines,
     ) -> Self {
         let initial = Arc::new(GroupView::new(instances.len()));
         let (published, view) = watch::channel(initial);
@@ -99,8 +102,13 @@
             .iter()
             .map(|instance| instance.name.clone())
             .collect();
-        let actor = ViewActor::spawn(ViewActor::new(row.name.clone(), names, published));
         let demand = Arc::new(ProbeDemand::default());
+        let actor = ViewActor::spawn(ViewActor::new(
+            row.name.clone(),
+            names,
+            published,
+            demand.clone(),
+        ));
         let mut probes = JoinSet::new();
         for (index, instance) in instances.iter().enumerate() {
             probes.spawn(run_probe_loop(ProbeLoop {
@@ -118,6 +126,7 @@
             zone: settings.zone.clone(),
             hour_offset: settings.hour_offset,
             detection: settings.detection,
+            leaving_machines,
             view,
             demand,
             actor,
@@ -209,9 +218,14 @@
             .filter(|primary| self.accepts_work(primary.instance))
     }
 
-    /// Whether the table lets new work go to the instance.
+    /// Whether the table and the platform let new work go to the instance.
     pub fn accepts_work(&self, instance: InstanceIndex) -> bool {
-        self.row.load().instances[instance].state == BackendState::Active
+        self.lets_work_go_to(&self.row.load().instances[instance])
+    }
+
+    fn lets_work_go_to(&self, instance: &Instance) -> bool {
+        instance.state == BackendState::Active
+            && !self.leaving_machines.load().contains(&instance.address)
     }
 
     /// Picks an instance for a read.
@@ -248,7 +262,7 @@
                 instance: index,
                 weight: instance.weight_at(hour),
                 local_zone: instance.zone == self.zone,
-                accepts_work: instance.state == BackendState::Active,
+                accepts_work: self.lets_work_go_to(instance),
                 has_room: handle.has_room_for_read(),
             })
             .collect()
--- a/crates/linkhold/src/group/view_actor.rs
+++ b/crates/linkhold/src/group/view_actor.rs
@@ -8,6 +8,7 @@
 use linkhold_core::group_view::{GroupView, InstanceIndex, InstanceStatus, ProbeTag, ViewChange};
 use tokio::sync::watch;
 
+use super::handle::ProbeDemand;
 use crate::log_event::{Event, EventName};
 
 /// Actor that owns one [`GroupView`].
@@ -17,6 +18,7 @@
     instance_names: Vec<String>,
     view: GroupView,
     published: watch::Sender<Arc<GroupView>>,
+    demand: Arc<ProbeDemand>,
 }
 
 /// An instance answered a probe.
@@ -41,6 +43,7 @@
         database: String,
         instance_names: Vec<String>,
         published: watch::Sender<Arc<GroupView>>,
+        demand: Arc<ProbeDemand>,
     ) -> Self {
         let view = GroupView::new(instance_names.len());
         Self {
@@ -48,12 +51,17 @@
             instance_names,
             view,
             published,
+            demand,
         }
     }
 
     fn publish(&self, changes: &[ViewChange]) {
         for change in changes {
             self.log(change);
+            // A newer term in any answer may mean a new primary: ask all now.
+            if matches!(change, ViewChange::Term(_)) {
+                self.demand.demand_after(self.demand.now());
+            }
         }
         self.published.send_replace(Arc::new(self.view.clone()));
     }
--- a/crates/linkhold/src/lib.rs
+++ b/crates/linkhold/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod group;
 pub mod housekeeping;
 pub mod log_event;
+pub mod machine_list;
 pub mod metrics;
 pub mod node;
 pub mod platform;
--- a/crates/linkhold/src/log_event.rs
+++ b/crates/linkhold/src/log_event.rs
@@ -45,11 +45,13 @@
     ProtocolViolation,
     /// Request keys past their retention were deleted.
     KeysRemoved,
+    /// The platform lists a machine as leaving, or no longer.
+    MachineLeaving,
 }
 
 impl EventName {
     /// All events, for the documentation's check.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NodeStarted,
         Self::NodeLeaving,
         Self::NodeStopped,
@@ -65,6 +67,7 @@
         Self::UnknownOutcome,
         Self::ProtocolViolation,
         Self::KeysRemoved,
+        Self::MachineLeaving,
     ];
 
     /// The name as logged.
@@ -85,6 +88,7 @@
             Self::UnknownOutcome => "unknown_outcome",
             Self::ProtocolViolation => "protocol_violation",
             Self::KeysRemoved => "keys_removed",
+            Self::MachineLeaving => "machine_leaving",
         }
     }
 }
--- /dev/null
+++ b/crates/linkhold/src/machine_list.rs
@@ -0,0 +1,47 @@
+//! Back ends that the platform's machine list says are leaving.
+//!
+//! The list lags and is only a hint: it can keep new work away from an
+//! instance that the table still calls active, and nothing else. While it
+//! cannot be read, what it said last stays.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+
+use crate::log_event::{Event, EventName};
+use crate::platform::{MachineState, PlatformClient};
+
+/// Addresses of leaving machines, readable without waiting.
+pub type LeavingMachines = Arc<ArcSwap<HashSet<SocketAddr>>>;
+
+/// Reads the list again and again, for ever.
+pub async fn follow(client: PlatformClient, poll: Duration, leaving: LeavingMachines) {
+    loop {
+        if let Ok(machines) = client.machines().await {
+            let listed = machines
+                .into_iter()
+                .filter(|machine| machine.state == MachineState::Leaving)
+                .map(|machine| machine.address)
+                .collect();
+            publish(&leaving, listed);
+        }
+        tokio::time::sleep(poll).await;
+    }
+}
+
+fn publish(leaving: &LeavingMachines, listed: HashSet<SocketAddr>) {
+    let before = leaving.load();
+    if **before == listed {
+        return;
+    }
+    for address in listed.symmetric_difference(&before) {
+        Event::info(EventName::MachineLeaving)
+            .field("address", address)
+            .field("leaving", listed.contains(address))
+            .log();
+    }
+    leaving.store(Arc::new(listed));
+}
--- a/crates/linkhold/src/node.rs
+++ b/crates/linkhold/src/node.rs
@@ -16,9 +16,11 @@
 use crate::group::Directory;
 use crate::housekeeping::{remove_expired_keys, report_refusals};
 use crate::log_event::{Event, EventName};
+use crate::machine_list::{self, LeavingMachines};
 use crate::metrics::Metrics;
+use crate::platform::PlatformClient;
 use crate::session::{CancelRegistry, OpenConnection, run_session};
-use crate::settings::Settings;
+use crate::settings::{Settings, TableSource};
 use crate::table_keeper::{AbortOnDropHandle, TableKeeper, TableSnapshot};
 
 /// Reported to callers until a back end has told its own version.
@@ -114,7 +116,7 @@
     address: SocketAddr,
     accepting: Option<JoinHandle<JoinSet<()>>>,
     in_force: watch::Receiver<u64>,
-    _background: [AbortOnDropHandle; 4],
+    _background: [AbortOnDropHandle; 5],
 }
 
 impl Drop for Node {
@@ -136,8 +138,10 @@
         let metrics = Arc::new(Metrics::default());
         let (table, table_changes, reading) =
             TableKeeper::start(settings.table.clone(), settings.table_poll);
+        let leaving_machines = LeavingMachines::default();
+        let following = follow_machines(&settings, leaving_machines.clone());
         let shared = Arc::new(NodeShared {
-            directory: Directory::new(settings.clone(), metrics.clone()),
+            directory: Directory::new(settings.clone(), metrics.clone(), leaving_machines.clone()),
             token_key: TokenKey::new(settings.token_key.as_bytes()),
             settings,
             metrics,
@@ -164,6 +168,7 @@
             in_force,
             _background: [
                 reading,
+                AbortOnDropHandle::new(following),
                 AbortOnDropHandle::new(applying),
                 AbortOnDropHandle::new(reporting),
                 AbortOnDropHandle::new(cleaning),
@@ -210,6 +215,18 @@
     }
 }
 
+/// Follows the platform's machine list, if there is a platform.
+fn follow_machines(settings: &Settings, leaving: LeavingMachines) -> JoinHandle<()> {
+    let poll = settings.table_poll;
+    match &settings.table {
+        TableSource::Platform { url, name } => {
+            let client = PlatformClient::new(url, name);
+            tokio::spawn(machine_list::follow(client, poll, leaving))
+        }
+        TableSource::File(_) => tokio::spawn(async {}),
+    }
+}
+
 /// Puts each table version in force as it is read.
 async fn apply_tables(
     shared: Arc<NodeShared>,
--- a/crates/linkhold/src/platform.rs
+++ b/crates/linkhold/src/platform.rs
@@ -1,5 +1,6 @@
-//! Client of the platform's table service.
+//! Client of the platform's table service and machine list.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use reqwest::{Client, Response, StatusCode};
@@ -60,11 +61,31 @@
     pub author: String,
 }
 
-/// Client of one table of the table service.
+/// State of a machine in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MachineState {
+    /// In service.
+    Live,
+    /// About to be taken away.
+    Leaving,
+}
+
+/// A machine in the platform's list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Machine {
+    /// Address of what runs there.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: MachineState,
+}
+
+/// Client of one table of the table service, and of the machine list.
 #[derive(Clone)]
 pub struct PlatformClient {
     client: Client,
     table_url: String,
+    machines_url: String,
 }
 
 impl PlatformClient {
@@ -75,8 +96,12 @@
             .no_proxy()
             .build()
             .expect("a client without TLS can always be built");
-        let table_url = format!("{}/tables/{name}", base_url.trim_end_matches('/'));
-        Self { client, table_url }
+        let base_url = base_url.trim_end_matches('/');
+        Self {
+            client,
+            table_url: format!("{base_url}/tables/{name}"),
+            machines_url: format!("{base_url}/machines"),
+        }
     }
 
     /// The newest version.
@@ -100,6 +125,11 @@
         decode(checked(self.client.get(url).send().await)?).await
     }
 
+    /// The machines the platform lists. The list lags and is only a hint.
+    pub async fn machines(&self) -> Result<Vec<Machine>, PlatformError> {
+        decode(checked(self.client.get(&self.machines_url).send().await)?).await
+    }
+
     /// Stores an edit if its expected version is still the newest.
     pub async fn edit(&self, edit: &TableEdit) -> Result<TableVersion, PlatformError> {
         let request = self.client.put(&self.table_url).json(edit);
--- a/crates/linkhold/src/session/unit.rs
+++ b/crates/linkhold/src/session/unit.rs
@@ -14,6 +14,9 @@
 /// Most bytes of one unit held in memory.
 const MAX_UNIT_LENGTH: usize = 32 * 1024 * 1024;
 
+/// Prepared statements a session may have.
+const MAX_PREPARED: usize = 2_000;
+
 /// A message of the extended protocol.
 #[derive(Debug)]
 pub enum ExtendedMessage {
@@ -186,6 +189,11 @@
             let name = parse.name.clone();
             let statement = Arc::new(PreparedStatement::new(parse, classified));
             state.prepared.insert(name, statement.clone());
+            if state.prepared.len() > MAX_PREPARED {
+                return Err(WireError::Malformed(
+                    "Parse beyond the limit of prepared statements",
+                ));
+            }
             Ok(ExtendedMessage::Parse(statement))
         }
         kind::BIND => {
--- a/crates/linkhold/tests/failures.rs
+++ b/crates/linkhold/tests/failures.rs
@@ -250,13 +250,20 @@
     assert_eq!(count(&other, "b").await, 1);
 }
 
+/// Instances that ran the query.
+async fn instances_that_ran(standin: &StandIn, query: &str) -> Vec<u64> {
+    let records = standin.records().await;
+    records
+        .iter()
+        .filter(|record| record["text"] == query)
+        .filter_map(|record| record["instance"].as_u64())
+        .collect()
+}
+
 #[tokio::test]
 async fn a_leaving_back_end_gets_no_new_work() {
     let (standin, first, _second) = start(&[]).await;
     let client = connect(&first.address, &standin.database).await;
-    for _ in 0..10 {
-        rows(&client, "SELECT 'before'").await.expect("is read");
-    }
     let leaving = standin.table(|index, row| {
         if index == 1 {
             row.state = "leaving".to_owned();
@@ -273,13 +280,31 @@
     for _ in 0..50 {
         rows(&client, "SELECT 'after'").await.expect("is read");
     }
-    let records = standin.records().await;
-    let after: Vec<u64> = records
-        .iter()
-        .filter(|record| record["text"] == "SELECT 'after'")
-        .filter_map(|record| record["instance"].as_u64())
-        .collect();
-    assert_eq!(after, [2; 50]);
+    assert_eq!(
+        instances_that_ran(&standin, "SELECT 'after'").await,
+        [2; 50]
+    );
+}
+
+#[tokio::test]
+async fn a_back_end_on_a_leaving_machine_gets_no_new_work() {
+    const BATCH: usize = 50;
+    let (standin, first, _second) = start(&[]).await;
+    let client = connect(&first.address, &standin.database).await;
+    standin.control("/machines/2/leaving").await;
+    let mut round = 0;
+    eventually("the list is followed", || {
+        round += 1;
+        let query = format!("SELECT 'round-{round}'");
+        let (client, standin) = (&client, &standin);
+        async move {
+            for _ in 0..BATCH {
+                rows(client, &query).await.expect("is read");
+            }
+            instances_that_ran(standin, &query).await == [1; BATCH]
+        }
+    })
+    .await;
 }
 
 #[tokio::test]
