--- a/crates/linkhold/src/benchmark/mod.rs
+++ b/crates/linkhold/src/benchmark/mod.rs
@@ -4,6 +4,7 @@
 //! that the processor time of the node's threads can be read apart.
 
 mod connections;
+mod control;
 mod failover;
 mod process;
 mod reads;
@@ -26,6 +27,8 @@
 const NODE_WORKERS: usize = 2;
 const STANDIN_WORKERS: usize = 2;
 const CALLER_WORKERS: usize = 2;
+/// First line of the tables used here.
+const HEADINGS: &str = "group,database,instance,address,zone,hours,weight,slots,connection_limit,read_wait_ms,write_wait_ms,state\n";
 /// Database of the stand-in.
 pub const DATABASE: &str = "bench";
 const TABLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -145,7 +148,7 @@
 }
 
 fn table_of(group: &Group) -> String {
-    let mut csv = "group,database,instance,address,zone,hours,weight,slots,connection_limit,read_wait_ms,write_wait_ms,state\n".to_owned();
+    let mut csv = HEADINGS.to_owned();
     for (index, address) in group.addresses().iter().enumerate() {
         csv.push_str(&format!(
             "bench,{DATABASE},db{index},{address},zone-{index},*,10,500,600,5000,10000,active\n"
@@ -164,7 +167,14 @@
 }
 
 /// Names of the measurements, in the order in which they run.
-pub const PARTS: [&str; 5] = ["statements", "writes", "connections", "failover", "reads"];
+pub const PARTS: [&str; 6] = [
+    "statements",
+    "writes",
+    "connections",
+    "failover",
+    "reads",
+    "control",
+];
 
 /// Runs the named measurements and prints a line for each result.
 pub fn run(options: &BenchmarkOptions) -> Result<()> {
@@ -175,6 +185,7 @@
             "connections" => connections::run(options)?,
             "failover" => failover::run(options)?,
             "reads" => reads::run(options)?,
+            "control" => control::run(options)?,
             other => bail!("there is no measurement `{other}`"),
         }
     }
--- a/crates/linkhold/src/demo/report.rs
+++ b/crates/linkhold/src/demo/report.rs
@@ -42,6 +42,9 @@
     pub read_p50_ms: f64,
     /// 99th percentile of the same.
     pub read_p99_ms: f64,
+    /// 99th percentile of the time reads took to find a fresh instance with a
+    /// slot, on the slowest node; the upper bound of a power of two.
+    pub read_wait_p99_ms: f64,
     /// Median latency of acknowledged writes in milliseconds.
     pub write_p50_ms: f64,
     /// 99th percentile of the same.
@@ -120,6 +123,7 @@
             replica_read_share: replica_read_share(truth),
             read_p50_ms: quantile_ms(&reads, 0.5),
             read_p99_ms: quantile_ms(&reads, 0.99),
+            read_wait_p99_ms: longest_read_wait_ms(world),
             write_p50_ms: quantile_ms(&writes, 0.5),
             write_p99_ms: quantile_ms(&writes, 0.99),
             failovers: events.primary_faults.len(),
@@ -142,7 +146,7 @@
         format!(
             "profile={} fault={} policy={} seed={} nodes={} seconds={} violations={} reads={} \
              writes={} replica_read_share={:.4} read_p50_ms={:.1} read_p99_ms={:.1} \
-             write_p50_ms={:.1} write_p99_ms={:.1} failovers={} failover_gap_ms={:.0} \
+             read_wait_p99_ms={:.1} write_p50_ms={:.1} write_p99_ms={:.1} failovers={} failover_gap_ms={:.0} \
              after_election_p50_ms={:.1} after_election_max_ms={:.1} election_max_ms={:.0} \
              refusals_not_run={} unknown={} cut={} already_completed={} duplicated={} table_in_force_max_ms={}",
             self.profile,
@@ -157,6 +161,7 @@
             self.replica_read_share,
             self.read_p50_ms,
             self.read_p99_ms,
+            self.read_wait_p99_ms,
             self.write_p50_ms,
             self.write_p99_ms,
             self.failovers,
@@ -190,6 +195,15 @@
         .filter(|write| write.outcome == WriteOutcome::Acknowledged)
 }
 
+fn longest_read_wait_ms(world: &World) -> f64 {
+    let waits = world
+        .nodes
+        .iter()
+        .flatten()
+        .map(|node| node.shared().metrics.read_wait.quantile(0.99));
+    waits.max().map_or(0.0, |wait| wait.as_secs_f64() * 1_000.0)
+}
+
 /// Identities that two writes of one caller share.
 fn count_duplicated(events: &Events) -> usize {
     let mut seen = HashMap::new();
--- a/crates/linkhold/src/metrics.rs
+++ b/crates/linkhold/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of a node, read by the console and the status command.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use linkhold_core::outcome::{Failure, NotRun, Unknown};
 
@@ -21,6 +22,8 @@
     pub retries: AtomicU64,
     /// Status probes sent.
     pub probes: AtomicU64,
+    /// Time reads took to find a fresh instance with a slot.
+    pub read_wait: DurationHistogram,
     not_run: [AtomicU64; NOT_RUN_REASONS.len()],
     unknown: [AtomicU64; UNKNOWN_REASONS.len()],
 }
@@ -44,6 +47,41 @@
     Unknown::TimedOut,
 ];
 
+/// Durations in buckets of powers of two, from one microsecond.
+#[derive(Debug, Default)]
+pub struct DurationHistogram {
+    buckets: [AtomicU64; BUCKETS],
+}
+
+const BUCKETS: usize = 32;
+
+impl DurationHistogram {
+    /// Records a duration.
+    pub fn record(&self, duration: Duration) {
+        let microseconds = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        let significant_bits = (u64::BITS - microseconds.leading_zeros()) as usize;
+        count(&self.buckets[significant_bits.min(BUCKETS - 1)]);
+    }
+
+    /// Upper bound of the bucket that holds the quantile.
+    pub fn quantile(&self, quantile: f64) -> Duration {
+        let counts = self
+            .buckets
+            .each_ref()
+            .map(|bucket| bucket.load(Ordering::Relaxed));
+        let total: u64 = counts.iter().sum();
+        let wanted = (total as f64 * quantile).ceil() as u64;
+        let mut seen = 0;
+        for (bits, count) in counts.iter().enumerate() {
+            seen += count;
+            if seen >= wanted {
+                return Duration::from_micros((1 << bits) - 1);
+            }
+        }
+        Duration::ZERO
+    }
+}
+
 /// Adds one to a counter.
 pub fn count(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
@@ -74,6 +112,10 @@
             ("retries".to_owned(), load(&self.retries)),
             ("probes".to_owned(), load(&self.probes)),
         ];
+        for (name, quantile) in [("read_wait_p50_us", 0.5), ("read_wait_p99_us", 0.99)] {
+            let wait = self.read_wait.quantile(quantile).as_micros();
+            values.push((name.to_owned(), u64::try_from(wait).unwrap_or(u64::MAX)));
+        }
         for (reason, counter) in NOT_RUN_REASONS.iter().zip(&self.not_run) {
             values.push((format!("not_run_{}", reason.reason()), load(counter)));
         }
--- a/crates/linkhold/src/session/request.rs
+++ b/crates/linkhold/src/session/request.rs
@@ -18,6 +18,7 @@
 use linkhold_core::outcome::{Failure, NotRun, Unknown};
 use linkhold_wire::WireError;
 use linkhold_wire::reply::{self, ErrorFields, SessionStatus};
+use tokio::time::Instant;
 
 use super::exchange::{AnswerPolicy, Exchange, ExchangeError, ExchangeRun};
 use super::lease::{Lease, LeaseFinder};
@@ -126,8 +127,12 @@
     async fn run_read(&mut self, unit: &Unit) -> Result<(), WireError> {
         let mut avoid = None;
         loop {
+            let arrived = Instant::now();
             let mut lease = match self.find_lease(Access::Read, false, avoid).await {
-                Ok(lease) => lease,
+                Ok(lease) => {
+                    self.node.metrics.read_wait.record(arrived.elapsed());
+                    lease
+                }
                 Err(reason) => {
                     self.fail(unit, Failure::NotRun(reason));
                     return Ok(());
