Add membership, table spreading and a hollow fleet to measure them

Cause: 2,200 nodes cannot each read the store, and must know of each other without any machine set aside. Membership is SWIM with suspicion, incarnations, indirect probes, gossip while there is news, and exchanges of view digests; tables spread as changes since the version a node has. Real nodes do not use it yet.

--- a/crates/linkhold-core/src/lib.rs
+++ b/crates/linkhold-core/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod admission;
 pub mod classify;
 pub mod group_view;
+pub mod membership;
 pub mod outcome;
 pub mod position;
+pub mod rendezvous;
 pub mod request_key;
 pub mod retry_budget;
 pub mod routing;
 pub mod table;
+pub mod table_spread;
 pub mod token;
--- /dev/null
+++ b/crates/linkhold-core/src/membership/protocol.rs
@@ -0,0 +1,623 @@
+//! The protocol's state machine.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::member::{Member, MemberState, NodeId, Statement};
+use super::message::{Announcement, Message, Payload};
+use super::updates::Updates;
+
+/// Times and sizes of the protocol.
+#[derive(Clone, Copy, Debug)]
+pub struct MembershipSettings {
+    /// Time from one probe to the next.
+    pub probe_period: Duration,
+    /// Time after which a probe is tried through other members.
+    pub direct_timeout: Duration,
+    /// Members asked to probe in the node's place.
+    pub indirect_probes: usize,
+    /// Time a suspect has to refute.
+    pub suspicion: Duration,
+    /// Time from one gossip message to the next, while there is news.
+    pub gossip_period: Duration,
+    /// Members a gossip message goes to.
+    pub gossip_fanout: usize,
+    /// Time from one anti-entropy exchange to the next.
+    pub exchange_period: Duration,
+    /// Time after which a dead member is forgotten.
+    pub tombstone: Duration,
+    /// Statements in one message; bounds its size.
+    pub statements_per_message: usize,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_secs(1),
+            direct_timeout: Duration::from_millis(300),
+            indirect_probes: 3,
+            suspicion: Duration::from_secs(3),
+            gossip_period: Duration::from_millis(200),
+            gossip_fanout: 3,
+            exchange_period: Duration::from_secs(30),
+            tombstone: Duration::from_secs(600),
+            statements_per_message: 12,
+        }
+    }
+}
+
+/// A message to be sent.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// Where.
+    pub to: SocketAddr,
+    /// What.
+    pub message: Message,
+}
+
+/// A change of the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Who.
+    pub node: NodeId,
+    /// What it is now.
+    pub state: MemberState,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+/// What came of an event.
+#[derive(Clone, Debug, Default)]
+pub struct Output {
+    /// Messages to send.
+    pub sends: Vec<Send>,
+    /// Changes of the view, in order.
+    pub changes: Vec<Change>,
+}
+
+/// A probe without an answer yet.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    number: u64,
+    target: NodeId,
+    sent_at: Duration,
+    asked_others: bool,
+}
+
+/// A probe made for another member.
+#[derive(Clone, Copy, Debug)]
+struct Errand {
+    number: u64,
+    for_address: SocketAddr,
+    for_number: u64,
+    until: Duration,
+}
+
+/// Membership as one node sees it.
+#[derive(Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    own: Statement,
+    seeds: Vec<SocketAddr>,
+    members: BTreeMap<NodeId, Member>,
+    probe_order: Vec<NodeId>,
+    probe: Option<Probe>,
+    errands: Vec<Errand>,
+    updates: Updates,
+    announcement: Announcement,
+    announcements_left: u32,
+    next_number: u64,
+    next_probe: Duration,
+    next_gossip: Duration,
+    next_exchange: Duration,
+}
+
+impl Membership {
+    /// A node that knows its seeds only. The incarnation of `own` must be
+    /// higher than any the node has used before, such as the time of its
+    /// start.
+    pub fn new(
+        settings: MembershipSettings,
+        own: Statement,
+        seeds: Vec<SocketAddr>,
+        now: Duration,
+    ) -> Self {
+        Self {
+            settings,
+            own,
+            seeds: seeds
+                .into_iter()
+                .filter(|seed| *seed != own.address)
+                .collect(),
+            members: BTreeMap::new(),
+            probe_order: Vec::new(),
+            probe: None,
+            errands: Vec::new(),
+            updates: Updates::default(),
+            announcement: Announcement::default(),
+            announcements_left: 0,
+            next_number: 0,
+            next_probe: now,
+            next_gossip: now,
+            next_exchange: now,
+        }
+    }
+
+    /// The node's own statement.
+    pub fn own(&self) -> &Statement {
+        &self.own
+    }
+
+    /// All other members, the dead included until they are forgotten.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// A member.
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        self.members.get(&node)
+    }
+
+    /// Nodes that take duties, this one included unless it leaves.
+    pub fn duty_nodes(&self) -> impl Iterator<Item = NodeId> {
+        let own = (self.own.state == MemberState::Alive).then_some(self.own.node);
+        let others = self.members.values().filter(|member| member.takes_duties());
+        own.into_iter()
+            .chain(others.map(|member| member.statement.node))
+    }
+
+    /// Sets what every message announces, and spreads it while it is news.
+    pub fn announce(&mut self, announcement: Announcement) {
+        self.announcement = announcement;
+        self.announcements_left = self.transmissions();
+    }
+
+    /// Takes members over from a list, as a node does that starts with a
+    /// recent view; for simulations of a fleet that has been running.
+    pub fn assume(&mut self, statements: impl Iterator<Item = Statement>, now: Duration) {
+        for statement in statements.filter(|statement| statement.node != self.own.node) {
+            let member = Member {
+                statement,
+                since: now,
+            };
+            self.members.insert(statement.node, member);
+        }
+    }
+
+    /// Tells the others that this node is about to stop.
+    pub fn leave(&mut self) {
+        self.own.state = MemberState::Leaving;
+        self.own.incarnation += 1;
+        self.updates.push(self.own);
+    }
+
+    /// Adds addresses to ask when the fleet must be found again; hints only.
+    pub fn add_seeds(&mut self, hints: impl IntoIterator<Item = SocketAddr>) {
+        for hint in hints {
+            if hint != self.own.address && !self.seeds.contains(&hint) {
+                self.seeds.push(hint);
+            }
+        }
+    }
+
+    /// Time at which [`Membership::on_tick`] has work at the latest.
+    pub fn next_tick(&self) -> Duration {
+        let probe = match self.probe {
+            Some(probe) if !probe.asked_others => self
+                .next_probe
+                .min(probe.sent_at + self.settings.direct_timeout),
+            _ => self.next_probe,
+        };
+        let next = probe.min(self.next_exchange);
+        if self.has_news() {
+            next.min(self.next_gossip)
+        } else {
+            next
+        }
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: Duration, random: &mut impl Rng) -> Output {
+        let mut output = Output::default();
+        self.expire(now, &mut output);
+        self.ask_others(now, random, &mut output);
+        if now >= self.next_probe {
+            self.finish_probe(now, &mut output);
+            self.start_probe(now, random, &mut output);
+            self.next_probe = now + self.settings.probe_period;
+        }
+        if now >= self.next_exchange {
+            self.start_exchange(random, &mut output);
+            self.next_exchange = now + self.spread(self.settings.exchange_period, random);
+        }
+        if self.has_news() && now >= self.next_gossip {
+            self.gossip(random, &mut output);
+            self.next_gossip = now + self.settings.gossip_period;
+        }
+        output
+    }
+
+    /// Handles a message.
+    pub fn on_message(
+        &mut self,
+        message: &Message,
+        now: Duration,
+        random: &mut impl Rng,
+    ) -> Output {
+        let mut output = Output::default();
+        self.learn(message.from, now, &mut output);
+        for statement in &message.statements {
+            self.learn(*statement, now, &mut output);
+        }
+        let sender = message.from.address;
+        self.tell_what_is_believed(&message.from, &mut output);
+        match message.payload {
+            Payload::Ping { number } => self.send(sender, Payload::Ack { number }, &mut output),
+            Payload::PingRequest { number, target } => {
+                self.run_errand(sender, number, target, now, &mut output);
+            }
+            Payload::Ack { number } => self.on_ack(number, &mut output),
+            Payload::Gossip => {}
+            Payload::Exchange {
+                digest,
+                known,
+                is_answer,
+            } => {
+                if digest != self.view_digest() {
+                    self.answer_exchange(sender, known, is_answer, random, &mut output);
+                }
+            }
+        }
+        output
+    }
+
+    fn has_news(&self) -> bool {
+        !self.updates.is_empty() || self.announcements_left > 0
+    }
+
+    /// Times a statement is sent: grows with the logarithm of the fleet, so
+    /// that it reaches all with high probability (SWIM, section 4.1).
+    fn transmissions(&self) -> u32 {
+        const FACTOR: u32 = 4;
+        let size = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
+        FACTOR * (u32::BITS - size.leading_zeros())
+    }
+
+    fn spread(&self, period: Duration, random: &mut impl Rng) -> Duration {
+        period.mul_f64(random.random_range(0.75..1.25))
+    }
+
+    /// Takes a statement in if it replaces what is known.
+    fn learn(&mut self, statement: Statement, now: Duration, output: &mut Output) {
+        if statement.node == self.own.node {
+            self.refute(statement);
+            return;
+        }
+        let known = self.members.get(&statement.node);
+        let is_news = known.is_none_or(|member| statement.overrides(&member.statement));
+        // The dead are not worth telling to those who never knew them.
+        let is_stale_death = known.is_none() && statement.state == MemberState::Dead;
+        if !is_news || is_stale_death {
+            return;
+        }
+        let changed = known.is_none_or(|member| member.statement.state != statement.state);
+        self.members.insert(
+            statement.node,
+            Member {
+                statement,
+                since: now,
+            },
+        );
+        self.updates.push(statement);
+        if changed {
+            output.changes.push(Change {
+                node: statement.node,
+                state: statement.state,
+                incarnation: statement.incarnation,
+            });
+        }
+    }
+
+    /// Lets a sender that is believed suspected or dead know it, so that it
+    /// can refute.
+    fn tell_what_is_believed(&mut self, sender: &Statement, output: &mut Output) {
+        let believed = self
+            .members
+            .get(&sender.node)
+            .map(|member| member.statement);
+        if let Some(believed) = believed.filter(|believed| believed.overrides(sender)) {
+            let message = self.message(Payload::Gossip, vec![believed]);
+            let to = sender.address;
+            output.sends.push(Send { to, message });
+        }
+    }
+
+    /// Answers a wrong statement about this node with a newer incarnation.
+    fn refute(&mut self, statement: Statement) {
+        if statement.overrides(&self.own) {
+            self.own.incarnation = statement.incarnation + 1;
+            self.updates.push(self.own);
+        }
+    }
+
+    /// Declares suspects dead whose time is over; forgets the long dead.
+    fn expire(&mut self, now: Duration, output: &mut Output) {
+        let suspicion = self.settings.suspicion;
+        let dead: Vec<Statement> = self
+            .members
+            .values()
+            .filter(|member| member.statement.state == MemberState::Suspect)
+            .filter(|member| now >= member.since + suspicion)
+            .map(|member| Statement {
+                state: MemberState::Dead,
+                ..member.statement
+            })
+            .collect();
+        for statement in dead {
+            self.learn(statement, now, output);
+        }
+        let tombstone = self.settings.tombstone;
+        self.members
+            .retain(|_, member| member.is_reachable() || now < member.since + tombstone);
+        self.errands.retain(|errand| now < errand.until);
+    }
+
+    fn start_probe(&mut self, now: Duration, random: &mut impl Rng, output: &mut Output) {
+        let Some(target) = self.next_target(random) else {
+            return;
+        };
+        let number = self.new_number();
+        self.probe = Some(Probe {
+            number,
+            target: target.node,
+            sent_at: now,
+            asked_others: false,
+        });
+        self.send(target.address, Payload::Ping { number }, output);
+        // A suspect learns at once that it has to refute.
+        if target.state == MemberState::Suspect
+            && let Some(sent) = output.sends.last_mut()
+        {
+            sent.message.statements.push(target);
+        }
+    }
+
+    /// Round-robin over a shuffled list, shuffled anew after each round.
+    fn next_target(&mut self, random: &mut impl Rng) -> Option<Statement> {
+        loop {
+            if self.probe_order.is_empty() {
+                self.probe_order = self
+                    .members
+                    .values()
+                    .filter(|member| member.is_reachable())
+                    .map(|member| member.statement.node)
+                    .collect();
+                self.probe_order.shuffle(random);
+            }
+            let node = self.probe_order.pop()?;
+            if let Some(member) = self
+                .members
+                .get(&node)
+                .filter(|member| member.is_reachable())
+            {
+                return Some(member.statement);
+            }
+        }
+    }
+
+    /// Asks other members to probe a target that has not answered in time,
+    /// one of them in the target's own zone if there is one: a fault between
+    /// zones then does not look like the target's death.
+    fn ask_others(&mut self, now: Duration, random: &mut impl Rng, output: &mut Output) {
+        let Some(probe) = self.probe else {
+            return;
+        };
+        let is_due = !probe.asked_others && now >= probe.sent_at + self.settings.direct_timeout;
+        if !is_due {
+            return;
+        }
+        self.probe = Some(Probe {
+            asked_others: true,
+            ..probe
+        });
+        let zone = self
+            .members
+            .get(&probe.target)
+            .map(|member| member.statement.zone);
+        let mut helpers = self.reachable_except(probe.target);
+        helpers.shuffle(random);
+        if let Some(neighbour) = helpers.iter().position(|helper| Some(helper.zone) == zone) {
+            helpers.swap(0, neighbour);
+        }
+        helpers.truncate(self.settings.indirect_probes);
+        for helper in helpers {
+            let payload = Payload::PingRequest {
+                number: probe.number,
+                target: probe.target,
+            };
+            self.send(helper.address, payload, output);
+        }
+    }
+
+    fn reachable_except(&self, excluded: NodeId) -> Vec<Statement> {
+        self.members
+            .values()
+            .filter(|member| member.is_reachable() && member.statement.node != excluded)
+            .map(|member| member.statement)
+            .collect()
+    }
+
+    /// Suspects the target of a probe that nobody got an answer to.
+    fn finish_probe(&mut self, now: Duration, output: &mut Output) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let Some(member) = self.members.get(&probe.target) else {
+            return;
+        };
+        let suspect = Statement {
+            state: MemberState::Suspect,
+            ..member.statement
+        };
+        self.learn(suspect, now, output);
+    }
+
+    fn on_ack(&mut self, number: u64, output: &mut Output) {
+        if self.probe.is_some_and(|probe| probe.number == number) {
+            self.probe = None;
+            return;
+        }
+        if let Some(index) = self
+            .errands
+            .iter()
+            .position(|errand| errand.number == number)
+        {
+            let errand = self.errands.swap_remove(index);
+            let payload = Payload::Ack {
+                number: errand.for_number,
+            };
+            self.send(errand.for_address, payload, output);
+        }
+    }
+
+    fn run_errand(
+        &mut self,
+        for_address: SocketAddr,
+        for_number: u64,
+        target: NodeId,
+        now: Duration,
+        output: &mut Output,
+    ) {
+        let Some(member) = self.members.get(&target) else {
+            return;
+        };
+        let address = member.statement.address;
+        let number = self.new_number();
+        self.errands.push(Errand {
+            number,
+            for_address,
+            for_number,
+            until: now + self.settings.probe_period,
+        });
+        self.send(address, Payload::Ping { number }, output);
+    }
+
+    /// Compares views with a random member, and now and then with a seed or a
+    /// member believed dead, so that a split fleet finds together again.
+    fn start_exchange(&mut self, random: &mut impl Rng, output: &mut Output) {
+        const OUTSIDE_SHARE: f64 = 0.25;
+        let reachable = self.reachable_except(self.own.node);
+        let mut outside: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|member| !member.is_reachable())
+            .map(|member| member.statement.address)
+            .collect();
+        outside.extend(&self.seeds);
+        let go_outside = reachable.is_empty() || random.random_bool(OUTSIDE_SHARE);
+        let inside = reachable.choose(random).map(|member| member.address);
+        let target = if go_outside {
+            outside.choose(random).copied().or(inside)
+        } else {
+            inside
+        };
+        if let Some(address) = target {
+            let payload = self.exchange_payload(false);
+            self.send(address, payload, output);
+        }
+    }
+
+    fn exchange_payload(&self, is_answer: bool) -> Payload {
+        Payload::Exchange {
+            digest: self.view_digest(),
+            known: self.known(),
+            is_answer,
+        }
+    }
+
+    fn known(&self) -> u32 {
+        u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Digest of all statements, the same for any order.
+    fn view_digest(&self) -> u64 {
+        let others = self.members.values().map(|member| member.statement);
+        others
+            .chain([self.own])
+            .map(|statement| statement.digest())
+            .fold(0, u64::wrapping_add)
+    }
+
+    /// Sends part of what is known, or all of it to a node that knows little,
+    /// and lets the other side do the same once.
+    fn answer_exchange(
+        &mut self,
+        to: SocketAddr,
+        known_there: u32,
+        is_answer: bool,
+        random: &mut impl Rng,
+        output: &mut Output,
+    ) {
+        /// Messages sent to a node that knows most members already.
+        const MOST_MESSAGES: usize = 8;
+        if !is_answer {
+            let payload = self.exchange_payload(true);
+            self.send(to, payload, output);
+        }
+        let mut statements: Vec<Statement> = self
+            .members
+            .values()
+            .map(|member| member.statement)
+            .collect();
+        statements.shuffle(random);
+        let per_message = self.settings.statements_per_message;
+        let knows_little = known_there < self.known() / 2;
+        if !knows_little {
+            statements.truncate(MOST_MESSAGES * per_message);
+        }
+        for chunk in statements.chunks(per_message) {
+            let message = self.message(Payload::Gossip, chunk.to_vec());
+            output.sends.push(Send { to, message });
+        }
+    }
+
+    fn gossip(&mut self, random: &mut impl Rng, output: &mut Output) {
+        let reachable = self.reachable_except(self.own.node);
+        let targets: Vec<SocketAddr> = reachable
+            .choose_multiple(random, self.settings.gossip_fanout)
+            .map(|member| member.address)
+            .collect();
+        for address in targets {
+            self.send(address, Payload::Gossip, output);
+        }
+        self.announcements_left = self.announcements_left.saturating_sub(1);
+    }
+
+    /// Sends a message with statements on its back.
+    fn send(&mut self, to: SocketAddr, payload: Payload, output: &mut Output) {
+        let limit = self.transmissions();
+        let statements = self
+            .updates
+            .take(self.settings.statements_per_message, limit);
+        let message = self.message(payload, statements);
+        output.sends.push(Send { to, message });
+    }
+
+    fn message(&self, payload: Payload, statements: Vec<Statement>) -> Message {
+        Message {
+            from: self.own,
+            payload,
+            announcement: self.announcement,
+            statements,
+        }
+    }
+
+    fn new_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+}
--- a/crates/linkhold-core/src/table/mod.rs
+++ b/crates/linkhold-core/src/table/mod.rs
@@ -5,6 +5,7 @@
 
 mod check;
 mod column;
+mod delta;
 mod hours;
 pub mod rebase;
 mod sheet;
@@ -12,6 +13,7 @@
 
 pub use check::{Finding, check};
 pub use column::Column;
+pub use delta::Delta;
 pub use hours::{HourRange, HourRangeError};
 pub use sheet::{Sheet, SheetRow};
 pub use topology::{BackendState, Database, HourlyWeight, Instance, Topology};
--- a/crates/linkhold-core/src/table/sheet.rs
+++ b/crates/linkhold-core/src/table/sheet.rs
@@ -70,6 +70,22 @@
         }
     }
 
+    /// A sheet of cells that did not come from a file.
+    pub fn from_cells(rows: Vec<Vec<String>>) -> Self {
+        let rows = rows
+            .into_iter()
+            .map(|cells| SheetRow { line: 0, cells })
+            .collect();
+        Self { rows }
+    }
+
+    /// Whether each row has a cell for each column.
+    pub fn is_well_formed(&self) -> bool {
+        self.rows
+            .iter()
+            .all(|row| row.cells.len() == Column::ALL.len())
+    }
+
     /// Writes the sheet as CSV with all columns in order.
     pub fn to_csv(&self) -> String {
         let mut writer = csv::Writer::from_writer(Vec::new());
