Let real nodes know of each other and spread the table

Cause: each node read the store by itself, and one that started while the store was down had no table. Change: nodes with a peer section form a fleet by membership over UDP; three of them, chosen by rendezvous hashing, read the store; the others get each version from whoever announces it, as changes or whole, checked against its digest. Messages carry a MAC under the fleet's key. SHOW NODES lists the members.

--- a/crates/linkhold-core/src/membership/mod.rs
+++ b/crates/linkhold-core/src/membership/mod.rs
@@ -19,8 +19,10 @@
 //! * A live member that hears that it is suspected or dead refutes with a
 //!   higher incarnation, so it is never dead for good.
 
+mod exchange;
 mod member;
 mod message;
+mod probing;
 mod protocol;
 mod updates;
 
--- a/crates/linkhold-core/src/membership/protocol.rs
+++ b/crates/linkhold-core/src/membership/protocol.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 
 use super::member::{Member, MemberState, NodeId, Statement};
 use super::message::{Announcement, Message, Payload};
+use super::probing::{Errand, Probe};
 use super::updates::Updates;
 
 /// Times and sizes of the protocol.
@@ -79,34 +80,16 @@
     pub changes: Vec<Change>,
 }
 
-/// A probe without an answer yet.
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    number: u64,
-    target: NodeId,
-    sent_at: Duration,
-    asked_others: bool,
-}
-
-/// A probe made for another member.
-#[derive(Clone, Copy, Debug)]
-struct Errand {
-    number: u64,
-    for_address: SocketAddr,
-    for_number: u64,
-    until: Duration,
-}
-
 /// Membership as one node sees it.
 #[derive(Debug)]
 pub struct Membership {
-    settings: MembershipSettings,
-    own: Statement,
-    seeds: Vec<SocketAddr>,
-    members: BTreeMap<NodeId, Member>,
-    probe_order: Vec<NodeId>,
-    probe: Option<Probe>,
-    errands: Vec<Errand>,
+    pub(super) settings: MembershipSettings,
+    pub(super) own: Statement,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) members: BTreeMap<NodeId, Member>,
+    pub(super) probe_order: Vec<NodeId>,
+    pub(super) probe: Option<Probe>,
+    pub(super) errands: Vec<Errand>,
     updates: Updates,
     announcement: Announcement,
     announcements_left: u32,
@@ -292,7 +275,7 @@
     }
 
     /// Takes a statement in if it replaces what is known.
-    fn learn(&mut self, statement: Statement, now: Duration, output: &mut Output) {
+    pub(super) fn learn(&mut self, statement: Statement, now: Duration, output: &mut Output) {
         if statement.node == self.own.node {
             self.refute(statement);
             return;
@@ -366,225 +349,6 @@
         self.errands.retain(|errand| now < errand.until);
     }
 
-    fn start_probe(&mut self, now: Duration, random: &mut impl Rng, output: &mut Output) {
-        let Some(target) = self.next_target(random) else {
-            return;
-        };
-        let number = self.new_number();
-        self.probe = Some(Probe {
-            number,
-            target: target.node,
-            sent_at: now,
-            asked_others: false,
-        });
-        self.send(target.address, Payload::Ping { number }, output);
-        // A suspect learns at once that it has to refute.
-        if target.state == MemberState::Suspect
-            && let Some(sent) = output.sends.last_mut()
-        {
-            sent.message.statements.push(target);
-        }
-    }
-
-    /// Round-robin over a shuffled list, shuffled anew after each round.
-    fn next_target(&mut self, random: &mut impl Rng) -> Option<Statement> {
-        loop {
-            if self.probe_order.is_empty() {
-                self.probe_order = self
-                    .members
-                    .values()
-                    .filter(|member| member.is_reachable())
-                    .map(|member| member.statement.node)
-                    .collect();
-                self.probe_order.shuffle(random);
-            }
-            let node = self.probe_order.pop()?;
-            if let Some(member) = self
-                .members
-                .get(&node)
-                .filter(|member| member.is_reachable())
-            {
-                return Some(member.statement);
-            }
-        }
-    }
-
-    /// Asks other members to probe a target that has not answered in time,
-    /// one of them in the target's own zone if there is one: a fault between
-    /// zones then does not look like the target's death.
-    fn ask_others(&mut self, now: Duration, random: &mut impl Rng, output: &mut Output) {
-        let Some(probe) = self.probe else {
-            return;
-        };
-        let is_due = !probe.asked_others && now >= probe.sent_at + self.settings.direct_timeout;
-        if !is_due {
-            return;
-        }
-        self.probe = Some(Probe {
-            asked_others: true,
-            ..probe
-        });
-        let zone = self
-            .members
-            .get(&probe.target)
-            .map(|member| member.statement.zone);
-        let mut helpers = self.reachable_except(probe.target);
-        helpers.shuffle(random);
-        if let Some(neighbour) = helpers.iter().position(|helper| Some(helper.zone) == zone) {
-            helpers.swap(0, neighbour);
-        }
-        helpers.truncate(self.settings.indirect_probes);
-        for helper in helpers {
-            let payload = Payload::PingRequest {
-                number: probe.number,
-                target: probe.target,
-            };
-            self.send(helper.address, payload, output);
-        }
-    }
-
-    fn reachable_except(&self, excluded: NodeId) -> Vec<Statement> {
-        self.members
-            .values()
-            .filter(|member| member.is_reachable() && member.statement.node != excluded)
-            .map(|member| member.statement)
-            .collect()
-    }
-
-    /// Suspects the target of a probe that nobody got an answer to.
-    fn finish_probe(&mut self, now: Duration, output: &mut Output) {
-        let Some(probe) = self.probe.take() else {
-            return;
-        };
-        let Some(member) = self.members.get(&probe.target) else {
-            return;
-        };
-        let suspect = Statement {
-            state: MemberState::Suspect,
-            ..member.statement
-        };
-        self.learn(suspect, now, output);
-    }
-
-    fn on_ack(&mut self, number: u64, output: &mut Output) {
-        if self.probe.is_some_and(|probe| probe.number == number) {
-            self.probe = None;
-            return;
-        }
-        if let Some(index) = self
-            .errands
-            .iter()
-            .position(|errand| errand.number == number)
-        {
-            let errand = self.errands.swap_remove(index);
-            let payload = Payload::Ack {
-                number: errand.for_number,
-            };
-            self.send(errand.for_address, payload, output);
-        }
-    }
-
-    fn run_errand(
-        &mut self,
-        for_address: SocketAddr,
-        for_number: u64,
-        target: NodeId,
-        now: Duration,
-        output: &mut Output,
-    ) {
-        let Some(member) = self.members.get(&target) else {
-            return;
-        };
-        let address = member.statement.address;
-        let number = self.new_number();
-        self.errands.push(Errand {
-            number,
-            for_address,
-            for_number,
-            until: now + self.settings.probe_period,
-        });
-        self.send(address, Payload::Ping { number }, output);
-    }
-
-    /// Compares views with a random member, and now and then with a seed or a
-    /// member believed dead, so that a split fleet finds together again.
-    fn start_exchange(&mut self, random: &mut impl Rng, output: &mut Output) {
-        const OUTSIDE_SHARE: f64 = 0.25;
-        let reachable = self.reachable_except(self.own.node);
-        let mut outside: Vec<SocketAddr> = self
-            .members
-            .values()
-            .filter(|member| !member.is_reachable())
-            .map(|member| member.statement.address)
-            .collect();
-        outside.extend(&self.seeds);
-        let go_outside = reachable.is_empty() || random.random_bool(OUTSIDE_SHARE);
-        let inside = reachable.choose(random).map(|member| member.address);
-        let target = if go_outside {
-            outside.choose(random).copied().or(inside)
-        } else {
-            inside
-        };
-        if let Some(address) = target {
-            let payload = self.exchange_payload(false);
-            self.send(address, payload, output);
-        }
-    }
-
-    fn exchange_payload(&self, is_answer: bool) -> Payload {
-        Payload::Exchange {
-            digest: self.view_digest(),
-            known: self.known(),
-            is_answer,
-        }
-    }
-
-    fn known(&self) -> u32 {
-        u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX)
-    }
-
-    /// Digest of all statements, the same for any order.
-    fn view_digest(&self) -> u64 {
-        let others = self.members.values().map(|member| member.statement);
-        others
-            .chain([self.own])
-            .map(|statement| statement.digest())
-            .fold(0, u64::wrapping_add)
-    }
-
-    /// Sends part of what is known, or all of it to a node that knows little,
-    /// and lets the other side do the same once.
-    fn answer_exchange(
-        &mut self,
-        to: SocketAddr,
-        known_there: u32,
-        is_answer: bool,
-        random: &mut impl Rng,
-        output: &mut Output,
-    ) {
-        /// Messages sent to a node that knows most members already.
-        const MOST_MESSAGES: usize = 8;
-        if !is_answer {
-            let payload = self.exchange_payload(true);
-            self.send(to, payload, output);
-        }
-        let mut statements: Vec<Statement> = self
-            .members
-            .values()
-            .map(|member| member.statement)
-            .collect();
-        statements.shuffle(random);
-        let per_message = self.settings.statements_per_message;
-        let knows_little = known_there < self.known() / 2;
-        if !knows_little {
-            statements.truncate(MOST_MESSAGES * per_message);
-        }
-        for chunk in statements.chunks(per_message) {
-            let message = self.message(Payload::Gossip, chunk.to_vec());
-            output.sends.push(Send { to, message });
-        }
-    }
-
     fn gossip(&mut self, random: &mut impl Rng, output: &mut Output) {
         let reachable = self.reachable_except(self.own.node);
         let targets: Vec<SocketAddr> = reachable
@@ -598,7 +362,7 @@
     }
 
     /// Sends a message with statements on its back.
-    fn send(&mut self, to: SocketAddr, payload: Payload, output: &mut Output) {
+    pub(super) fn send(&mut self, to: SocketAddr, payload: Payload, output: &mut Output) {
         let limit = self.transmissions();
         let statements = self
             .updates
@@ -607,7 +371,7 @@
         output.sends.push(Send { to, message });
     }
 
-    fn message(&self, payload: Payload, statements: Vec<Statement>) -> Message {
+    pub(super) fn message(&self, payload: Payload, statements: Vec<Statement>) -> Message {
         Message {
             from: self.own,
             payload,
@@ -616,7 +380,7 @@
         }
     }
 
-    fn new_number(&mut self) -> u64 {
+    pub(super) fn new_number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
     }
--- a/crates/linkhold/src/cli/proxy.rs
+++ b/crates/linkhold/src/cli/proxy.rs
@@ -96,7 +96,14 @@
         let node = Node::start(settings).await?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        println!("event=ready listen={}", node.address());
+        let peer = node
+            .peer_address()
+            .map(|address| format!(" peer={address}"));
+        println!(
+            "event=ready listen={}{}",
+            node.address(),
+            peer.unwrap_or_default()
+        );
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
--- a/crates/linkhold/src/console.rs
+++ b/crates/linkhold/src/console.rs
@@ -13,14 +13,14 @@
 
 use crate::group::GroupHandle;
 use crate::node::NodeShared;
+use crate::peer::state_name;
 
 /// Name of the console's database.
 pub const DATABASE: &str = "linkhold";
 
 const SYNTAX_ERROR: &str = "42601";
 const FEATURE_NOT_SUPPORTED: &str = "0A000";
-const HELP: &str =
-    "commands: SHOW POOLS, SHOW GROUPS, SHOW TABLE, SHOW STATS, SHOW VERSION, SHOW HELP";
+const HELP: &str = "commands: SHOW POOLS, SHOW GROUPS, SHOW TABLE, SHOW NODES, SHOW STATS, SHOW VERSION, SHOW HELP";
 
 /// A result to be shown.
 struct Listing {
@@ -108,6 +108,7 @@
         "POOLS" => Some(pools(node)),
         "GROUPS" => Some(groups(node)),
         "TABLE" => Some(table(node)),
+        "NODES" => Some(nodes(node)),
         "STATS" => Some(stats(node)),
         "VERSION" => Some(Listing {
             columns: vec!["version"],
@@ -215,6 +216,33 @@
     Listing { columns, rows }
 }
 
+fn nodes(node: &NodeShared) -> Listing {
+    let rows = node
+        .members
+        .load()
+        .iter()
+        .map(|member| {
+            vec![
+                member.node.to_string(),
+                member.address.to_string(),
+                member.client_address.to_string(),
+                state_name(member.state).to_owned(),
+                member.incarnation.to_string(),
+            ]
+        })
+        .collect();
+    Listing {
+        columns: vec![
+            "node",
+            "peer_address",
+            "client_address",
+            "state",
+            "incarnation",
+        ],
+        rows,
+    }
+}
+
 fn stats(node: &NodeShared) -> Listing {
     let rows = node
         .metrics
--- a/crates/linkhold/src/lib.rs
+++ b/crates/linkhold/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod machine_list;
 pub mod metrics;
 pub mod node;
+pub mod peer;
 pub mod platform;
 pub mod session;
 pub mod settings;
--- a/crates/linkhold/src/log_event.rs
+++ b/crates/linkhold/src/log_event.rs
@@ -47,11 +47,13 @@
     KeysRemoved,
     /// The platform lists a machine as leaving, or no longer.
     MachineLeaving,
+    /// A member of the fleet changed its state.
+    MemberChanged,
 }
 
 impl EventName {
     /// All events, for the documentation's check.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::NodeStarted,
         Self::NodeLeaving,
         Self::NodeStopped,
@@ -68,6 +70,7 @@
         Self::ProtocolViolation,
         Self::KeysRemoved,
         Self::MachineLeaving,
+        Self::MemberChanged,
     ];
 
     /// The name as logged.
@@ -89,6 +92,7 @@
             Self::ProtocolViolation => "protocol_violation",
             Self::KeysRemoved => "keys_removed",
             Self::MachineLeaving => "machine_leaving",
+            Self::MemberChanged => "member_changed",
         }
     }
 }
--- a/crates/linkhold/src/machine_list.rs
+++ b/crates/linkhold/src/machine_list.rs
@@ -1,4 +1,4 @@
-//! Back ends that the platform's machine list says are leaving.
+//! The platform's machine list: back ends that leave, and nodes to be found.
 //!
 //! The list lags and is only a hint: it can keep new work away from an
 //! instance that the table still calls active, and nothing else. While it
@@ -10,17 +10,29 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use kameo::actor::ActorRef;
 
 use crate::log_event::{Event, EventName};
+use crate::peer::{AddSeeds, MembershipActor};
 use crate::platform::{MachineState, PlatformClient};
 
 /// Addresses of leaving machines, readable without waiting.
 pub type LeavingMachines = Arc<ArcSwap<HashSet<SocketAddr>>>;
 
 /// Reads the list again and again, for ever.
-pub async fn follow(client: PlatformClient, poll: Duration, leaving: LeavingMachines) {
+pub async fn follow(
+    client: PlatformClient,
+    poll: Duration,
+    leaving: LeavingMachines,
+    membership: Option<ActorRef<MembershipActor>>,
+) {
     loop {
         if let Ok(machines) = client.machines().await {
+            let nodes = machines.iter().filter_map(|machine| machine.peer).collect();
+            if let Some(membership) = &membership {
+                // The owner is gone only when the node ends.
+                let _ = membership.tell(AddSeeds(nodes)).await;
+            }
             let listed = machines
                 .into_iter()
                 .filter(|machine| machine.state == MachineState::Leaving)
--- a/crates/linkhold/src/metrics.rs
+++ b/crates/linkhold/src/metrics.rs
@@ -22,6 +22,12 @@
     pub retries: AtomicU64,
     /// Status probes sent.
     pub probes: AtomicU64,
+    /// Datagrams sent to other nodes.
+    pub peer_messages_sent: AtomicU64,
+    /// Their bytes, without headers.
+    pub peer_bytes_sent: AtomicU64,
+    /// Datagrams dropped as foreign, forged or malformed.
+    pub peer_messages_dropped: AtomicU64,
     /// Time reads took to find a fresh instance with a slot.
     pub read_wait: DurationHistogram,
     not_run: [AtomicU64; NOT_RUN_REASONS.len()],
@@ -111,6 +117,15 @@
             ("writes".to_owned(), load(&self.writes)),
             ("retries".to_owned(), load(&self.retries)),
             ("probes".to_owned(), load(&self.probes)),
+            (
+                "peer_messages_sent".to_owned(),
+                load(&self.peer_messages_sent),
+            ),
+            ("peer_bytes_sent".to_owned(), load(&self.peer_bytes_sent)),
+            (
+                "peer_messages_dropped".to_owned(),
+                load(&self.peer_messages_dropped),
+            ),
         ];
         for (name, quantile) in [("read_wait_p50_us", 0.5), ("read_wait_p99_us", 0.99)] {
             let wait = self.read_wait.quantile(quantile).as_micros();
--- a/crates/linkhold/src/node.rs
+++ b/crates/linkhold/src/node.rs
@@ -2,9 +2,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use eyre::{Result, WrapErr};
+use kameo::actor::ActorRef;
 use linkhold_core::classify::{Classified, classify};
 use linkhold_core::retry_budget::RetryBudget;
 use linkhold_core::token::TokenKey;
@@ -18,10 +20,11 @@
 use crate::log_event::{Event, EventName};
 use crate::machine_list::{self, LeavingMachines};
 use crate::metrics::Metrics;
+use crate::peer::{MemberSnapshot, MembershipActor, PeerContext, PeerService, PeerSockets};
 use crate::platform::PlatformClient;
 use crate::session::{CancelRegistry, OpenConnection, run_session};
 use crate::settings::{Settings, TableSource};
-use crate::table_keeper::{AbortOnDropHandle, TableKeeper, TableSnapshot};
+use crate::table_keeper::{AbortOnDropHandle, TableKeeper, TableSnapshot, read_source};
 
 /// Reported to callers until a back end has told its own version.
 const DEFAULT_SERVER_VERSION: &str = "16.0 (linkhold)";
@@ -36,6 +39,8 @@
     pub directory: Directory,
     /// Table in force.
     pub table: TableSnapshot,
+    /// Nodes of the fleet, this one first; empty if it stands alone.
+    pub members: MemberSnapshot,
     /// Sessions that can be cancelled.
     pub cancels: CancelRegistry,
     /// Classified statements.
@@ -116,6 +121,7 @@
     address: SocketAddr,
     accepting: Option<JoinHandle<JoinSet<()>>>,
     in_force: watch::Receiver<u64>,
+    peers: Option<PeerService>,
     _background: [AbortOnDropHandle; 5],
 }
 
@@ -136,16 +142,49 @@
         let address = listener.local_addr()?;
         let settings = Arc::new(settings);
         let metrics = Arc::new(Metrics::default());
-        let (table, table_changes, reading) =
-            TableKeeper::start(settings.table.clone(), settings.table_poll);
+        let keeper = TableKeeper::start();
+        let is_reader = Arc::new(AtomicBool::new(true));
+        let reading = tokio::spawn(read_source(
+            settings.table.clone(),
+            settings.table_poll,
+            keeper.actor.clone(),
+            keeper.snapshot.clone(),
+            is_reader.clone(),
+        ));
+        let members = MemberSnapshot::default();
+        let peers = match settings.peer.clone() {
+            Some(peer) => {
+                let sockets = PeerSockets::bind(peer.listen)
+                    .await
+                    .wrap_err_with(|| format!("cannot listen on {}", peer.listen))?;
+                Some(PeerService::start(
+                    sockets,
+                    PeerContext {
+                        settings: settings.clone(),
+                        peer,
+                        client_address: address,
+                        keeper: keeper.actor.clone(),
+                        table_changes: keeper.changes.clone(),
+                        members: members.clone(),
+                        is_reader,
+                        metrics: metrics.clone(),
+                    },
+                ))
+            }
+            None => None,
+        };
+        let table = keeper.snapshot;
+        let table_changes = keeper.changes;
         let leaving_machines = LeavingMachines::default();
-        let following = follow_machines(&settings, leaving_machines.clone());
+        let membership = peers.as_ref().map(|peers| peers.membership.clone());
+        let following = follow_machines(&settings, leaving_machines.clone(), membership);
         let shared = Arc::new(NodeShared {
             directory: Directory::new(settings.clone(), metrics.clone(), leaving_machines.clone()),
             token_key: TokenKey::new(settings.token_key.as_bytes()),
             settings,
             metrics,
             table,
+            members,
             cancels: CancelRegistry::default(),
             cache: StatementCache::default(),
             retry_budget: SharedRetryBudget::default(),
@@ -166,8 +205,9 @@
             address,
             accepting: Some(accepting),
             in_force,
+            peers,
             _background: [
-                reading,
+                AbortOnDropHandle::new(reading),
                 AbortOnDropHandle::new(following),
                 AbortOnDropHandle::new(applying),
                 AbortOnDropHandle::new(reporting),
@@ -181,6 +221,11 @@
         self.address
     }
 
+    /// Where other nodes reach this one, if it has peers.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(|peers| peers.address)
+    }
+
     /// State shared by its sessions.
     pub fn shared(&self) -> &Arc<NodeShared> {
         &self.shared
@@ -201,6 +246,9 @@
             .field("node", &self.shared.settings.node)
             .log();
         self.shared.leaving.send_replace(true);
+        if let Some(peers) = &self.peers {
+            peers.leave().await;
+        }
         if let Some(accepting) = self.accepting.take()
             && let Ok(mut sessions) = accepting.await
         {
@@ -216,12 +264,16 @@
 }
 
 /// Follows the platform's machine list, if there is a platform.
-fn follow_machines(settings: &Settings, leaving: LeavingMachines) -> JoinHandle<()> {
+fn follow_machines(
+    settings: &Settings,
+    leaving: LeavingMachines,
+    membership: Option<ActorRef<MembershipActor>>,
+) -> JoinHandle<()> {
     let poll = settings.table_poll;
     match &settings.table {
         TableSource::Platform { url, name } => {
             let client = PlatformClient::new(url, name);
-            tokio::spawn(machine_list::follow(client, poll, leaving))
+            tokio::spawn(machine_list::follow(client, poll, leaving, membership))
         }
         TableSource::File(_) => tokio::spawn(async {}),
     }
--- a/crates/linkhold/src/platform.rs
+++ b/crates/linkhold/src/platform.rs
@@ -78,6 +78,9 @@
     pub address: SocketAddr,
     /// Its state.
     pub state: MachineState,
+    /// Peer address, if a node runs there.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
 }
 
 /// Client of one table of the table service, and of the machine list.
--- a/crates/linkhold/src/settings/check.rs
+++ b/crates/linkhold/src/settings/check.rs
@@ -8,7 +8,7 @@
 use linkhold_core::group_view::CommitPromise;
 
 use super::reader::{Finding, Overrides, Reader};
-use super::{Detection, ReadPolicy, Settings, TableSource};
+use super::{Detection, PeerSettings, ReadPolicy, Settings, TableSource};
 
 const DEFAULT_STATUS_QUERY: &str = "SHOW linkhold.status";
 const SHORTEST_TOKEN_KEY: usize = 16;
@@ -25,6 +25,7 @@
         node: name(&mut reader, "node"),
         zone: name(&mut reader, "zone"),
         listen: listen_address(&mut reader),
+        peer: peer_settings(&mut reader),
         table: table_source(&mut reader),
         table_poll: milliseconds(&mut reader, "table.poll_ms", 500, 10),
         token_key: token_key(&mut reader),
@@ -102,18 +103,44 @@
     const KEY: &str = "listen";
     let unspecified = SocketAddr::from(([127, 0, 0, 1], 0));
     let text = reader.text(KEY);
-    match text.parse() {
-        Ok(address) => address,
-        Err(_) => {
-            if reader.has(KEY) {
-                let line = reader.line_of_key(KEY);
-                let message =
-                    format!("`{text}`: expected an IP address and port, such as 127.0.0.1:6432");
-                reader.report(line, KEY, message);
+    if !reader.has(KEY) {
+        return unspecified;
+    }
+    reader.address(KEY, &text).unwrap_or(unspecified)
+}
+
+/// The `peer` section; without `peer.listen` the node stands alone.
+fn peer_settings(reader: &mut Reader) -> Option<PeerSettings> {
+    let listen = reader.optional_text("peer.listen");
+    let seeds = reader.text_or("peer.seeds", "");
+    let key = reader.optional_text("peer.key");
+    let Some(listen) = listen else {
+        for orphan in ["peer.seeds", "peer.key"] {
+            if reader.has(orphan) {
+                let line = reader.line_of_key(orphan);
+                reader.report(line, orphan, "has no effect without peer.listen");
             }
-            unspecified
         }
+        return None;
+    };
+    let address = reader.address("peer.listen", &listen);
+    let seeds = seeds
+        .split(',')
+        .map(str::trim)
+        .filter(|seed| !seed.is_empty())
+        .filter_map(|seed| reader.address("peer.seeds", seed))
+        .collect();
+    let key = key.unwrap_or_default();
+    if key.len() < SHORTEST_TOKEN_KEY {
+        let line = reader.line_of_key("peer.key");
+        let message = format!("expected at least {SHORTEST_TOKEN_KEY} characters");
+        reader.report(line, "peer.key", message);
     }
+    Some(PeerSettings {
+        listen: address?,
+        seeds,
+        key,
+    })
 }
 
 fn table_source(reader: &mut Reader) -> TableSource {
--- a/crates/linkhold/src/settings/mod.rs
+++ b/crates/linkhold/src/settings/mod.rs
@@ -52,6 +52,17 @@
     PollOnly,
 }
 
+/// How a node finds and trusts the others. Without it a node stands alone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Address for messages of other nodes, over UDP and TCP.
+    pub listen: SocketAddr,
+    /// Addresses of nodes to ask for the others.
+    pub seeds: Vec<SocketAddr>,
+    /// Key that authenticates messages; the same on every node.
+    pub key: String,
+}
+
 /// Checked settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -61,6 +72,8 @@
     pub zone: String,
     /// Address callers connect to.
     pub listen: SocketAddr,
+    /// The other nodes, if there are any.
+    pub peer: Option<PeerSettings>,
     /// Where the table comes from.
     pub table: TableSource,
     /// How often the table source is read.
--- a/crates/linkhold/src/settings/reader.rs
+++ b/crates/linkhold/src/settings/reader.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Range;
 
 use toml::Spanned;
@@ -141,6 +142,18 @@
             .unwrap_or_else(|| default.to_owned())
     }
 
+    /// An IP address and port given as the text of a key.
+    pub fn address(&mut self, key: &str, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            let line = self.line_of_key(key);
+            let message =
+                format!("`{text}`: expected an IP address and port, such as 127.0.0.1:6432");
+            self.report(line, key, message);
+        }
+        address
+    }
+
     /// A whole number within bounds, with a default.
     pub fn number_or(&mut self, key: &'static str, default: i64, least: i64, most: i64) -> i64 {
         self.known.push(key);
--- a/crates/linkhold/src/table_keeper.rs
+++ b/crates/linkhold/src/table_keeper.rs
@@ -1,14 +1,20 @@
-//! Keeps the table in force: reads its source and publishes each newer
-//! version. A version is never replaced by a lower one.
+//! Keeps the table in force: takes versions from the source and from other
+//! nodes, checks them and publishes each newer one. A version is never
+//! replaced by a lower one.
 
+use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::message::{Context, Message};
-use linkhold_core::table::{Sheet, Topology, check};
+use linkhold_core::membership::Announcement;
+use linkhold_core::table::{Finding, Sheet, Topology, check};
+use linkhold_core::table_spread::{SpreadAction, TableRequest, TableResponse, TableSpread};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -16,13 +22,17 @@
 use crate::platform::PlatformClient;
 use crate::settings::TableSource;
 
+/// How often a node that is no reader reads the store all the same, in case
+/// it hears of no other node.
+const FALLBACK_PERIOD: Duration = Duration::from_secs(60);
+
 /// A table version in force.
 #[derive(Clone, Debug, Default)]
 pub struct TableInForce {
     /// Version; 0 before any table was read.
     pub version: u64,
     /// The cells.
-    pub sheet: Sheet,
+    pub sheet: Arc<Sheet>,
     /// What they mean.
     pub topology: Topology,
 }
@@ -49,6 +59,8 @@
 /// Owns the table of a node.
 #[derive(Actor)]
 pub struct TableKeeper {
+    spread: TableSpread,
+    started: Instant,
     snapshot: TableSnapshot,
     changed: watch::Sender<u64>,
     refused_version: u64,
@@ -69,52 +81,108 @@
     pub reason: String,
 }
 
+/// Another node told its version. Answered with whom to ask for it, if it is
+/// to be asked.
+pub struct PeerAnnounced {
+    /// The node.
+    pub from: SocketAddr,
+    /// What it told.
+    pub announcement: Announcement,
+}
+
+/// Another node asks for the table.
+pub struct PeerRequested(pub TableRequest);
+
+/// Another node answered a request.
+pub struct PeerResponded(pub TableResponse);
+
+/// Asks what this node announces.
+pub struct GetAnnouncement;
+
+/// A started keeper.
+pub struct StartedKeeper {
+    /// The actor.
+    pub actor: ActorRef<TableKeeper>,
+    /// The table in force.
+    pub snapshot: TableSnapshot,
+    /// Versions as they come into force.
+    pub changes: watch::Receiver<u64>,
+}
+
 impl TableKeeper {
-    /// Starts the actor and the task that reads the source. The receiver
-    /// tells of each version as it comes into force.
-    pub fn start(
-        source: TableSource,
-        poll: Duration,
-    ) -> (TableSnapshot, watch::Receiver<u64>, AbortOnDropHandle) {
+    /// Starts the actor.
+    pub fn start() -> StartedKeeper {
         let snapshot = TableSnapshot::default();
-        let (changed, receiver) = watch::channel(0);
-        let keeper = Self::spawn(Self {
+        let (changed, changes) = watch::channel(0);
+        let actor = Self::spawn(Self {
+            spread: TableSpread::default(),
+            started: Instant::now(),
             snapshot: snapshot.clone(),
             changed,
             refused_version: 0,
             source_reachable: true,
         });
-        let reading = tokio::spawn(read_source(source, poll, keeper));
-        (snapshot, receiver, AbortOnDropHandle(reading))
+        StartedKeeper {
+            actor,
+            snapshot,
+            changes,
+        }
     }
 
-    fn put_in_force(&mut self, version: u64, body: &str) {
-        let result = Sheet::parse(body).and_then(|sheet| {
+    /// A version from the store, which operators may have written by hand.
+    fn take_stored(&mut self, version: u64, body: &str) {
+        let checked = Sheet::parse(body).and_then(|sheet| {
             let topology = check(&sheet)?;
             Ok((sheet, topology))
         });
-        match result {
+        match checked {
             Ok((sheet, topology)) => {
-                Event::info(EventName::TableInForce)
+                if self.spread.on_stored(version, sheet).is_some() {
+                    self.publish(topology);
+                }
+            }
+            Err(findings) => self.refuse(version, &findings),
+        }
+    }
+
+    /// A version from another node, which has checked it.
+    fn take_from_peer(&mut self, response: TableResponse) {
+        match self.spread.on_response(response) {
+            Some(SpreadAction::InForce(version)) => match check(self.spread.sheet()) {
+                Ok(topology) => self.publish(topology),
+                Err(findings) => self.refuse(version, &findings),
+            },
+            Some(SpreadAction::Damaged(version)) => {
+                Event::warn(EventName::TableRefused)
                     .field("version", version)
-                    .field("databases", topology.databases.len())
+                    .field("finding", "the copy does not match its digest")
                     .log();
-                self.snapshot.store(Arc::new(TableInForce {
-                    version,
-                    sheet,
-                    topology,
-                }));
-                self.changed.send_replace(version);
-            }
-            Err(findings) => {
-                self.refused_version = version;
-                for finding in findings {
-                    Event::warn(EventName::TableRefused)
-                        .field("version", version)
-                        .field("finding", finding)
-                        .log();
-                }
             }
+            Some(SpreadAction::Request(..)) | None => {}
+        }
+    }
+
+    fn publish(&self, topology: Topology) {
+        let version = self.spread.version();
+        Event::info(EventName::TableInForce)
+            .field("version", version)
+            .field("databases", topology.databases.len())
+            .log();
+        self.snapshot.store(Arc::new(TableInForce {
+            version,
+            sheet: self.spread.sheet().clone(),
+            topology,
+        }));
+        self.changed.send_replace(version);
+    }
+
+    fn refuse(&mut self, version: u64, findings: &[Finding]) {
+        self.refused_version = version;
+        for finding in findings {
+            Event::warn(EventName::TableRefused)
+                .field("version", version)
+                .field("finding", finding)
+                .log();
         }
     }
 
@@ -135,9 +203,9 @@
 
     async fn handle(&mut self, message: VersionRead, _: &mut Context<Self, Self::Reply>) {
         self.note_reachable(true, "");
-        let newest = self.snapshot.load().version.max(self.refused_version);
+        let newest = self.spread.version().max(self.refused_version);
         if message.version > newest {
-            self.put_in_force(message.version, &message.body);
+            self.take_stored(message.version, &message.body);
         }
     }
 }
@@ -150,24 +218,79 @@
     }
 }
 
-/// Reads the source again and again until the actor is gone.
-async fn read_source(source: TableSource, poll: Duration, keeper: ActorRef<TableKeeper>) {
+impl Message<PeerAnnounced> for TableKeeper {
+    type Reply = Option<(SocketAddr, TableRequest)>;
+
+    async fn handle(
+        &mut self,
+        message: PeerAnnounced,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.started.elapsed();
+        match self
+            .spread
+            .on_announcement(message.from, message.announcement, now)
+        {
+            Some(SpreadAction::Request(from, request)) => Some((from, request)),
+            _ => None,
+        }
+    }
+}
+
+impl Message<PeerRequested> for TableKeeper {
+    type Reply = Result<TableResponse, Infallible>;
+
+    async fn handle(
+        &mut self,
+        message: PeerRequested,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        Ok(self.spread.on_request(message.0))
+    }
+}
+
+impl Message<PeerResponded> for TableKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, message: PeerResponded, _: &mut Context<Self, Self::Reply>) {
+        self.take_from_peer(message.0);
+    }
+}
+
+impl Message<GetAnnouncement> for TableKeeper {
+    type Reply = Result<Announcement, Infallible>;
+
+    async fn handle(
+        &mut self,
+        _: GetAnnouncement,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        Ok(self.spread.announcement())
+    }
+}
+
+/// Reads the source again and again until the actor is gone. The store is
+/// read by the few nodes whose duty it is, and by any node without a table.
+pub async fn read_source(
+    source: TableSource,
+    poll: Duration,
+    keeper: ActorRef<TableKeeper>,
+    snapshot: TableSnapshot,
+    is_reader: Arc<AtomicBool>,
+) {
     match source {
         TableSource::Platform { url, name } => {
             let client = PlatformClient::new(&url, &name);
+            let mut last_read: Option<Instant> = None;
             loop {
-                let delivered = match client.read().await {
-                    Ok(table) => {
-                        let message = VersionRead {
-                            version: table.version,
-                            body: table.body,
-                        };
-                        keeper.tell(message).await.is_ok()
+                let fallback_due = last_read.is_none_or(|at| at.elapsed() > FALLBACK_PERIOD);
+                let has_none = snapshot.load().version == 0;
+                let reads = is_reader.load(Ordering::Relaxed) || has_none || fallback_due;
+                if reads {
+                    last_read = Some(Instant::now());
+                    if !read_platform(&client, &keeper).await {
+                        return;
                     }
-                    Err(error) => tell_failure(&keeper, error.to_string()).await,
-                };
-                if !delivered {
-                    return;
                 }
                 tokio::time::sleep(poll).await;
             }
@@ -194,6 +317,19 @@
     }
 }
 
+async fn read_platform(client: &PlatformClient, keeper: &ActorRef<TableKeeper>) -> bool {
+    match client.read().await {
+        Ok(table) => {
+            let message = VersionRead {
+                version: table.version,
+                body: table.body,
+            };
+            keeper.tell(message).await.is_ok()
+        }
+        Err(error) => tell_failure(keeper, error.to_string()).await,
+    }
+}
+
 async fn tell_failure(keeper: &ActorRef<TableKeeper>, reason: String) -> bool {
     keeper.tell(SourceFailed { reason }).await.is_ok()
 }
