--- a/crates/linkhold/src/cli/status.rs
+++ b/crates/linkhold/src/cli/status.rs
@@ -76,6 +76,21 @@
     Ok(version.transpose()?.unwrap_or(0))
 }
 
+/// Client addresses of the live members a node knows, itself included.
+pub async fn live_nodes(node: &str) -> Result<Vec<String>> {
+    let client = connect(node).await?;
+    let rows = show(&client, "NODES").await?;
+    let value = |row: &[(String, String)], wanted: &str| {
+        let found = row.iter().find(|(name, _)| name == wanted);
+        found.map(|(_, value)| value.clone()).unwrap_or_default()
+    };
+    Ok(rows
+        .iter()
+        .filter(|row| value(row, "state") == "alive")
+        .map(|row| value(row, "client_address"))
+        .collect())
+}
+
 async fn connect(node: &str) -> Result<tokio_postgres::Client> {
     let (host, port) = node
         .rsplit_once(':')
--- a/crates/linkhold/src/cli/table.rs
+++ b/crates/linkhold/src/cli/table.rs
@@ -1,6 +1,8 @@
 //! `linkhold table`: checks, shows and edits the table.
 
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr, bail};
@@ -11,6 +13,9 @@
 use crate::platform::PlatformClient;
 use crate::table_editor::{Edit, EditOutcome};
 
+/// Longest wait for an edit to be in force on all nodes.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
 /// Comment that `table show` writes and `table apply` reads.
 const VERSION_COMMENT: &str = "# version=";
 
@@ -61,7 +66,15 @@
                         .long("author")
                         .default_value("operator")
                         .help("Name recorded with the edit"),
-                ),
+                )
+                .arg(
+                    Arg::new("wait")
+                        .long("wait")
+                        .action(clap::ArgAction::SetTrue)
+                        .requires("node")
+                        .help("Wait until all nodes that --node knows of have the edit in force"),
+                )
+                .arg(super::nodes_argument()),
         )
         .subcommand(with_platform(Command::new("history")).about("Print all versions, one a line"))
         .subcommand(
@@ -204,7 +217,37 @@
         edit_id: format!("{:016x}", rand::rng().random::<u64>()),
     };
     let outcome = edit.store(&client_of(arguments)).await;
-    report_outcome(&edit, &outcome)
+    let code = report_outcome(&edit, &outcome)?;
+    match outcome {
+        EditOutcome::Stored(version) if arguments.get_flag("wait") => {
+            let nodes: Vec<&String> = super::nodes_of(arguments).collect();
+            wait_in_force(version, &nodes).await
+        }
+        _ => Ok(code),
+    }
+}
+
+/// Waits until every live node that the given ones know of has the version.
+async fn wait_in_force(version: u64, nodes: &[&String]) -> Result<u8> {
+    let start = Instant::now();
+    loop {
+        let mut fleet = BTreeSet::new();
+        for node in nodes {
+            fleet.insert((*node).clone());
+            fleet.extend(super::status::live_nodes(node).await.unwrap_or_default());
+        }
+        let mut in_force = 0;
+        for node in &fleet {
+            let found = super::status::table_version(node).await;
+            in_force += usize::from(found.is_ok_and(|found| found >= version));
+        }
+        let all = in_force == fleet.len();
+        if all || start.elapsed() > WAIT_LIMIT {
+            println!("in_force={in_force} nodes={}", fleet.len());
+            return Ok(if all { EXIT_OK } else { EXIT_FINDINGS });
+        }
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
 }
 
 fn report_outcome(edit: &Edit, outcome: &EditOutcome) -> Result<u8> {
--- a/crates/linkhold/src/peer/membership_actor.rs
+++ b/crates/linkhold/src/peer/membership_actor.rs
@@ -84,7 +84,7 @@
         context.peer.seeds,
         Duration::ZERO,
     );
-    let actor = MembershipActor::spawn(MembershipActor {
+    let owner = MembershipActor {
         membership,
         started: Instant::now(),
         socket: socket.clone(),
@@ -93,7 +93,9 @@
         is_reader: context.is_reader,
         keeper: context.keeper,
         metrics: context.metrics,
-    });
+    };
+    owner.publish();
+    let actor = MembershipActor::spawn(owner);
     tasks.spawn(receive(socket, actor.clone()));
     tasks.spawn(tick(actor.clone()));
     tasks.spawn(follow_table(context.table_changes, actor.clone()));
--- a/crates/linkhold/tests/common/mod.rs
+++ b/crates/linkhold/tests/common/mod.rs
@@ -258,6 +258,10 @@
         Self { process, address }
     }
 
+    pub fn peer_address(&self) -> String {
+        self.process.pairs["peer"].clone()
+    }
+
     pub fn process_id(&self) -> u32 {
         self.process.child.id()
     }
