Prove membership and tables over any order of faults; never answer gossip

Cause: the property tests of the fleet did not end. Two nodes that believed each other dead answered each gossip message with another one; with duplication the number of messages grew without bound. It showed with refutations switched off; with them the exchange ends, but nothing bounded it. Change: gossip is never answered; who is believed dead is told so in answer to its pings, acks and exchanges.

--- a/crates/linkhold-core/src/membership/protocol.rs
+++ b/crates/linkhold-core/src/membership/protocol.rs
@@ -237,7 +237,11 @@
             self.learn(*statement, now, &mut output);
         }
         let sender = message.from.address;
-        self.tell_what_is_believed(&message.from, &mut output);
+        // Gossip is never answered, so that two nodes that think the other
+        // dead cannot keep each other busy.
+        if message.payload != Payload::Gossip {
+            self.tell_what_is_believed(&message.from, &mut output);
+        }
         match message.payload {
             Payload::Ping { number } => self.send(sender, Payload::Ack { number }, &mut output),
             Payload::PingRequest { number, target } => {
--- a/crates/linkhold-fleet/src/lib.rs
+++ b/crates/linkhold-fleet/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub use network::{NetworkOptions, Place};
 pub use report::FleetReport;
-pub use simulation::{FleetOptions, Simulation};
+pub use simulation::{FleetOptions, Mutation, Simulation};
--- a/crates/linkhold-fleet/src/main.rs
+++ b/crates/linkhold-fleet/src/main.rs
@@ -59,6 +59,7 @@
         start_converged: true,
         edits: size("edits"),
         deaths: size("deaths"),
+        mutation: None,
     }
 }
 
--- a/crates/linkhold-fleet/src/node.rs
+++ b/crates/linkhold-fleet/src/node.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::membership::{
-    Change, MemberState, Membership, MembershipSettings, NodeId, Output, Statement,
+    Change, MemberState, Membership, MembershipSettings, Message, NodeId, Output, Statement,
 };
 use linkhold_core::table_spread::{SpreadAction, TableRequest, TableSpread};
 use linkhold_peer::{
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::network::Place;
+use crate::simulation::Mutation;
 
 /// First port; a node's port tells its index.
 const FIRST_PORT: u32 = 1;
@@ -76,6 +77,7 @@
     key: PeerKey,
     settings: MembershipSettings,
     seeds: Vec<SocketAddr>,
+    mutation: Option<Mutation>,
 }
 
 /// Address of a node by its index.
@@ -109,8 +111,9 @@
         settings: MembershipSettings,
         seeds: Vec<SocketAddr>,
         seed: u64,
-        now: Duration,
+        mutation: Option<Mutation>,
     ) -> Self {
+        let now = Duration::ZERO;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         random.set_stream(index as u64);
         let own = own_statement(index, place, 1);
@@ -128,6 +131,7 @@
             key: PeerKey::new("hollow-fleet-key"),
             settings,
             seeds,
+            mutation,
         }
     }
 
@@ -153,9 +157,10 @@
     /// Handles a datagram.
     pub fn receive(&mut self, bytes: &[u8], now: Duration) -> Vec<Outgoing> {
         let start = Instant::now();
-        let Ok(message) = decode_message(bytes, &self.key) else {
+        let Ok(mut message) = decode_message(bytes, &self.key) else {
             return Vec::new();
         };
+        self.mutate(&mut message);
         let output = self.membership.on_message(&message, now, &mut self.random);
         let from = message.from.address;
         let action = self.spread.on_announcement(from, message.announcement, now);
@@ -165,6 +170,24 @@
         outgoing
     }
 
+    /// Applies the switched-off mechanism, if there is one.
+    fn mutate(&mut self, message: &mut Message) {
+        match self.mutation {
+            Some(Mutation::LoseRefutations) => {
+                let is_kept = |statement: &Statement| statement.incarnation == 1;
+                message.from.incarnation = 1;
+                message.statements.retain(is_kept);
+            }
+            Some(Mutation::FollowLowerVersions) => {
+                let announced = message.announcement.table_version;
+                if announced > 0 && announced < self.spread.version() {
+                    self.spread = TableSpread::default();
+                }
+            }
+            None => {}
+        }
+    }
+
     /// Handles a table message; an answer goes back to `from`.
     pub fn receive_table(&mut self, from: usize, bytes: &[u8]) -> Vec<Outgoing> {
         let start = Instant::now();
--- a/crates/linkhold-fleet/src/simulation.rs
+++ b/crates/linkhold-fleet/src/simulation.rs
@@ -45,6 +45,17 @@
     pub edits: usize,
     /// Nodes that die, spread over the run, and stay away.
     pub deaths: usize,
+    /// A mechanism that is switched off, to show that its loss is noticed.
+    pub mutation: Option<Mutation>,
+}
+
+/// A mechanism that a test may switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    /// Refutations are lost: what was said of a node first stays.
+    LoseRefutations,
+    /// A node follows an announcement to a lower version.
+    FollowLowerVersions,
 }
 
 /// Something that happens at a simulated time.
@@ -131,7 +142,7 @@
                     options.membership,
                     seeds.clone(),
                     options.seed,
-                    Duration::ZERO,
+                    options.mutation,
                 )
             })
             .collect();
