--- a/crates/linkhold-standin/src/platform.rs
+++ b/crates/linkhold-standin/src/platform.rs
@@ -4,6 +4,7 @@
 //! | request | meaning |
 //! |---|---|
 //! | `GET /tables/{name}` | the newest [`TableVersion`]; with `?version=N` that one |
+//! | `GET /tables/{name}?newer_than=N` | the newest, or 204 if it is not newer |
 //! | `PUT /tables/{name}` | compare-and-set with a [`TableEdit`]; 409 if the version moved on |
 //! | `GET /tables/{name}/history` | all versions without bodies |
 //! | `GET`, `PUT /objects/{key}` | an object's bytes |
@@ -186,6 +187,7 @@
 #[derive(Deserialize)]
 struct VersionQuery {
     version: Option<u64>,
+    newer_than: Option<u64>,
 }
 
 async fn read_table(
@@ -208,7 +210,13 @@
                 .unwrap_or_else(empty_version),
         ),
     };
+    let is_known = |stored: &TableVersion| {
+        query
+            .newer_than
+            .is_some_and(|known| stored.version <= known)
+    };
     match found {
+        Some(version) if is_known(&version) => Ok(StatusCode::NO_CONTENT.into_response()),
         Some(version) => Ok(Json(version).into_response()),
         None => Err(StatusCode::NOT_FOUND.into_response()),
     }
--- a/crates/linkhold/src/platform.rs
+++ b/crates/linkhold/src/platform.rs
@@ -113,6 +113,20 @@
         decode(checked(response)?).await
     }
 
+    /// The newest version, if it is newer than a known one. Costs next to
+    /// nothing if it is not.
+    pub async fn read_newer(&self, known: u64) -> Result<Option<TableVersion>, PlatformError> {
+        let request = self
+            .client
+            .get(&self.table_url)
+            .query(&[("newer_than", known)]);
+        let response = checked(request.send().await)?;
+        if response.status() == StatusCode::NO_CONTENT {
+            return Ok(None);
+        }
+        decode(response).await.map(Some)
+    }
+
     /// A given version.
     pub async fn read_version(&self, version: u64) -> Result<TableVersion, PlatformError> {
         let request = self
--- a/crates/linkhold/src/table_keeper.rs
+++ b/crates/linkhold/src/table_keeper.rs
@@ -75,6 +75,9 @@
     pub body: String,
 }
 
+/// The source was read and has nothing newer.
+pub struct SourceAnswered;
+
 /// The source could not be read.
 pub struct SourceFailed {
     /// Why.
@@ -210,6 +213,14 @@
     }
 }
 
+impl Message<SourceAnswered> for TableKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: SourceAnswered, _: &mut Context<Self, Self::Reply>) {
+        self.note_reachable(true, "");
+    }
+}
+
 impl Message<SourceFailed> for TableKeeper {
     type Reply = ();
 
@@ -288,7 +299,7 @@
                 let reads = is_reader.load(Ordering::Relaxed) || has_none || fallback_due;
                 if reads {
                     last_read = Some(Instant::now());
-                    if !read_platform(&client, &keeper).await {
+                    if !read_platform(&client, &keeper, snapshot.load().version).await {
                         return;
                     }
                 }
@@ -317,15 +328,20 @@
     }
 }
 
-async fn read_platform(client: &PlatformClient, keeper: &ActorRef<TableKeeper>) -> bool {
-    match client.read().await {
-        Ok(table) => {
+async fn read_platform(
+    client: &PlatformClient,
+    keeper: &ActorRef<TableKeeper>,
+    known: u64,
+) -> bool {
+    match client.read_newer(known).await {
+        Ok(Some(table)) => {
             let message = VersionRead {
                 version: table.version,
                 body: table.body,
             };
             keeper.tell(message).await.is_ok()
         }
+        Ok(None) => keeper.tell(SourceAnswered).await.is_ok(),
         Err(error) => tell_failure(keeper, error.to_string()).await,
     }
 }
