Split modules that held more than one job

Classification and its walk, faults and their schedules, and the stand-in's simple, extended and special statements each stand in a module of their own. Behaviour is unchanged; all tests pass.

--- a/crates/linkhold-standin/src/group/session.rs
+++ b/crates/linkhold-standin/src/group/session/mod.rs
@@ -1,23 +1,24 @@
 //! One connection to an instance: simple and extended queries, transactions
 //! and settings.
 
+mod extended;
+mod special;
+
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::BytesMut;
-use linkhold_wire::frontend::{Named, Target, query_text};
-use linkhold_wire::reply::{self, ErrorFields, ResultColumn, SessionStatus, TEXT_OID};
+use linkhold_wire::frontend::{Named, query_text};
+use linkhold_wire::reply::{self, ErrorFields, ResultColumn, SessionStatus};
 use linkhold_wire::{Frame, FrameReader, WireError, kind};
-use pgwire::messages::extendedquery::{Bind, Execute, Parse, PortalSuspended};
 use rusqlite::types::Value;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedMutexGuard, OwnedSemaphorePermit};
 
-use super::engine::{Column, Description, Engine, LoggedStatement, Outcome, SqlError};
-use super::state::GroupShared;
-use super::values::{decode, encode};
+use crate::group::engine::{Column, Description, Engine, LoggedStatement, Outcome, SqlError};
+use crate::group::state::GroupShared;
+use crate::group::values::encode;
 
 const FLUSH_THRESHOLD: usize = 64 * 1024;
 const READ_ONLY_TRANSACTION: &str = "25006";
@@ -249,120 +250,6 @@
         Ok(())
     }
 
-    /// Statements the engine does not know. `None` if `text` is not one.
-    async fn run_special(&mut self, text: &str, simple: bool) -> Option<Result<String, SqlError>> {
-        let upper = text.to_ascii_uppercase();
-        let first = upper.split_whitespace().next().unwrap_or_default();
-        match first {
-            "BEGIN" | "START" => {
-                if self.transaction.is_none() {
-                    self.begin().await;
-                }
-                Some(Ok("BEGIN".to_owned()))
-            }
-            "COMMIT" | "END" => Some(self.commit().map(str::to_owned)),
-            "ROLLBACK" | "ABORT" if !upper.contains(" TO ") => {
-                self.transaction = None;
-                Some(Ok("ROLLBACK".to_owned()))
-            }
-            _ if self.has_failed() => Some(Err(SqlError {
-                code: FAILED_TRANSACTION,
-                message: "current transaction is aborted".to_owned(),
-            })),
-            "SET" => Some(self.set(text)),
-            "RESET" | "DISCARD" => {
-                self.settings.clear();
-                Some(Ok(first.to_owned()))
-            }
-            "SHOW" => {
-                let value = if text.eq_ignore_ascii_case(STATUS_QUERY) {
-                    self.status()
-                } else {
-                    self.show(text)
-                };
-                if simple {
-                    let columns = [ResultColumn::text("setting")];
-                    reply::put_row_description(&mut self.output, &columns);
-                }
-                reply::put_text_row(&mut self.output, &[&value]);
-                Some(Ok("SHOW".to_owned()))
-            }
-            "SELECT" if upper.starts_with("SELECT PG_SLEEP(") => {
-                Some(self.sleep(&upper, simple).await)
-            }
-            _ => None,
-        }
-    }
-
-    fn has_failed(&self) -> bool {
-        self.transaction
-            .as_ref()
-            .is_some_and(|transaction| transaction.failed)
-    }
-
-    /// Term, position and role as `current_term log_term log_index role`.
-    fn status(&self) -> String {
-        let report = self.shared.reports()[self.instance];
-        let role = if report.is_primary {
-            "primary"
-        } else {
-            "replica"
-        };
-        format!(
-            "{} {} {} {role}",
-            report.current_term, report.log_term, report.log_index
-        )
-    }
-
-    fn set(&mut self, text: &str) -> Result<String, SqlError> {
-        let assignment = text[3..].trim();
-        let separator = assignment
-            .find('=')
-            .or_else(|| assignment.to_ascii_uppercase().find(" TO "));
-        let Some(separator) = separator else {
-            return Err(SqlError {
-                code: "42601",
-                message: "SET needs a value".to_owned(),
-            });
-        };
-        let name = assignment[..separator].trim().to_ascii_lowercase();
-        let value = assignment[separator..]
-            .trim_start_matches('=')
-            .trim_start_matches(" TO ")
-            .trim_start_matches(" to ");
-        let value = value.trim().trim_matches('\'').to_owned();
-        self.settings.insert(name, value);
-        Ok("SET".to_owned())
-    }
-
-    fn show(&self, text: &str) -> String {
-        let name = text[4..].trim().to_ascii_lowercase();
-        self.settings.get(&name).cloned().unwrap_or_default()
-    }
-
-    async fn sleep(&mut self, upper: &str, simple: bool) -> Result<String, SqlError> {
-        let seconds: f64 = upper
-            .trim_start_matches("SELECT PG_SLEEP(")
-            .trim_end_matches([')', ';', ' '])
-            .parse()
-            .unwrap_or(0.0);
-        let cancelled = self.cancelled.clone();
-        tokio::select! {
-            () = tokio::time::sleep(Duration::from_secs_f64(seconds)) => {}
-            () = cancelled.notified() => {
-                return Err(SqlError {
-                    code: QUERY_CANCELED,
-                    message: "canceling statement due to user request".to_owned(),
-                });
-            }
-        }
-        if simple {
-            reply::put_row_description(&mut self.output, &[ResultColumn::text("pg_sleep")]);
-        }
-        reply::put_text_row(&mut self.output, &[""]);
-        Ok("SELECT 1".to_owned())
-    }
-
     /// Takes the slot before the engine, so that whoever holds the engine
     /// never waits for a slot.
     async fn begin(&mut self) {
@@ -458,182 +345,6 @@
         engine.commit()?;
         result
     }
-
-    async fn parse(&mut self, parse: Parse) -> Result<(), SqlError> {
-        let description = if is_special(&parse.query) {
-            Description {
-                columns: special_columns(&parse.query),
-                parameters: 0,
-                read_only: true,
-            }
-        } else {
-            self.describe_text(&parse.query).await?
-        };
-        let mut types = parse.type_oids;
-        types.resize(description.parameters, 0);
-        for type_oid in types.iter_mut().filter(|oid| **oid == 0) {
-            *type_oid = TEXT_OID;
-        }
-        let statement = Prepared {
-            text: parse.query.into(),
-            types,
-            description,
-        };
-        self.statements
-            .insert(parse.name.unwrap_or_default(), statement);
-        reply::put_parse_complete(&mut self.output);
-        Ok(())
-    }
-
-    fn bind(&mut self, bind: Bind) -> Result<(), SqlError> {
-        let name = bind.statement_name.clone().unwrap_or_default();
-        let statement = self.statement(&name)?;
-        let format_of = |index: usize| match bind.parameter_format_codes.as_slice() {
-            [] => 0,
-            [all] => *all,
-            each => each.get(index).copied().unwrap_or(0),
-        };
-        let parameters: Option<Vec<Value>> = bind
-            .parameters
-            .iter()
-            .enumerate()
-            .map(|(index, bytes)| {
-                let type_oid = statement.types.get(index).copied().unwrap_or(TEXT_OID);
-                decode(bytes.as_deref(), type_oid, format_of(index))
-            })
-            .collect();
-        let Some(parameters) = parameters else {
-            return Err(SqlError {
-                code: INVALID_PARAMETER,
-                message: "a parameter does not fit its type".to_owned(),
-            });
-        };
-        let portal = Portal {
-            statement,
-            parameters,
-            result_formats: bind.result_column_format_codes,
-            started: None,
-        };
-        self.portals
-            .insert(bind.portal_name.unwrap_or_default(), portal);
-        reply::put_bind_complete(&mut self.output);
-        Ok(())
-    }
-
-    fn statement(&self, name: &str) -> Result<Prepared, SqlError> {
-        self.statements.get(name).cloned().ok_or_else(|| SqlError {
-            code: UNDEFINED_STATEMENT,
-            message: format!("prepared statement \"{name}\" does not exist"),
-        })
-    }
-
-    fn portal(&mut self, name: &str) -> Result<&mut Portal, SqlError> {
-        self.portals.get_mut(name).ok_or_else(|| SqlError {
-            code: UNDEFINED_CURSOR,
-            message: format!("portal \"{name}\" does not exist"),
-        })
-    }
-
-    fn describe(&mut self, named: &Named) -> Result<(), SqlError> {
-        let (columns, formats) = match named.target {
-            Target::Statement => {
-                let statement = self.statement(&named.name)?;
-                reply::put_parameter_description(&mut self.output, statement.types);
-                (statement.description.columns, Vec::new())
-            }
-            Target::Portal => {
-                let portal = self.portal(&named.name)?;
-                let columns = portal.statement.description.columns.clone();
-                (columns, portal.result_formats.clone())
-            }
-        };
-        if columns.is_empty() {
-            reply::put_no_data(&mut self.output);
-        } else {
-            let columns = result_columns(&columns, &formats);
-            reply::put_row_description(&mut self.output, &columns);
-        }
-        Ok(())
-    }
-
-    async fn execute(
-        &mut self,
-        execute: Execute,
-        stream: &mut TcpStream,
-    ) -> Result<Result<(), SqlError>, WireError> {
-        let name = execute.name.unwrap_or_default();
-        let portal = match self.portals.remove(&name) {
-            Some(portal) => portal,
-            None => {
-                return Ok(Err(SqlError {
-                    code: UNDEFINED_CURSOR,
-                    message: format!("portal \"{name}\" does not exist"),
-                }));
-            }
-        };
-        let text = portal.statement.text.clone();
-        if let Some(result) = self.run_special(&text, false).await {
-            self.portals.insert(name, portal);
-            return Ok(result.map(|tag| reply::put_complete(&mut self.output, &tag)));
-        }
-        match self.start_portal(portal).await {
-            Ok(portal) => {
-                let portal = self.send_rows(portal, execute.max_rows, stream).await?;
-                self.portals.insert(name, portal);
-                Ok(Ok(()))
-            }
-            Err(error) => Ok(Err(error)),
-        }
-    }
-
-    async fn start_portal(&mut self, mut portal: Portal) -> Result<Portal, SqlError> {
-        if portal.started.is_none() {
-            let statement = &portal.statement;
-            let outcome = self
-                .run_statement(&statement.text, &portal.parameters, &statement.description)
-                .await?;
-            let tag = tag_of(&statement.text, &outcome);
-            portal.started = Some((outcome.rows.into(), tag));
-        }
-        Ok(portal)
-    }
-
-    async fn send_rows(
-        &mut self,
-        mut portal: Portal,
-        max_rows: i32,
-        stream: &mut TcpStream,
-    ) -> Result<Portal, WireError> {
-        let columns = result_columns(
-            &portal.statement.description.columns,
-            &portal.result_formats,
-        );
-        let (rows, tag) = portal.started.as_mut().expect("the portal was started");
-        let limit = usize::try_from(max_rows).ok().filter(|limit| *limit > 0);
-        let count = limit.map_or(rows.len(), |limit| limit.min(rows.len()));
-        for row in rows.drain(..count).collect::<Vec<_>>() {
-            self.put_row(&row, &columns, stream).await?;
-        }
-        if rows.is_empty() {
-            reply::put_complete(&mut self.output, tag);
-        } else {
-            let suspended = Frame::encode(&PortalSuspended::new());
-            self.output.extend_from_slice(suspended.bytes());
-        }
-        Ok(portal)
-    }
-
-    fn close(&mut self, named: &Named) {
-        match named.target {
-            Target::Statement => {
-                self.statements.remove(&named.name);
-            }
-            Target::Portal => {
-                self.portals.remove(&named.name);
-            }
-        }
-        reply::put_close_complete(&mut self.output);
-    }
 }
 
 async fn take_slot(shared: &GroupShared, instance: usize) -> OwnedSemaphorePermit {
@@ -686,29 +397,6 @@
     )
 }
 
-fn is_special(text: &str) -> bool {
-    let upper = text.to_ascii_uppercase();
-    let first = upper.split_whitespace().next().unwrap_or_default();
-    is_control(text)
-        || matches!(first, "SET" | "RESET" | "DISCARD" | "SHOW")
-        || upper.starts_with("SELECT PG_SLEEP(")
-}
-
-fn special_columns(text: &str) -> Vec<Column> {
-    let upper = text.to_ascii_uppercase();
-    let name = if upper.starts_with("SHOW") {
-        "setting"
-    } else if upper.starts_with("SELECT PG_SLEEP(") {
-        "pg_sleep"
-    } else {
-        return Vec::new();
-    };
-    vec![Column {
-        name: name.to_owned(),
-        type_oid: TEXT_OID,
-    }]
-}
-
 /// Splits at semicolons outside string literals.
 fn split_statements(text: &str) -> Vec<String> {
     let mut statements = Vec::new();
--- a/crates/linkhold/src/demo/fault.rs
+++ b/crates/linkhold/src/demo/fault/run.rs
@@ -1,4 +1,4 @@
-//! Faults, each with a name and a schedule.
+//! Runs a fault's schedule on a world.
 
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -7,13 +7,13 @@
 use linkhold_core::table::{Column, Sheet};
 use linkhold_standin::platform::PlatformFaults;
 use linkhold_standin::relay::Link;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::DemoOptions;
-use super::history::{FaultEvent, History, LeavingEvent, VersionEvent};
-use super::world::{FAR_BEHIND, World};
+use super::schedule::{Action, Step};
+use crate::demo::DemoOptions;
+use crate::demo::history::{FaultEvent, History, LeavingEvent, VersionEvent};
+use crate::demo::world::{FAR_BEHIND, World};
 use crate::table_editor::{Edit, EditOutcome};
 
 /// How often the schedule and the nodes' table versions are looked at.
@@ -21,234 +21,6 @@
 /// Answer delay of the slow instance; longer than the nodes' statement
 /// time-out, so that answers come after the node has given up.
 const LATE_ANSWER: Duration = Duration::from_millis(2_500);
-const SLOW_STORE: Duration = Duration::from_millis(1_000);
-
-/// What breaks in a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// Nothing.
-    None,
-    /// A primary crashes, and later comes back.
-    PrimaryCrash,
-    /// A primary is cut off from its peers and goes on accepting work.
-    PrimaryPartition,
-    /// One replica of each database stays far behind.
-    ReplicaFarBehind,
-    /// A node dies with transactions open.
-    NodeCrash,
-    /// The platform's store is down.
-    StoreDown,
-    /// The answer to an edit is lost after it took effect.
-    StoreLostAnswer,
-    /// The platform's store is slow.
-    StoreSlow,
-    /// A node is paused: nothing passes between it and the databases.
-    PausedHolder,
-    /// Two operators edit at once.
-    ConcurrentEdits,
-    /// Nodes are stopped and started again in order, one after the other.
-    NodeStop,
-    /// A back end leaves.
-    BackendLeaving,
-    /// An instance answers after the node has given up.
-    LateAnswers,
-    /// A burst of feed reads.
-    FeedBurst,
-    /// Two or three of the others, chosen by the seed.
-    Mixed,
-}
-
-impl Fault {
-    /// All faults.
-    pub const ALL: [Self; 15] = [
-        Self::None,
-        Self::PrimaryCrash,
-        Self::PrimaryPartition,
-        Self::ReplicaFarBehind,
-        Self::NodeCrash,
-        Self::StoreDown,
-        Self::StoreLostAnswer,
-        Self::StoreSlow,
-        Self::PausedHolder,
-        Self::ConcurrentEdits,
-        Self::NodeStop,
-        Self::BackendLeaving,
-        Self::LateAnswers,
-        Self::FeedBurst,
-        Self::Mixed,
-    ];
-
-    /// Name on the command line.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::None => "none",
-            Self::PrimaryCrash => "primary-crash",
-            Self::PrimaryPartition => "primary-partition",
-            Self::ReplicaFarBehind => "replica-far-behind",
-            Self::NodeCrash => "node-crash",
-            Self::StoreDown => "store-down",
-            Self::StoreLostAnswer => "store-lost-answer",
-            Self::StoreSlow => "store-slow",
-            Self::PausedHolder => "paused-holder",
-            Self::ConcurrentEdits => "concurrent-edits",
-            Self::NodeStop => "node-stop",
-            Self::BackendLeaving => "backend-leaving",
-            Self::LateAnswers => "late-answers",
-            Self::FeedBurst => "feed-burst",
-            Self::Mixed => "mixed",
-        }
-    }
-
-    /// The fault with this name.
-    pub fn from_name(name: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|fault| fault.name() == name)
-    }
-
-    /// What it does, at which fraction of the run.
-    fn schedule(self, random: &mut ChaCha8Rng, nodes: usize) -> Vec<Step> {
-        let node = random.random_range(0..nodes);
-        let step = |at: f64, action: Action| Step { at, action };
-        match self {
-            Self::None => Vec::new(),
-            Self::PrimaryCrash => vec![
-                step(0.20, Action::CrashPrimaries),
-                step(0.50, Action::RestartInstances),
-                step(0.65, Action::CrashPrimaries),
-                step(0.85, Action::RestartInstances),
-            ],
-            Self::PrimaryPartition => vec![
-                step(0.20, Action::IsolatePrimaries),
-                step(0.50, Action::HealInstances),
-                step(0.65, Action::IsolatePrimaries),
-                step(0.85, Action::HealInstances),
-            ],
-            Self::ReplicaFarBehind => vec![step(0.0, Action::FallBehind)],
-            Self::NodeCrash => vec![
-                step(0.25, Action::CrashNode(node)),
-                step(0.45, Action::StartNode(node)),
-                step(0.65, Action::CrashNode((node + 1) % nodes)),
-                step(0.80, Action::StartNode((node + 1) % nodes)),
-            ],
-            Self::StoreDown => vec![
-                step(
-                    0.20,
-                    Action::Store(PlatformFaults {
-                        down: true,
-                        ..PlatformFaults::default()
-                    }),
-                ),
-                step(0.70, Action::Store(PlatformFaults::default())),
-                step(0.75, Action::Edit),
-            ],
-            Self::StoreLostAnswer => vec![
-                step(
-                    0.30,
-                    Action::Store(PlatformFaults {
-                        lose_edit_answers: 1,
-                        ..PlatformFaults::default()
-                    }),
-                ),
-                step(0.31, Action::Edit),
-                step(
-                    0.60,
-                    Action::Store(PlatformFaults {
-                        lose_edit_answers: 2,
-                        ..PlatformFaults::default()
-                    }),
-                ),
-                step(0.61, Action::Edit),
-            ],
-            Self::StoreSlow => vec![
-                step(
-                    0.20,
-                    Action::Store(PlatformFaults {
-                        delay: SLOW_STORE,
-                        ..PlatformFaults::default()
-                    }),
-                ),
-                step(0.30, Action::Edit),
-                step(0.80, Action::Store(PlatformFaults::default())),
-            ],
-            Self::PausedHolder => vec![
-                step(0.25, Action::PauseNode(node)),
-                step(0.45, Action::ResumeNode(node)),
-                step(0.60, Action::PauseNode((node + 1) % nodes)),
-                step(0.75, Action::ResumeNode((node + 1) % nodes)),
-            ],
-            Self::ConcurrentEdits => vec![
-                step(0.25, Action::EditTwice),
-                step(0.50, Action::EditTwice),
-                step(0.75, Action::EditTwice),
-            ],
-            Self::NodeStop => (0..nodes)
-                .flat_map(|node| {
-                    let at = 0.10 + 0.80 * node as f64 / nodes as f64;
-                    let back = at + 0.40 / nodes as f64;
-                    [
-                        step(at, Action::StopNode(node)),
-                        step(back, Action::StartNode(node)),
-                    ]
-                })
-                .collect(),
-            Self::BackendLeaving => vec![step(0.20, Action::Leave), step(0.80, Action::ComeBack)],
-            Self::LateAnswers => vec![
-                step(0.20, Action::AnswerLate),
-                step(0.45, Action::AnswerInTime),
-                step(0.60, Action::AnswerLate),
-                step(0.80, Action::AnswerInTime),
-            ],
-            Self::FeedBurst => vec![
-                step(0.30, Action::Burst(true)),
-                step(0.70, Action::Burst(false)),
-            ],
-            Self::Mixed => mixed_schedule(random, nodes),
-        }
-    }
-}
-
-/// Two or three different faults at once.
-fn mixed_schedule(random: &mut ChaCha8Rng, nodes: usize) -> Vec<Step> {
-    let single: Vec<Fault> = Fault::ALL
-        .into_iter()
-        .filter(|fault| !matches!(fault, Fault::None | Fault::Mixed))
-        .collect();
-    let count = random.random_range(2..=3);
-    let chosen: Vec<Fault> = single.choose_multiple(random, count).copied().collect();
-    let mut steps: Vec<Step> = chosen
-        .iter()
-        .flat_map(|fault| fault.schedule(random, nodes))
-        .collect();
-    steps.sort_by(|first, second| first.at.total_cmp(&second.at));
-    steps
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Step {
-    at: f64,
-    action: Action,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Action {
-    CrashPrimaries,
-    RestartInstances,
-    IsolatePrimaries,
-    HealInstances,
-    FallBehind,
-    CrashNode(usize),
-    StartNode(usize),
-    StopNode(usize),
-    PauseNode(usize),
-    ResumeNode(usize),
-    Store(PlatformFaults),
-    Edit,
-    EditTwice,
-    Leave,
-    ComeBack,
-    AnswerLate,
-    AnswerInTime,
-    Burst(bool),
-}
 
 /// Runs a fault's schedule.
 pub struct FaultRun {
