End transactions that idle; tell the back end's own version and why a fate is unknown

Found by reading the session code as a newcomer. Change: a session idle in a transaction beyond limits.idle_transaction_timeout ends with 25P03 and its slot is free; a time-out is reported as timed_out; the version is that of the back end. Seen: with one slot, the write of another caller goes through once the idle transaction is ended; nothing of the idle one is kept.

--- a/crates/linkhold/src/backend/pool.rs
+++ b/crates/linkhold/src/backend/pool.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -23,6 +23,7 @@
     idle: Mutex<Vec<BackendConnection>>,
     permits: Arc<Semaphore>,
     limit: Mutex<usize>,
+    server_version: OnceLock<String>,
 }
 
 impl Pool {
@@ -45,6 +46,7 @@
                 idle: Mutex::default(),
                 permits: Arc::new(Semaphore::new(limit)),
                 limit: Mutex::new(limit),
+                server_version: OnceLock::new(),
             }),
         }
     }
@@ -127,6 +129,11 @@
         *self.shared.limit.lock().expect("no panic while held")
     }
 
+    /// Version the back end reported, once there has been a connection.
+    pub fn server_version(&self) -> Option<&str> {
+        self.shared.server_version.get().map(String::as_str)
+    }
+
     /// Address that is dialled.
     pub fn address(&self) -> SocketAddr {
         self.shared.target.address
@@ -169,9 +176,23 @@
                 .field("reason", error)
                 .log();
         }
+        if let Ok(connection) = &result {
+            self.note_version(connection);
+        }
         result
     }
 
+    fn note_version(&self, connection: &BackendConnection) {
+        let version = connection
+            .parameters
+            .iter()
+            .find(|(name, _)| name == "server_version");
+        if let Some((_, version)) = version {
+            // The first connection's version stays.
+            let _ = self.shared.server_version.set(version.clone());
+        }
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<BackendConnection>> {
         self.shared.idle.lock().expect("no panic while held")
     }
--- a/crates/linkhold/src/demo/world.rs
+++ b/crates/linkhold/src/demo/world.rs
@@ -18,12 +18,13 @@
 use super::profile::Sizes;
 use crate::node::Node;
 use crate::platform::{PlatformClient, TableEdit};
-use crate::settings::{Overrides, Settings, parse};
+use crate::settings::{Overrides, PeerSettings, Settings, parse};
 
 /// Rows of the table whose whole content is read, to notice partial answers.
 pub const NUMBERS: usize = 50;
 /// Name of the table.
 pub const TABLE_NAME: &str = "linkhold";
+const PEER_KEY: &str = "demo-peer-key-0123456789";
 const TOKEN_KEY: &str = "demo-token-key-0123456789";
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Lag of the replica that is far behind.
@@ -105,7 +106,9 @@
 
     /// Starts a node, or starts it again.
     pub async fn start_node(&mut self, node: usize) -> Result<()> {
-        let running = Node::start(self.settings[node].clone()).await?;
+        let mut settings = self.settings[node].clone();
+        settings.peer = Some(self.peer_settings());
+        let running = Node::start(settings).await?;
         tokio::time::timeout(SETTLE_TIMEOUT, running.wait_for_table(1))
             .await
             .wrap_err("a node did not get the table")?;
@@ -114,6 +117,16 @@
         Ok(())
     }
 
+    /// Peer settings of a node that starts now: whoever runs is a seed.
+    fn peer_settings(&self) -> PeerSettings {
+        let running = self.nodes.iter().flatten();
+        PeerSettings {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            seeds: running.filter_map(Node::peer_address).collect(),
+            key: PEER_KEY.to_owned(),
+        }
+    }
+
     /// Ends a node at once.
     pub fn crash_node(&mut self, node: usize) {
         self.set_address(node, None);
--- a/crates/linkhold/src/node.rs
+++ b/crates/linkhold/src/node.rs
@@ -55,8 +55,13 @@
 
 impl NodeShared {
     /// Version to report for a database.
-    pub fn server_version(&self, _database: &str) -> String {
-        DEFAULT_SERVER_VERSION.to_owned()
+    pub fn server_version(&self, database: &str) -> String {
+        let group = self.directory.get(database);
+        let reported = group.and_then(|group| {
+            let mut pools = group.instances.iter().map(|instance| &instance.pool);
+            pools.find_map(|pool| pool.server_version().map(str::to_owned))
+        });
+        reported.unwrap_or_else(|| DEFAULT_SERVER_VERSION.to_owned())
     }
 }
 
--- a/crates/linkhold/src/session/mod.rs
+++ b/crates/linkhold/src/session/mod.rs
@@ -40,6 +40,8 @@
 
 /// SQLSTATE "protocol violation".
 const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE "idle in transaction session timeout".
+const IDLE_IN_TRANSACTION: &str = "25P03";
 /// SQLSTATE "feature not supported".
 const FEATURE_NOT_SUPPORTED: &str = "0A000";
 /// How long a node waits for a caller to close after it was told to leave.
@@ -78,6 +80,7 @@
     Ready,
     Closed,
     Leave,
+    IdleTooLong,
 }
 
 /// Serves one client connection to its end.
@@ -158,6 +161,10 @@
                         self.leave().await;
                         return Ok(());
                     }
+                    Input::IdleTooLong => {
+                        self.end_idle_transaction().await;
+                        return Ok(());
+                    }
                 }
             }
             // Boxed so that an idle session does not keep room for it.
@@ -172,6 +179,8 @@
     /// here: between requests, outside a transaction and with nothing
     /// received that has not been answered.
     async fn wait_for_input(&mut self) -> Input {
+        let idle_limit = self.node.settings.idle_transaction_timeout;
+        let holds_a_slot = self.held.is_some();
         let leaving = &mut self.leaving;
         let at_rest = self.held.is_none() && !self.lost_transaction;
         let must_leave = async {
@@ -185,6 +194,7 @@
                 Ok(()) => Input::Ready,
                 Err(_) => Input::Closed,
             },
+            () = tokio::time::sleep(idle_limit), if holds_a_slot => Input::IdleTooLong,
             () = must_leave => match self.stream.try_read_buf(self.reader.raw()) {
                 Ok(0) => Input::Closed,
                 Ok(_) => Input::Ready,
@@ -193,6 +203,20 @@
         }
     }
 
+    /// Ends a session that holds a slot and sends nothing; its transaction is
+    /// rolled back by the back end as the connection closes.
+    async fn end_idle_transaction(&mut self) {
+        self.held = None;
+        let fields = ErrorFields::fatal(
+            IDLE_IN_TRANSACTION,
+            "the transaction was idle for too long and was rolled back",
+        )
+        .with_detail("outcome=not_run reason=idle_in_transaction");
+        reply::put_error(&mut self.output, &fields);
+        let output = self.output.split();
+        say_goodbye(&mut self.stream, &output).await;
+    }
+
     async fn leave(&mut self) {
         let failure = Failure::NotRun(NotRun::Stopping);
         let fields = ErrorFields::fatal(failure.sqlstate(), "the node is leaving; connect again")
@@ -268,11 +292,12 @@
     /// Ends a unit with an error.
     fn put_failure(&mut self, unit: &Unit, fields: &ErrorFields) {
         reply::put_error(&mut self.output, fields);
-        self.end_failed_unit(unit);
+        self.end_unit(unit);
     }
 
-    /// Ends a unit whose error is already in the output.
-    fn end_failed_unit(&mut self, unit: &Unit) {
+    /// Ends a unit whose answer is already in the output. After a Flush that
+    /// happens only on an error, and the caller's Sync is yet to come.
+    fn end_unit(&mut self, unit: &Unit) {
         if ends_with_sync(unit) {
             self.put_ready();
         } else {
--- a/crates/linkhold/src/session/request.rs
+++ b/crates/linkhold/src/session/request.rs
@@ -26,6 +26,7 @@
 use super::unit::Unit;
 use super::write::Committed;
 use super::{Held, Session};
+use crate::backend::BackendError;
 use crate::group::GroupHandle;
 use crate::metrics::count;
 
@@ -34,7 +35,13 @@
 /// What an exchange came to.
 pub(super) enum Ran {
     Answered(Exchange),
-    BackendFailed { sent_to_caller: bool },
+    /// The back end failed after the unit had been sent.
+    BackendFailed {
+        /// Part of the answer has reached the caller.
+        sent_to_caller: bool,
+        /// Why its outcome is not known.
+        reason: Unknown,
+    },
 }
 
 impl Session {
@@ -117,9 +124,16 @@
                 Ok(Ran::Answered(exchange))
             }
             Err(ExchangeError::Caller(error)) => Err(error.into()),
-            Err(ExchangeError::Backend(_)) => {
+            Err(ExchangeError::Backend(error)) => {
                 lease.group.suspect(lease.instance).await;
-                Ok(Ran::BackendFailed { sent_to_caller })
+                let reason = match error {
+                    BackendError::TimedOut => Unknown::TimedOut,
+                    _ => Unknown::ConnectionLost,
+                };
+                Ok(Ran::BackendFailed {
+                    sent_to_caller,
+                    reason,
+                })
             }
         }
     }
@@ -149,13 +163,16 @@
                     self.settle(unit, lease, exchange);
                     return Ok(());
                 }
-                Ran::BackendFailed { sent_to_caller } => {
+                Ran::BackendFailed {
+                    sent_to_caller,
+                    reason,
+                } => {
                     let may_repeat = self.state.repeatable
                         && !sent_to_caller
                         && avoid.is_none()
                         && self.node.retry_budget.try_spend();
                     if !may_repeat {
-                        self.fail(unit, Failure::Unknown(Unknown::ConnectionLost));
+                        self.fail(unit, Failure::Unknown(reason));
                         return Ok(());
                     }
                     count(&self.node.metrics.retries);
@@ -191,7 +208,7 @@
                 self.note_transaction_settings(unit, &mut held, &exchange);
                 self.finish_on_held(unit, held, exchange).await;
             }
-            Ran::BackendFailed { .. } => {
+            Ran::BackendFailed { reason, .. } => {
                 let key = held.lease.request_key.take();
                 held.lease.close();
                 self.state.end_transaction(false);
@@ -201,8 +218,8 @@
                     return Ok(());
                 }
                 let failure = match key {
-                    Some(key) => self.resolve(&key, Unknown::ConnectionLost).await,
-                    None => Failure::Unknown(Unknown::ConnectionLost),
+                    Some(key) => self.resolve(&key, reason).await,
+                    None => Failure::Unknown(reason),
                 };
                 self.fail(unit, failure);
             }
@@ -257,23 +274,17 @@
             Some(SessionStatus::Idle) => {
                 lease.finish();
                 self.put_token();
-                self.end_answered_unit(unit);
+                self.end_unit(unit);
             }
             Some(status) => {
                 self.hold(lease, true, status);
-                self.end_answered_unit(unit);
+                self.end_unit(unit);
             }
             // A Flush: the batch goes on.
             None => self.hold(lease, in_transaction, status),
         }
     }
 
-    /// Ends a unit whose answer ended with ReadyForQuery. After a Flush that
-    /// happens only on an error, and the caller's Sync is yet to come.
-    pub(super) fn end_answered_unit(&mut self, unit: &Unit) {
-        self.end_failed_unit(unit);
-    }
-
     /// Adds an answer to the output, without a copy if there is nothing yet.
     pub(super) fn put_answer(&mut self, answer: bytes::BytesMut) {
         if self.output.is_empty() {
--- a/crates/linkhold/src/session/write.rs
+++ b/crates/linkhold/src/session/write.rs
@@ -127,8 +127,8 @@
     async fn try_plain(&mut self, unit: &Unit, mut lease: Lease) -> Result<Attempt, WireError> {
         let exchange = match self.exchange(unit, &mut lease, AnswerPolicy::Hold).await? {
             Ran::Answered(exchange) => exchange,
-            Ran::BackendFailed { .. } => {
-                self.fail(unit, Failure::Unknown(Unknown::ConnectionLost));
+            Ran::BackendFailed { reason, .. } => {
+                self.fail(unit, Failure::Unknown(reason));
                 return Ok(Attempt::Answered);
             }
         };
@@ -242,7 +242,7 @@
             return Attempt::RefusedAsReplica;
         }
         self.put_answer(exchange.pending);
-        self.end_failed_unit(unit);
+        self.end_unit(unit);
         Attempt::Answered
     }
 
--- a/crates/linkhold/src/settings/check.rs
+++ b/crates/linkhold/src/settings/check.rs
@@ -44,6 +44,12 @@
             1,
             MAX_CLIENT_CONNECTIONS,
         ),
+        idle_transaction_timeout: milliseconds(
+            &mut reader,
+            "limits.idle_transaction_timeout_ms",
+            60_000,
+            10,
+        ),
         key_cleanup_interval: milliseconds(
             &mut reader,
             "limits.key_cleanup_interval_ms",
--- a/crates/linkhold/src/settings/mod.rs
+++ b/crates/linkhold/src/settings/mod.rs
@@ -98,6 +98,8 @@
     pub write_reserve_percent: u32,
     /// Client connections the node accepts.
     pub client_connections: u32,
+    /// Longest time a session may be idle in a transaction.
+    pub idle_transaction_timeout: Duration,
     /// How often expired request keys are removed.
     pub key_cleanup_interval: Duration,
     /// Longest time sessions may take to end when the node leaves.
--- a/crates/linkhold/tests/failures.rs
+++ b/crates/linkhold/tests/failures.rs
@@ -438,3 +438,22 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_transaction_that_idles_gives_its_slot_back() {
+    let standin = StandIn::start(&["--connect-ms", "0"]);
+    let scarce = standin.table(|_, row| row.slots = 1);
+    standin.put_table(&scarce).await;
+    let settings = "[limits]\nidle_transaction_timeout_ms = 200\n";
+    let node = NodeProcess::start(&standin, "node-1", settings);
+    let idle = connect(&node.address, &standin.database).await;
+    idle.batch_execute("BEGIN").await.expect("begins");
+    idle.batch_execute(&insert("idle")).await.expect("runs");
+    let other = connect(&node.address, &standin.database).await;
+    other
+        .batch_execute(&insert("other"))
+        .await
+        .expect("gets the only slot");
+    eventually("the idle session ends", || async { idle.is_closed() }).await;
+    assert_eq!(count(&other, "idle").await, 0);
+}
--- a/crates/linkhold/tests/protocol.rs
+++ b/crates/linkhold/tests/protocol.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{NodeProcess, PATIENCE, StandIn, connect, connect_with, rows};
+use common::{NodeProcess, PATIENCE, StandIn, connect, connect_with, eventually, rows};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_postgres::NoTls;
@@ -482,3 +482,21 @@
         detail(&error)
     );
 }
+
+#[tokio::test]
+async fn callers_are_told_the_version_of_the_back_end() {
+    let (standin, node) = start().await;
+    connect(&node.address, &standin.database).await;
+    let (host, port) = node.address.split_once(':').expect("is host:port");
+    let text = format!(
+        "host={host} port={port} user=test dbname={}",
+        standin.database
+    );
+    eventually("the version is known", || async {
+        let (_client, connection) = tokio_postgres::connect(&text, NoTls)
+            .await
+            .expect("connects");
+        connection.parameter("server_version") == Some("16.0 (linkhold stand-in)")
+    })
+    .await;
+}
