Judge edits by what nodes have at the end; name the faults of a mixed run

The check was wrong, not the nodes. Change: after the run each node that is up is given 15 s to have the newest accepted edit and is then observed; the checker judges that observation, and a planted violation is still found. Reversals are judged from all observations as before. The report names the faults that happened.

--- a/crates/linkhold/src/demo/checker.rs
+++ b/crates/linkhold/src/demo/checker.rs
@@ -265,8 +265,12 @@
         add(violations, ViolationKind::LostEdit, lost.clone());
     }
     let accepted = events.accepted_edits.iter().max().copied().unwrap_or(0);
-    for (node, version) in newest.iter().filter(|(_, version)| **version < accepted) {
-        let detail = format!("node {node} has {version}, accepted was {accepted}");
+    let finals = events.final_versions.iter();
+    for event in finals.filter(|event| event.version < accepted) {
+        let detail = format!(
+            "node {} has {}, accepted was {accepted}",
+            event.node, event.version
+        );
         add(violations, ViolationKind::EditNotInForce, detail);
     }
 }
--- a/crates/linkhold/src/demo/fault/mod.rs
+++ b/crates/linkhold/src/demo/fault/mod.rs
@@ -6,7 +6,7 @@
 pub use run::FaultRun;
 
 /// What breaks in a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
     /// Nothing.
     None,
--- a/crates/linkhold/src/demo/fault/run.rs
+++ b/crates/linkhold/src/demo/fault/run.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::Fault;
 use super::schedule::{Action, Step};
 use crate::demo::DemoOptions;
 use crate::demo::history::{FaultEvent, History, LeavingEvent, VersionEvent};
@@ -18,6 +19,8 @@
 
 /// How often the schedule and the nodes' table versions are looked at.
 const TICK: Duration = Duration::from_millis(20);
+/// Longest wait for an accepted edit to be in force on a node.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Answer delay of the slow instance; longer than the nodes' statement
 /// time-out, so that answers come after the node has given up.
 const LATE_ANSWER: Duration = Duration::from_millis(2_500);
@@ -25,6 +28,7 @@
 /// Runs a fault's schedule.
 pub struct FaultRun {
     steps: Vec<Step>,
+    faults: Vec<Fault>,
     duration: Duration,
     random: ChaCha8Rng,
     leaving: Option<(usize, usize)>,
@@ -36,13 +40,18 @@
     pub fn new(options: &DemoOptions) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(options.seed);
         let mut steps = options.fault.schedule(&mut random, options.nodes);
+        let mut faults: Vec<Fault> = steps.iter().map(|step| step.fault).collect();
+        faults.sort_unstable();
+        faults.dedup();
         steps.push(Step {
             at: 0.15,
             action: Action::Edit,
+            fault: Fault::None,
         });
         steps.sort_by(|first, second| first.at.total_cmp(&second.at));
         Self {
             steps,
+            faults,
             duration: options.duration,
             random,
             leaving: None,
@@ -50,6 +59,12 @@
         }
     }
 
+    /// Names of the faults in the schedule, joined by `+`.
+    pub fn names(&self) -> String {
+        let names: Vec<&str> = self.faults.iter().map(|fault| fault.name()).collect();
+        names.join("+")
+    }
+
     /// Runs the schedule to the end of the run.
     pub async fn run(&mut self, world: &mut World, history: &History) -> Result<()> {
         let stops_nodes = self
@@ -87,6 +102,22 @@
         Ok(())
     }
 
+    /// Waits until the nodes that are up have the newest accepted table, and
+    /// notes what they have then.
+    pub async fn note_final_versions(&self, world: &World, history: &History) {
+        let accepted = history.newest_accepted_edit();
+        for (node, running) in world.nodes.iter().enumerate() {
+            let Some(running) = running else {
+                continue;
+            };
+            let in_force = running.wait_for_table(accepted);
+            // A node that never gets there is found by the checker.
+            let _ = tokio::time::timeout(IN_FORCE_TIMEOUT, in_force).await;
+            let version = running.shared().table.load().version;
+            history.record(|events| events.final_versions.push(VersionEvent { node, version }));
+        }
+    }
+
     async fn act(&mut self, action: Action, world: &mut World, history: &History) -> Result<()> {
         match action {
             Action::CrashPrimaries => self.take_primaries(world, history, Taking::Crash),
@@ -279,7 +310,6 @@
 /// Records an accepted edit and how long it took to be in force on all nodes
 /// that are up. An edit without a clear answer is not accepted.
 async fn accepted(outcome: &EditOutcome, world: &World, history: &History) -> Result<()> {
-    const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(15);
     let version = match outcome {
         EditOutcome::Stored(version) => *version,
         EditOutcome::Unknown(_) => return Ok(()),
--- a/crates/linkhold/src/demo/fault/schedule.rs
+++ b/crates/linkhold/src/demo/fault/schedule.rs
@@ -34,6 +34,8 @@
     pub at: f64,
     /// What happens.
     pub action: Action,
+    /// Whose step it is.
+    pub fault: Fault,
 }
 
 /// What a fault does.
@@ -63,7 +65,11 @@
     /// What it does, at which fraction of the run.
     pub(super) fn schedule(self, random: &mut ChaCha8Rng, nodes: usize) -> Vec<Step> {
         let node = random.random_range(0..nodes);
-        let step = |at: f64, action: Action| Step { at, action };
+        let step = |at: f64, action: Action| Step {
+            at,
+            action,
+            fault: self,
+        };
         match self {
             Self::None => Vec::new(),
             Self::PrimaryCrash => vec![
--- a/crates/linkhold/src/demo/history.rs
+++ b/crates/linkhold/src/demo/history.rs
@@ -120,6 +120,8 @@
     pub reads: Vec<ReadEvent>,
     /// Table versions.
     pub versions: Vec<VersionEvent>,
+    /// Table versions of the nodes that are up at the end of the run.
+    pub final_versions: Vec<VersionEvent>,
     /// Primaries taken away.
     pub primary_faults: Vec<FaultEvent>,
     /// Instances told to leave.
@@ -172,6 +174,12 @@
         add(&mut self.events.lock().expect("no panic while held"));
     }
 
+    /// Highest version of an accepted edit; 0 if there was none.
+    pub fn newest_accepted_edit(&self) -> u64 {
+        let events = self.events.lock().expect("no panic while held");
+        events.accepted_edits.iter().max().copied().unwrap_or(0)
+    }
+
     /// Takes all events out.
     pub fn take(&self) -> Events {
         std::mem::take(&mut self.events.lock().expect("no panic while held"))
--- a/crates/linkhold/src/demo/mod.rs
+++ b/crates/linkhold/src/demo/mod.rs
@@ -62,8 +62,16 @@
     faults.run(&mut world, &history).await?;
     load.stop().await;
     faults.undo_all(&mut world).await?;
+    faults.note_final_versions(&world, &history).await;
     let truth = world.settle().await?;
     let events = history.take();
     let violations = checker::check(&events, &truth);
-    Ok(Report::new(options, &world, &events, &truth, violations))
+    Ok(Report::new(
+        options,
+        faults.names(),
+        &world,
+        &events,
+        &truth,
+        violations,
+    ))
 }
--- a/crates/linkhold/src/demo/report.rs
+++ b/crates/linkhold/src/demo/report.rs
@@ -22,6 +22,8 @@
     pub profile: &'static str,
     /// Fault.
     pub fault: &'static str,
+    /// The faults that happened.
+    pub happened: String,
     /// Read policy.
     pub policy: &'static str,
     /// Seed.
@@ -79,6 +81,7 @@
     /// Sums up a run.
     pub fn new(
         options: &DemoOptions,
+        happened: String,
         world: &World,
         events: &Events,
         truth: &[DatabaseTruth],
@@ -113,6 +116,7 @@
         Self {
             profile: options.profile.name(),
             fault: options.fault.name(),
+            happened,
             policy: policy_name(options.policy),
             seed: options.seed,
             nodes: options.nodes,
@@ -144,13 +148,14 @@
     /// The report as one line of key=value pairs.
     pub fn line(&self) -> String {
         format!(
-            "profile={} fault={} policy={} seed={} nodes={} seconds={} violations={} reads={} \
+            "profile={} fault={} happened={} policy={} seed={} nodes={} seconds={} violations={} reads={} \
              writes={} replica_read_share={:.4} read_p50_ms={:.1} read_p99_ms={:.1} \
              read_wait_p99_ms={:.1} write_p50_ms={:.1} write_p99_ms={:.1} failovers={} failover_gap_ms={:.0} \
              after_election_p50_ms={:.1} after_election_max_ms={:.1} election_max_ms={:.0} \
              refusals_not_run={} unknown={} cut={} already_completed={} duplicated={} table_in_force_max_ms={}",
             self.profile,
             self.fault,
+            self.happened,
             self.policy,
             self.seed,
             self.nodes,
--- a/crates/linkhold/tests/checker.rs
+++ b/crates/linkhold/tests/checker.rs
@@ -72,6 +72,10 @@
                 version: 2,
             },
         ],
+        final_versions: vec![VersionEvent {
+            node: 0,
+            version: 2,
+        }],
         accepted_edits: vec![2],
         ..Events::default()
     };
