Test that fixed shares keep the fleet within a connection limit

Seen: four nodes with fleet_size 4 before instances with a limit of 12, 40 callers and 1600 requests: no instance ever had more than 12 connections, and every request was answered or refused as not run.

--- a/crates/linkhold/tests/fleet.rs
+++ b/crates/linkhold/tests/fleet.rs
@@ -184,3 +184,49 @@
         assert_eq!(version(node).await, 2);
     }
 }
+
+#[tokio::test]
+async fn fixed_shares_keep_the_fleet_within_the_connection_limit() {
+    const FLEET: usize = 4;
+    const LIMIT: u32 = 12;
+    const CALLERS: usize = 40;
+    const REQUESTS: usize = 20;
+    let standin = StandIn::start(&["--connect-ms", "1"]);
+    let scarce = standin.table(|_, row| {
+        row.slots = 8;
+        row.connection_limit = LIMIT;
+    });
+    standin.put_table(&scarce).await;
+    let settings = format!("[limits]\nfleet_size = {FLEET}\n");
+    let nodes: Vec<NodeProcess> = (0..FLEET)
+        .map(|number| NodeProcess::start(&standin, &format!("node-{number}"), &settings))
+        .collect();
+    let mut callers = Vec::new();
+    for caller in 0..CALLERS {
+        let address = nodes[caller % FLEET].address.clone();
+        let client = connect(&address, &standin.database).await;
+        callers.push(tokio::spawn(async move {
+            for request in 0..REQUESTS {
+                let id = format!("{caller}-{request}");
+                let statements = [
+                    format!("INSERT INTO episodes VALUES ('{id}', 'title')"),
+                    format!("SELECT title FROM episodes WHERE id = '{id}'"),
+                ];
+                for statement in statements {
+                    if let Err(error) = client.batch_execute(&statement).await {
+                        let database_error = error.as_db_error().expect("is an answer");
+                        let detail = database_error.detail().unwrap_or_default();
+                        assert!(detail.starts_with("outcome=not_run"), "{error}: {detail}");
+                    }
+                }
+            }
+        }));
+    }
+    for caller in callers {
+        caller.await.expect("is answered or truthfully refused");
+    }
+    for report in standin.reports().await {
+        let most = report["most_connections"].as_u64().expect("is a number");
+        assert!(most <= u64::from(LIMIT), "{report}");
+    }
+}
