--- a/crates/linkhold-wire/src/frame.rs
+++ b/crates/linkhold-wire/src/frame.rs
@@ -37,12 +37,6 @@
 pub struct Frame(Bytes);
 
 impl Frame {
-    /// Wraps the bytes of one whole message.
-    pub fn from_bytes(bytes: Bytes) -> Self {
-        debug_assert!(bytes.len() >= HEADER_LENGTH);
-        Self(bytes)
-    }
-
     /// Encodes a message of pgwire's.
     pub fn encode(message: &impl Message) -> Self {
         let mut buffer = BytesMut::new();
--- a/crates/linkhold/src/benchmark/failover.rs
+++ b/crates/linkhold/src/benchmark/failover.rs
@@ -8,9 +8,8 @@
 use eyre::{Result, bail};
 use linkhold_standin::group::{Group, GroupOptions};
 use tokio::task::JoinSet;
-use tokio_postgres::NoTls;
 
-use super::{Bench, BenchmarkOptions, DATABASE, fast_group};
+use super::{Bench, BenchmarkOptions, connect, fast_group};
 use crate::settings::Detection;
 
 const FAILOVERS: usize = 20;
@@ -141,15 +140,9 @@
 /// Writes without pause until dropped; notes each acknowledgement.
 async fn run_writer(address: SocketAddr, writer: usize, acknowledged: Acknowledged) {
     const IDS_PER_WRITER: usize = 10_000_000;
-    let text = format!(
-        "host={} port={} user=bench dbname={DATABASE}",
-        address.ip(),
-        address.port()
-    );
-    let Ok((client, connection)) = tokio_postgres::connect(&text, NoTls).await else {
+    let Ok((client, _connection)) = connect(address).await else {
         return;
     };
-    tokio::spawn(connection);
     let mut id = (writer + 1) * IDS_PER_WRITER;
     loop {
         id += 1;
--- a/crates/linkhold/src/benchmark/mod.rs
+++ b/crates/linkhold/src/benchmark/mod.rs
@@ -18,6 +18,8 @@
 use linkhold_core::request_key;
 use linkhold_standin::group::{Group, GroupOptions, LagProfile};
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
+use tokio_postgres::{Client, Error, NoTls};
 
 use crate::node::Node;
 use crate::settings::{Overrides, Settings, parse};
@@ -166,6 +168,17 @@
     parse(&text, &Overrides::new()).map_err(|findings| eyre!("settings: {findings:?}"))
 }
 
+/// Connects a caller; the handle is the connection's own task.
+async fn connect(address: SocketAddr) -> Result<(Client, JoinHandle<Result<(), Error>>)> {
+    let text = format!(
+        "host={} port={} user=bench dbname={DATABASE}",
+        address.ip(),
+        address.port()
+    );
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    Ok((client, tokio::spawn(connection)))
+}
+
 /// Names of the measurements, in the order in which they run.
 pub const PARTS: [&str; 6] = [
     "statements",
--- a/crates/linkhold/src/benchmark/statements.rs
+++ b/crates/linkhold/src/benchmark/statements.rs
@@ -5,10 +5,9 @@
 
 use eyre::Result;
 use hdrhistogram::Histogram;
-use tokio_postgres::NoTls;
 
 use super::process::thread_time;
-use super::{Bench, BenchmarkOptions, DATABASE, NODE_THREADS, fast_group};
+use super::{Bench, BenchmarkOptions, NODE_THREADS, connect, fast_group};
 
 const CONNECTION_COUNTS: [usize; 3] = [1, 16, 64];
 const WARM_UP: Duration = Duration::from_millis(300);
@@ -112,13 +111,7 @@
 }
 
 async fn run_caller(address: SocketAddr, deadline: Instant, way: Way) -> Result<Histogram<u64>> {
-    let text = format!(
-        "host={} port={} user=bench dbname={DATABASE}",
-        address.ip(),
-        address.port()
-    );
-    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
-    let connection = tokio::spawn(connection);
+    let (client, connection) = connect(address).await?;
     if matches!(way, Way::Token) {
         client.batch_execute("SET linkhold.token = ''").await?;
     }
--- a/crates/linkhold/src/benchmark/writes.rs
+++ b/crates/linkhold/src/benchmark/writes.rs
@@ -8,9 +8,8 @@
 use hdrhistogram::Histogram;
 use linkhold_core::group_view::CommitPromise;
 use linkhold_standin::relay::{Relay, RelayState};
-use tokio_postgres::NoTls;
 
-use super::{Bench, BenchmarkOptions, DATABASE, fast_group};
+use super::{Bench, BenchmarkOptions, connect, fast_group};
 
 const WRITER_COUNTS: [usize; 3] = [1, 16, 256];
 /// One-way latency between zones of the first user.
@@ -101,13 +100,7 @@
     deadline: Instant,
 ) -> Result<Histogram<u64>> {
     const IDS_PER_WRITER: usize = 1_000_000;
-    let text = format!(
-        "host={} port={} user=bench dbname={DATABASE}",
-        address.ip(),
-        address.port()
-    );
-    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
-    tokio::spawn(connection);
+    let (client, _connection) = connect(address).await?;
     let mut latencies = Histogram::new(3)?;
     latencies.auto(true);
     let mut id = (writer + 1) * IDS_PER_WRITER;
--- a/crates/linkhold/tests/failures.rs
+++ b/crates/linkhold/tests/failures.rs
@@ -33,6 +33,14 @@
     (standin, first, second)
 }
 
+/// Crashes or isolates the primary; returns which instance it was.
+async fn act_on_primary(standin: &StandIn, action: &str) -> usize {
+    let primary = standin.primary().await;
+    let path = format!("/instances/{primary}/{action}");
+    standin.control(&path).await;
+    primary
+}
+
 #[tokio::test]
 async fn a_write_waits_for_the_new_primary_and_is_kept() {
     let (standin, first, second) = start(&[]).await;
@@ -42,10 +50,7 @@
         .batch_execute(&insert("before"))
         .await
         .expect("is acknowledged");
-    let primary = standin.primary().await;
-    standin
-        .control(&format!("/instances/{primary}/crash"))
-        .await;
+    let primary = act_on_primary(&standin, "crash").await;
     // The first write may meet the broken connection; later ones wait.
     let _ = writer.batch_execute(&insert("meets the crash")).await;
     writer
@@ -65,10 +70,7 @@
         .batch_execute(&insert("before"))
         .await
         .expect("is acknowledged");
-    let primary = standin.primary().await;
-    standin
-        .control(&format!("/instances/{primary}/isolate"))
-        .await;
+    let primary = act_on_primary(&standin, "isolate").await;
     // The old primary still accepts the commit, but no majority will hold it.
     let error = writer
         .batch_execute(&insert("lost"))
@@ -92,10 +94,7 @@
         .batch_execute(&insert("before"))
         .await
         .expect("is acknowledged");
-    let primary = standin.primary().await;
-    standin
-        .control(&format!("/instances/{primary}/isolate"))
-        .await;
+    let primary = act_on_primary(&standin, "isolate").await;
     writer
         .batch_execute("SET linkhold.request_key = 'key-1'")
         .await
@@ -182,10 +181,7 @@
     let writer = connect(&first.address, &standin.database).await;
     writer.batch_execute("BEGIN").await.expect("begins");
     writer.batch_execute(&insert("lost")).await.expect("runs");
-    let primary = standin.primary().await;
-    standin
-        .control(&format!("/instances/{primary}/crash"))
-        .await;
+    act_on_primary(&standin, "crash").await;
     let error = writer
         .batch_execute(&insert("lost too"))
         .await
