--- a/crates/linkhold-core/src/lib.rs
+++ b/crates/linkhold-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request_key;
 pub mod retry_budget;
 pub mod routing;
+pub mod service;
 pub mod table;
 pub mod table_spread;
 pub mod token;
--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -30,6 +30,10 @@
     KeyCancelled,
     /// The database is not in the table.
     UnknownDatabase,
+    /// The node has not learnt the configuration yet.
+    NotConfigured,
+    /// The transaction was ended before its commit was sent.
+    TransactionAborted,
 }
 
 /// Why the fate of a request is not known.
@@ -63,6 +67,8 @@
             Self::Cancelled => "57014",
             Self::KeyCancelled => "LH021",
             Self::UnknownDatabase => "3D000",
+            Self::NotConfigured => "LH007",
+            Self::TransactionAborted => "40000",
         }
     }
 
@@ -78,6 +84,8 @@
             Self::Cancelled => "cancelled",
             Self::KeyCancelled => "key_cancelled",
             Self::UnknownDatabase => "unknown_database",
+            Self::NotConfigured => "not_configured",
+            Self::TransactionAborted => "transaction_aborted",
         }
     }
 
@@ -86,8 +94,8 @@
         let milliseconds = match self {
             Self::Overloaded => 20,
             Self::NoPrimary | Self::NoMajority => 50,
-            Self::NoFreshInstance | Self::BackendUnavailable => 100,
-            Self::Stopping | Self::Cancelled | Self::KeyCancelled => 0,
+            Self::NoFreshInstance | Self::BackendUnavailable | Self::NotConfigured => 100,
+            Self::Stopping | Self::Cancelled | Self::KeyCancelled | Self::TransactionAborted => 0,
             Self::UnknownDatabase => 1_000,
         };
         Duration::from_millis(milliseconds)
--- /dev/null
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -0,0 +1,265 @@
+//! The instances of all services and who is believed to be primary.
+//!
+//! # Invariants
+//!
+//! * An entry that vanished while the directory was disturbed is kept as
+//!   lapsed: its absence proves nothing until the directory has been calm for
+//!   [`Directory::LAPSE`].
+//! * An instance that denied being primary is not believed again before it
+//!   announces the role anew or proves it by an answer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::configuration::ServiceName;
+use super::instance::{Instance, InstanceId, Lifecycle, Role};
+
+/// Where a belief about a primary comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrimarySource {
+    /// The instance announces it.
+    Announced,
+    /// This node's order to promote it was confirmed.
+    Promoted,
+    /// It said so when asked.
+    Asked,
+}
+
+/// A belief that changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrimaryChange {
+    /// The service.
+    pub service: ServiceName,
+    /// Its primary, if any is believed.
+    pub primary: Option<InstanceId>,
+    /// Why.
+    pub source: PrimarySource,
+}
+
+#[derive(Debug)]
+struct Entry {
+    instance: Arc<Instance>,
+    /// When it was found missing; `None` while it is listed.
+    missing_since: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct PrimaryBelief {
+    current: Option<InstanceId>,
+    denied: Vec<InstanceId>,
+}
+
+/// All instances known to a node.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: HashMap<InstanceId, Entry>,
+    primaries: HashMap<ServiceName, PrimaryBelief>,
+    disturbed_at: Option<Instant>,
+}
+
+impl Directory {
+    /// How long the directory must have been readable before an absence counts.
+    pub const LAPSE: Duration = Duration::from_millis(4_500);
+
+    /// An instance is announced, or its announcement changed.
+    pub fn announce(&mut self, instance: Instance) -> Option<PrimaryChange> {
+        let service = instance.service.clone();
+        let id = instance.id.clone();
+        let role = instance.role;
+        let previous = self.entries.get(&id).map(|entry| entry.instance.role);
+        let entry = Entry {
+            instance: Arc::new(instance),
+            missing_since: None,
+        };
+        self.entries.insert(id.clone(), entry);
+        if previous == Some(role) && self.primary_id(&service).is_some() {
+            return None;
+        }
+        let belief = self.primaries.entry(service.clone()).or_default();
+        match role {
+            Role::Primary => {
+                if previous == Some(Role::Primary) && belief.denied.contains(&id) {
+                    return None;
+                }
+                self.believe(&service, Some(id), PrimarySource::Announced)
+            }
+            Role::Replica if belief.current.as_ref() == Some(&id) => {
+                let other = self.announced_primary(&service);
+                self.believe(&service, other, PrimarySource::Announced)
+            }
+            Role::Replica => None,
+        }
+    }
+
+    /// An instance is no longer listed.
+    pub fn vanish(&mut self, id: &InstanceId, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Everything that is listed now; what else was known vanishes.
+    pub fn replace(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<PrimaryChange> {
+        let ids: Vec<InstanceId> = listed.iter().map(|instance| instance.id.clone()).collect();
+        let missing: Vec<InstanceId> = self
+            .entries
+            .keys()
+            .filter(|id| !ids.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.vanish(&id, now);
+        }
+        listed
+            .into_iter()
+            .filter_map(|instance| self.announce(instance))
+            .collect()
+    }
+
+    /// The directory could not be read.
+    pub fn disturbed(&mut self, now: Instant) {
+        self.disturbed_at = Some(now);
+    }
+
+    /// Forgets instances whose absence counts and that had time to drain.
+    /// Returns the ones forgotten.
+    pub fn expire(&mut self, now: Instant, drain: Duration) -> Vec<InstanceId> {
+        let gone: Vec<InstanceId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| {
+                self.absence(entry, now)
+                    .is_some_and(|absence| absence > drain)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.entries.remove(id);
+            for belief in self.primaries.values_mut() {
+                belief.denied.retain(|denied| denied != id);
+                if belief.current.as_ref() == Some(id) {
+                    belief.current = None;
+                }
+            }
+        }
+        gone
+    }
+
+    /// How long an entry's absence has counted.
+    fn absence(&self, entry: &Entry, now: Instant) -> Option<Duration> {
+        let missing_since = entry.missing_since?;
+        let calm_since = self
+            .disturbed_at
+            .map_or(missing_since, |at| missing_since.max(at + Self::LAPSE));
+        now.checked_duration_since(calm_since)
+    }
+
+    /// Whether an instance leaves: it says so, or its absence counts.
+    pub fn is_leaving(&self, id: &InstanceId, now: Instant) -> bool {
+        self.entries.get(id).is_none_or(|entry| {
+            entry.instance.lifecycle == Lifecycle::Draining || self.absence(entry, now).is_some()
+        })
+    }
+
+    /// Whether an instance is unlisted and its absence counts.
+    pub fn is_absent(&self, id: &InstanceId, now: Instant) -> bool {
+        self.entries
+            .get(id)
+            .is_none_or(|entry| self.absence(entry, now).is_some())
+    }
+
+    /// An instance.
+    pub fn instance(&self, id: &InstanceId) -> Option<&Arc<Instance>> {
+        self.entries.get(id).map(|entry| &entry.instance)
+    }
+
+    /// The instances of a service.
+    pub fn instances(&self, service: &str) -> impl Iterator<Item = &Arc<Instance>> {
+        self.entries
+            .values()
+            .map(|entry| &entry.instance)
+            .filter(move |instance| &*instance.service == service)
+    }
+
+    /// Whether no instance was ever listed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Services that have instances.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let mut services: Vec<ServiceName> = self
+            .entries
+            .values()
+            .map(|entry| entry.instance.service.clone())
+            .collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+
+    /// The believed primary of a service.
+    pub fn primary(&self, service: &str) -> Option<&Arc<Instance>> {
+        self.instance(self.primary_id(service)?)
+    }
+
+    fn primary_id(&self, service: &str) -> Option<&InstanceId> {
+        self.primaries.get(service)?.current.as_ref()
+    }
+
+    /// An instance denied being primary.
+    pub fn deny_primary(&mut self, id: &InstanceId) -> Option<PrimaryChange> {
+        let service = self.instance(id)?.service.clone();
+        let belief = self.primaries.entry(service.clone()).or_default();
+        if !belief.denied.contains(id) {
+            belief.denied.push(id.clone());
+        }
+        if belief.current.as_ref() != Some(id) {
+            return None;
+        }
+        let other = self.announced_primary(&service);
+        self.believe(&service, other, PrimarySource::Announced)
+    }
+
+    /// An instance proved to be primary, or was promoted.
+    pub fn confirm_primary(
+        &mut self,
+        id: &InstanceId,
+        source: PrimarySource,
+    ) -> Option<PrimaryChange> {
+        let service = self.instance(id)?.service.clone();
+        self.believe(&service, Some(id.clone()), source)
+    }
+
+    fn announced_primary(&self, service: &str) -> Option<InstanceId> {
+        let denied = self
+            .primaries
+            .get(service)
+            .map_or(&[][..], |belief| &belief.denied);
+        self.instances(service)
+            .find(|instance| instance.role == Role::Primary && !denied.contains(&instance.id))
+            .map(|instance| instance.id.clone())
+    }
+
+    fn believe(
+        &mut self,
+        service: &ServiceName,
+        primary: Option<InstanceId>,
+        source: PrimarySource,
+    ) -> Option<PrimaryChange> {
+        let belief = self.primaries.entry(service.clone()).or_default();
+        if let Some(primary) = &primary {
+            belief.denied.retain(|denied| denied != primary);
+        }
+        if belief.current == primary {
+            return None;
+        }
+        belief.current.clone_from(&primary);
+        Some(PrimaryChange {
+            service: service.clone(),
+            primary,
+            source,
+        })
+    }
+}
--- /dev/null
+++ b/crates/linkhold-core/src/service/evidence.rs
@@ -0,0 +1,100 @@
+//! Evidence of how far a service's log had come at a moment.
+//!
+//! A reply that only a primary can give (to a commit that wrote, to a single
+//! write, or to the start of a writing transaction) carries the position of
+//! its log. Everything acknowledged before the request was *sent* lies at or
+//! below that position, since a service has one primary at a time.
+//!
+//! # Invariants
+//!
+//! * A fence for "everything acknowledged before `m`" comes from evidence sent
+//!   at `m` or later, measured on the steady clock before sending. A process
+//!   that was paused in between has evidence older than it thinks, never
+//!   younger.
+//! * Evidence of a newer term covers every commit of older terms that still
+//!   stands, so a fence of an older term is dropped for it and not waited for.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::position::Position;
+
+/// Samples kept; with [`SAMPLE_SPACING`] they reach back several seconds.
+const MOST_SAMPLES: usize = 128;
+/// Samples closer together than this replace one another.
+const SAMPLE_SPACING: Duration = Duration::from_millis(40);
+
+/// One observation of a primary's log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sample {
+    /// When the request that proved it was sent.
+    pub sent_at: Instant,
+    /// Position in its reply.
+    pub position: Position,
+}
+
+/// Recent observations of one service's primary, oldest first.
+#[derive(Debug, Default)]
+pub struct EvidenceLog {
+    samples: VecDeque<Sample>,
+}
+
+impl EvidenceLog {
+    /// Records an observation.
+    pub fn record(&mut self, sample: Sample) {
+        self.drop_crowded(&sample);
+        let index = self
+            .samples
+            .partition_point(|known| known.sent_at <= sample.sent_at);
+        self.samples.insert(index, sample);
+        if self.samples.len() > MOST_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Drops the newest sample when it lies close behind the one before it
+    /// and `next` takes its place. Dropping a sample is always safe.
+    fn drop_crowded(&mut self, next: &Sample) {
+        let count = self.samples.len();
+        if count < 2 {
+            return;
+        }
+        let newest = self.samples[count - 1];
+        let is_crowded = newest.sent_at - self.samples[count - 2].sent_at < SAMPLE_SPACING;
+        if is_crowded && next.sent_at >= newest.sent_at {
+            self.samples.pop_back();
+        }
+    }
+
+    /// The lowest position that covers all commits acknowledged before
+    /// `moment`, or `None` if nothing was observed since then.
+    pub fn fence(&self, moment: Instant) -> Option<Position> {
+        let newest_term = self.newest()?.position.term;
+        self.samples
+            .iter()
+            .rev()
+            .take_while(|sample| sample.sent_at >= moment)
+            .map(|sample| sample.position)
+            .filter(|position| position.term == newest_term)
+            .min()
+    }
+
+    /// The observation with the highest position.
+    pub fn newest(&self) -> Option<Sample> {
+        self.samples
+            .iter()
+            .copied()
+            .max_by_key(|sample| sample.position)
+    }
+
+    /// When the latest observation was sent.
+    pub fn latest_sent_at(&self) -> Option<Instant> {
+        self.samples.back().map(|sample| sample.sent_at)
+    }
+}
+
+/// The fence of a read: evidence raised to the session's own last commit. A
+/// commit of an older term is covered by evidence of a newer one.
+pub fn session_fence(evidence: Position, last_commit: Option<Position>) -> Position {
+    last_commit.map_or(evidence, |commit| commit.max(evidence))
+}
--- /dev/null
+++ b/crates/linkhold-core/src/service/health.rs
@@ -0,0 +1,101 @@
+//! What traffic tells about one instance: failures, silence, load.
+
+use std::time::{Duration, Instant};
+
+/// First pause after a failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(150);
+/// Longest pause between trials of a failing instance.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(2_000);
+/// Share of a new latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Health of one instance as one node sees it.
+#[derive(Debug, Default)]
+pub struct InstanceHealth {
+    consecutive_failures: u32,
+    failing_since: Option<Instant>,
+    last_success: Option<Instant>,
+    avoid_until: Option<Instant>,
+    lagging_until: Option<Instant>,
+    busy_until: Option<Instant>,
+    latency: Option<f64>,
+    in_flight: usize,
+}
+
+impl InstanceHealth {
+    /// A statement is sent.
+    pub fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// A statement sent before has ended in any way.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// It answered, whatever the answer.
+    pub fn succeeded(&mut self, now: Instant, took: Duration) {
+        self.consecutive_failures = 0;
+        self.failing_since = None;
+        self.avoid_until = None;
+        self.last_success = Some(now);
+        let seconds = took.as_secs_f64();
+        self.latency = Some(match self.latency {
+            Some(average) => average + LATENCY_WEIGHT * (seconds - average),
+            None => seconds,
+        });
+    }
+
+    /// It could not be reached or did not answer.
+    pub fn failed(&mut self, now: Instant) {
+        self.consecutive_failures += 1;
+        self.failing_since.get_or_insert(now);
+        let doubled = FIRST_BACKOFF * 2_u32.pow((self.consecutive_failures - 1).min(4));
+        self.avoid_until = Some(now + doubled.min(LONGEST_BACKOFF));
+    }
+
+    /// It lacked a position that a read required.
+    pub fn lagged(&mut self, now: Instant, pause: Duration) {
+        self.lagging_until = Some(now + pause);
+    }
+
+    /// It had no free slot.
+    pub fn was_busy(&mut self, now: Instant, pause: Duration) {
+        self.busy_until = Some(now + pause);
+    }
+
+    /// Whether it should be left alone for now.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has failed and has not answered since.
+    pub fn is_failing(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
+    /// Whether it recently lacked a required position.
+    pub fn is_lagging(&self, now: Instant) -> bool {
+        self.lagging_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it recently had no free slot.
+    pub fn is_busy(&self, now: Instant) -> bool {
+        self.busy_until.is_some_and(|until| now < until)
+    }
+
+    /// When it last answered.
+    pub fn last_success(&self) -> Option<Instant> {
+        self.last_success
+    }
+
+    /// Moving average of the time to an answer.
+    pub fn latency(&self) -> Option<Duration> {
+        self.latency.map(Duration::from_secs_f64)
+    }
+
+    /// Statements sent and not answered.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+}
--- /dev/null
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -0,0 +1,13 @@
+//! Decisions about services whose instances announce themselves: routes,
+//! instances, evidence of freshness, placement, session state and failover.
+
+pub mod configuration;
+pub mod connection_share;
+pub mod directory;
+pub mod evidence;
+pub mod failover;
+pub mod health;
+pub mod instance;
+pub mod placement;
+pub mod session;
+pub mod waiting;
--- /dev/null
+++ b/crates/linkhold-core/src/service/placement.rs
@@ -0,0 +1,92 @@
+//! Choice of the instance that serves a read.
+//!
+//! Candidates are ordered by [`Standing`]: first those in good standing, then
+//! those that recently lagged or were full, then those that failed. Within a
+//! standing the one with the lowest expected time wins, where an instance in
+//! another region is charged [`REGION_PENALTY`]: bytes between regions are the
+//! dearest thing a read uses, and a wait of that length costs callers less.
+
+use std::time::{Duration, Instant};
+
+use super::health::InstanceHealth;
+use super::instance::{Instance, InstanceId, Lifecycle};
+
+/// Expected wait that a nearer instance may have before a farther is taken.
+const ZONE_PENALTY: Duration = Duration::from_millis(15);
+/// As [`ZONE_PENALTY`], between regions.
+const REGION_PENALTY: Duration = Duration::from_millis(60);
+/// Time of a statement on an instance that nothing is known of.
+const ASSUMED_LATENCY: Duration = Duration::from_millis(20);
+
+/// How far an instance is from the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In another zone of the same region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+/// How well an instance has served lately; better ones come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Good,
+    /// It was full or behind a moment ago.
+    Strained,
+    /// It is leaving, or a pause after a failure has passed and it may be tried.
+    Doubtful,
+    /// It failed a moment ago.
+    Failing,
+}
+
+/// An instance that might serve a read.
+#[derive(Debug)]
+pub struct Candidate<'a> {
+    /// The instance.
+    pub instance: &'a Instance,
+    /// What traffic tells of it.
+    pub health: &'a InstanceHealth,
+    /// How far it is.
+    pub distance: Distance,
+}
+
+impl Candidate<'_> {
+    fn standing(&self, now: Instant) -> Standing {
+        if self.health.is_avoided(now) {
+            Standing::Failing
+        } else if self.health.is_failing() || self.instance.lifecycle == Lifecycle::Draining {
+            Standing::Doubtful
+        } else if self.health.is_lagging(now) || self.health.is_busy(now) {
+            Standing::Strained
+        } else {
+            Standing::Good
+        }
+    }
+
+    fn expected_time(&self) -> Duration {
+        let latency = self.health.latency().unwrap_or(ASSUMED_LATENCY);
+        let capacity = self.instance.capacity.max(1) as f64;
+        let load = 1.0 + self.health.in_flight() as f64 / capacity;
+        let penalty = match self.distance {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => ZONE_PENALTY,
+            Distance::Remote => REGION_PENALTY,
+        };
+        latency.mul_f64(load) + penalty
+    }
+}
+
+/// The best candidate that is not in `excluded`.
+pub fn choose<'a>(
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    excluded: &[InstanceId],
+    now: Instant,
+) -> Option<&'a Instance> {
+    candidates
+        .filter(|candidate| !excluded.contains(&candidate.instance.id))
+        .min_by_key(|candidate| (candidate.standing(now), candidate.expected_time()))
+        .map(|candidate| candidate.instance)
+}
--- /dev/null
+++ b/crates/linkhold-core/src/service/session.rs
@@ -0,0 +1,104 @@
+//! State of one caller's session: values, prepared statements, transaction.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+/// Whether a statement changes data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Access {
+    /// Leaves data as it is.
+    Read,
+    /// May change data.
+    Write,
+}
+
+/// What a prepared name stands for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Prepared {
+    /// Whether executing it changes data.
+    pub access: Access,
+    /// The statement's shape, unread by the proxy.
+    pub shape: Bytes,
+}
+
+/// Values set in a session, by name.
+pub type SessionValues = BTreeMap<Bytes, Bytes>;
+
+/// State that outlives a transaction.
+#[derive(Debug, Default)]
+pub struct SessionState {
+    /// Values the caller has set.
+    pub values: SessionValues,
+    /// Statements the caller has prepared.
+    pub prepared: BTreeMap<Bytes, Prepared>,
+}
+
+/// Transaction as the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionStatus {
+    /// None is open.
+    Idle,
+    /// One is open.
+    Open,
+    /// One is open and has failed; only its end is accepted.
+    Failed,
+}
+
+/// How a transaction was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransactionStart {
+    /// It only reads.
+    pub read_only: bool,
+    /// When its first byte was known to have arrived.
+    pub received_at: Instant,
+}
+
+/// What a connection to an instance must be told before it can run a
+/// statement of a session, and its state afterwards.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct ConnectionState {
+    /// Values in force on the connection.
+    pub values: SessionValues,
+    /// Statements prepared on it.
+    pub prepared: Vec<Prepared>,
+}
+
+/// Steps that bring a connection to a session's values.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ValueChanges {
+    /// Everything on the connection is to be dropped first.
+    pub discard: bool,
+    /// Values to set, in this order.
+    pub set: Vec<(Bytes, Bytes)>,
+}
+
+impl ConnectionState {
+    /// Brings the recorded values to `wanted`; returns the steps. A value can
+    /// be replaced but not removed, so a surplus one needs a discard.
+    pub fn adopt_values(&mut self, wanted: &SessionValues) -> ValueChanges {
+        let discard = self.values.keys().any(|name| !wanted.contains_key(name));
+        if discard {
+            self.values.clear();
+            self.prepared.clear();
+        }
+        let set = wanted
+            .iter()
+            .filter(|(name, value)| self.values.get(*name) != Some(value))
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect();
+        self.values.clone_from(wanted);
+        ValueChanges { discard, set }
+    }
+
+    /// Number of a prepared statement on the connection and whether it has to
+    /// be prepared first.
+    pub fn adopt_prepared(&mut self, wanted: &Prepared) -> (usize, bool) {
+        if let Some(index) = self.prepared.iter().position(|known| known == wanted) {
+            return (index, false);
+        }
+        self.prepared.push(wanted.clone());
+        (self.prepared.len() - 1, true)
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/batch.rs
@@ -0,0 +1,172 @@
+//! The commands that run one statement of a session on a connection: what the
+//! connection still lacks of the session's state, the statement, and what
+//! proves or ends its transaction. They go out in one write.
+
+use bytes::Bytes;
+use linkhold_core::position::Position;
+use linkhold_core::service::session::{Access, Prepared, SessionState};
+
+use crate::pool::Pooled;
+use crate::ports::Command;
+
+/// Prepared statements kept on a connection; beyond it, all are dropped.
+const MOST_PREPARED: usize = 200;
+
+/// A caller's statement that runs on data.
+#[derive(Clone, Debug)]
+pub(crate) enum Work {
+    /// Its text.
+    Text {
+        id: Bytes,
+        text: Bytes,
+        access: Access,
+    },
+    /// A prepared statement of the session.
+    Prepared {
+        id: Bytes,
+        prepared: Prepared,
+        arguments: Bytes,
+    },
+    /// The end of a transaction.
+    Commit { id: Bytes, text: Bytes },
+}
+
+impl Work {
+    /// Whether it may change data.
+    pub fn access(&self) -> Access {
+        match self {
+            Self::Text { access, .. } => *access,
+            Self::Prepared { prepared, .. } => prepared.access,
+            Self::Commit { .. } => Access::Read,
+        }
+    }
+
+    /// The caller's identifier.
+    pub fn id(&self) -> &Bytes {
+        match self {
+            Self::Text { id, .. } | Self::Prepared { id, .. } | Self::Commit { id, .. } => id,
+        }
+    }
+}
+
+/// What stands around a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Frame {
+    /// Nothing: it runs alone or in the transaction that is open.
+    Bare {
+        /// Position the instance must have.
+        fence: Option<Position>,
+    },
+    /// It opens a transaction.
+    Opening {
+        /// A replica may run it.
+        read_only: bool,
+        /// Position the instance must have.
+        fence: Option<Position>,
+    },
+    /// A writing transaction around it that is rolled back: proves that the
+    /// instance was primary while the statement ran.
+    ProvingPrimary,
+}
+
+/// Commands for one write, and where the replies that matter stand.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    pub commands: Vec<Command>,
+    /// Reply to the start of the transaction.
+    pub begin: Option<usize>,
+    /// Reply to the statement.
+    pub main: usize,
+}
+
+/// Builds the batch and records what the connection will have been told.
+pub(crate) fn build<C>(
+    pooled: &mut Pooled<C>,
+    session: &SessionState,
+    work: &Work,
+    frame: Frame,
+) -> Batch {
+    let mut commands = Vec::with_capacity(4);
+    if std::mem::take(&mut pooled.needs_rollback) {
+        commands.push(Command::Rollback);
+    }
+    adopt_values(pooled, session, &mut commands);
+    let number = adopt_prepared(pooled, work, &mut commands);
+    let begin = push_begin(frame, &mut commands);
+    let fence = match frame {
+        Frame::Bare { fence } => fence,
+        Frame::Opening { .. } | Frame::ProvingPrimary => None,
+    };
+    let main = commands.len();
+    commands.push(statement(work, number, fence));
+    if frame == Frame::ProvingPrimary {
+        commands.push(Command::Rollback);
+    }
+    Batch {
+        commands,
+        begin,
+        main,
+    }
+}
+
+fn adopt_values<C>(pooled: &mut Pooled<C>, session: &SessionState, commands: &mut Vec<Command>) {
+    let changes = pooled.state.adopt_values(&session.values);
+    if changes.discard {
+        commands.push(Command::Discard);
+    }
+    for (name, value) in changes.set {
+        commands.push(Command::Set { name, value });
+    }
+}
+
+fn adopt_prepared<C>(
+    pooled: &mut Pooled<C>,
+    work: &Work,
+    commands: &mut Vec<Command>,
+) -> Option<usize> {
+    let Work::Prepared { prepared, .. } = work else {
+        return None;
+    };
+    let (number, is_new) = pooled.state.adopt_prepared(prepared);
+    if is_new {
+        commands.push(Command::Prepare {
+            number,
+            prepared: prepared.clone(),
+        });
+    }
+    Some(number)
+}
+
+fn push_begin(frame: Frame, commands: &mut Vec<Command>) -> Option<usize> {
+    let command = match frame {
+        Frame::Bare { .. } => return None,
+        Frame::Opening { read_only, fence } => Command::Begin { read_only, fence },
+        Frame::ProvingPrimary => Command::Begin {
+            read_only: false,
+            fence: None,
+        },
+    };
+    commands.push(command);
+    Some(commands.len() - 1)
+}
+
+fn statement(work: &Work, number: Option<usize>, fence: Option<Position>) -> Command {
+    match work {
+        Work::Text { id, text, .. } | Work::Commit { id, text } => Command::Run {
+            id: id.clone(),
+            text: text.clone(),
+            fence,
+        },
+        Work::Prepared { id, arguments, .. } => Command::Execute {
+            id: id.clone(),
+            number: number.unwrap_or_default(),
+            arguments: arguments.clone(),
+            fence,
+        },
+    }
+}
+
+/// Whether a connection has so much prepared that it is better closed.
+pub(crate) fn is_worn<C>(pooled: &Pooled<C>) -> bool {
+    pooled.state.prepared.len() > MOST_PREPARED
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -0,0 +1,294 @@
+//! What this node believes about configuration, instances and freshness,
+//! shared by all its sessions. Locks are held for a few steps and never across
+//! a wait.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::{Configuration, ServiceLimits, ServiceName};
+use linkhold_core::service::directory::{Directory, PrimaryChange, PrimarySource};
+use linkhold_core::service::evidence::{EvidenceLog, Sample};
+use linkhold_core::service::health::InstanceHealth;
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::placement::{self, Candidate, Distance};
+use linkhold_events::Event;
+use tokio::sync::watch;
+
+use crate::places::Places;
+
+/// Beliefs about instances and their logs.
+#[derive(Debug, Default)]
+struct InstanceBeliefs {
+    directory: Directory,
+    health: HashMap<InstanceId, InstanceHealth>,
+    evidence: HashMap<ServiceName, EvidenceLog>,
+}
+
+/// Everything a node believes.
+#[derive(Debug)]
+pub struct Beliefs {
+    places: Places,
+    configuration: Mutex<Option<Arc<Configuration>>>,
+    instances: Mutex<InstanceBeliefs>,
+    changes: watch::Sender<u64>,
+}
+
+impl Beliefs {
+    /// Nothing is known.
+    pub fn new(places: Places) -> Self {
+        Self {
+            places,
+            configuration: Mutex::default(),
+            instances: Mutex::default(),
+            changes: watch::channel(0).0,
+        }
+    }
+
+    /// Wakes when configuration, instances, a primary or evidence change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        lock(&self.configuration).clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    pub fn adopt_configuration(&self, configuration: Configuration) {
+        let mut current = lock(&self.configuration);
+        if !configuration.supersedes(current.as_deref()) {
+            return;
+        }
+        Event::info("configuration_in_force")
+            .field("version", configuration.version)
+            .field("previous", current.as_ref().map_or(0, |old| old.version))
+            .field("routes", configuration.routes.len())
+            .field("services", configuration.services.len())
+            .log();
+        *current = Some(Arc::new(configuration));
+        drop(current);
+        self.announce_change();
+    }
+
+    /// Limits of a service, if it is configured.
+    pub fn limits(&self, service: &str) -> Option<ServiceLimits> {
+        self.configuration()?.services.get(service).copied()
+    }
+
+    /// Whether the node knows enough to serve.
+    pub fn can_serve(&self) -> bool {
+        self.configuration().is_some() && !lock(&self.instances).directory.is_empty()
+    }
+
+    /// Takes in everything that is listed now.
+    pub fn replace_instances(&self, listed: Vec<Instance>, now: Instant) {
+        for instance in &listed {
+            self.log_instance(instance);
+        }
+        let changes = lock(&self.instances).directory.replace(listed, now);
+        for change in changes {
+            log_primary(&change);
+        }
+        self.announce_change();
+    }
+
+    /// An instance is announced or changed its announcement.
+    pub fn announce_instance(&self, instance: Instance) {
+        self.log_instance(&instance);
+        let change = lock(&self.instances).directory.announce(instance);
+        self.after(change);
+        self.announce_change();
+    }
+
+    fn log_instance(&self, instance: &Instance) {
+        let known = self.instance(&instance.id);
+        if known.as_deref() == Some(instance) {
+            return;
+        }
+        Event::info("instance_announced")
+            .field("instance", &instance.id)
+            .field("service", &instance.service)
+            .field("address", instance.address)
+            .field("zone", &instance.zone)
+            .field("role", format_args!("{:?}", instance.role))
+            .field("lifecycle", format_args!("{:?}", instance.lifecycle))
+            .log();
+    }
+
+    /// An instance is no longer listed.
+    pub fn vanish_instance(&self, id: &InstanceId, now: Instant) {
+        lock(&self.instances).directory.vanish(id, now);
+        Event::info("instance_unlisted").field("instance", id).log();
+        self.announce_change();
+    }
+
+    /// The directory could not be read.
+    pub fn directory_disturbed(&self, now: Instant) {
+        lock(&self.instances).directory.disturbed(now);
+    }
+
+    /// Forgets instances that are gone for good; returns them.
+    pub fn expire_instances(&self, now: Instant, drain: Duration) -> Vec<InstanceId> {
+        let mut instances = lock(&self.instances);
+        let gone = instances.directory.expire(now, drain);
+        for id in &gone {
+            instances.health.remove(id);
+            Event::info("instance_forgotten")
+                .field("instance", id)
+                .log();
+        }
+        gone
+    }
+
+    /// An instance.
+    pub fn instance(&self, id: &InstanceId) -> Option<Arc<Instance>> {
+        lock(&self.instances).directory.instance(id).cloned()
+    }
+
+    /// The instances of a service.
+    pub fn instances(&self, service: &str) -> Vec<Arc<Instance>> {
+        lock(&self.instances)
+            .directory
+            .instances(service)
+            .cloned()
+            .collect()
+    }
+
+    /// Services that have instances.
+    pub fn services(&self) -> Vec<ServiceName> {
+        lock(&self.instances).directory.services()
+    }
+
+    /// The believed primary.
+    pub fn primary(&self, service: &str) -> Option<Arc<Instance>> {
+        lock(&self.instances).directory.primary(service).cloned()
+    }
+
+    /// The believed primary, unless it failed a moment ago.
+    pub fn usable_primary(&self, service: &str, now: Instant) -> Option<Arc<Instance>> {
+        let instances = lock(&self.instances);
+        let primary = instances.directory.primary(service)?;
+        let avoided = instances
+            .health
+            .get(&primary.id)
+            .is_some_and(|health| health.is_avoided(now));
+        (!avoided).then(|| primary.clone())
+    }
+
+    /// Whether an instance is leaving.
+    pub fn is_leaving(&self, id: &InstanceId, now: Instant) -> bool {
+        lock(&self.instances).directory.is_leaving(id, now)
+    }
+
+    /// An instance denied being primary.
+    pub fn deny_primary(&self, id: &InstanceId) {
+        let change = lock(&self.instances).directory.deny_primary(id);
+        self.after(change);
+    }
+
+    /// An instance proved to be primary, or was promoted.
+    pub fn confirm_primary(&self, id: &InstanceId, source: PrimarySource) {
+        let change = lock(&self.instances).directory.confirm_primary(id, source);
+        self.after(change);
+    }
+
+    fn after(&self, change: Option<PrimaryChange>) {
+        if let Some(change) = change {
+            log_primary(&change);
+            self.announce_change();
+        }
+    }
+
+    /// The best instance for a read, nearest and least loaded first.
+    pub fn choose_for_read(
+        &self,
+        service: &str,
+        excluded: &[InstanceId],
+        now: Instant,
+    ) -> Option<Arc<Instance>> {
+        let instances = lock(&self.instances);
+        let unknown = InstanceHealth::default();
+        let candidates = instances
+            .directory
+            .instances(service)
+            .filter(|instance| !instances.directory.is_absent(&instance.id, now))
+            .map(|instance| Candidate {
+                instance,
+                health: instances.health.get(&instance.id).unwrap_or(&unknown),
+                distance: self.distance(instance),
+            });
+        let id = placement::choose(candidates, excluded, now)?.id.clone();
+        instances.directory.instance(&id).cloned()
+    }
+
+    fn distance(&self, instance: &Instance) -> Distance {
+        self.places.distance(&instance.zone)
+    }
+
+    /// Updates what traffic tells of an instance.
+    pub fn observe(&self, id: &InstanceId, update: impl FnOnce(&mut InstanceHealth)) {
+        let mut instances = lock(&self.instances);
+        update(instances.health.entry(id.clone()).or_default());
+    }
+
+    /// Reads what traffic tells of an instance.
+    pub fn inspect<T>(
+        &self,
+        id: &InstanceId,
+        read: impl FnOnce(&InstanceHealth) -> T,
+    ) -> Option<T> {
+        lock(&self.instances).health.get(id).map(read)
+    }
+
+    /// Records evidence of a primary's log.
+    pub fn record_evidence(&self, service: &ServiceName, sample: Sample) {
+        let mut instances = lock(&self.instances);
+        let evidence = instances.evidence.entry(service.clone()).or_default();
+        let previous = evidence.newest();
+        evidence.record(sample);
+        drop(instances);
+        if previous.is_some_and(|previous| previous.position.term < sample.position.term) {
+            Event::info("term_changed")
+                .field("service", service)
+                .field("position", sample.position)
+                .log();
+        }
+        self.announce_change();
+    }
+
+    /// The lowest position that covers everything acknowledged before `moment`.
+    pub fn fence(&self, service: &str, moment: Instant) -> Option<Position> {
+        lock(&self.instances).evidence.get(service)?.fence(moment)
+    }
+
+    /// When the latest evidence was sent.
+    pub fn latest_evidence(&self, service: &str) -> Option<Instant> {
+        lock(&self.instances)
+            .evidence
+            .get(service)?
+            .latest_sent_at()
+    }
+
+    fn announce_change(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
+
+fn log_primary(change: &PrimaryChange) {
+    Event::info("primary_changed")
+        .field("service", &change.service)
+        .field(
+            "primary",
+            change.primary.as_ref().map_or("none", |id| &id.0),
+        )
+        .field("source", format_args!("{:?}", change.source))
+        .log();
+}
+
+/// Locks; a panic elsewhere does not make the data unusable.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -0,0 +1,128 @@
+//! Asks primaries how far their logs have come, when reads need to know and
+//! no write has told it.
+//!
+//! One question at a time is under way for a service; every read that waits
+//! when it is sent is answered by it. Starting a writing transaction and
+//! rolling it back proves the primary and takes none of its slots.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::session::SessionValues;
+use tokio::time::timeout_at;
+
+use crate::beliefs::lock;
+use crate::gateway::Gateway;
+use crate::pool::Urgency;
+use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
+
+/// How long one question may take.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Questions under way: when each was asked for.
+#[derive(Debug, Default)]
+pub(crate) struct Questions(Mutex<HashMap<ServiceName, Instant>>);
+
+impl Questions {
+    fn start(&self, service: &ServiceName) -> bool {
+        let mut running = lock(&self.0);
+        if running.contains_key(service) {
+            return false;
+        }
+        running.insert(service.clone(), Instant::now());
+        true
+    }
+
+    fn end(&self, service: &ServiceName) {
+        lock(&self.0).remove(service);
+    }
+}
+
+/// A position that covers everything acknowledged before `moment`; waits for
+/// it until `deadline`.
+pub(crate) async fn fence<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    moment: Instant,
+    deadline: Instant,
+) -> Option<Position> {
+    let mut changes = gateway.beliefs.subscribe();
+    loop {
+        changes.mark_unchanged();
+        if let Some(position) = gateway.beliefs.fence(service, moment) {
+            return Some(position);
+        }
+        ask_in_background(gateway, service);
+        timeout_at(deadline.into(), changes.changed())
+            .await
+            .ok()?
+            .ok()?;
+    }
+}
+
+/// Asks for fresh evidence unless a question is under way.
+pub(crate) fn ask_in_background<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+    if !gateway.questions.start(service) {
+        return;
+    }
+    let gateway = gateway.clone();
+    let service = service.clone();
+    tokio::spawn(async move {
+        ask(&gateway, &service).await;
+        gateway.questions.end(&service);
+    });
+}
+
+async fn ask<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+    let started = Instant::now();
+    let Some(primary) = gateway.beliefs.usable_primary(service, started) else {
+        // The next change of beliefs asks again.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        return;
+    };
+    gateway.metrics.evidence_probes.add();
+    let deadline = tokio::time::Instant::from_std(started + QUESTION_TIMEOUT);
+    let pool = gateway.pools.pool(&primary, &gateway.beliefs);
+    let urgency = Urgency {
+        is_read: false,
+        priority: 0,
+    };
+    let checkout = pool
+        .checkout(&*gateway.platform, &SessionValues::new(), urgency, deadline)
+        .await;
+    let mut lease = match checkout {
+        Ok(lease) => lease,
+        Err(error) => {
+            gateway.checkout_failed(&primary, error);
+            return;
+        }
+    };
+    let sent_at = Instant::now();
+    let commands = [
+        Command::Begin {
+            read_only: false,
+            fence: None,
+        },
+        Command::Rollback,
+    ];
+    let exchange = lease.pooled().connection.exchange(&commands);
+    match timeout_at(deadline, exchange).await {
+        Ok(Ok(replies)) => {
+            gateway.instance_answered(&primary.id, sent_at.elapsed());
+            match (replies[0].error(), replies[0].position) {
+                (None, Some(position)) => {
+                    gateway.primary_proved(&primary, Sample { sent_at, position });
+                }
+                (Some(BackendErrorKind::ReadOnly), _) => gateway.instance_denied_primary(&primary),
+                _ => {}
+            }
+            lease.release();
+        }
+        Ok(Err(_)) => gateway.instance_failed(&primary, "connection_lost"),
+        Err(_) => gateway.instance_failed(&primary, "silent"),
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -0,0 +1,140 @@
+//! One node's engine: what all its sessions and tasks share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::instance::{Instance, InstanceId};
+use tokio::sync::Notify;
+
+use crate::beliefs::Beliefs;
+use crate::evidence_probe::Questions;
+use crate::metrics::Metrics;
+use crate::pools::Pools;
+use crate::ports::{BackendConnector, Platform};
+use crate::settings::GatewaySettings;
+
+/// Nodes assumed to share the connections until the fleet is known.
+const ASSUMED_NODES: usize = 9;
+
+/// The engine.
+pub struct Gateway<P: Platform> {
+    /// The world around it.
+    pub platform: Arc<P>,
+    /// What it was told at its start.
+    pub settings: GatewaySettings,
+    /// What it believes.
+    pub beliefs: Beliefs,
+    /// Its connections to instances.
+    pub pools: Pools<<P as BackendConnector>::Connection>,
+    /// What it counts.
+    pub metrics: Metrics,
+    /// Asks for evidence or a look at a primary.
+    pub(crate) attention: Attention,
+    pub(crate) questions: Questions,
+    leaving: AtomicBool,
+}
+
+/// Wakes the tasks that look after primaries.
+#[derive(Default)]
+pub(crate) struct Attention {
+    /// A primary seems lost.
+    pub suspicion: Notify,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// An engine that knows nothing yet.
+    pub fn new(platform: Arc<P>, settings: GatewaySettings) -> Arc<Self> {
+        Arc::new(Self {
+            platform,
+            beliefs: Beliefs::new(settings.places.clone()),
+            settings,
+            pools: Pools::new(ASSUMED_NODES),
+            metrics: Metrics::default(),
+            attention: Attention::default(),
+            questions: Questions::default(),
+            leaving: AtomicBool::new(false),
+        })
+    }
+
+    /// Whether new sessions should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.beliefs.can_serve()
+    }
+
+    /// Whether the node is being stopped.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// The node is being stopped.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// An instance could not be reached or fell silent.
+    pub(crate) fn instance_failed(&self, instance: &Instance, reason: &'static str) {
+        let now = Instant::now();
+        let was_failing = self
+            .beliefs
+            .inspect(&instance.id, |health| health.is_failing())
+            .unwrap_or(false);
+        self.beliefs
+            .observe(&instance.id, |health| health.failed(now));
+        self.pools.close_idle(&instance.id);
+        self.metrics.instance_failures.add();
+        if !was_failing {
+            linkhold_events::Event::warn("instance_failed")
+                .field("instance", &instance.id)
+                .field("service", &instance.service)
+                .field("reason", reason)
+                .log();
+        }
+        if self.is_believed_primary(&instance.id, &instance.service) {
+            self.attention.suspicion.notify_one();
+        }
+    }
+
+    /// An instance answered.
+    pub(crate) fn instance_answered(&self, id: &InstanceId, took: Duration) {
+        let now = Instant::now();
+        self.beliefs
+            .observe(id, |health| health.succeeded(now, took));
+    }
+
+    /// An instance refused work that only a primary takes.
+    pub(crate) fn instance_denied_primary(&self, instance: &Instance) {
+        self.beliefs.deny_primary(&instance.id);
+        if self.beliefs.primary(&instance.service).is_none() {
+            self.attention.suspicion.notify_one();
+        }
+    }
+
+    /// A reply proved an instance to be primary when the request was sent.
+    pub(crate) fn primary_proved(&self, instance: &Instance, sample: Sample) {
+        self.beliefs.record_evidence(&instance.service, sample);
+    }
+
+    fn is_believed_primary(&self, id: &InstanceId, service: &str) -> bool {
+        self.beliefs
+            .primary(service)
+            .is_some_and(|primary| primary.id == *id)
+    }
+
+    /// All figures of the node as text.
+    pub fn render_metrics(&self) -> String {
+        let configuration = self.beliefs.configuration();
+        let gauges = [
+            ("ready", u64::from(self.is_ready())),
+            (
+                "configuration_version",
+                configuration.map_or(0, |configuration| configuration.version),
+            ),
+            ("connections_open", self.pools.open_connections() as u64),
+            ("connections_opened_total", self.pools.opened() as u64),
+            ("sessions_open", crate::lifecycle::open_sessions(self)),
+        ];
+        self.metrics.render(&gauges)
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -0,0 +1,166 @@
+//! Follows configuration and instances in the platform's store.
+//!
+//! Each call has its own time-out, since a store that is cut off or silent
+//! gives no sign. Changes are asked for with a wait; when the store has
+//! forgotten its history, or after any failure, everything is read again.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_events::Event;
+use tokio::time::{sleep, timeout};
+
+use crate::gateway::Gateway;
+use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
+
+/// How long the store holds a question for changes.
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+/// How long an answer may take beyond that.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// First pause after a failure; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a failure.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause when the store throttles or refuses this node.
+const LONGEST_REFUSED_PAUSE: Duration = Duration::from_millis(800);
+/// How often entries that vanished are looked at.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Tells lost and regained contact with the store, and paces attempts.
+struct Contact<'a, P: Platform> {
+    gateway: &'a Gateway<P>,
+    what: &'static str,
+    lost_at: Option<Instant>,
+    pause: Duration,
+}
+
+impl<'a, P: Platform> Contact<'a, P> {
+    fn new(gateway: &'a Gateway<P>, what: &'static str) -> Self {
+        Self {
+            gateway,
+            what,
+            lost_at: None,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    fn answered(&mut self) {
+        self.pause = FIRST_PAUSE;
+        if let Some(lost_at) = self.lost_at.take() {
+            Event::info("store_regained")
+                .field("reading", self.what)
+                .field("lost_for_ms", lost_at.elapsed().as_millis())
+                .log();
+        }
+    }
+
+    async fn failed(&mut self, error: StoreError) {
+        self.gateway.metrics.store_failures.add();
+        if self.lost_at.is_none() {
+            self.lost_at = Some(Instant::now());
+            Event::warn("store_lost")
+                .field("reading", self.what)
+                .field("error", error)
+                .log();
+        }
+        let spread = rand::random_range(0.5..1.5);
+        sleep(self.pause.mul_f64(spread)).await;
+        let longest = match error {
+            StoreError::Refused => LONGEST_REFUSED_PAUSE,
+            _ => LONGEST_PAUSE,
+        };
+        self.pause = (self.pause * 2).min(longest);
+    }
+}
+
+async fn bounded<T>(
+    call: impl Future<Output = Result<T, StoreError>>,
+    limit: Duration,
+) -> Result<T, StoreError> {
+    timeout(limit, call)
+        .await
+        .unwrap_or(Err(StoreError::NoAnswer))
+}
+
+/// Keeps the configuration in force. Runs until the process ends.
+pub async fn keep_configuration<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut contact = Contact::new(&gateway, "configuration");
+    let mut cursor: Option<Cursor> = None;
+    loop {
+        let answer = match cursor {
+            Some(from) => {
+                let call = gateway.platform.follow_configuration(from, FOLLOW_WAIT);
+                bounded(call, FOLLOW_WAIT + ANSWER_TIMEOUT).await
+            }
+            None => bounded(gateway.platform.read_configuration(), ANSWER_TIMEOUT).await,
+        };
+        match answer {
+            Ok((configuration, next)) => {
+                contact.answered();
+                cursor = Some(next);
+                if let Some(configuration) = configuration {
+                    gateway.beliefs.adopt_configuration(configuration);
+                }
+            }
+            Err(error) => {
+                cursor = None;
+                contact.failed(error).await;
+            }
+        }
+    }
+}
+
+/// Keeps the list of instances. Runs until the process ends.
+pub async fn keep_instances<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut contact = Contact::new(&gateway, "instances");
+    let mut cursor: Option<Cursor> = None;
+    loop {
+        let answer = match cursor {
+            Some(from) => follow_instances(&gateway, from).await,
+            None => read_instances(&gateway).await,
+        };
+        match answer {
+            Ok(next) => {
+                contact.answered();
+                cursor = Some(next);
+            }
+            Err(error) => {
+                gateway.beliefs.directory_disturbed(Instant::now());
+                cursor = None;
+                contact.failed(error).await;
+            }
+        }
+    }
+}
+
+async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
+    let (listed, next) = bounded(gateway.platform.read_instances(), ANSWER_TIMEOUT).await?;
+    gateway.beliefs.replace_instances(listed, Instant::now());
+    Ok(next)
+}
+
+async fn follow_instances<P: Platform>(
+    gateway: &Gateway<P>,
+    from: Cursor,
+) -> Result<Cursor, StoreError> {
+    let call = gateway.platform.follow_instances(from, FOLLOW_WAIT);
+    let (changes, next) = bounded(call, FOLLOW_WAIT + ANSWER_TIMEOUT).await?;
+    for change in changes {
+        match change {
+            DirectoryChange::Present(instance) => gateway.beliefs.announce_instance(instance),
+            DirectoryChange::Absent(id) => gateway.beliefs.vanish_instance(&id, Instant::now()),
+        }
+    }
+    Ok(next)
+}
+
+/// Forgets instances that are gone for good. Runs until the process ends.
+pub async fn expire_instances<P: Platform>(gateway: Arc<Gateway<P>>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        let drain = gateway.settings.drain;
+        for id in gateway.beliefs.expire_instances(Instant::now(), drain) {
+            gateway.pools.forget(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/marks.rs
@@ -0,0 +1,51 @@
+//! What a session must see, by service.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::ServiceName;
+
+/// Positions a session's reads must have reached.
+#[derive(Debug)]
+pub(crate) struct SessionMarks {
+    /// When the session began; its user may have written elsewhere before.
+    pub opened_at: Instant,
+    required: HashMap<ServiceName, Position>,
+}
+
+impl SessionMarks {
+    pub fn new(opened_at: Instant) -> Self {
+        Self {
+            opened_at,
+            required: HashMap::new(),
+        }
+    }
+
+    /// Whether a position is known that covers everything from before the
+    /// session.
+    pub fn has_baseline(&self, service: &str) -> bool {
+        self.required.contains_key(service)
+    }
+
+    /// The first position that covers everything from before the session.
+    pub fn reached(&mut self, service: &ServiceName, position: Position) {
+        self.required.entry(service.clone()).or_insert(position);
+    }
+
+    /// The session committed.
+    pub fn committed(&mut self, service: &ServiceName, position: Position) {
+        if let Some(required) = self.required.get_mut(service) {
+            *required = position.max(*required);
+        } else {
+            // The commit itself was answered after the session began, so its
+            // position covers everything acknowledged before.
+            self.required.insert(service.clone(), position);
+        }
+    }
+
+    /// The position the session's reads must have reached.
+    pub fn required(&self, service: &str) -> Option<Position> {
+        self.required.get(service).copied()
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -0,0 +1,130 @@
+//! Counters and latency histograms, told as text.
+
+use std::fmt::Write;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::beliefs::lock;
+
+/// Longest time the histogram tells apart, in microseconds.
+const LONGEST_MICROSECONDS: u64 = 60_000_000;
+/// Significant digits of the histogram; two keep it small.
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// A number that only rises.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// Adds one.
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Times of statements.
+#[derive(Debug)]
+pub struct Latencies(Mutex<Histogram<u64>>);
+
+impl Default for Latencies {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+            .expect("the bounds are valid");
+        Self(Mutex::new(histogram))
+    }
+}
+
+impl Latencies {
+    /// Records one.
+    pub fn record(&self, took: Duration) {
+        let microseconds = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        lock(&self.0).saturating_record(microseconds.max(1));
+    }
+}
+
+/// What a node counts.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Sessions accepted.
+    pub sessions_opened: Counter,
+    /// Sessions ended.
+    pub sessions_closed: Counter,
+    /// Reads answered.
+    pub reads_completed: Counter,
+    /// Writes and commits answered.
+    pub writes_completed: Counter,
+    /// Statements refused with the promise that they did not run.
+    pub refused: Counter,
+    /// Statements whose fate is not known.
+    pub unknown: Counter,
+    /// Statements an instance ran and failed.
+    pub failed: Counter,
+    /// Transactions ended by the node.
+    pub transactions_aborted: Counter,
+    /// Attempts beyond the first.
+    pub retries: Counter,
+    /// Instances found silent or unreachable.
+    pub instance_failures: Counter,
+    /// Questions to primaries for evidence alone.
+    pub evidence_probes: Counter,
+    /// Orders to promote.
+    pub promotions: Counter,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+    /// Times of reads.
+    pub read_latency: Latencies,
+    /// Times of writes and commits.
+    pub write_latency: Latencies,
+}
+
+impl Metrics {
+    /// All figures in the text form that scrapers read.
+    pub fn render(&self, gauges: &[(&str, u64)]) -> String {
+        let counters = [
+            ("sessions_opened_total", &self.sessions_opened),
+            ("sessions_closed_total", &self.sessions_closed),
+            ("reads_completed_total", &self.reads_completed),
+            ("writes_completed_total", &self.writes_completed),
+            ("statements_refused_total", &self.refused),
+            ("statements_unknown_total", &self.unknown),
+            ("statements_failed_total", &self.failed),
+            ("transactions_aborted_total", &self.transactions_aborted),
+            ("retries_total", &self.retries),
+            ("instance_failures_total", &self.instance_failures),
+            ("evidence_probes_total", &self.evidence_probes),
+            ("promotions_total", &self.promotions),
+            ("store_failures_total", &self.store_failures),
+        ];
+        let mut text = String::new();
+        for (name, counter) in counters {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "linkhold_{name} {}", counter.get());
+        }
+        for (name, value) in gauges {
+            let _ = writeln!(text, "linkhold_{name} {value}");
+        }
+        render_latencies(&mut text, "read", &self.read_latency);
+        render_latencies(&mut text, "write", &self.write_latency);
+        text
+    }
+}
+
+fn render_latencies(text: &mut String, kind: &str, latencies: &Latencies) {
+    let histogram = lock(&latencies.0);
+    for quantile in [0.5, 0.9, 0.99, 0.999] {
+        let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
+        let _ = writeln!(
+            text,
+            "linkhold_{kind}_seconds{{quantile=\"{quantile}\"}} {seconds:.6}"
+        );
+    }
+    let _ = writeln!(text, "linkhold_{kind}_seconds_count {}", histogram.len());
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -0,0 +1,308 @@
+//! Connections of this node to one instance.
+//!
+//! # Invariants
+//!
+//! * At most `limit` connections are open or being opened at a time.
+//! * A connection has one user from checkout to release. It goes back only
+//!   after every reply was read; one whose state is in doubt is closed.
+//! * Waiters are served by urgency, then in the order of their arrival.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::session::{ConnectionState, SessionValues};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::beliefs::lock;
+use crate::ports::{BackendConnection, BackendConnector, ConnectError};
+
+/// Rank of a request in queues; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Writes go before reads.
+    pub is_read: bool,
+    /// The route's priority.
+    pub priority: u8,
+}
+
+/// Why no connection was had. Nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckoutError {
+    /// All connections stayed in use until the deadline.
+    Exhausted,
+    /// A new one could not be made.
+    Connect(ConnectError),
+}
+
+/// A connection and what it was told.
+pub struct Pooled<C> {
+    /// The connection.
+    pub connection: C,
+    /// Values and prepared statements on it.
+    pub state: ConnectionState,
+    /// A transaction of the last user is still to be rolled back.
+    pub needs_rollback: bool,
+}
+
+enum Grant<C> {
+    Connection(Box<Pooled<C>>),
+    MayOpen,
+}
+
+type WaiterKey = (Urgency, u64);
+
+struct PoolState<C> {
+    idle: Vec<Pooled<C>>,
+    open: usize,
+    waiters: BTreeMap<WaiterKey, oneshot::Sender<Grant<C>>>,
+    next_waiter: u64,
+}
+
+/// The pool of one instance.
+pub struct Pool<C> {
+    instance: Arc<Instance>,
+    limit: Arc<AtomicUsize>,
+    state: Mutex<PoolState<C>>,
+    opened: AtomicUsize,
+}
+
+impl<C: BackendConnection> Pool<C> {
+    /// An empty pool; `limit` is shared with whoever sets it.
+    pub fn new(instance: Arc<Instance>, limit: Arc<AtomicUsize>) -> Self {
+        Self {
+            instance,
+            limit,
+            state: Mutex::new(PoolState {
+                idle: Vec::new(),
+                open: 0,
+                waiters: BTreeMap::new(),
+                next_waiter: 0,
+            }),
+            opened: AtomicUsize::new(0),
+        }
+    }
+
+    /// The instance.
+    pub fn instance(&self) -> &Arc<Instance> {
+        &self.instance
+    }
+
+    /// Connections opened since the start.
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Takes a connection, preferably one that has `values`; waits until
+    /// `deadline` for one.
+    pub async fn checkout<B: BackendConnector<Connection = C>>(
+        self: &Arc<Self>,
+        connector: &B,
+        values: &SessionValues,
+        urgency: Urgency,
+        deadline: Instant,
+    ) -> Result<Lease<C>, CheckoutError> {
+        if let Some(pooled) = self.take_idle(values) {
+            return Ok(Lease::new(self.clone(), pooled));
+        }
+        if self.try_reserve() {
+            return self.open(connector, deadline).await;
+        }
+        let (receiver, key) = self.enqueue(urgency);
+        let mut waiting = Waiting {
+            pool: self,
+            key,
+            receiver,
+        };
+        match tokio::time::timeout_at(deadline, &mut waiting.receiver).await {
+            Ok(Ok(Grant::Connection(pooled))) => Ok(Lease::new(self.clone(), *pooled)),
+            Ok(Ok(Grant::MayOpen)) => self.open(connector, deadline).await,
+            Ok(Err(_)) | Err(_) => Err(CheckoutError::Exhausted),
+        }
+    }
+
+    fn take_idle(&self, values: &SessionValues) -> Option<Pooled<C>> {
+        let mut state = lock(&self.state);
+        loop {
+            let index = best_idle(&state.idle, values)?;
+            let mut pooled = state.idle.swap_remove(index);
+            if pooled.connection.is_open() {
+                return Some(pooled);
+            }
+            state.open -= 1;
+        }
+    }
+
+    fn try_reserve(&self) -> bool {
+        let mut state = lock(&self.state);
+        let has_room = state.open < self.limit.load(Ordering::Relaxed);
+        if has_room {
+            state.open += 1;
+        }
+        has_room
+    }
+
+    fn enqueue(&self, urgency: Urgency) -> (oneshot::Receiver<Grant<C>>, WaiterKey) {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = lock(&self.state);
+        let key = (urgency, state.next_waiter);
+        state.next_waiter += 1;
+        state.waiters.insert(key, sender);
+        (receiver, key)
+    }
+
+    /// Opens a connection on a reservation that is held.
+    async fn open<B: BackendConnector<Connection = C>>(
+        self: &Arc<Self>,
+        connector: &B,
+        deadline: Instant,
+    ) -> Result<Lease<C>, CheckoutError> {
+        let reservation = Reservation { pool: Some(self) };
+        let connecting = connector.connect(&self.instance);
+        let connection = tokio::time::timeout_at(deadline, connecting)
+            .await
+            .unwrap_or(Err(ConnectError::Unreachable))
+            .map_err(CheckoutError::Connect)?;
+        reservation.keep();
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let pooled = Pooled {
+            connection,
+            state: ConnectionState::default(),
+            needs_rollback: false,
+        };
+        Ok(Lease::new(self.clone(), pooled))
+    }
+
+    fn put_back(&self, pooled: Pooled<C>) {
+        let mut state = lock(&self.state);
+        if state.open > self.limit.load(Ordering::Relaxed) {
+            state.open -= 1;
+            return;
+        }
+        let mut grant = Grant::Connection(Box::new(pooled));
+        while let Some((_, waiter)) = state.waiters.pop_first() {
+            match waiter.send(grant) {
+                Ok(()) => return,
+                Err(refused) => grant = refused,
+            }
+        }
+        if let Grant::Connection(pooled) = grant {
+            state.idle.push(*pooled);
+        }
+    }
+
+    /// A connection is closed, or a reservation not used: its place goes to
+    /// the next waiter.
+    fn give_up_place(&self) {
+        let mut state = lock(&self.state);
+        if state.open <= self.limit.load(Ordering::Relaxed) {
+            while let Some((_, waiter)) = state.waiters.pop_first() {
+                if waiter.send(Grant::MayOpen).is_ok() {
+                    return;
+                }
+            }
+        }
+        state.open -= 1;
+    }
+
+    /// Closes connections that are not in use.
+    pub fn close_idle(&self) {
+        let mut state = lock(&self.state);
+        let count = state.idle.len();
+        state.idle.clear();
+        state.open -= count;
+    }
+
+    /// Connections open or being opened.
+    pub fn open_connections(&self) -> usize {
+        lock(&self.state).open
+    }
+}
+
+/// A waiter's place in the queue; a grant that nobody takes is passed on.
+struct Waiting<'a, C: BackendConnection> {
+    pool: &'a Pool<C>,
+    key: WaiterKey,
+    receiver: oneshot::Receiver<Grant<C>>,
+}
+
+impl<C: BackendConnection> Drop for Waiting<'_, C> {
+    fn drop(&mut self) {
+        lock(&self.pool.state).waiters.remove(&self.key);
+        self.receiver.close();
+        match self.receiver.try_recv() {
+            Ok(Grant::Connection(pooled)) => self.pool.put_back(*pooled),
+            Ok(Grant::MayOpen) => self.pool.give_up_place(),
+            Err(_) => {}
+        }
+    }
+}
+
+/// A place held while a connection is being opened.
+struct Reservation<'a, C: BackendConnection> {
+    pool: Option<&'a Pool<C>>,
+}
+
+impl<C: BackendConnection> Reservation<'_, C> {
+    fn keep(mut self) {
+        self.pool = None;
+    }
+}
+
+impl<C: BackendConnection> Drop for Reservation<'_, C> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool {
+            pool.give_up_place();
+        }
+    }
+}
+
+fn best_idle<C>(idle: &[Pooled<C>], values: &SessionValues) -> Option<usize> {
+    idle.iter()
+        .rposition(|pooled| pooled.state.values == *values)
+        .or_else(|| idle.len().checked_sub(1))
+}
+
+/// A connection in use. Dropped without [`Lease::release`], it is closed.
+pub struct Lease<C: BackendConnection> {
+    pool: Arc<Pool<C>>,
+    pooled: Option<Pooled<C>>,
+}
+
+impl<C: BackendConnection> Lease<C> {
+    fn new(pool: Arc<Pool<C>>, pooled: Pooled<C>) -> Self {
+        Self {
+            pool,
+            pooled: Some(pooled),
+        }
+    }
+
+    /// The instance it leads to.
+    pub fn instance(&self) -> &Arc<Instance> {
+        &self.pool.instance
+    }
+
+    /// The connection. Present until release or drop.
+    pub fn pooled(&mut self) -> &mut Pooled<C> {
+        self.pooled
+            .as_mut()
+            .expect("a lease has its connection until it is released")
+    }
+
+    /// Gives the connection back for others to use.
+    pub fn release(mut self) {
+        if let Some(pooled) = self.pooled.take() {
+            self.pool.put_back(pooled);
+        }
+    }
+}
+
+impl<C: BackendConnection> Drop for Lease<C> {
+    fn drop(&mut self) {
+        if self.pooled.take().is_some() {
+            self.pool.give_up_place();
+        }
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -0,0 +1,94 @@
+//! The pools of all instances and the share of connections this node may use.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::connection_share;
+use linkhold_core::service::instance::{Instance, InstanceId};
+
+use crate::beliefs::{Beliefs, lock};
+use crate::pool::Pool;
+use crate::ports::BackendConnection;
+
+/// All pools of a node.
+pub struct Pools<C> {
+    pools: Mutex<HashMap<InstanceId, Arc<Pool<C>>>>,
+    limits: Mutex<HashMap<ServiceName, Arc<AtomicUsize>>>,
+    /// Nodes that share the connections, this one included.
+    nodes: AtomicUsize,
+}
+
+impl<C: BackendConnection> Pools<C> {
+    /// No pools; `nodes` is the number assumed until the fleet is known.
+    pub fn new(nodes: usize) -> Self {
+        Self {
+            pools: Mutex::default(),
+            limits: Mutex::default(),
+            nodes: AtomicUsize::new(nodes.max(1)),
+        }
+    }
+
+    /// The pool of an instance.
+    pub fn pool(&self, instance: &Arc<Instance>, beliefs: &Beliefs) -> Arc<Pool<C>> {
+        if let Some(pool) = lock(&self.pools).get(&instance.id) {
+            return pool.clone();
+        }
+        let limit = self.limit(&instance.service, beliefs);
+        let pool = Arc::new(Pool::new(instance.clone(), limit));
+        lock(&self.pools).insert(instance.id.clone(), pool.clone());
+        pool
+    }
+
+    fn limit(&self, service: &ServiceName, beliefs: &Beliefs) -> Arc<AtomicUsize> {
+        let mut limits = lock(&self.limits);
+        let limit = limits.entry(service.clone()).or_default().clone();
+        limit.store(self.share(service, beliefs), Ordering::Relaxed);
+        limit
+    }
+
+    fn share(&self, service: &str, beliefs: &Beliefs) -> usize {
+        let most = beliefs
+            .limits(service)
+            .map_or(connection_share::UNKNOWN_LIMIT, |limits| {
+                limits.max_connections
+            });
+        connection_share::of_node(most, self.nodes.load(Ordering::Relaxed))
+    }
+
+    /// Takes in a new number of nodes or new limits.
+    pub fn update_shares(&self, nodes: usize, beliefs: &Beliefs) {
+        self.nodes.store(nodes.max(1), Ordering::Relaxed);
+        for (service, limit) in lock(&self.limits).iter() {
+            limit.store(self.share(service, beliefs), Ordering::Relaxed);
+        }
+    }
+
+    /// Closes the idle connections of an instance and forgets its pool.
+    pub fn forget(&self, id: &InstanceId) {
+        if let Some(pool) = lock(&self.pools).remove(id) {
+            pool.close_idle();
+        }
+    }
+
+    /// Closes the idle connections of an instance.
+    pub fn close_idle(&self, id: &InstanceId) {
+        if let Some(pool) = lock(&self.pools).get(id) {
+            pool.close_idle();
+        }
+    }
+
+    /// Connections opened since the start, over all present pools.
+    pub fn opened(&self) -> usize {
+        lock(&self.pools).values().map(|pool| pool.opened()).sum()
+    }
+
+    /// Connections open now.
+    pub fn open_connections(&self) -> usize {
+        lock(&self.pools)
+            .values()
+            .map(|pool| pool.open_connections())
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -0,0 +1,18 @@
+//! What the engine is told at its start.
+
+use std::time::Duration;
+
+use crate::places::Places;
+
+/// Settings of the engine. Times are as the platform bounds them.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Name of the node, unique in the fleet.
+    pub node: String,
+    /// Where it is.
+    pub places: Places,
+    /// How long an instance that leaves may still get new work.
+    pub drain: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -0,0 +1,374 @@
+//! Statements outside transactions: which instance runs them, what is tried
+//! again, and what is told when that fails.
+//!
+//! # Invariants
+//!
+//! * A statement that may change data is sent again only after a proof that it
+//!   did not run.
+//! * A read runs only where everything it must see is proved to be.
+//! * A refusal goes out as soon as it is certain, at the latest when the part
+//!   of the latency objective that may be spent on waiting is used up.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::outcome::{Failure, NotRun, Unknown};
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::{Consistency, Route};
+use linkhold_core::service::evidence::{Sample, session_fence};
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::session::{Access, SessionState};
+use linkhold_core::service::waiting;
+use tokio::time::{sleep, timeout_at};
+
+use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
+use crate::batch::{Frame, Work};
+use crate::evidence_probe;
+use crate::gateway::Gateway;
+use crate::marks::SessionMarks;
+use crate::pool::Urgency;
+use crate::ports::{BackendErrorKind, BackendReply, Platform};
+
+/// Pause before an instance that was full is tried again.
+const BUSY_PAUSE: Duration = Duration::from_millis(12);
+/// Pause before a round over all instances is begun again.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for a connection while other instances are left to try.
+const IMPATIENT_WAIT: Duration = Duration::from_millis(30);
+/// Time one instance gets for a read while others are left to try, at the least.
+const LEAST_READ_ATTEMPT: Duration = Duration::from_millis(350);
+/// As [`LEAST_READ_ATTEMPT`], in the instance's usual latencies.
+const READ_ATTEMPT_LATENCIES: u32 = 10;
+
+/// A statement, its session and its limits.
+pub(crate) struct Unit<'a> {
+    pub route: &'a Arc<Route>,
+    pub session: &'a SessionState,
+    pub received_at: Instant,
+}
+
+impl Unit<'_> {
+    /// Until when it may wait for room or for a primary.
+    pub fn wait_until(&self) -> Instant {
+        self.received_at + waiting::patience(self.route.latency_objective)
+    }
+
+    /// Until when it must be answered.
+    pub fn answer_by(&self) -> Instant {
+        self.received_at + self.route.statement_timeout
+    }
+
+    pub fn urgency(&self, access: Access) -> Urgency {
+        Urgency {
+            is_read: access == Access::Read,
+            priority: self.route.priority,
+        }
+    }
+}
+
+/// What a statement opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Opening {
+    /// Nothing: it is a transaction of its own.
+    Alone,
+    /// A transaction that may write.
+    Transaction,
+    /// A transaction that only reads.
+    ReadOnlyTransaction,
+}
+
+/// Runs a statement that stands alone or opens a transaction.
+pub(crate) async fn run<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    unit: &Unit<'_>,
+    marks: &mut SessionMarks,
+    work: &Work,
+    opening: Opening,
+) -> Result<Answer<P>, Failure> {
+    let needs_primary = unit.route.consistency == Consistency::Latest
+        || opening == Opening::Transaction
+        || work.access() == Access::Write;
+    if needs_primary {
+        run_on_primary(gateway, unit, work, opening).await
+    } else {
+        run_on_fresh(gateway, unit, marks, work, opening).await
+    }
+}
+
+/// Runs a statement on the primary.
+async fn run_on_primary<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    unit: &Unit<'_>,
+    work: &Work,
+    opening: Opening,
+) -> Result<Answer<P>, Failure> {
+    let frame = primary_frame(work, opening);
+    let repeatable = work.access() == Access::Read && opening == Opening::Alone;
+    let mut reason = NotRun::NoPrimary;
+    loop {
+        let primary = wait_for_primary(gateway, unit, reason).await?;
+        let bounds = Bounds {
+            urgency: unit.urgency(Access::Write),
+            connection_by: unit.wait_until(),
+            answer_by: unit.answer_by(),
+        };
+        let attempt = attempt::run(gateway, &primary, unit.session, work, frame, bounds).await;
+        match attempt {
+            Attempt::Answered(answer) => {
+                note_primary_answer(gateway, &primary, &answer, work, opening);
+                return Ok(answer);
+            }
+            Attempt::NotRun(cause) => {
+                reason = refusal_reason(cause);
+                retrying(gateway, work, &primary, cause);
+                if cause != NotRunCause::Refused(BackendErrorKind::ReadOnly) {
+                    sleep(BUSY_PAUSE).await;
+                }
+            }
+            Attempt::Lost if repeatable => reason = NotRun::BackendUnavailable,
+            Attempt::Lost => return Err(lost(opening, Unknown::ConnectionLost)),
+            Attempt::TimedOut => return Err(lost(opening, Unknown::TimedOut)),
+        }
+    }
+}
+
+/// What is told when a statement was sent and no answer came. The first
+/// statement of a transaction is undone with its connection.
+fn lost(opening: Opening, unknown: Unknown) -> Failure {
+    match opening {
+        Opening::Alone => Failure::Unknown(unknown),
+        Opening::Transaction | Opening::ReadOnlyTransaction => {
+            Failure::NotRun(NotRun::TransactionAborted)
+        }
+    }
+}
+
+fn primary_frame(work: &Work, opening: Opening) -> Frame {
+    match (opening, work.access()) {
+        (Opening::Alone, Access::Write) => Frame::Bare { fence: None },
+        (Opening::Alone, Access::Read) => Frame::ProvingPrimary,
+        (Opening::Transaction | Opening::ReadOnlyTransaction, _) => Frame::Opening {
+            read_only: false,
+            fence: None,
+        },
+    }
+}
+
+/// A primary that may be tried, waited for as long as the statement may wait.
+async fn wait_for_primary<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    unit: &Unit<'_>,
+    reason: NotRun,
+) -> Result<Arc<Instance>, Failure> {
+    let wait_until = unit.wait_until();
+    let mut changes = gateway.beliefs.subscribe();
+    loop {
+        changes.mark_unchanged();
+        let now = Instant::now();
+        if now >= wait_until {
+            return Err(Failure::NotRun(reason));
+        }
+        if let Some(primary) = gateway.beliefs.usable_primary(&unit.route.service, now) {
+            return Ok(primary);
+        }
+        gateway.attention.suspicion.notify_one();
+        // An instance that is passed over after a failure becomes usable again
+        // without a change that would wake this.
+        let next_look = wait_until.min(now + ROUND_PAUSE * 2);
+        let _ = timeout_at(next_look.into(), changes.changed()).await;
+    }
+}
+
+fn note_primary_answer<P: Platform>(
+    gateway: &Gateway<P>,
+    primary: &Instance,
+    answer: &Answer<P>,
+    work: &Work,
+    opening: Opening,
+) {
+    let proof = match (&answer.begin, opening, work.access()) {
+        (Some(begin), _, _) => Some(begin),
+        (None, Opening::Alone, Access::Write) if answer.reply.error().is_none() => {
+            Some(&answer.reply)
+        }
+        _ => None,
+    };
+    if let Some(position) = proof.and_then(|reply| reply.position) {
+        let sample = Sample {
+            sent_at: answer.sent_at,
+            position,
+        };
+        gateway.primary_proved(primary, sample);
+    }
+}
+
+/// Runs a read on any instance that is proved to be fresh enough.
+async fn run_on_fresh<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    unit: &Unit<'_>,
+    marks: &mut SessionMarks,
+    work: &Work,
+    opening: Opening,
+) -> Result<Answer<P>, Failure> {
+    let mut excluded: Vec<InstanceId> = Vec::new();
+    let mut reason = NotRun::NoFreshInstance;
+    let mut rounds = 0_u32;
+    loop {
+        let now = Instant::now();
+        if now >= unit.answer_by() {
+            return Err(Failure::NotRun(reason));
+        }
+        let fence = read_fence(gateway, unit, marks, rounds).await?;
+        let now = Instant::now();
+        let service = &unit.route.service;
+        let Some(instance) = gateway.beliefs.choose_for_read(service, &excluded, now) else {
+            if now + ROUND_PAUSE >= unit.wait_until() {
+                return Err(Failure::NotRun(reason));
+            }
+            sleep(ROUND_PAUSE).await;
+            excluded.clear();
+            rounds += 1;
+            continue;
+        };
+        let is_last = excluded.len() + 1 >= gateway.beliefs.instances(service).len();
+        let bounds = read_bounds(gateway, unit, &instance, is_last, now);
+        let frame = read_frame(opening, fence);
+        let attempt = attempt::run(gateway, &instance, unit.session, work, frame, bounds).await;
+        match attempt {
+            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::NotRun(cause) => {
+                reason = refusal_reason(cause);
+                retrying(gateway, work, &instance, cause);
+            }
+            Attempt::Lost | Attempt::TimedOut if opening != Opening::Alone => {
+                return Err(Failure::NotRun(NotRun::TransactionAborted));
+            }
+            Attempt::Lost => reason = NotRun::BackendUnavailable,
+            Attempt::TimedOut if Instant::now() >= unit.answer_by() => {
+                return Err(Failure::Unknown(Unknown::TimedOut));
+            }
+            Attempt::TimedOut => reason = NotRun::Overloaded,
+        }
+        excluded.push(instance.id.clone());
+    }
+}
+
+/// The position a read requires. Rounds after the first ask for newer
+/// evidence: the position may belong to a log that was rolled back.
+async fn read_fence<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    unit: &Unit<'_>,
+    marks: &mut SessionMarks,
+    rounds: u32,
+) -> Result<Position, Failure> {
+    let service = &unit.route.service;
+    let staleness = match unit.route.consistency {
+        Consistency::Latest => Duration::ZERO,
+        Consistency::BoundedStaleness(most) | Consistency::ReadYourWrites(most) => most,
+    };
+    let oldest = unit
+        .received_at
+        .checked_sub(staleness)
+        .unwrap_or(unit.received_at);
+    let reads_own_writes = matches!(unit.route.consistency, Consistency::ReadYourWrites(_));
+    let moment = if reads_own_writes && !marks.has_baseline(service) {
+        marks.opened_at.max(oldest)
+    } else {
+        oldest
+    };
+    if rounds > 0 {
+        evidence_probe::ask_in_background(gateway, service);
+    }
+    refresh_ahead(gateway, service, staleness);
+    let evidence = evidence_probe::fence(gateway, service, moment, unit.wait_until())
+        .await
+        .ok_or(Failure::NotRun(NotRun::NoFreshInstance))?;
+    if !reads_own_writes {
+        return Ok(evidence);
+    }
+    marks.reached(service, evidence);
+    Ok(session_fence(evidence, marks.required(service)))
+}
+
+/// Asks for new evidence before the present one is too old to be used.
+fn refresh_ahead<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &linkhold_core::service::configuration::ServiceName,
+    staleness: Duration,
+) {
+    let is_old = gateway
+        .beliefs
+        .latest_evidence(service)
+        .is_none_or(|sent_at| sent_at.elapsed() > staleness / 2);
+    if is_old {
+        evidence_probe::ask_in_background(gateway, service);
+    }
+}
+
+fn read_bounds<P: Platform>(
+    gateway: &Gateway<P>,
+    unit: &Unit<'_>,
+    instance: &Instance,
+    is_last: bool,
+    now: Instant,
+) -> Bounds {
+    let usual = gateway
+        .beliefs
+        .inspect(&instance.id, |health| health.latency())
+        .flatten()
+        .unwrap_or_default();
+    let attempt = LEAST_READ_ATTEMPT.max(usual * READ_ATTEMPT_LATENCIES);
+    let (connection_by, answer_by) = if is_last {
+        (unit.wait_until(), unit.answer_by())
+    } else {
+        (now + IMPATIENT_WAIT, unit.answer_by().min(now + attempt))
+    };
+    Bounds {
+        urgency: unit.urgency(Access::Read),
+        connection_by,
+        answer_by,
+    }
+}
+
+fn read_frame(opening: Opening, fence: Position) -> Frame {
+    let fence = Some(fence);
+    match opening {
+        Opening::Alone => Frame::Bare { fence },
+        Opening::Transaction | Opening::ReadOnlyTransaction => Frame::Opening {
+            read_only: true,
+            fence,
+        },
+    }
+}
+
+fn refusal_reason(cause: NotRunCause) -> NotRun {
+    match cause {
+        NotRunCause::NoConnection => NotRun::Overloaded,
+        NotRunCause::Unreachable => NotRun::BackendUnavailable,
+        NotRunCause::Refused(kind) => match kind {
+            BackendErrorKind::Lagging => NotRun::NoFreshInstance,
+            BackendErrorKind::ReadOnly => NotRun::NoPrimary,
+            BackendErrorKind::WrongInstance => NotRun::BackendUnavailable,
+            _ => NotRun::Overloaded,
+        },
+    }
+}
+
+fn retrying<P: Platform>(
+    gateway: &Gateway<P>,
+    work: &Work,
+    instance: &Instance,
+    cause: NotRunCause,
+) {
+    gateway.metrics.retries.add();
+    linkhold_events::Event::info("statement_not_run")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &instance.id)
+        .field("cause", format_args!("{cause:?}"))
+        .log();
+}
+
+/// Whether a reply ends the statement with success.
+pub(crate) fn is_success(reply: &BackendReply) -> bool {
+    reply.error().is_none()
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -0,0 +1,164 @@
+//! Transactions: opened lazily with their first statement, bound to one
+//! connection until they end.
+//!
+//! # Invariants
+//!
+//! * From the first statement to the end, the connection belongs to this
+//!   transaction alone; it is given back only after its end was answered.
+//! * The end is sent once. Before it is sent, a lost connection means that
+//!   nothing is kept; afterwards the fate is unknown, unless nothing was
+//!   written.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::outcome::{Failure, NotRun, Unknown};
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::Route;
+use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::session::{Access, SessionState, TransactionStatus};
+use linkhold_events::Event;
+use tokio::time::timeout;
+
+use crate::attempt::{self, Answer, Attempt, ConnectionOf, NotRunCause};
+use crate::batch::{self, Frame, Work};
+use crate::gateway::Gateway;
+use crate::pool::Lease;
+use crate::ports::{BackendConnection, BackendErrorKind, BackendReply, Command, Platform};
+
+/// How long an instance may take to roll back before the connection is closed.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A transaction on a connection.
+pub(crate) struct OpenTransaction<P: Platform> {
+    pub route: Arc<Route>,
+    lease: Lease<ConnectionOf<P>>,
+    wrote: bool,
+}
+
+/// A commit that succeeded.
+pub(crate) struct Committed {
+    pub reply: BackendReply,
+    /// Position of the commit, if it wrote.
+    pub position: Option<Position>,
+}
+
+impl<P: Platform> OpenTransaction<P> {
+    /// Takes over the connection on which the first statement was answered.
+    pub fn new(route: Arc<Route>, lease: Lease<ConnectionOf<P>>, access: Access) -> Self {
+        Self {
+            route,
+            lease,
+            wrote: access == Access::Write,
+        }
+    }
+
+    /// Runs one more statement. On failure the transaction is over.
+    pub async fn run(
+        mut self,
+        gateway: &Arc<Gateway<P>>,
+        session: &SessionState,
+        work: &Work,
+        received_at: Instant,
+    ) -> Result<(Self, BackendReply), Failure> {
+        self.wrote |= work.access() == Access::Write;
+        let answer_by = received_at + self.route.statement_timeout;
+        let frame = Frame::Bare { fence: None };
+        let attempt = attempt::run_on(gateway, self.lease, session, work, frame, answer_by).await;
+        match attempt {
+            Attempt::Answered(Answer { reply, lease, .. }) => {
+                self.lease = lease;
+                Ok((self, reply))
+            }
+            Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::Busy)) => {
+                Err(Failure::NotRun(NotRun::Overloaded))
+            }
+            Attempt::NotRun(_) | Attempt::Lost | Attempt::TimedOut => {
+                Err(Failure::NotRun(NotRun::TransactionAborted))
+            }
+        }
+    }
+
+    /// Commits.
+    pub async fn commit(
+        mut self,
+        gateway: &Arc<Gateway<P>>,
+        session: &SessionState,
+        work: &Work,
+        answer_by: Instant,
+    ) -> Result<Committed, Failure> {
+        let instance = self.lease.instance().clone();
+        let frame = Frame::Bare { fence: None };
+        let attempt = attempt::run_on(gateway, self.lease, session, work, frame, answer_by).await;
+        let answer = match attempt {
+            Attempt::Answered(answer) => answer,
+            Attempt::NotRun(_) => return Err(Failure::NotRun(NotRun::TransactionAborted)),
+            Attempt::Lost => return Err(commit_lost(self.wrote, Unknown::ConnectionLost)),
+            Attempt::TimedOut => return Err(commit_lost(self.wrote, Unknown::TimedOut)),
+        };
+        let succeeded = answer.reply.error().is_none();
+        let position = answer.reply.position.filter(|_| self.wrote && succeeded);
+        if let Some(position) = position {
+            let sample = Sample {
+                sent_at: answer.sent_at,
+                position,
+            };
+            gateway.primary_proved(&instance, sample);
+        }
+        self.wrote = false;
+        finish(answer.lease, answer.reply.status);
+        Ok(Committed {
+            reply: answer.reply,
+            position,
+        })
+    }
+
+    /// Rolls back and gives the connection back; closes it if that fails.
+    pub async fn roll_back(mut self) {
+        let exchange = self
+            .lease
+            .pooled()
+            .connection
+            .exchange(&[Command::Rollback]);
+        if let Ok(Ok(replies)) = timeout(ROLLBACK_TIMEOUT, exchange).await {
+            finish(self.lease, replies[0].status);
+        }
+    }
+
+    /// Rolls back without anybody waiting for it.
+    pub fn abandon(self) {
+        tokio::spawn(self.roll_back());
+    }
+}
+
+/// Gives a connection back, noting what its next user must undo first.
+fn finish<C: BackendConnection>(mut lease: Lease<C>, status: TransactionStatus) {
+    if batch::is_worn(lease.pooled()) {
+        return;
+    }
+    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
+    lease.release();
+}
+
+/// Gives back the connection of a statement that stood alone.
+pub(crate) fn finish_alone<P: Platform>(answer: Answer<P>) -> BackendReply {
+    finish(answer.lease, answer.reply.status);
+    answer.reply
+}
+
+fn commit_lost(wrote: bool, unknown: Unknown) -> Failure {
+    if wrote {
+        Failure::Unknown(unknown)
+    } else {
+        Failure::NotRun(NotRun::TransactionAborted)
+    }
+}
+
+/// Logs why a transaction ended before its commit.
+pub(crate) fn log_aborted(database: &str, user: &str, reason: &'static str) {
+    Event::info("transaction_aborted")
+        .field("database", database)
+        .field("user", user)
+        .field("reason", reason)
+        .log();
+}
