Send a transaction's first statement only after its start was acknowledged

Change: what a statement depends on (values, prepared names, start) is acknowledged before the statement is sent.

--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::pool::{CheckoutError, Lease, Urgency};
 use crate::ports::{
-    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, ConnectError,
+    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, Command, ConnectError,
     ExchangeError, Platform,
 };
 
@@ -49,8 +49,8 @@
 /// An instance's answer, with the connection it came on.
 pub(crate) struct Answer<P: Platform> {
     pub reply: BackendReply,
-    /// The reply to the start of the transaction, if there was one.
-    pub begin: Option<BackendReply>,
+    /// The start of the transaction, if there was one.
+    pub begin: Option<BeginReply>,
     pub lease: Lease<ConnectionOf<P>>,
     /// When the batch was sent, measured before.
     pub sent_at: Instant,
@@ -107,21 +107,105 @@
     frame: Frame,
     answer_by: Instant,
 ) -> Attempt<P> {
-    let instance = lease.instance().clone();
     let batch = batch::build(lease.pooled(), session, work, frame);
+    let begin = if batch.setup.is_empty() {
+        None
+    } else {
+        match set_up(gateway, lease, &batch, answer_by).await {
+            Ok((held, begin)) => {
+                lease = held;
+                begin
+            }
+            Err(attempt) => return attempt,
+        }
+    };
+    let sent_at = Instant::now();
+    match converse(gateway, &mut lease, &batch.commands, answer_by).await {
+        Conversation::Silent => Attempt::TimedOut,
+        Conversation::Broken(error) => broken(lease, &error, batch.main),
+        Conversation::Answered(replies) => {
+            let mut answer = Answer {
+                reply: replies[batch.main].clone(),
+                begin,
+                lease,
+                sent_at,
+            };
+            if frame == Frame::ProvingPrimary {
+                answer.begin = Some((sent_at, replies[0].clone()));
+            }
+            let status = replies[replies.len() - 1].status;
+            judge(gateway, answer, status)
+        }
+    }
+}
+
+/// When a transaction's start was sent, and the reply to it.
+pub(crate) type BeginReply = (Instant, BackendReply);
+
+/// Has a connection take over the session's state and start the transaction.
+/// Nothing of the statement is sent before all of it was acknowledged.
+async fn set_up<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut lease: Lease<ConnectionOf<P>>,
+    batch: &Batch,
+    answer_by: Instant,
+) -> Result<(Lease<ConnectionOf<P>>, Option<BeginReply>), Attempt<P>> {
+    let sent_at = Instant::now();
+    let replies = match converse(gateway, &mut lease, &batch.setup, answer_by).await {
+        Conversation::Answered(replies) => replies,
+        Conversation::Broken(_) | Conversation::Silent => {
+            return Err(Attempt::NotRun(NotRunCause::Unreachable));
+        }
+    };
+    let Some(refused) = replies.iter().position(|reply| reply.error().is_some()) else {
+        let begin = replies.into_iter().next_back().filter(|_| batch.opens);
+        return Ok((lease, begin.map(|reply| (sent_at, reply))));
+    };
+    let kind = replies[refused].error().unwrap_or(BackendErrorKind::Ran);
+    let instance = lease.instance().clone();
+    let only_begin_failed = batch.opens && refused + 1 == batch.setup.len();
+    if only_begin_failed {
+        lease.pooled().needs_rollback = replies[refused].status != TransactionStatus::Idle;
+        lease.release();
+    } else {
+        // What was recorded as told to the connection is not true.
+        drop(lease);
+    }
+    gateway.note_refusal(&instance, kind);
+    Err(Attempt::NotRun(NotRunCause::Refused(kind)))
+}
+
+/// How an exchange of commands and replies ended.
+enum Conversation {
+    Answered(Vec<BackendReply>),
+    Broken(ExchangeError),
+    Silent,
+}
+
+/// Exchanges commands and replies and notes what that tells of the instance.
+async fn converse<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    lease: &mut Lease<ConnectionOf<P>>,
+    commands: &[Command],
+    answer_by: Instant,
+) -> Conversation {
+    let instance = lease.instance().clone();
     let sent_at = Instant::now();
     let in_flight = InFlight::start(gateway, &instance);
-    let exchanged = exchange(gateway, &mut lease, &batch, sent_at, answer_by).await;
+    let exchanged = exchange(gateway, lease, commands, sent_at, answer_by).await;
     drop(in_flight);
     match exchanged {
         None => {
             gateway.instance_silent(&instance, sent_at);
-            Attempt::TimedOut
+            Conversation::Silent
+        }
+        Some(Err(error)) => {
+            gateway.instance_failed(&instance, "connection_lost");
+            Conversation::Broken(error)
         }
-        Some(Err(error)) => broken(gateway, lease, error, &batch),
         Some(Ok(replies)) => {
             gateway.instance_answered(&instance.id, sent_at.elapsed());
-            judge(gateway, lease, replies, &batch, sent_at)
+            Conversation::Answered(replies)
         }
     }
 }
@@ -152,17 +236,17 @@
     }
 }
 
-/// Sends the batch and waits; has the instance looked at when it is silent.
+/// Sends commands and waits; has the instance looked at when it is silent.
 async fn exchange<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     lease: &mut Lease<ConnectionOf<P>>,
-    batch: &Batch,
+    commands: &[Command],
     sent_at: Instant,
     answer_by: Instant,
 ) -> Option<Result<Vec<BackendReply>, ExchangeError>> {
     let instance = lease.instance().clone();
     let look_at = sent_at + silence_limit(gateway, &instance);
-    let exchange = lease.pooled().connection.exchange(&batch.commands);
+    let exchange = lease.pooled().connection.exchange(commands);
     tokio::pin!(exchange);
     if look_at < answer_by {
         tokio::select! {
@@ -183,19 +267,16 @@
 }
 
 fn broken<P: Platform>(
-    gateway: &Gateway<P>,
     lease: Lease<ConnectionOf<P>>,
-    error: ExchangeError,
-    batch: &Batch,
+    error: &ExchangeError,
+    main: usize,
 ) -> Attempt<P> {
-    let instance = lease.instance().clone();
     drop(lease);
-    gateway.instance_failed(&instance, "connection_lost");
     // A refusal that came before the break still proves that nothing ran.
-    let refusal = [batch.begin, Some(batch.main)]
-        .into_iter()
-        .flatten()
-        .find_map(|index| error.replies.get(index)?.error())
+    let refusal = error
+        .replies
+        .get(main)
+        .and_then(BackendReply::error)
         .filter(|kind| proves_not_run(*kind));
     match refusal {
         Some(kind) => Attempt::NotRun(NotRunCause::Refused(kind)),
@@ -203,37 +284,26 @@
     }
 }
 
+/// Tells an answer from a refusal that proves that the statement did not run.
+/// `status` is the connection's state after the last reply.
 fn judge<P: Platform>(
     gateway: &Gateway<P>,
-    mut lease: Lease<ConnectionOf<P>>,
-    replies: Vec<BackendReply>,
-    batch: &Batch,
-    sent_at: Instant,
+    mut answer: Answer<P>,
+    status: TransactionStatus,
 ) -> Attempt<P> {
-    let status = replies
-        .last()
-        .map_or(TransactionStatus::Idle, |reply| reply.status);
-    let begin = batch.begin.map(|index| replies[index].clone());
-    let reply = replies[batch.main].clone();
-    let refusal = begin
-        .as_ref()
-        .and_then(BackendReply::error)
-        .or_else(|| reply.error().filter(|kind| proves_not_run(*kind)));
+    let begin_refused = answer.begin.as_ref().and_then(|(_, reply)| reply.error());
+    let refusal =
+        begin_refused.or_else(|| answer.reply.error().filter(|kind| proves_not_run(*kind)));
     let Some(kind) = refusal else {
-        return Attempt::Answered(Answer {
-            reply,
-            begin,
-            lease,
-            sent_at,
-        });
+        return Attempt::Answered(answer);
     };
-    let instance = lease.instance().clone();
-    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
+    let instance = answer.lease.instance().clone();
+    answer.lease.pooled().needs_rollback = status != TransactionStatus::Idle;
     if kind == BackendErrorKind::UnknownPrepared {
         // What was recorded as prepared is not there: do not use it again.
-        drop(lease);
+        drop(answer);
     } else {
-        lease.release();
+        answer.lease.release();
     }
     gateway.note_refusal(&instance, kind);
     Attempt::NotRun(NotRunCause::Refused(kind))
--- a/crates/linkhold-gateway/src/batch.rs
+++ b/crates/linkhold-gateway/src/batch.rs
@@ -1,6 +1,11 @@
-//! The commands that run one statement of a session on a connection: what the
-//! connection still lacks of the session's state, the statement, and what
-//! proves or ends its transaction. They go out in one write.
+//! The commands that run one statement of a session on a connection.
+//!
+//! # Invariant
+//!
+//! The statement is sent only after everything it depends on was acknowledged:
+//! the session's values, prepared statements and the start of its transaction.
+//! Sent together with them it would still run when one of them was refused,
+//! outside its transaction or with another session's values.
 
 use bytes::Bytes;
 use linkhold_core::position::Position;
@@ -65,17 +70,21 @@
         fence: Option<Position>,
     },
     /// A writing transaction around it that is rolled back: proves that the
-    /// instance was primary while the statement ran.
+    /// instance was primary while the statement ran. All of it goes out in one
+    /// write, since the answer is dropped when the proof fails.
     ProvingPrimary,
 }
 
-/// Commands for one write, and where the replies that matter stand.
+/// The commands of one statement.
 #[derive(Debug)]
 pub(crate) struct Batch {
+    /// Must be acknowledged before the rest is sent.
+    pub setup: Vec<Command>,
+    /// The last command of the setup starts the statement's transaction.
+    pub opens: bool,
+    /// The statement and what goes with it in one write.
     pub commands: Vec<Command>,
-    /// Reply to the start of the transaction.
-    pub begin: Option<usize>,
-    /// Reply to the statement.
+    /// Place of the statement's reply among those to `commands`.
     pub main: usize,
 }
 
@@ -86,27 +95,36 @@
     work: &Work,
     frame: Frame,
 ) -> Batch {
-    let mut commands = Vec::with_capacity(4);
+    let mut setup = Vec::new();
     if std::mem::take(&mut pooled.needs_rollback) {
-        commands.push(Command::Rollback);
+        setup.push(Command::Rollback);
     }
-    adopt_values(pooled, session, &mut commands);
-    let number = adopt_prepared(pooled, work, &mut commands);
-    let begin = push_begin(frame, &mut commands);
-    let fence = match frame {
-        Frame::Bare { fence } => fence,
-        Frame::Opening { .. } | Frame::ProvingPrimary => None,
+    adopt_values(pooled, session, &mut setup);
+    let number = adopt_prepared(pooled, work, &mut setup);
+    let mut batch = Batch {
+        setup,
+        opens: false,
+        commands: Vec::with_capacity(1),
+        main: 0,
     };
-    let main = commands.len();
-    commands.push(statement(work, number, fence));
-    if frame == Frame::ProvingPrimary {
-        commands.push(Command::Rollback);
-    }
-    Batch {
-        commands,
-        begin,
-        main,
+    match frame {
+        Frame::Bare { fence } => batch.commands.push(statement(work, number, fence)),
+        Frame::Opening { read_only, fence } => {
+            batch.setup.push(Command::Begin { read_only, fence });
+            batch.opens = true;
+            batch.commands.push(statement(work, number, None));
+        }
+        Frame::ProvingPrimary => {
+            batch.commands.push(Command::Begin {
+                read_only: false,
+                fence: None,
+            });
+            batch.commands.push(statement(work, number, None));
+            batch.commands.push(Command::Rollback);
+            batch.main = 1;
+        }
     }
+    batch
 }
 
 fn adopt_values<C>(pooled: &mut Pooled<C>, session: &SessionState, commands: &mut Vec<Command>) {
@@ -137,19 +155,6 @@
     Some(number)
 }
 
-fn push_begin(frame: Frame, commands: &mut Vec<Command>) -> Option<usize> {
-    let command = match frame {
-        Frame::Bare { .. } => return None,
-        Frame::Opening { read_only, fence } => Command::Begin { read_only, fence },
-        Frame::ProvingPrimary => Command::Begin {
-            read_only: false,
-            fence: None,
-        },
-    };
-    commands.push(command);
-    Some(commands.len() - 1)
-}
-
 fn statement(work: &Work, number: Option<usize>, fence: Option<Position>) -> Command {
     match work {
         Work::Text { id, text, .. } | Work::Commit { id, text } => Command::Run {
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -186,19 +186,16 @@
     work: &Work,
     opening: Opening,
 ) {
-    let proof = match (&answer.begin, opening, work.access()) {
-        (Some(begin), _, _) => Some(begin),
-        (None, Opening::Alone, Access::Write) if answer.reply.error().is_none() => {
-            Some(&answer.reply)
-        }
-        _ => None,
+    let single_write = opening == Opening::Alone && work.access() == Access::Write;
+    let proof = match &answer.begin {
+        Some((sent_at, begin)) => Some((*sent_at, begin)),
+        None if single_write && is_success(&answer.reply) => Some((answer.sent_at, &answer.reply)),
+        None => None,
     };
-    if let Some(position) = proof.and_then(|reply| reply.position) {
-        let sample = Sample {
-            sent_at: answer.sent_at,
-            position,
-        };
-        gateway.primary_proved(primary, sample);
+    if let Some((sent_at, reply)) = proof
+        && let Some(position) = reply.position
+    {
+        gateway.primary_proved(primary, Sample { sent_at, position });
     }
 }
 
