Replace primaries that are lost or leaving, under a fenced lease

Change: suspicion from traffic; a probe of one's own and of peers by signed datagrams, decided by majority; lease in the store with a token that rises with every holder or successor; the most advanced replica; a leaving primary steps down first.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -103,10 +103,43 @@
     pub received: Position,
 }
 
-/// The instance to promote: the one that has received most. `None` if none
-/// may be promoted.
-pub fn choose_successor<'a>(
-    statuses: impl Iterator<Item = &'a InstanceStatus>,
-) -> Option<&'a InstanceStatus> {
-    statuses.max_by(|first, second| (first.received, &second.id).cmp(&(second.received, &first.id)))
+/// Replicas that must have told their position before one may be promoted.
+///
+/// A commit that was answered after `synchronous` replicas had received it is
+/// on at least one of any `replicas - synchronous + 1` of them.
+pub fn statuses_required(replicas: usize, synchronous: usize) -> usize {
+    if synchronous == 0 {
+        return 1;
+    }
+    (replicas + 1).saturating_sub(synchronous).max(1)
+}
+
+/// A replica that may be promoted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Successor {
+    /// What it says of itself.
+    pub status: InstanceStatus,
+    /// It is leaving, so it is taken only if no other is left.
+    pub is_leaving: bool,
+}
+
+/// The instance to promote: the one that has received most; among equals one
+/// that stays, then the lowest identity, so that all nodes choose alike. With
+/// `synchronous` replicas nothing may come before what was received; without,
+/// an instance that leaves is passed over while another is there.
+pub fn choose_successor(candidates: &[Successor], synchronous: usize) -> Option<&Successor> {
+    let someone_stays = candidates.iter().any(|candidate| !candidate.is_leaving);
+    let skips_leaving = synchronous == 0 && someone_stays;
+    candidates
+        .iter()
+        .filter(|candidate| !(skips_leaving && candidate.is_leaving))
+        .max_by(|first, second| rank(first).cmp(&rank(second)))
+}
+
+fn rank(candidate: &Successor) -> (Position, bool, std::cmp::Reverse<&InstanceId>) {
+    (
+        candidate.status.received,
+        !candidate.is_leaving,
+        std::cmp::Reverse(&candidate.status.id),
+    )
 }
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -377,7 +377,7 @@
             .primary(&instance.service)
             .is_some_and(|primary| primary.id == instance.id);
         if is_primary && !self.answered_since(instance, sent_at) {
-            self.attention.suspicion.notify_one();
+            self.attention.suspect(&instance.service);
         }
     }
 
--- /dev/null
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -0,0 +1,486 @@
+//! Looks after primaries: finds out who is primary, and replaces one that is
+//! lost or leaving.
+//!
+//! Every node looks at a primary when its own traffic makes it suspect, or when
+//! another node asks. Which of them acts is settled by a lease in the metadata
+//! store; the rendezvous rank of a node only spreads their tries.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::directory::PrimarySource;
+use linkhold_core::service::failover::{
+    self, ClaimDecision, FailoverLease, InstanceStatus, Successor,
+};
+use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_events::Event;
+use linkhold_peer::Reachability;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout, timeout_at};
+
+use crate::gateway::Gateway;
+use crate::lease_format::{decode_lease, encode_lease};
+use crate::peers;
+use crate::ports::{FleetTable, Platform, PromoteAnswer, PromoteOrder, StoreError, WriteResult};
+use crate::survey;
+
+/// How often primaries that leave are looked for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between the tries of nodes of consecutive rank.
+const RANK_INTERVAL: Duration = Duration::from_millis(90);
+/// Longest delay that a rank causes.
+const LONGEST_RANK_DELAY: Duration = Duration::from_millis(700);
+/// Pause before a primary that turned out reachable is looked at again.
+const CALM_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a try that led to nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Tries without any other node's answer before a node acts alone.
+const LONELY_TRIES: u32 = 3;
+/// How long a call to the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an order to promote may take to be answered.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a successor may take to lead after the order was accepted.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How often a successor is asked whether it leads, when nothing announces it.
+const LEAD_QUESTION_INTERVAL: Duration = Duration::from_millis(400);
+/// How long replicas may take to receive what a primary that stepped down had.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause between questions whether they have.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
+
+/// Starts a look at each service that needs one; one at a time for a service.
+/// Runs until the process ends.
+pub(crate) async fn watch_primaries<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut busy: HashSet<ServiceName> = HashSet::new();
+    let (finished, mut finishes) = mpsc::unbounded_channel();
+    loop {
+        tokio::select! {
+            () = gateway.attention.raised() => {}
+            () = sleep(LOOK_INTERVAL) => {}
+            Some(service) = finishes.recv() => {
+                busy.remove(&service);
+            }
+        }
+        let mut services = gateway.attention.take();
+        services.extend(services_with_leaving_primary(&gateway));
+        for service in services {
+            if !busy.insert(service.clone()) {
+                continue;
+            }
+            let gateway = gateway.clone();
+            let finished = finished.clone();
+            tokio::spawn(async move {
+                look_after(&gateway, &service).await;
+                // The receiver lives as long as the process.
+                let _ = finished.send(service);
+            });
+        }
+    }
+}
+
+fn services_with_leaving_primary<P: Platform>(gateway: &Gateway<P>) -> Vec<ServiceName> {
+    let now = Instant::now();
+    let mut services = gateway.beliefs.services();
+    services.retain(|service| match gateway.beliefs.primary(service) {
+        Some(primary) => gateway.beliefs.is_leaving(&primary.id, now),
+        None => true,
+    });
+    services
+}
+
+/// What is wrong with a service's primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// Nobody is known to be primary.
+    Unknown,
+    /// It is not reached by most nodes.
+    Lost,
+    /// It is leaving and still serves.
+    Leaving,
+}
+
+/// Looks at a service's primary and replaces it if that is needed.
+async fn look_after<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+    let mut lonely_tries = 0;
+    loop {
+        if gateway.is_leaving() {
+            return;
+        }
+        let Some(trouble) = diagnose(gateway, service, &mut lonely_tries).await else {
+            sleep(CALM_PAUSE).await;
+            return;
+        };
+        let before = gateway.beliefs.primary(service).map(|it| it.id.clone());
+        sleep(rank_delay(gateway, service)).await;
+        if gateway.beliefs.primary(service).map(|it| it.id.clone()) != before {
+            return;
+        }
+        replace(gateway, service, trouble).await;
+        if !needs_care(gateway, service) {
+            return;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn rank_delay<P: Platform>(gateway: &Gateway<P>, service: &str) -> Duration {
+    let rank = gateway.fleet.rank(&gateway.settings.node, service);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    RANK_INTERVAL.saturating_mul(rank).min(LONGEST_RANK_DELAY)
+}
+
+fn needs_care<P: Platform>(gateway: &Gateway<P>, service: &str) -> bool {
+    let now = Instant::now();
+    match gateway.beliefs.primary(service) {
+        None => true,
+        Some(primary) => {
+            gateway.beliefs.is_leaving(&primary.id, now)
+                || gateway
+                    .beliefs
+                    .inspect(&primary.id, |health| health.is_failing())
+                    .unwrap_or(false)
+        }
+    }
+}
+
+/// What is wrong with the primary; `None` if nothing is, or if it cannot be
+/// told yet.
+async fn diagnose<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    lonely_tries: &mut u32,
+) -> Option<Trouble> {
+    let Some(primary) = gateway.beliefs.primary(service) else {
+        return Some(Trouble::Unknown);
+    };
+    let question = survey::reach_primary(gateway, &primary);
+    let peers = peers::ask(gateway, &primary.id);
+    tokio::pin!(peers);
+    let own = tokio::select! {
+        own = question => own,
+        findings = &mut peers => {
+            // Others were quicker; the own finding still decides first.
+            let own = survey::reach_primary(gateway, &primary).await;
+            return conclude(gateway, &primary, own, findings, lonely_tries);
+        }
+    };
+    if own != Reachability::Unreached {
+        return conclude(
+            gateway,
+            &primary,
+            own,
+            peers::PeerFindings::default(),
+            lonely_tries,
+        );
+    }
+    let findings = peers.await;
+    conclude(gateway, &primary, own, findings, lonely_tries)
+}
+
+fn conclude<P: Platform>(
+    gateway: &Gateway<P>,
+    primary: &Arc<Instance>,
+    own: Reachability,
+    findings: peers::PeerFindings,
+    lonely_tries: &mut u32,
+) -> Option<Trouble> {
+    match own {
+        Reachability::Reached => {
+            gateway.instance_answered(&primary.id, Duration::ZERO);
+            let leaves = gateway.beliefs.is_leaving(&primary.id, Instant::now());
+            return leaves.then_some(Trouble::Leaving);
+        }
+        Reachability::NotPrimary => {
+            gateway.beliefs.deny_primary(&primary.id);
+            return Some(Trouble::Unknown);
+        }
+        Reachability::Unreached => gateway.instance_failed(primary, "unreachable"),
+    }
+    let mut tally = findings.tally;
+    tally.unreached += 1;
+    let answers = findings.tally.reached + findings.tally.unreached + findings.not_primary;
+    Event::info("primary_questioned")
+        .field("service", &primary.service)
+        .field("primary", &primary.id)
+        .field("asked", findings.asked)
+        .field("reached", tally.reached)
+        .field("unreached", tally.unreached)
+        .field("not_primary", findings.not_primary)
+        .log();
+    if findings.not_primary > 0 {
+        return Some(Trouble::Unknown);
+    }
+    if answers == 0 && findings.asked > 0 {
+        *lonely_tries += 1;
+        return (*lonely_tries >= LONELY_TRIES).then_some(Trouble::Lost);
+    }
+    tally.is_lost().then_some(Trouble::Lost)
+}
+
+/// What was found out before a primary is replaced.
+struct Situation {
+    /// All instances but the old primary.
+    others: Vec<Arc<Instance>>,
+    statuses: Vec<InstanceStatus>,
+    old: Option<Arc<Instance>>,
+}
+
+async fn replace<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName, trouble: Trouble) {
+    let situation = survey_service(gateway, service).await;
+    if let Some(primary) = find_primary(&situation.statuses)
+        && trouble == Trouble::Unknown
+    {
+        gateway
+            .beliefs
+            .confirm_primary(&primary.id, PrimarySource::Asked);
+        return;
+    }
+    let synchronous = gateway
+        .beliefs
+        .limits(service)
+        .map_or(0, |limits| limits.synchronous_replicas);
+    let required = failover::statuses_required(situation.others.len(), synchronous);
+    let Some(successor) = successor(gateway, &situation, synchronous) else {
+        log_no_successor(service, &situation, required);
+        return;
+    };
+    if situation.statuses.len() < required {
+        log_no_successor(service, &situation, required);
+        return;
+    }
+    let Some(lease) = claim(gateway, service, &successor.status.id).await else {
+        return;
+    };
+    let mut chosen = successor.status;
+    if trouble == Trouble::Leaving
+        && let Some(caught_up) = hand_over(gateway, &situation, &chosen).await
+    {
+        chosen = caught_up;
+    }
+    order(gateway, service, &lease, &chosen, trouble).await;
+}
+
+async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &str) -> Situation {
+    let old = gateway.beliefs.primary(service);
+    let others: Vec<Arc<Instance>> = gateway
+        .beliefs
+        .instances(service)
+        .into_iter()
+        .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
+        .collect();
+    let statuses = survey::statuses(gateway, &others).await;
+    Situation {
+        others,
+        statuses,
+        old,
+    }
+}
+
+/// An instance that says it is primary in the newest term that any follows.
+fn find_primary(statuses: &[InstanceStatus]) -> Option<&InstanceStatus> {
+    let newest = statuses.iter().map(|status| status.term).max()?;
+    statuses
+        .iter()
+        .find(|status| status.role == Role::Primary && status.term == newest)
+}
+
+fn successor<P: Platform>(
+    gateway: &Gateway<P>,
+    situation: &Situation,
+    synchronous: usize,
+) -> Option<Successor> {
+    let now = Instant::now();
+    let candidates: Vec<Successor> = situation
+        .statuses
+        .iter()
+        .map(|status| Successor {
+            status: status.clone(),
+            is_leaving: gateway.beliefs.is_leaving(&status.id, now),
+        })
+        .collect();
+    failover::choose_successor(&candidates, synchronous).cloned()
+}
+
+fn log_no_successor(service: &str, situation: &Situation, required: usize) {
+    Event::warn("no_successor")
+        .field("service", service)
+        .field("replicas", situation.others.len())
+        .field("statuses", situation.statuses.len())
+        .field("required", required)
+        .log();
+}
+
+/// Claims the lease of a service for a successor; `None` if another node holds
+/// it or the store cannot be used.
+async fn claim<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) -> Option<FailoverLease> {
+    match timeout(STORE_TIMEOUT, try_claim(gateway, service, successor)).await {
+        Ok(Ok(lease)) => {
+            if let Some(lease) = &lease {
+                gateway.leases.remember(service, lease);
+            }
+            lease
+        }
+        Ok(Err(_)) | Err(_) => {
+            let held = gateway.leases.usable_without_store(
+                service,
+                &gateway.settings.node,
+                successor,
+                gateway.platform.checks_tokens(),
+            );
+            Event::warn("lease_unconfirmed")
+                .field("service", service)
+                .field("acts_on_old_lease", held.is_some())
+                .log();
+            held
+        }
+    }
+}
+
+async fn try_claim<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) -> Result<Option<FailoverLease>, StoreError> {
+    let rows = gateway
+        .platform
+        .read_rows(FleetTable::Leases, Some(service))
+        .await?;
+    let row = rows.rows.first();
+    // A row that cannot be read may hold any token: none is handed out over it.
+    let current = row
+        .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
+        .transpose()?;
+    let node = &gateway.settings.node;
+    let lease = match failover::claim(current.as_ref(), node, successor, rows.now) {
+        ClaimDecision::Write(lease) => lease,
+        ClaimDecision::HeldElsewhere(left) => {
+            Event::info("lease_held_elsewhere")
+                .field("service", service)
+                .field("holder", current.map_or_else(String::new, |it| it.holder))
+                .field("left_ms", left.as_millis())
+                .log();
+            return Ok(None);
+        }
+    };
+    let expected = Some(row.map_or(0, |row| row.version));
+    let value = encode_lease(&lease);
+    let written = gateway
+        .platform
+        .write_row(FleetTable::Leases, service, value, expected)
+        .await?;
+    Ok((written == WriteResult::Written).then_some(lease))
+}
+
+/// Ends the term of a primary that leaves and waits until the successor has
+/// everything that it had, so that no commit is rolled back.
+async fn hand_over<P: Platform>(
+    gateway: &Gateway<P>,
+    situation: &Situation,
+    successor: &InstanceStatus,
+) -> Option<InstanceStatus> {
+    let old = situation.old.as_ref()?;
+    let instance = gateway.beliefs.instance(&successor.id)?;
+    let term = Term(successor.term.0 + 1);
+    let last = survey::step_down(gateway, old, term).await?;
+    gateway.beliefs.deny_primary(&old.id);
+    let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+    let mut latest = successor.clone();
+    while latest.received < last.received && Instant::now() < deadline {
+        sleep(CATCH_UP_PAUSE).await;
+        latest = survey::status(gateway, &instance).await.unwrap_or(latest);
+    }
+    Event::info("primary_stepped_down")
+        .field("service", &old.service)
+        .field("old", &old.id)
+        .field("position", last.received)
+        .field("successor", &successor.id)
+        .field("successor_position", latest.received)
+        .log();
+    Some(latest)
+}
+
+async fn order<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    lease: &FailoverLease,
+    successor: &InstanceStatus,
+    trouble: Trouble,
+) {
+    let order = PromoteOrder {
+        service: service.to_string(),
+        successor: successor.id.clone(),
+        holder: lease.holder.clone(),
+        token: lease.token,
+    };
+    gateway.metrics.promotions.add();
+    let started = Instant::now();
+    let answer = timeout(ORDER_TIMEOUT, gateway.platform.promote(&order))
+        .await
+        .unwrap_or(PromoteAnswer::Unknown);
+    log_order(&order, successor.received, trouble, answer, started);
+    if matches!(answer, PromoteAnswer::Accepted | PromoteAnswer::Unknown) {
+        await_lead(gateway, service, &successor.id).await;
+    }
+}
+
+fn log_order(
+    order: &PromoteOrder,
+    received: Position,
+    trouble: Trouble,
+    answer: PromoteAnswer,
+    started: Instant,
+) {
+    Event::info("promotion_ordered")
+        .field("service", &order.service)
+        .field("successor", &order.successor)
+        .field("token", order.token)
+        .field("received", received)
+        .field("because", format_args!("{trouble:?}"))
+        .field("answer", format_args!("{answer:?}"))
+        .field("took_ms", started.elapsed().as_millis())
+        .log();
+}
+
+/// Waits until the successor leads: it announces that, or says so when asked.
+async fn await_lead<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) {
+    let deadline = Instant::now() + LEAD_TIMEOUT;
+    let mut changes = gateway.beliefs.subscribe();
+    let mut ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
+    while Instant::now() < deadline {
+        changes.mark_unchanged();
+        if gateway
+            .beliefs
+            .primary(service)
+            .is_some_and(|primary| primary.id == *successor)
+        {
+            return;
+        }
+        if Instant::now() >= ask_at {
+            ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
+            let Some(instance) = gateway.beliefs.instance(successor) else {
+                return;
+            };
+            let status = survey::status(gateway, &instance).await;
+            if status.is_some_and(|status| status.role == Role::Primary) {
+                gateway
+                    .beliefs
+                    .confirm_primary(successor, PrimarySource::Promoted);
+                return;
+            }
+        }
+        // Time passing is as good a reason to look again as a change.
+        let _ = timeout_at(ask_at.min(deadline).into(), changes.changed()).await;
+    }
+}
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -1,16 +1,21 @@
 //! One node's engine: what all its sessions and tasks share.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use tokio::sync::Notify;
 
-use crate::beliefs::Beliefs;
+use crate::beliefs::{Beliefs, lock};
 use crate::evidence_probe::Questions;
+use crate::fleet::Fleet;
+use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
 use crate::settings::GatewaySettings;
@@ -33,14 +38,36 @@
     /// Asks for evidence or a look at a primary.
     pub(crate) attention: Attention,
     pub(crate) questions: Questions,
+    pub(crate) fleet: Fleet,
+    pub(crate) peers: Peers,
+    pub(crate) leases: HeldLeases,
     leaving: AtomicBool,
 }
 
-/// Wakes the tasks that look after primaries.
+/// Services whose primary needs looking after.
 #[derive(Default)]
 pub(crate) struct Attention {
-    /// A primary seems lost.
-    pub suspicion: Notify,
+    suspected: Mutex<BTreeSet<ServiceName>>,
+    raised: Notify,
+}
+
+impl Attention {
+    /// The primary of a service seems lost.
+    pub fn suspect(&self, service: &ServiceName) {
+        if lock(&self.suspected).insert(service.clone()) {
+            self.raised.notify_one();
+        }
+    }
+
+    /// Waits until a primary seems lost.
+    pub async fn raised(&self) {
+        self.raised.notified().await;
+    }
+
+    /// Takes the services whose primary seems lost.
+    pub fn take(&self) -> BTreeSet<ServiceName> {
+        std::mem::take(&mut lock(&self.suspected))
+    }
 }
 
 impl<P: Platform> Gateway<P> {
@@ -54,6 +81,9 @@
             metrics: Metrics::default(),
             attention: Attention::default(),
             questions: Questions::default(),
+            fleet: Fleet::default(),
+            peers: Peers::default(),
+            leases: HeldLeases::default(),
             leaving: AtomicBool::new(false),
         })
     }
@@ -92,7 +122,7 @@
                 .log();
         }
         if self.is_believed_primary(&instance.id, &instance.service) {
-            self.attention.suspicion.notify_one();
+            self.attention.suspect(&instance.service);
         }
     }
 
@@ -107,7 +137,7 @@
     pub(crate) fn instance_denied_primary(&self, instance: &Instance) {
         self.beliefs.deny_primary(&instance.id);
         if self.beliefs.primary(&instance.service).is_none() {
-            self.attention.suspicion.notify_one();
+            self.attention.suspect(&instance.service);
         }
     }
 
--- /dev/null
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -0,0 +1,71 @@
+//! Failover leases as rows, and the last ones this node held.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::failover::FailoverLease;
+use linkhold_core::service::instance::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use crate::beliefs::lock;
+
+#[derive(Serialize, Deserialize)]
+struct LeaseRow {
+    holder: String,
+    token: u64,
+    claimed_at: u64,
+    successor: String,
+}
+
+/// A lease as a row's value.
+pub(crate) fn encode_lease(lease: &FailoverLease) -> Vec<u8> {
+    let row = LeaseRow {
+        holder: lease.holder.clone(),
+        token: lease.token,
+        claimed_at: lease.claimed_at,
+        successor: lease.successor.0.to_string(),
+    };
+    serde_json::to_vec(&row).expect("a lease has nothing that cannot be written")
+}
+
+/// Reads a row's value; `None` if it is not a lease.
+pub(crate) fn decode_lease(value: &[u8]) -> Option<FailoverLease> {
+    let row: LeaseRow = serde_json::from_slice(value).ok()?;
+    Some(FailoverLease {
+        holder: row.holder,
+        token: row.token,
+        claimed_at: row.claimed_at,
+        successor: InstanceId(row.successor.into()),
+    })
+}
+
+/// Leases this node claimed last.
+#[derive(Default)]
+pub(crate) struct HeldLeases(Mutex<HashMap<ServiceName, FailoverLease>>);
+
+impl HeldLeases {
+    /// This node claimed a lease.
+    pub fn remember(&self, service: &ServiceName, lease: &FailoverLease) {
+        lock(&self.0).insert(service.clone(), lease.clone());
+    }
+
+    /// A lease on which this node may act although the store does not answer:
+    /// its own last one for the same successor, where the authority itself
+    /// refuses tokens that are no longer the newest.
+    pub fn usable_without_store(
+        &self,
+        service: &str,
+        node: &str,
+        successor: &InstanceId,
+        authority_checks_tokens: bool,
+    ) -> Option<FailoverLease> {
+        if !authority_checks_tokens {
+            return None;
+        }
+        lock(&self.0)
+            .get(service)
+            .filter(|lease| lease.holder == node && lease.successor == *successor)
+            .cloned()
+    }
+}
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -9,11 +9,15 @@
 mod batch;
 pub mod beliefs;
 mod evidence_probe;
+mod failover;
+mod fleet;
 mod gateway;
 mod keeper;
+mod lease_format;
 pub mod lifecycle;
 mod marks;
 pub mod metrics;
+mod peers;
 pub mod places;
 mod pool;
 mod pools;
@@ -21,6 +25,7 @@
 mod session;
 pub mod settings;
 mod statement;
+mod survey;
 mod transaction;
 
 use std::sync::Arc;
@@ -36,4 +41,7 @@
     tokio::spawn(keeper::keep_configuration(gateway.clone()));
     tokio::spawn(keeper::keep_instances(gateway.clone()));
     tokio::spawn(keeper::expire_instances(gateway.clone()));
+    tokio::spawn(fleet::keep_registered(gateway.clone()));
+    tokio::spawn(peers::answer_questions(gateway.clone()));
+    tokio::spawn(failover::watch_primaries(gateway.clone()));
 }
--- a/crates/linkhold-gateway/src/ports.rs
+++ b/crates/linkhold-gateway/src/ports.rs
@@ -377,6 +377,8 @@
     Nodes,
     /// Failover leases by service.
     Leases,
+    /// Secrets that all nodes share.
+    Keys,
 }
 
 /// Small rows that outlive every node, with conditional writes.
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! What the engine is told at its start.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::places::Places;
@@ -11,6 +12,8 @@
     pub node: String,
     /// Where it is.
     pub places: Places,
+    /// Where other nodes reach this one; `None` where nodes do not talk.
+    pub peer_address: Option<SocketAddr>,
     /// How long an instance that leaves may still get new work.
     pub drain: Duration,
     /// Time from the signal to stop until the process is killed.
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -171,7 +171,7 @@
         if let Some(primary) = gateway.beliefs.usable_primary(&unit.route.service, now) {
             return Ok(primary);
         }
-        gateway.attention.suspicion.notify_one();
+        gateway.attention.suspect(&unit.route.service);
         // An instance that is passed over after a failure becomes usable again
         // without a change that would wake this.
         let next_look = wait_until.min(now + ROUND_PAUSE * 2);
--- /dev/null
+++ b/crates/linkhold-gateway/src/survey.rs
@@ -0,0 +1,85 @@
+//! Asks instances what they are, on connections of its own: the pool's may all
+//! be stuck on an instance that is silent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use linkhold_core::position::Term;
+use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::failover::InstanceStatus;
+use linkhold_core::service::instance::Instance;
+use linkhold_peer::Reachability;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::ports::{BackendConnection, BackendErrorKind, BackendReply, Command, Platform};
+
+/// How long an instance may take to connect and answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Tries to reach an instance as a primary.
+pub(crate) async fn reach_primary<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+) -> Reachability {
+    let commands = [
+        Command::Begin {
+            read_only: false,
+            fence: None,
+        },
+        Command::Rollback,
+    ];
+    let sent_at = Instant::now();
+    let Some(replies) = ask(gateway, instance, &commands).await else {
+        return Reachability::Unreached;
+    };
+    match (replies[0].error(), replies[0].position) {
+        (Some(BackendErrorKind::ReadOnly), _) => Reachability::NotPrimary,
+        (None, Some(position)) => {
+            gateway.primary_proved(instance, Sample { sent_at, position });
+            Reachability::Reached
+        }
+        _ => Reachability::Reached,
+    }
+}
+
+/// The statuses of those instances that answer.
+pub(crate) async fn statuses<P: Platform>(
+    gateway: &Gateway<P>,
+    instances: &[Arc<Instance>],
+) -> Vec<InstanceStatus> {
+    let questions = instances.iter().map(|instance| status(gateway, instance));
+    join_all(questions).await.into_iter().flatten().collect()
+}
+
+/// The status of an instance; `None` if it does not tell it.
+pub(crate) async fn status<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+) -> Option<InstanceStatus> {
+    let replies = ask(gateway, instance, &[Command::Status]).await?;
+    gateway.platform.read_status(&instance.id, &replies[0])
+}
+
+/// Turns a primary into a replica; its status afterwards.
+pub(crate) async fn step_down<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+    term: Term,
+) -> Option<InstanceStatus> {
+    let replies = ask(gateway, instance, &[Command::StepDown { term }]).await?;
+    gateway.platform.read_status(&instance.id, &replies[0])
+}
+
+async fn ask<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+    commands: &[Command],
+) -> Option<Vec<BackendReply>> {
+    let exchange = async {
+        let mut connection = gateway.platform.connect(instance).await.ok()?;
+        connection.exchange(commands).await.ok()
+    };
+    timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
+}
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! fit one datagram; table messages are framed on a stream by a length.
 
 mod membership;
+mod reachability;
 mod table;
 
 use hmac::{Hmac, Mac};
@@ -13,6 +14,9 @@
 use thiserror::Error;
 
 pub use membership::{decode_message, encode_message};
+pub use reachability::{
+    Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
+};
 pub use table::{TableMessage, decode_table, encode_table};
 
 /// Version of the format; a node drops messages of another version.
--- /dev/null
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -0,0 +1,57 @@
+//! Questions between nodes: can you reach this instance as a primary?
+
+use minicbor::{Decode, Encode};
+
+use crate::{MAX_DATAGRAM, PeerError, PeerKey};
+
+/// What a node found when it tried to reach an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum Reachability {
+    /// It answered as a primary.
+    #[n(0)]
+    Reached,
+    /// It did not answer.
+    #[n(1)]
+    Unreached,
+    /// It answered that it is not the primary.
+    #[n(2)]
+    NotPrimary,
+}
+
+/// A message about the reachability of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ReachabilityMessage {
+    /// Please try to reach an instance.
+    #[n(0)]
+    Question {
+        /// Told back in the answer.
+        #[n(0)]
+        number: u64,
+        /// The instance.
+        #[n(1)]
+        instance: String,
+    },
+    /// What was found.
+    #[n(1)]
+    Answer {
+        /// The question's number.
+        #[n(0)]
+        number: u64,
+        /// What was found.
+        #[n(1)]
+        found: Reachability,
+    },
+}
+
+/// Encodes a message for one datagram.
+pub fn encode_reachability(message: &ReachabilityMessage, key: &PeerKey) -> Vec<u8> {
+    let body = minicbor::to_vec(message).expect("encoding to a vector does not fail");
+    key.seal(&body)
+}
+
+/// Decodes a datagram.
+pub fn decode_reachability(bytes: &[u8], key: &PeerKey) -> Result<ReachabilityMessage, PeerError> {
+    let body = key.open(bytes, MAX_DATAGRAM)?;
+    minicbor::decode(body).map_err(|_| PeerError::Malformed)
+}
