Never replace a primary that a node reaches; open connections in the background

Behind it, 1,212 connections over the limit: every request tried a failing instance, and impatient ones broke off connecting. Change: one Reached answer keeps a primary; a leaving one is replaced only by a successor close to it; failing instances are left alone for a pause, then tried by one request; connecting outlives the request that began it; a broken connection alone does not mark an instance as failing.

--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -42,6 +42,8 @@
     instance: Arc<Instance>,
     /// When it was found missing; `None` while it is listed.
     missing_since: Option<Instant>,
+    /// When it first said that it drains.
+    draining_since: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -63,14 +65,18 @@
     pub const LAPSE: Duration = Duration::from_millis(4_500);
 
     /// An instance is announced, or its announcement changed.
-    pub fn announce(&mut self, instance: Instance) -> Option<PrimaryChange> {
+    pub fn announce(&mut self, instance: Instance, now: Instant) -> Option<PrimaryChange> {
         let service = instance.service.clone();
         let id = instance.id.clone();
         let role = instance.role;
-        let previous = self.entries.get(&id).map(|entry| entry.instance.role);
+        let known = self.entries.get(&id);
+        let previous = known.map(|entry| entry.instance.role);
+        let draining_since = (instance.lifecycle == Lifecycle::Draining)
+            .then(|| known.and_then(|entry| entry.draining_since).unwrap_or(now));
         let entry = Entry {
             instance: Arc::new(instance),
             missing_since: None,
+            draining_since,
         };
         self.entries.insert(id.clone(), entry);
         if previous == Some(role) && self.primary_id(&service).is_some() {
@@ -113,7 +119,7 @@
         }
         listed
             .into_iter()
-            .filter_map(|instance| self.announce(instance))
+            .filter_map(|instance| self.announce(instance, now))
             .collect()
     }
 
@@ -162,6 +168,15 @@
         })
     }
 
+    /// How long an instance has been leaving, if it is.
+    pub fn leaving_for(&self, id: &InstanceId, now: Instant) -> Option<Duration> {
+        let entry = self.entries.get(id)?;
+        let draining = entry
+            .draining_since
+            .map(|since| now.saturating_duration_since(since));
+        draining.max(self.absence(entry, now))
+    }
+
     /// Whether an instance is unlisted and its absence counts.
     pub fn is_absent(&self, id: &InstanceId, now: Instant) -> bool {
         self.entries
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -83,10 +83,14 @@
 }
 
 impl ReachabilityTally {
-    /// Whether the primary is to be replaced: more nodes fail to reach it than
-    /// reach it. Nodes that do not answer are not counted.
+    /// Whether the primary is to be replaced: nobody who answers reaches it.
+    ///
+    /// A primary that any node reaches goes on acknowledging commits, and its
+    /// replicas may lack them: replacing it would undo what was acknowledged.
+    /// Nodes that are cut off from it are worse off than without a replacement
+    /// only in being late.
     pub fn is_lost(&self) -> bool {
-        self.unreached > self.reached
+        self.reached == 0 && self.unreached > 0
     }
 }
 
@@ -103,6 +107,26 @@
     pub received: Position,
 }
 
+/// Commits a successor may lack when a primary is told to step down: they
+/// follow within milliseconds while replication works.
+const SMALL_GAP: u64 = 40;
+/// Part of the drain time after which a leaving primary is replaced even if
+/// its successor lacks commits, in percent.
+const FORCE_PERCENT: u32 = 55;
+
+/// Whether a leaving primary may be told to step down now. A successor far
+/// behind is waited for, since what it lacks would be undone.
+pub fn may_hand_over(
+    primary: Position,
+    successor: Position,
+    leaving_for: Duration,
+    drain: Duration,
+) -> bool {
+    let is_close = primary.term == successor.term
+        && primary.index.saturating_sub(successor.index) <= SMALL_GAP;
+    is_close || leaving_for > drain * FORCE_PERCENT / 100
+}
+
 /// Replicas that must have told their position before one may be promoted.
 ///
 /// A commit that was answered after `synchronous` replicas had received it is
--- a/crates/linkhold-core/src/service/health.rs
+++ b/crates/linkhold-core/src/service/health.rs
@@ -6,6 +6,8 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause between trials of a failing instance.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(2_000);
+/// How long a trial keeps others away.
+const TRIAL_TIME: Duration = Duration::from_millis(600);
 /// Share of a new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -54,6 +56,14 @@
         self.avoid_until = Some(now + doubled.min(LONGEST_BACKOFF));
     }
 
+    /// A failing instance is tried again, by one request: others leave it alone
+    /// meanwhile.
+    pub fn begin_trial(&mut self, now: Instant) {
+        if self.is_failing() {
+            self.avoid_until = Some(now + TRIAL_TIME);
+        }
+    }
+
     /// It lacked a position that a read required.
     pub fn lagged(&mut self, now: Instant, pause: Duration) {
         self.lagging_until = Some(now + pause);
--- a/crates/linkhold-core/src/service/placement.rs
+++ b/crates/linkhold-core/src/service/placement.rs
@@ -38,8 +38,6 @@
     Strained,
     /// It is leaving, or a pause after a failure has passed and it may be tried.
     Doubtful,
-    /// It failed a moment ago.
-    Failing,
 }
 
 /// An instance that might serve a read.
@@ -55,9 +53,7 @@
 
 impl Candidate<'_> {
     fn standing(&self, now: Instant) -> Standing {
-        if self.health.is_avoided(now) {
-            Standing::Failing
-        } else if self.health.is_failing() || self.instance.lifecycle == Lifecycle::Draining {
+        if self.health.is_failing() || self.instance.lifecycle == Lifecycle::Draining {
             Standing::Doubtful
         } else if self.health.is_lagging(now) || self.health.is_busy(now) {
             Standing::Strained
@@ -79,7 +75,8 @@
     }
 }
 
-/// The best candidate that is not in `excluded`.
+/// The best candidate that is not in `excluded`. One that failed a moment ago
+/// is left alone until its pause has passed.
 pub fn choose<'a>(
     candidates: impl Iterator<Item = Candidate<'a>>,
     excluded: &[InstanceId],
@@ -87,6 +84,7 @@
 ) -> Option<&'a Instance> {
     candidates
         .filter(|candidate| !excluded.contains(&candidate.instance.id))
+        .filter(|candidate| !candidate.health.is_avoided(now))
         .min_by_key(|candidate| (candidate.standing(now), candidate.expected_time()))
         .map(|candidate| candidate.instance)
 }
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -76,10 +76,14 @@
     frame: Frame,
     bounds: Bounds,
 ) -> Attempt<P> {
+    let now = Instant::now();
+    gateway
+        .beliefs
+        .observe(&instance.id, |health| health.begin_trial(now));
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
     let checkout = pool
         .checkout(
-            &*gateway.platform,
+            gateway,
             &session.values,
             bounds.urgency,
             bounds.connection_by.into(),
@@ -88,7 +92,6 @@
     let lease = match checkout {
         Ok(lease) => lease,
         Err(error) => {
-            gateway.checkout_failed(instance, error);
             return Attempt::NotRun(match error {
                 CheckoutError::Exhausted => NotRunCause::NoConnection,
                 CheckoutError::Connect(_) => NotRunCause::Unreachable,
@@ -200,7 +203,7 @@
             Conversation::Silent
         }
         Some(Err(error)) => {
-            gateway.instance_failed(&instance, "connection_lost");
+            gateway.connection_lost(&instance);
             Conversation::Broken(error)
         }
         Some(Ok(replies)) => {
@@ -323,22 +326,31 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// No connection to an instance was had.
-    pub(crate) fn checkout_failed(&self, instance: &Instance, error: CheckoutError) {
+    /// A connection to an instance could not be made.
+    pub(crate) fn connect_failed(&self, instance: &Instance, error: ConnectError) {
         match error {
-            CheckoutError::Exhausted => {}
-            CheckoutError::Connect(ConnectError::Unreachable) => {
-                self.instance_failed(instance, "unreachable");
-            }
-            CheckoutError::Connect(ConnectError::WrongInstance) => {
+            ConnectError::Unreachable => self.instance_failed(instance, "unreachable"),
+            ConnectError::WrongInstance => {
                 self.instance_failed(instance, "address_used_by_another");
             }
-            CheckoutError::Connect(ConnectError::TooManyConnections) => {
+            ConnectError::Rejected => {
                 self.note_refusal(instance, BackendErrorKind::TooManyConnections);
             }
         }
     }
 
+    /// A connection broke. Its instance may still be well; the next attempt to
+    /// connect tells. A primary is looked at right away.
+    pub(crate) fn connection_lost(&self, instance: &Instance) {
+        let is_primary = self
+            .beliefs
+            .primary(&instance.service)
+            .is_some_and(|primary| primary.id == instance.id);
+        if is_primary {
+            self.attention.suspect(&instance.service);
+        }
+    }
+
     /// An instance refused a statement.
     pub(crate) fn note_refusal(&self, instance: &Instance, kind: BackendErrorKind) {
         /// How long an instance without room is passed over.
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -96,9 +96,9 @@
     }
 
     /// An instance is announced or changed its announcement.
-    pub fn announce_instance(&self, instance: Instance) {
+    pub fn announce_instance(&self, instance: Instance, now: Instant) {
         self.log_instance(&instance);
-        let change = lock(&self.instances).directory.announce(instance);
+        let change = lock(&self.instances).directory.announce(instance, now);
         self.after(change);
         self.announce_change();
     }
@@ -183,6 +183,11 @@
         lock(&self.instances).directory.is_leaving(id, now)
     }
 
+    /// How long an instance has been leaving, if it is.
+    pub fn leaving_for(&self, id: &InstanceId, now: Instant) -> Option<Duration> {
+        lock(&self.instances).directory.leaving_for(id, now)
+    }
+
     /// An instance denied being primary.
     pub fn deny_primary(&self, id: &InstanceId) {
         let change = lock(&self.instances).directory.deny_primary(id);
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -92,14 +92,10 @@
         priority: 0,
     };
     let checkout = pool
-        .checkout(&*gateway.platform, &SessionValues::new(), urgency, deadline)
+        .checkout(gateway, &SessionValues::new(), urgency, deadline)
         .await;
-    let mut lease = match checkout {
-        Ok(lease) => lease,
-        Err(error) => {
-            gateway.checkout_failed(&primary, error);
-            return;
-        }
+    let Ok(mut lease) = checkout else {
+        return;
     };
     let sent_at = Instant::now();
     let commands = [
@@ -122,7 +118,7 @@
             }
             lease.release();
         }
-        Ok(Err(_)) => gateway.instance_failed(&primary, "connection_lost"),
-        Err(_) => gateway.instance_failed(&primary, "silent"),
+        Ok(Err(_)) => gateway.connection_lost(&primary),
+        Err(_) => gateway.instance_silent(&primary, sent_at),
     }
 }
--- a/crates/linkhold-gateway/src/failover.rs
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -256,10 +256,11 @@
         return;
     };
     let mut chosen = successor.status;
-    if trouble == Trouble::Leaving
-        && let Some(caught_up) = hand_over(gateway, &situation, &chosen).await
-    {
-        chosen = caught_up;
+    if trouble == Trouble::Leaving {
+        match hand_over(gateway, &situation, &chosen).await {
+            Some(caught_up) => chosen = caught_up,
+            None => return,
+        }
     }
     order(gateway, service, &lease, &chosen, trouble).await;
 }
@@ -380,7 +381,8 @@
 }
 
 /// Ends the term of a primary that leaves and waits until the successor has
-/// everything that it had, so that no commit is rolled back.
+/// everything that it had, so that no commit is rolled back. `None` if that is
+/// not possible yet.
 async fn hand_over<P: Platform>(
     gateway: &Gateway<P>,
     situation: &Situation,
@@ -388,7 +390,19 @@
 ) -> Option<InstanceStatus> {
     let old = situation.old.as_ref()?;
     let instance = gateway.beliefs.instance(&successor.id)?;
-    let term = Term(successor.term.0 + 1);
+    let present = survey::status(gateway, old).await?;
+    let now = Instant::now();
+    let leaving_for = gateway.beliefs.leaving_for(&old.id, now)?;
+    let drain = gateway.settings.drain;
+    if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
+        Event::info("hand_over_postponed")
+            .field("service", &old.service)
+            .field("position", present.received)
+            .field("successor_position", successor.received)
+            .log();
+        return None;
+    }
+    let term = Term(successor.term.max(present.term).0 + 1);
     let last = survey::step_down(gateway, old, term).await?;
     gateway.beliefs.deny_primary(&old.id);
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -147,7 +147,9 @@
     let (changes, next) = bounded(call, FOLLOW_WAIT + ANSWER_TIMEOUT).await?;
     for change in changes {
         match change {
-            DirectoryChange::Present(instance) => gateway.beliefs.announce_instance(instance),
+            DirectoryChange::Present(instance) => {
+                gateway.beliefs.announce_instance(instance, Instant::now());
+            }
             DirectoryChange::Absent(id) => gateway.beliefs.vanish_instance(&id, Instant::now()),
         }
     }
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{ConnectionState, SessionValues};
@@ -17,7 +18,8 @@
 use tokio::time::Instant;
 
 use crate::beliefs::lock;
-use crate::ports::{BackendConnection, BackendConnector, ConnectError};
+use crate::gateway::Gateway;
+use crate::ports::{BackendConnection, ConnectError, Platform};
 
 /// Rank of a request in queues; the lowest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +30,9 @@
     pub priority: u8,
 }
 
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Why no connection was had. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckoutError {
@@ -47,9 +52,11 @@
     pub needs_rollback: bool,
 }
 
+/// What a waiter gets.
 enum Grant<C> {
     Connection(Box<Pooled<C>>),
-    MayOpen,
+    /// A connection that was being opened could not be made.
+    Failed(ConnectError),
 }
 
 type WaiterKey = (Urgency, u64);
@@ -96,10 +103,11 @@
     }
 
     /// Takes a connection, preferably one that has `values`; waits until
-    /// `deadline` for one.
-    pub async fn checkout<B: BackendConnector<Connection = C>>(
+    /// `deadline` for one. A connection that is being opened goes on being
+    /// opened when nobody waits for it any more.
+    pub async fn checkout<P: Platform<Connection = C>>(
         self: &Arc<Self>,
-        connector: &B,
+        gateway: &Arc<Gateway<P>>,
         values: &SessionValues,
         urgency: Urgency,
         deadline: Instant,
@@ -108,7 +116,8 @@
             return Ok(Lease::new(self.clone(), pooled));
         }
         if self.try_reserve() {
-            return self.open(connector, deadline).await;
+            let pool = self.clone();
+            tokio::spawn(pool.open(gateway.clone()));
         }
         let (receiver, key) = self.enqueue(urgency);
         let mut waiting = Waiting {
@@ -118,7 +127,7 @@
         };
         match tokio::time::timeout_at(deadline, &mut waiting.receiver).await {
             Ok(Ok(Grant::Connection(pooled))) => Ok(Lease::new(self.clone(), *pooled)),
-            Ok(Ok(Grant::MayOpen)) => self.open(connector, deadline).await,
+            Ok(Ok(Grant::Failed(error))) => Err(CheckoutError::Connect(error)),
             Ok(Err(_)) | Err(_) => Err(CheckoutError::Exhausted),
         }
     }
@@ -153,26 +162,37 @@
         (receiver, key)
     }
 
-    /// Opens a connection on a reservation that is held.
-    async fn open<B: BackendConnector<Connection = C>>(
-        self: &Arc<Self>,
-        connector: &B,
-        deadline: Instant,
-    ) -> Result<Lease<C>, CheckoutError> {
-        let reservation = Reservation { pool: Some(self) };
-        let connecting = connector.connect(&self.instance);
-        let connection = tokio::time::timeout_at(deadline, connecting)
+    /// Opens a connection on a place that is reserved and hands it on.
+    async fn open<P: Platform<Connection = C>>(self: Arc<Self>, gateway: Arc<Gateway<P>>) {
+        let connecting = gateway.platform.connect(&self.instance);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
-            .unwrap_or(Err(ConnectError::Unreachable))
-            .map_err(CheckoutError::Connect)?;
-        reservation.keep();
-        self.opened.fetch_add(1, Ordering::Relaxed);
-        let pooled = Pooled {
-            connection,
-            state: ConnectionState::default(),
-            needs_rollback: false,
-        };
-        Ok(Lease::new(self.clone(), pooled))
+            .unwrap_or(Err(ConnectError::Unreachable));
+        match connected {
+            Ok(connection) => {
+                self.opened.fetch_add(1, Ordering::Relaxed);
+                self.put_back(Pooled {
+                    connection,
+                    state: ConnectionState::default(),
+                    needs_rollback: false,
+                });
+            }
+            Err(error) => {
+                gateway.connect_failed(&self.instance, error);
+                self.fail_waiters(error);
+            }
+        }
+    }
+
+    /// A connection could not be made: whoever waits is told, since the next
+    /// try would end alike.
+    fn fail_waiters(&self, error: ConnectError) {
+        let mut state = lock(&self.state);
+        state.open -= 1;
+        while let Some((_, waiter)) = state.waiters.pop_first() {
+            // A waiter that has left needs no answer.
+            let _ = waiter.send(Grant::Failed(error));
+        }
     }
 
     fn put_back(&self, pooled: Pooled<C>) {
@@ -193,18 +213,9 @@
         }
     }
 
-    /// A connection is closed, or a reservation not used: its place goes to
-    /// the next waiter.
-    fn give_up_place(&self) {
-        let mut state = lock(&self.state);
-        if state.open <= self.limit.load(Ordering::Relaxed) {
-            while let Some((_, waiter)) = state.waiters.pop_first() {
-                if waiter.send(Grant::MayOpen).is_ok() {
-                    return;
-                }
-            }
-        }
-        state.open -= 1;
+    /// A connection in use was closed.
+    fn closed(&self) {
+        lock(&self.state).open -= 1;
     }
 
     /// Closes connections that are not in use.
@@ -234,27 +245,7 @@
         self.receiver.close();
         match self.receiver.try_recv() {
             Ok(Grant::Connection(pooled)) => self.pool.put_back(*pooled),
-            Ok(Grant::MayOpen) => self.pool.give_up_place(),
-            Err(_) => {}
-        }
-    }
-}
-
-/// A place held while a connection is being opened.
-struct Reservation<'a, C: BackendConnection> {
-    pool: Option<&'a Pool<C>>,
-}
-
-impl<C: BackendConnection> Reservation<'_, C> {
-    fn keep(mut self) {
-        self.pool = None;
-    }
-}
-
-impl<C: BackendConnection> Drop for Reservation<'_, C> {
-    fn drop(&mut self) {
-        if let Some(pool) = self.pool {
-            pool.give_up_place();
+            Ok(Grant::Failed(_)) | Err(_) => {}
         }
     }
 }
@@ -302,7 +293,7 @@
 impl<C: BackendConnection> Drop for Lease<C> {
     fn drop(&mut self) {
         if self.pooled.take().is_some() {
-            self.pool.give_up_place();
+            self.pool.closed();
         }
     }
 }
--- a/crates/linkhold-gateway/src/ports.rs
+++ b/crates/linkhold-gateway/src/ports.rs
@@ -259,9 +259,9 @@
     /// Another instance answers at the address.
     #[error("another instance answers at the address")]
     WrongInstance,
-    /// The instance has no connection left.
+    /// It took the connection and closed it again: it has none left.
     #[error("instance has no connection left")]
-    TooManyConnections,
+    Rejected,
 }
 
 /// A connection to an instance broke during an exchange.
--- a/crates/linkhold-gateway/src/survey.rs
+++ b/crates/linkhold-gateway/src/survey.rs
@@ -13,7 +13,9 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
-use crate::ports::{BackendConnection, BackendErrorKind, BackendReply, Command, Platform};
+use crate::ports::{
+    BackendConnection, BackendErrorKind, BackendReply, Command, ConnectError, Platform,
+};
 
 /// How long an instance may take to connect and answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
@@ -31,8 +33,11 @@
         Command::Rollback,
     ];
     let sent_at = Instant::now();
-    let Some(replies) = ask(gateway, instance, &commands).await else {
-        return Reachability::Unreached;
+    let replies = match ask(gateway, instance, &commands).await {
+        Ok(replies) => replies,
+        // It lives, and has all the connections it can take.
+        Err(ConnectError::Rejected) => return Reachability::Reached,
+        Err(_) => return Reachability::Unreached,
     };
     match (replies[0].error(), replies[0].position) {
         (Some(BackendErrorKind::ReadOnly), _) => Reachability::NotPrimary,
@@ -58,7 +63,7 @@
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
 ) -> Option<InstanceStatus> {
-    let replies = ask(gateway, instance, &[Command::Status]).await?;
+    let replies = ask(gateway, instance, &[Command::Status]).await.ok()?;
     gateway.platform.read_status(&instance.id, &replies[0])
 }
 
@@ -68,7 +73,9 @@
     instance: &Arc<Instance>,
     term: Term,
 ) -> Option<InstanceStatus> {
-    let replies = ask(gateway, instance, &[Command::StepDown { term }]).await?;
+    let replies = ask(gateway, instance, &[Command::StepDown { term }])
+        .await
+        .ok()?;
     gateway.platform.read_status(&instance.id, &replies[0])
 }
 
@@ -76,10 +83,15 @@
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
     commands: &[Command],
-) -> Option<Vec<BackendReply>> {
+) -> Result<Vec<BackendReply>, ConnectError> {
     let exchange = async {
-        let mut connection = gateway.platform.connect(instance).await.ok()?;
-        connection.exchange(commands).await.ok()
+        let mut connection = gateway.platform.connect(instance).await?;
+        connection
+            .exchange(commands)
+            .await
+            .map_err(|_| ConnectError::Unreachable)
     };
-    timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
+    timeout(ANSWER_TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(ConnectError::Unreachable))
 }
