Let a silent node block a promotion, look for an unknown primary everywhere

Later a node that had missed its primary promoted a replica of an older term over it. Change: every registered node must answer that it does not reach the primary; for an unknown primary, each instance that tells no status is asked about too; a candidate of an older term than was proved is never promoted; nodes that stop deregister; a leaving instance gets no work after 60% of the drain time.

--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -177,13 +177,6 @@
         draining.max(self.absence(entry, now))
     }
 
-    /// Whether an instance is unlisted and its absence counts.
-    pub fn is_absent(&self, id: &InstanceId, now: Instant) -> bool {
-        self.entries
-            .get(id)
-            .is_none_or(|entry| self.absence(entry, now).is_some())
-    }
-
     /// An instance.
     pub fn instance(&self, id: &InstanceId) -> Option<&Arc<Instance>> {
         self.entries.get(id).map(|entry| &entry.instance)
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -73,24 +73,29 @@
     }
 }
 
-/// Answers of nodes to the question whether they reach a primary.
+/// What nodes found when they tried to reach an instance as a primary.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReachabilityTally {
-    /// Nodes that reach it.
+    /// Nodes of the fleet, the asking one included.
+    pub nodes: usize,
+    /// Nodes that reach it as a primary.
     pub reached: usize,
-    /// Nodes that tried and did not, the asking one included.
+    /// Nodes that tried and did not reach it.
     pub unreached: usize,
+    /// Nodes that reach it, and it is not a primary.
+    pub not_primary: usize,
 }
 
 impl ReachabilityTally {
-    /// Whether the primary is to be replaced: nobody who answers reaches it.
+    /// Whether the instance certainly serves no writes through any node.
     ///
     /// A primary that any node reaches goes on acknowledging commits, and its
     /// replicas may lack them: replacing it would undo what was acknowledged.
-    /// Nodes that are cut off from it are worse off than without a replacement
-    /// only in being late.
+    /// A node that does not answer may be on the primary's side of a
+    /// partition, so it is waited for until it no longer counts as a node of
+    /// the fleet.
     pub fn is_lost(&self) -> bool {
-        self.reached == 0 && self.unreached > 0
+        self.nodes > 0 && self.reached == 0 && self.unreached + self.not_primary >= self.nodes
     }
 }
 
@@ -147,6 +152,12 @@
     pub is_leaving: bool,
 }
 
+/// Whether a candidate may be promoted at all: one whose log ends in an older
+/// term than was seen acknowledged would undo all of that term.
+pub fn is_current(candidate: &InstanceStatus, newest_evidence: Option<Position>) -> bool {
+    newest_evidence.is_none_or(|newest| candidate.received.term >= newest.term)
+}
+
 /// The instance to promote: the one that has received most; among equals one
 /// that stays, then the lowest identity, so that all nodes choose alike. With
 /// `synchronous` replicas nothing may come before what was received; without,
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -18,6 +18,10 @@
 
 use crate::places::Places;
 
+/// Part of the drain time in which a leaving instance may get new work, in
+/// percent.
+const WORK_PERCENT: u32 = 60;
+
 /// Beliefs about instances and their logs.
 #[derive(Debug, Default)]
 struct InstanceBeliefs {
@@ -30,6 +34,7 @@
 #[derive(Debug)]
 pub struct Beliefs {
     places: Places,
+    drain: Duration,
     configuration: Mutex<Option<Arc<Configuration>>>,
     instances: Mutex<InstanceBeliefs>,
     changes: watch::Sender<u64>,
@@ -37,9 +42,10 @@
 
 impl Beliefs {
     /// Nothing is known.
-    pub fn new(places: Places) -> Self {
+    pub fn new(places: Places, drain: Duration) -> Self {
         Self {
             places,
+            drain,
             configuration: Mutex::default(),
             instances: Mutex::default(),
             changes: watch::channel(0).0,
@@ -175,7 +181,8 @@
             .health
             .get(&primary.id)
             .is_some_and(|health| health.is_avoided(now));
-        (!avoided).then(|| primary.clone())
+        let left = self.has_left(&instances.directory, &primary.id, now);
+        (!avoided && !left).then(|| primary.clone())
     }
 
     /// Whether an instance is leaving.
@@ -219,7 +226,7 @@
         let candidates = instances
             .directory
             .instances(service)
-            .filter(|instance| !instances.directory.is_absent(&instance.id, now))
+            .filter(|instance| !self.has_left(&instances.directory, &instance.id, now))
             .map(|instance| Candidate {
                 instance,
                 health: instances.health.get(&instance.id).unwrap_or(&unknown),
@@ -229,6 +236,14 @@
         instances.directory.instance(&id).cloned()
     }
 
+    /// Whether an instance has been leaving for so long that it gets no new
+    /// work. The margin is for what this node learnt late.
+    fn has_left(&self, directory: &Directory, id: &InstanceId, now: Instant) -> bool {
+        directory
+            .leaving_for(id, now)
+            .is_some_and(|leaving| leaving > self.drain * WORK_PERCENT / 100)
+    }
+
     fn distance(&self, instance: &Instance) -> Distance {
         self.places.distance(&instance.zone)
     }
@@ -269,6 +284,13 @@
         lock(&self.instances).evidence.get(service)?.fence(moment)
     }
 
+    /// The highest position that was proved.
+    pub fn newest_position(&self, service: &str) -> Option<Position> {
+        let instances = lock(&self.instances);
+        let newest = instances.evidence.get(service)?.newest()?;
+        Some(newest.position)
+    }
+
     /// When the latest evidence was sent.
     pub fn latest_evidence(&self, service: &str) -> Option<Instant> {
         lock(&self.instances)
--- a/crates/linkhold-gateway/src/failover.rs
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -13,7 +13,7 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::{
-    self, ClaimDecision, FailoverLease, InstanceStatus, Successor,
+    self, ClaimDecision, FailoverLease, InstanceStatus, ReachabilityTally, Successor,
 };
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_events::Event;
@@ -37,8 +37,6 @@
 const CALM_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a try that led to nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Tries without any other node's answer before a node acts alone.
-const LONELY_TRIES: u32 = 3;
 /// How long a call to the store may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an order to promote may take to be answered.
@@ -105,12 +103,11 @@
 
 /// Looks at a service's primary and replaces it if that is needed.
 async fn look_after<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
-    let mut lonely_tries = 0;
     loop {
         if gateway.is_leaving() {
             return;
         }
-        let Some(trouble) = diagnose(gateway, service, &mut lonely_tries).await else {
+        let Some(trouble) = diagnose(gateway, service).await else {
             sleep(CALM_PAUSE).await;
             return;
         };
@@ -149,76 +146,83 @@
 
 /// What is wrong with the primary; `None` if nothing is, or if it cannot be
 /// told yet.
-async fn diagnose<P: Platform>(
-    gateway: &Gateway<P>,
-    service: &str,
-    lonely_tries: &mut u32,
-) -> Option<Trouble> {
+async fn diagnose<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Trouble> {
     let Some(primary) = gateway.beliefs.primary(service) else {
         return Some(Trouble::Unknown);
     };
-    let question = survey::reach_primary(gateway, &primary);
     let peers = peers::ask(gateway, &primary.id);
     tokio::pin!(peers);
-    let own = tokio::select! {
-        own = question => own,
-        findings = &mut peers => {
-            // Others were quicker; the own finding still decides first.
-            let own = survey::reach_primary(gateway, &primary).await;
-            return conclude(gateway, &primary, own, findings, lonely_tries);
-        }
+    let own = survey::reach_primary(gateway, &primary);
+    tokio::pin!(own);
+    // Both run at once; the own finding decides alone unless it is a failure.
+    let (own, early) = tokio::select! {
+        own = &mut own => (own, None),
+        tally = &mut peers => (own.await, Some(tally)),
     };
-    if own != Reachability::Unreached {
-        return conclude(
-            gateway,
-            &primary,
-            own,
-            peers::PeerFindings::default(),
-            lonely_tries,
-        );
-    }
-    let findings = peers.await;
-    conclude(gateway, &primary, own, findings, lonely_tries)
-}
-
-fn conclude<P: Platform>(
-    gateway: &Gateway<P>,
-    primary: &Arc<Instance>,
-    own: Reachability,
-    findings: peers::PeerFindings,
-    lonely_tries: &mut u32,
-) -> Option<Trouble> {
     match own {
         Reachability::Reached => {
             gateway.instance_answered(&primary.id, Duration::ZERO);
             let leaves = gateway.beliefs.is_leaving(&primary.id, Instant::now());
-            return leaves.then_some(Trouble::Leaving);
+            leaves.then_some(Trouble::Leaving)
         }
         Reachability::NotPrimary => {
             gateway.beliefs.deny_primary(&primary.id);
-            return Some(Trouble::Unknown);
+            Some(Trouble::Unknown)
+        }
+        Reachability::Unreached => {
+            gateway.instance_failed(&primary, "unreachable");
+            let tally = match early {
+                Some(tally) => tally,
+                None => peers.await,
+            };
+            judge_unreached(&primary, tally)
         }
-        Reachability::Unreached => gateway.instance_failed(primary, "unreachable"),
     }
-    let mut tally = findings.tally;
+}
+
+/// Judges a primary that this node does not reach by what others found.
+fn judge_unreached(primary: &Instance, mut tally: ReachabilityTally) -> Option<Trouble> {
     tally.unreached += 1;
-    let answers = findings.tally.reached + findings.tally.unreached + findings.not_primary;
+    log_tally(primary, tally);
+    if tally.reached > 0 {
+        return None;
+    }
+    if tally.not_primary > 0 {
+        return Some(Trouble::Unknown);
+    }
+    tally.is_lost().then_some(Trouble::Lost)
+}
+
+fn log_tally(instance: &Instance, tally: ReachabilityTally) {
     Event::info("primary_questioned")
-        .field("service", &primary.service)
-        .field("primary", &primary.id)
-        .field("asked", findings.asked)
+        .field("service", &instance.service)
+        .field("instance", &instance.id)
+        .field("nodes", tally.nodes)
         .field("reached", tally.reached)
         .field("unreached", tally.unreached)
-        .field("not_primary", findings.not_primary)
+        .field("not_primary", tally.not_primary)
         .log();
-    if findings.not_primary > 0 {
-        return Some(Trouble::Unknown);
-    }
-    if answers == 0 && findings.asked > 0 {
-        *lonely_tries += 1;
-        return (*lonely_tries >= LONELY_TRIES).then_some(Trouble::Lost);
+}
+
+/// Whether any instance that told this node no status may still be serving
+/// writes through another node.
+async fn someone_may_lead<P: Platform>(gateway: &Gateway<P>, situation: &Situation) -> bool {
+    for instance in &situation.others {
+        let answered = situation
+            .statuses
+            .iter()
+            .any(|status| status.id == instance.id);
+        if answered {
+            continue;
+        }
+        let mut tally = peers::ask(gateway, &instance.id).await;
+        tally.unreached += 1;
+        log_tally(instance, tally);
+        if !tally.is_lost() {
+            return true;
+        }
     }
-    tally.is_lost().then_some(Trouble::Lost)
+    false
 }
 
 /// What was found out before a primary is replaced.
@@ -239,17 +243,10 @@
             .confirm_primary(&primary.id, PrimarySource::Asked);
         return;
     }
-    let synchronous = gateway
-        .beliefs
-        .limits(service)
-        .map_or(0, |limits| limits.synchronous_replicas);
-    let required = failover::statuses_required(situation.others.len(), synchronous);
-    let Some(successor) = successor(gateway, &situation, synchronous) else {
-        log_no_successor(service, &situation, required);
+    let Some(successor) = successor(gateway, service, &situation) else {
         return;
     };
-    if situation.statuses.len() < required {
-        log_no_successor(service, &situation, required);
+    if trouble == Trouble::Unknown && someone_may_lead(gateway, &situation).await {
         return;
     }
     let Some(lease) = claim(gateway, service, &successor.status.id).await else {
@@ -289,30 +286,40 @@
         .find(|status| status.role == Role::Primary && status.term == newest)
 }
 
+/// The instance to promote, if enough is known to choose one.
 fn successor<P: Platform>(
     gateway: &Gateway<P>,
+    service: &str,
     situation: &Situation,
-    synchronous: usize,
 ) -> Option<Successor> {
     let now = Instant::now();
+    let synchronous = gateway
+        .beliefs
+        .limits(service)
+        .map_or(0, |limits| limits.synchronous_replicas);
+    let required = failover::statuses_required(situation.others.len(), synchronous);
+    let evidence = gateway.beliefs.newest_position(service);
     let candidates: Vec<Successor> = situation
         .statuses
         .iter()
+        .filter(|status| failover::is_current(status, evidence))
         .map(|status| Successor {
             status: status.clone(),
             is_leaving: gateway.beliefs.is_leaving(&status.id, now),
         })
         .collect();
-    failover::choose_successor(&candidates, synchronous).cloned()
-}
-
-fn log_no_successor(service: &str, situation: &Situation, required: usize) {
-    Event::warn("no_successor")
-        .field("service", service)
-        .field("replicas", situation.others.len())
-        .field("statuses", situation.statuses.len())
-        .field("required", required)
-        .log();
+    let chosen = failover::choose_successor(&candidates, synchronous);
+    if chosen.is_none() || situation.statuses.len() < required {
+        Event::warn("no_successor")
+            .field("service", service)
+            .field("replicas", situation.others.len())
+            .field("statuses", situation.statuses.len())
+            .field("candidates", candidates.len())
+            .field("required", required)
+            .log();
+        return None;
+    }
+    chosen.cloned()
 }
 
 /// Claims the lease of a service for a successor; `None` if another node holds
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -44,9 +44,6 @@
     address: Option<SocketAddr>,
     /// When it was written, on the store's clock in milliseconds.
     renewed_at: u64,
-    /// Set once, when the node leaves.
-    #[serde(default)]
-    leaving: bool,
 }
 
 /// What is known of the fleet.
@@ -91,12 +88,11 @@
 }
 
 /// Keeps this node registered and the view of the fleet fresh. Runs until the
-/// process ends.
+/// node leaves.
 pub(crate) async fn keep_registered<P: Platform>(gateway: Arc<Gateway<P>>) {
     let started = Instant::now();
-    let mut store_time = 0;
-    loop {
-        let pause = match register(&gateway, &mut store_time).await {
+    while !gateway.is_leaving() {
+        let pause = match register(&gateway).await {
             Ok(()) => REGISTER_INTERVAL,
             Err(error) => {
                 gateway.metrics.store_failures.add();
@@ -115,16 +111,12 @@
     }
 }
 
-async fn register<P: Platform>(
-    gateway: &Gateway<P>,
-    store_time: &mut u64,
-) -> Result<(), StoreError> {
+async fn register<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     if gateway.fleet.key().is_none() {
         let key = bounded(shared_key(gateway)).await?;
         lock(&gateway.fleet.view).key = Some(key);
     }
     let rows = bounded(gateway.platform.read_rows(FleetTable::Nodes, None)).await?;
-    *store_time = rows.now;
     adopt(gateway, &rows);
     bounded(write_own_row(gateway, rows.now)).await
 }
@@ -139,7 +131,6 @@
     let row = NodeRow {
         address: gateway.settings.peer_address,
         renewed_at: now,
-        leaving: gateway.is_leaving(),
     };
     let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
     gateway
@@ -149,6 +140,17 @@
         .map(|_| ())
 }
 
+/// Takes this node out of the fleet, so that nobody waits for its answers.
+pub(crate) async fn deregister<P: Platform>(gateway: &Gateway<P>) {
+    let node = &gateway.settings.node;
+    let removed = bounded(gateway.platform.remove_row(FleetTable::Nodes, node)).await;
+    if let Err(error) = removed {
+        Event::info("registration_failed")
+            .field("error", error)
+            .log();
+    }
+}
+
 /// The key between nodes; made by whichever node comes first.
 async fn shared_key<P: Platform>(gateway: &Gateway<P>) -> Result<PeerKey, StoreError> {
     let own: [u8; PEER_KEY_LENGTH] = rand::random();
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -75,7 +75,7 @@
     pub fn new(platform: Arc<P>, settings: GatewaySettings) -> Arc<Self> {
         Arc::new(Self {
             platform,
-            beliefs: Beliefs::new(settings.places.clone()),
+            beliefs: Beliefs::new(settings.places.clone(), settings.drain),
             settings,
             pools: Pools::new(ASSUMED_NODES),
             metrics: Metrics::default(),
--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::fleet;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
@@ -22,7 +23,7 @@
 /// requests of one operation are not sent away at once.
 const IDLE_DELAY: Duration = Duration::from_millis(300);
 /// Left before the end of the grace period.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+const EXIT_MARGIN: Duration = Duration::from_millis(1_000);
 /// How often the sessions left are counted.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -60,6 +61,7 @@
             break;
         }
     }
+    fleet::deregister(&gateway).await;
     Event::info("node_stopped")
         .field("node", &gateway.settings.node)
         .field("sessions_left", open_sessions(&gateway))
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -113,26 +113,22 @@
         .await;
 }
 
-/// What other nodes found, and how many were asked.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct PeerFindings {
-    pub tally: ReachabilityTally,
-    pub not_primary: usize,
-    pub asked: usize,
-}
-
-/// Asks other nodes whether they reach an instance as a primary.
-pub(crate) async fn ask<P: Platform>(gateway: &Gateway<P>, instance: &InstanceId) -> PeerFindings {
+/// Asks other nodes whether they reach an instance as a primary. Nothing is
+/// counted while the fleet is not known.
+pub(crate) async fn ask<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &InstanceId,
+) -> ReachabilityTally {
     let mut peers = gateway.fleet.peers(&gateway.settings.node);
     peers.shuffle(&mut rand::rng());
     peers.truncate(MOST_ASKED);
     let socket = lock(&gateway.peers.socket).clone();
     let (Some(key), Some(socket)) = (gateway.fleet.key(), socket) else {
-        return PeerFindings::default();
+        return ReachabilityTally::default();
     };
-    let mut findings = PeerFindings {
-        asked: peers.len(),
-        ..PeerFindings::default()
+    let mut tally = ReachabilityTally {
+        nodes: peers.len() + 1,
+        ..ReachabilityTally::default()
     };
     let number = rand::random();
     let (sender, receiver) = mpsc::unbounded_channel();
@@ -142,9 +138,9 @@
         instance: instance.0.to_string(),
     };
     let datagram = encode_reachability(&message, &key);
-    collect(&socket, &peers, &datagram, receiver, &mut findings).await;
+    collect(&socket, &peers, &datagram, receiver, &mut tally).await;
     lock(&gateway.peers.waiting).remove(&number);
-    findings
+    tally
 }
 
 async fn collect(
@@ -152,7 +148,7 @@
     peers: &[SocketAddr],
     datagram: &[u8],
     mut receiver: mpsc::UnboundedReceiver<(SocketAddr, Reachability)>,
-    findings: &mut PeerFindings,
+    tally: &mut ReachabilityTally,
 ) {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let repeat_at = Instant::now() + REPEAT_AFTER;
@@ -165,9 +161,9 @@
             Ok(Some((from, found))) if !answered.contains(&from) => {
                 answered.push(from);
                 match found {
-                    Reachability::Reached => findings.tally.reached += 1,
-                    Reachability::Unreached => findings.tally.unreached += 1,
-                    Reachability::NotPrimary => findings.not_primary += 1,
+                    Reachability::Reached => tally.reached += 1,
+                    Reachability::Unreached => tally.unreached += 1,
+                    Reachability::NotPrimary => tally.not_primary += 1,
                 }
             }
             Ok(Some(_)) => {}
