--- /dev/null
+++ b/crates/linkhold-core/tests/service_directory.rs
@@ -0,0 +1,122 @@
+//! The directory of instances and the belief about primaries.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::directory::{Directory, PrimarySource};
+use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+
+const DRAIN: Duration = Duration::from_millis(7_000);
+
+fn instance(id: &str, role: Role, lifecycle: Lifecycle) -> Instance {
+    Instance {
+        id: InstanceId(id.into()),
+        service: "ledger".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".into(),
+        capacity: 3,
+        lifecycle,
+        role,
+    }
+}
+
+fn ready(id: &str, role: Role) -> Instance {
+    instance(id, role, Lifecycle::Ready)
+}
+
+fn primary(directory: &Directory) -> Option<String> {
+    directory
+        .primary("ledger")
+        .map(|instance| instance.id.to_string())
+}
+
+#[test]
+fn an_announced_primary_is_believed_until_it_denies_or_another_announces() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(ready("one", Role::Primary), now);
+    directory.announce(ready("two", Role::Replica), now);
+    assert_eq!(primary(&directory).as_deref(), Some("one"));
+    directory.deny_primary(&InstanceId("one".into()));
+    assert_eq!(primary(&directory), None);
+    directory.announce(ready("one", Role::Primary), now);
+    assert_eq!(
+        primary(&directory),
+        None,
+        "a repeated announcement is old news"
+    );
+    directory.announce(ready("two", Role::Primary), now);
+    assert_eq!(primary(&directory).as_deref(), Some("two"));
+}
+
+#[test]
+fn a_denial_is_forgotten_when_the_instance_is_promoted_again() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(ready("one", Role::Primary), now);
+    let one = InstanceId("one".into());
+    directory.deny_primary(&one);
+    directory.announce(ready("one", Role::Replica), now);
+    directory.announce(ready("one", Role::Primary), now);
+    assert_eq!(primary(&directory).as_deref(), Some("one"));
+    directory.deny_primary(&one);
+    directory.confirm_primary(&one, PrimarySource::Promoted);
+    assert_eq!(primary(&directory).as_deref(), Some("one"));
+}
+
+#[test]
+fn an_absence_while_the_directory_was_disturbed_proves_nothing_yet() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(ready("one", Role::Replica), start);
+    let one = InstanceId("one".into());
+    directory.disturbed(start);
+    directory.vanish(&one, start + Duration::from_millis(100));
+    let soon = start + Directory::LAPSE - Duration::from_millis(1);
+    assert!(!directory.is_leaving(&one, soon));
+    let later = start + Directory::LAPSE + Duration::from_millis(1);
+    assert!(directory.is_leaving(&one, later));
+    directory.announce(ready("one", Role::Replica), later);
+    assert!(!directory.is_leaving(&one, later));
+}
+
+#[test]
+fn a_vanished_instance_is_forgotten_after_its_drain_time_only() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(ready("one", Role::Primary), start);
+    let one = InstanceId("one".into());
+    directory.vanish(&one, start);
+    assert!(directory.expire(start + DRAIN, DRAIN).is_empty());
+    let late = start + DRAIN + Duration::from_millis(1);
+    assert_eq!(directory.expire(late, DRAIN), vec![one]);
+    assert_eq!(primary(&directory), None);
+}
+
+#[test]
+fn draining_counts_from_its_first_announcement() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    let one = InstanceId("one".into());
+    let leaving = instance("one", Role::Replica, Lifecycle::Draining);
+    directory.announce(ready("one", Role::Replica), start);
+    assert_eq!(directory.leaving_for(&one, start), None);
+    directory.announce(leaving.clone(), start);
+    let later = start + Duration::from_secs(2);
+    directory.announce(leaving, later);
+    assert_eq!(
+        directory.leaving_for(&one, later),
+        Some(Duration::from_secs(2))
+    );
+}
+
+#[test]
+fn a_whole_list_makes_what_it_lacks_vanish() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(ready("one", Role::Primary), start);
+    directory.announce(ready("two", Role::Replica), start);
+    directory.replace(vec![ready("two", Role::Replica)], start);
+    let later = start + Duration::from_millis(1);
+    assert!(directory.is_leaving(&InstanceId("one".into()), later));
+    assert!(!directory.is_leaving(&InstanceId("two".into()), later));
+}
--- /dev/null
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -0,0 +1,144 @@
+//! Who may replace a primary, when, and in favour of whom.
+
+use std::time::Duration;
+
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::failover::{
+    ClaimDecision, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
+    choose_successor, claim, is_current, may_hand_over, statuses_required,
+};
+use linkhold_core::service::instance::{InstanceId, Role};
+use proptest::prelude::*;
+
+fn id(name: &str) -> InstanceId {
+    InstanceId(name.into())
+}
+
+fn candidate(name: &str, received: Position, is_leaving: bool) -> Successor {
+    Successor {
+        status: InstanceStatus {
+            id: id(name),
+            role: Role::Replica,
+            term: Term(received.term.0),
+            received,
+        },
+        is_leaving,
+    }
+}
+
+proptest! {
+    /// Nodes claim at any times on a store that decides by row version: tokens
+    /// never repeat for another holder or successor, and no other node claims
+    /// within the lease.
+    #[test]
+    fn tokens_belong_to_one_holder_and_one_successor(
+        claims in prop::collection::vec((0_u8..4, 0_u8..3, 0_u64..3_000), 1..60),
+    ) {
+        let mut now = 1_000;
+        let mut current: Option<FailoverLease> = None;
+        let mut seen: Vec<FailoverLease> = Vec::new();
+        for (node, successor, pause) in claims {
+            now += pause;
+            let node = format!("node-{node}");
+            let successor = id(&format!("instance-{successor}"));
+            let ClaimDecision::Write(lease) = claim(current.as_ref(), &node, &successor, now) else {
+                continue;
+            };
+            if let Some(previous) = &current {
+                prop_assert!(lease.token >= previous.token);
+                if previous.holder != lease.holder {
+                    let age = now - previous.claimed_at;
+                    prop_assert!(Duration::from_millis(age) >= LEASE);
+                }
+            }
+            for other in seen.iter().filter(|other| other.token == lease.token) {
+                prop_assert_eq!(&other.holder, &lease.holder);
+                prop_assert_eq!(&other.successor, &lease.successor);
+            }
+            seen.push(lease.clone());
+            current = Some(lease);
+        }
+    }
+}
+
+#[test]
+fn a_primary_that_any_node_reaches_is_not_lost() {
+    let tally = ReachabilityTally {
+        nodes: 7,
+        reached: 1,
+        unreached: 6,
+        not_primary: 0,
+    };
+    assert!(!tally.is_lost());
+}
+
+#[test]
+fn a_silent_node_may_be_on_the_side_of_the_primary() {
+    let mut tally = ReachabilityTally {
+        nodes: 7,
+        reached: 0,
+        unreached: 6,
+        not_primary: 0,
+    };
+    assert!(!tally.is_lost());
+    tally.unreached = 7;
+    assert!(tally.is_lost());
+    assert!(!ReachabilityTally::default().is_lost(), "nothing is known");
+}
+
+#[test]
+fn the_most_advanced_replica_is_promoted_and_all_choose_alike() {
+    let candidates = [
+        candidate("b", Position::new(2, 10), false),
+        candidate("a", Position::new(2, 10), false),
+        candidate("c", Position::new(1, 90), false),
+    ];
+    let chosen = choose_successor(&candidates, 0).unwrap();
+    assert_eq!(chosen.status.id, id("a"));
+}
+
+#[test]
+fn a_leaving_replica_is_passed_over_unless_it_alone_may_hold_a_commit() {
+    let candidates = [
+        candidate("a", Position::new(1, 12), true),
+        candidate("b", Position::new(1, 10), false),
+    ];
+    assert_eq!(choose_successor(&candidates, 0).unwrap().status.id, id("b"));
+    assert_eq!(choose_successor(&candidates, 1).unwrap().status.id, id("a"));
+    assert_eq!(
+        choose_successor(&candidates[..1], 0).unwrap().status.id,
+        id("a")
+    );
+}
+
+#[test]
+fn with_synchronous_replicas_enough_must_have_told_their_position() {
+    assert_eq!(statuses_required(2, 0), 1);
+    assert_eq!(statuses_required(2, 1), 2);
+    assert_eq!(statuses_required(3, 2), 2);
+    assert_eq!(statuses_required(1, 1), 1);
+}
+
+#[test]
+fn a_log_of_an_older_term_than_was_proved_is_not_promoted() {
+    let old = candidate("a", Position::new(1, 900), false).status;
+    assert!(is_current(&old, None));
+    assert!(is_current(&old, Some(Position::new(1, 950))));
+    assert!(!is_current(&old, Some(Position::new(2, 10))));
+}
+
+#[test]
+fn a_leaving_primary_waits_for_a_successor_that_is_far_behind() {
+    let drain = Duration::from_secs(7);
+    let primary = Position::new(1, 1_000);
+    let close = Position::new(1, 990);
+    let behind = Position::new(1, 500);
+    assert!(may_hand_over(primary, close, Duration::ZERO, drain));
+    assert!(!may_hand_over(primary, behind, Duration::ZERO, drain));
+    assert!(may_hand_over(
+        primary,
+        behind,
+        Duration::from_secs(5),
+        drain
+    ));
+}
--- /dev/null
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -0,0 +1,155 @@
+//! Placement of reads, health of instances, shares of connections, session
+//! state on connections.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use linkhold_core::service::connection_share;
+use linkhold_core::service::health::InstanceHealth;
+use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::placement::{Candidate, Distance, choose};
+use linkhold_core::service::session::{Access, ConnectionState, Prepared, SessionValues};
+use linkhold_core::service::waiting;
+use proptest::prelude::*;
+
+fn instance(name: &str) -> Instance {
+    Instance {
+        id: InstanceId(name.into()),
+        service: "ledger".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".into(),
+        capacity: 3,
+        lifecycle: Lifecycle::Ready,
+        role: Role::Replica,
+    }
+}
+
+fn chosen(
+    candidates: [(&Instance, &InstanceHealth, Distance); 2],
+    now: Instant,
+) -> Option<InstanceId> {
+    let candidates = candidates
+        .into_iter()
+        .map(|(instance, health, distance)| Candidate {
+            instance,
+            health,
+            distance,
+        });
+    choose(candidates, &[], now).map(|instance| instance.id.clone())
+}
+
+#[test]
+fn the_nearest_serves_until_it_is_slow_busy_behind_or_failing() {
+    let now = Instant::now();
+    let (near, far) = (instance("near"), instance("far"));
+    let well = InstanceHealth::default();
+    let pick = |health: &InstanceHealth| {
+        chosen(
+            [
+                (&near, health, Distance::Zone),
+                (&far, &well, Distance::Remote),
+            ],
+            now,
+        )
+        .unwrap()
+        .0
+        .to_string()
+    };
+    assert_eq!(pick(&well), "near");
+    let mut slow = InstanceHealth::default();
+    slow.succeeded(now, Duration::from_millis(900));
+    assert_eq!(pick(&slow), "far");
+    let mut busy = InstanceHealth::default();
+    busy.was_busy(now, Duration::from_millis(40));
+    assert_eq!(pick(&busy), "far");
+    let mut behind = InstanceHealth::default();
+    behind.lagged(now, Duration::from_millis(150));
+    assert_eq!(pick(&behind), "far");
+    let mut failing = InstanceHealth::default();
+    failing.failed(now);
+    assert_eq!(pick(&failing), "far");
+}
+
+#[test]
+fn a_failing_instance_is_tried_by_one_request_at_a_time() {
+    let now = Instant::now();
+    let (one, two) = (instance("one"), instance("two"));
+    let mut health = InstanceHealth::default();
+    health.failed(now);
+    let both = |health: &InstanceHealth, at| {
+        chosen(
+            [
+                (&one, health, Distance::Zone),
+                (&two, health, Distance::Zone),
+            ],
+            at,
+        )
+    };
+    assert_eq!(both(&health, now), None);
+    let later = now + Duration::from_secs(3);
+    assert!(both(&health, later).is_some());
+    health.begin_trial(later);
+    assert_eq!(both(&health, later), None);
+    health.succeeded(later, Duration::from_millis(5));
+    assert!(both(&health, later).is_some());
+}
+
+#[test]
+fn shares_never_exceed_the_limit_unless_there_are_more_nodes_than_connections() {
+    for limit in 1..200 {
+        for nodes in 1..=limit * 85 / 100 {
+            assert!(connection_share::of_node(limit, nodes) * nodes <= limit);
+        }
+        assert_eq!(connection_share::of_node(limit, 10_000), 1);
+    }
+}
+
+#[test]
+fn a_request_waits_for_less_than_a_quarter_of_its_objective() {
+    let objective = Duration::from_millis(400);
+    assert!(waiting::patience(objective) < objective / 4);
+}
+
+fn values() -> impl Strategy<Value = SessionValues> {
+    prop::collection::btree_map(0_u8..5, 0_u8..3, 0..5).prop_map(|map| {
+        map.into_iter()
+            .map(|(name, value)| (Bytes::from(vec![name]), Bytes::from(vec![value])))
+            .collect()
+    })
+}
+
+/// What an instance does with the steps a connection is told.
+#[derive(Default)]
+struct InstanceSession {
+    values: SessionValues,
+    prepared: Vec<Prepared>,
+}
+
+proptest! {
+    /// Whatever sessions use a connection in turn, the instance has exactly
+    /// the values of the one that uses it, and its prepared statements.
+    #[test]
+    fn a_connection_has_exactly_its_present_session_state(
+        users in prop::collection::vec((values(), 0_u8..4), 1..40),
+    ) {
+        let mut recorded = ConnectionState::default();
+        let mut actual = InstanceSession::default();
+        for (wanted, shape) in users {
+            let changes = recorded.adopt_values(&wanted);
+            if changes.discard {
+                actual = InstanceSession::default();
+            }
+            for (name, value) in changes.set {
+                actual.values.insert(name, value);
+            }
+            prop_assert_eq!(&actual.values, &wanted);
+            let prepared = Prepared { access: Access::Read, shape: Bytes::from(vec![shape]) };
+            let (number, is_new) = recorded.adopt_prepared(&prepared);
+            if is_new {
+                prop_assert_eq!(actual.prepared.len(), number);
+                actual.prepared.push(prepared.clone());
+            }
+            prop_assert_eq!(&actual.prepared[number], &prepared);
+        }
+    }
+}
