--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -129,7 +129,7 @@
 
 async fn write_own_row<P: Platform>(gateway: &Gateway<P>, now: u64) -> Result<(), StoreError> {
     let row = NodeRow {
-        address: gateway.settings.peer_address,
+        address: gateway.peers.address(),
         renewed_at: now,
     };
     let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
@@ -175,7 +175,7 @@
 fn adopt<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
     let own_name = &gateway.settings.node;
     let mut nodes = BTreeMap::new();
-    nodes.insert(own_name.clone(), gateway.settings.peer_address);
+    nodes.insert(own_name.clone(), gateway.peers.address());
     for row in &rows.rows {
         let Ok(node) = serde_json::from_slice::<NodeRow>(&row.value) else {
             continue;
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -41,6 +41,13 @@
     waiting: Waiting,
 }
 
+impl Peers {
+    /// Where other nodes reach this one; `None` until it listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        lock(&self.socket).as_ref()?.local_addr().ok()
+    }
+}
+
 /// Answers other nodes' questions and passes on their answers. Runs until the
 /// process ends.
 pub(crate) async fn answer_questions<P: Platform>(gateway: Arc<Gateway<P>>) {
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -29,8 +29,11 @@
 use crate::pool::Urgency;
 use crate::ports::{BackendErrorKind, BackendReply, Platform};
 
-/// Pause before an instance that was full is tried again.
-const BUSY_PAUSE: Duration = Duration::from_millis(12);
+/// Pause before an instance that was full is tried again; it doubles up to
+/// [`LONGEST_BUSY_PAUSE`].
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause between tries on the same instance.
+const LONGEST_BUSY_PAUSE: Duration = Duration::from_millis(80);
 /// Pause before a round over all instances is begun again.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for a connection while other instances are left to try.
@@ -105,6 +108,7 @@
     let frame = primary_frame(work, opening);
     let repeatable = work.access() == Access::Read && opening == Opening::Alone;
     let mut reason = NotRun::NoPrimary;
+    let mut pause = BUSY_PAUSE;
     loop {
         let primary = wait_for_primary(gateway, unit, reason).await?;
         let bounds = Bounds {
@@ -122,7 +126,8 @@
                 reason = refusal_reason(cause);
                 retrying(gateway, work, &primary, cause);
                 if cause != NotRunCause::Refused(BackendErrorKind::ReadOnly) {
-                    sleep(BUSY_PAUSE).await;
+                    sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_BUSY_PAUSE);
                 }
             }
             Attempt::Lost if repeatable => reason = NotRun::BackendUnavailable,
