--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -42,8 +42,18 @@
     instance: Arc<Instance>,
     /// When it was found missing; `None` while it is listed.
     missing_since: Option<Instant>,
-    /// When it first said that it drains.
-    draining_since: Option<Instant>,
+    draining: Draining,
+}
+
+/// Since when an instance says that it drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Draining {
+    /// It does not.
+    No,
+    /// It began while this node watched.
+    Since(Instant),
+    /// It already did when this node first saw it, for who knows how long.
+    Unknown,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +68,7 @@
     entries: HashMap<InstanceId, Entry>,
     primaries: HashMap<ServiceName, PrimaryBelief>,
     disturbed_at: Option<Instant>,
+    first_read_at: Option<Instant>,
 }
 
 impl Directory {
@@ -71,12 +82,18 @@
         let role = instance.role;
         let known = self.entries.get(&id);
         let previous = known.map(|entry| entry.instance.role);
-        let draining_since = (instance.lifecycle == Lifecycle::Draining)
-            .then(|| known.and_then(|entry| entry.draining_since).unwrap_or(now));
+        let draining = match (instance.lifecycle, known) {
+            (Lifecycle::Ready, _) => Draining::No,
+            (Lifecycle::Draining, None) => Draining::Unknown,
+            (Lifecycle::Draining, Some(entry)) => match entry.draining {
+                Draining::No => Draining::Since(now),
+                known => known,
+            },
+        };
         let entry = Entry {
             instance: Arc::new(instance),
             missing_since: None,
-            draining_since,
+            draining,
         };
         self.entries.insert(id.clone(), entry);
         if previous == Some(role) && self.primary_id(&service).is_some() {
@@ -107,6 +124,7 @@
 
     /// Everything that is listed now; what else was known vanishes.
     pub fn replace(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<PrimaryChange> {
+        self.first_read_at.get_or_insert(now);
         let ids: Vec<InstanceId> = listed.iter().map(|instance| instance.id.clone()).collect();
         let missing: Vec<InstanceId> = self
             .entries
@@ -168,12 +186,22 @@
         })
     }
 
-    /// How long an instance has been leaving, if it is.
+    /// Whether what is not listed is not there: the directory has been read
+    /// and has not been disturbed lately.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        let is_calm = |at: Instant| now.saturating_duration_since(at) > Self::LAPSE;
+        self.first_read_at.is_some_and(is_calm) && self.disturbed_at.is_none_or(is_calm)
+    }
+
+    /// How long an instance has been leaving, if it is. One that was leaving
+    /// before this node knew it counts as having left long ago.
     pub fn leaving_for(&self, id: &InstanceId, now: Instant) -> Option<Duration> {
         let entry = self.entries.get(id)?;
-        let draining = entry
-            .draining_since
-            .map(|since| now.saturating_duration_since(since));
+        let draining = match entry.draining {
+            Draining::No => None,
+            Draining::Since(since) => Some(now.saturating_duration_since(since)),
+            Draining::Unknown => Some(Duration::MAX),
+        };
         draining.max(self.absence(entry, now))
     }
 
--- a/crates/linkhold-core/tests/service_directory.rs
+++ b/crates/linkhold-core/tests/service_directory.rs
@@ -120,3 +120,26 @@
     assert!(directory.is_leaving(&InstanceId("one".into()), later));
     assert!(!directory.is_leaving(&InstanceId("two".into()), later));
 }
+
+#[test]
+fn an_instance_first_seen_draining_may_have_drained_for_long() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    let one = InstanceId("one".into());
+    let leaving = instance("one", Role::Replica, Lifecycle::Draining);
+    directory.replace(vec![leaving], start);
+    assert_eq!(directory.leaving_for(&one, start), Some(Duration::MAX));
+}
+
+#[test]
+fn what_is_not_listed_may_be_there_until_the_directory_has_settled() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    assert!(!directory.is_settled(start + Duration::from_secs(60)));
+    directory.replace(vec![ready("two", Role::Replica)], start);
+    assert!(!directory.is_settled(start + Directory::LAPSE));
+    let calm = start + Directory::LAPSE + Duration::from_millis(1);
+    assert!(directory.is_settled(calm));
+    directory.disturbed(calm);
+    assert!(!directory.is_settled(calm + Directory::LAPSE));
+}
--- a/crates/linkhold-events/src/limit.rs
+++ b/crates/linkhold-events/src/limit.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 /// Lines of one name that may come at once.
-const BURST: f64 = 200.0;
+const BURST: f64 = 400.0;
 /// Lines of one name a second in the long run.
-const RATE_PER_SECOND: f64 = 20.0;
+const RATE_PER_SECOND: f64 = 60.0;
 
 /// Whether an event is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -190,6 +190,11 @@
         lock(&self.instances).directory.is_leaving(id, now)
     }
 
+    /// Whether what the directory does not list is not there.
+    pub fn is_directory_settled(&self, now: Instant) -> bool {
+        lock(&self.instances).directory.is_settled(now)
+    }
+
     /// How long an instance has been leaving, if it is.
     pub fn leaving_for(&self, id: &InstanceId, now: Instant) -> Option<Duration> {
         lock(&self.instances).directory.leaving_for(id, now)
--- a/crates/linkhold-gateway/src/failover.rs
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -204,9 +204,20 @@
         .log();
 }
 
-/// Whether any instance that told this node no status may still be serving
-/// writes through another node.
-async fn someone_may_lead<P: Platform>(gateway: &Gateway<P>, situation: &Situation) -> bool {
+/// Whether an instance that this node does not see as primary may be one: it is
+/// not listed for now, or it told this node nothing and may serve others.
+async fn someone_may_lead<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    situation: &Situation,
+) -> bool {
+    if !gateway.beliefs.is_directory_settled(Instant::now()) {
+        Event::info("promotion_withheld")
+            .field("service", service)
+            .field("reason", "directory_not_settled")
+            .log();
+        return true;
+    }
     for instance in &situation.others {
         let answered = situation
             .statuses
@@ -246,7 +257,7 @@
     let Some(successor) = successor(gateway, service, &situation) else {
         return;
     };
-    if trouble == Trouble::Unknown && someone_may_lead(gateway, &situation).await {
+    if trouble == Trouble::Unknown && someone_may_lead(gateway, service, &situation).await {
         return;
     }
     let Some(lease) = claim(gateway, service, &successor.status.id).await else {
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -29,6 +29,8 @@
 const EXPIRY: Duration = Duration::from_millis(13_000);
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a node that stops waits for its row to be removed.
+const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Row of the key between nodes.
 const PEER_KEY_ROW: &str = "peer";
 /// Bytes of that key.
@@ -143,12 +145,9 @@
 /// Takes this node out of the fleet, so that nobody waits for its answers.
 pub(crate) async fn deregister<P: Platform>(gateway: &Gateway<P>) {
     let node = &gateway.settings.node;
-    let removed = bounded(gateway.platform.remove_row(FleetTable::Nodes, node)).await;
-    if let Err(error) = removed {
-        Event::info("registration_failed")
-            .field("error", error)
-            .log();
-    }
+    let removal = gateway.platform.remove_row(FleetTable::Nodes, node);
+    // Without it, the row expires by itself.
+    let _ = timeout(DEREGISTER_TIMEOUT, removal).await;
 }
 
 /// The key between nodes; made by whichever node comes first.
