--- a/crates/linkhold-core/src/service/connection_share.rs
+++ b/crates/linkhold-core/src/service/connection_share.rs
@@ -11,6 +11,17 @@
 
 /// The share of one of `nodes` nodes in `limit` connections; at least one.
 pub fn of_node(limit: usize, nodes: usize) -> usize {
-    let shared = limit * SHARED_PERCENT / 100;
-    (shared / nodes.max(1)).max(1)
+    (shared(limit) / nodes.max(1)).max(1)
+}
+
+/// The share of a node that has just started, while connections of its last
+/// life may still stand: half of what it will have, at least one. Less was
+/// measured and is worse: transactions hold a connection each, and a refusal
+/// for the limit costs less than a wait.
+pub fn of_starting_node(limit: usize, nodes: usize) -> usize {
+    of_node(limit, nodes).div_ceil(2)
+}
+
+fn shared(limit: usize) -> usize {
+    limit * SHARED_PERCENT / 100
 }
--- a/crates/linkhold-core/tests/service_placement.rs
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -99,6 +99,9 @@
     for limit in 1..200 {
         for nodes in 1..=limit * 85 / 100 {
             assert!(connection_share::of_node(limit, nodes) * nodes <= limit);
+            let restarted = connection_share::of_starting_node(limit, nodes);
+            let standing = connection_share::of_node(limit, nodes);
+            assert!(restarted >= 1 && restarted <= standing);
         }
         assert_eq!(connection_share::of_node(limit, 10_000), 1);
     }
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
@@ -35,10 +35,6 @@
 const PEER_KEY_ROW: &str = "peer";
 /// Bytes of that key.
 const PEER_KEY_LENGTH: usize = 32;
-/// How long a new node takes only part of its share of connections: those of
-/// its last life may still stand.
-pub(crate) const RAMP: Duration = Duration::from_millis(3_200);
-
 /// A node's row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct NodeRow {
@@ -92,7 +88,6 @@
 /// Keeps this node registered and the view of the fleet fresh. Runs until the
 /// node leaves.
 pub(crate) async fn keep_registered<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let started = Instant::now();
     while !gateway.is_leaving() {
         let pause = match register(&gateway).await {
             Ok(()) => REGISTER_INTERVAL,
@@ -104,11 +99,6 @@
                 RETRY_INTERVAL
             }
         };
-        let pause = if started.elapsed() < RAMP {
-            pause.min(RAMP)
-        } else {
-            pause
-        };
         sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
@@ -195,5 +185,5 @@
             .field("previous", previous)
             .log();
     }
-    gateway.pools.update_shares(count, &gateway.beliefs);
+    gateway.pools.set_nodes(count, &gateway.beliefs);
 }
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -156,11 +156,13 @@
     Ok(next)
 }
 
-/// Forgets instances that are gone for good. Runs until the process ends.
+/// Forgets instances that are gone for good and keeps shares of connections
+/// up to date. Runs until the process ends.
 pub async fn expire_instances<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
         let drain = gateway.settings.drain;
+        gateway.pools.refresh_shares(&gateway.beliefs);
         for id in gateway.beliefs.expire_instances(Instant::now(), drain) {
             gateway.pools.forget(&id);
         }
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::connection_share;
@@ -18,8 +19,13 @@
     limits: Mutex<HashMap<ServiceName, Arc<AtomicUsize>>>,
     /// Nodes that share the connections, this one included.
     nodes: AtomicUsize,
+    started: Instant,
 }
 
+/// How long connections of this node's last life may still stand: an instance
+/// drops those whose far end has gone dark after some seconds.
+const LAST_LIFE: Duration = Duration::from_millis(3_300);
+
 impl<C: BackendConnection> Pools<C> {
     /// No pools; `nodes` is the number assumed until the fleet is known.
     pub fn new(nodes: usize) -> Self {
@@ -27,6 +33,7 @@
             pools: Mutex::default(),
             limits: Mutex::default(),
             nodes: AtomicUsize::new(nodes.max(1)),
+            started: Instant::now(),
         }
     }
 
@@ -54,12 +61,23 @@
             .map_or(connection_share::UNKNOWN_LIMIT, |limits| {
                 limits.max_connections
             });
-        connection_share::of_node(most, self.nodes.load(Ordering::Relaxed))
+        let nodes = self.nodes.load(Ordering::Relaxed);
+        if self.started.elapsed() < LAST_LIFE {
+            connection_share::of_starting_node(most, nodes)
+        } else {
+            connection_share::of_node(most, nodes)
+        }
     }
 
-    /// Takes in a new number of nodes or new limits.
-    pub fn update_shares(&self, nodes: usize, beliefs: &Beliefs) {
+    /// Takes in a new number of nodes.
+    pub fn set_nodes(&self, nodes: usize, beliefs: &Beliefs) {
         self.nodes.store(nodes.max(1), Ordering::Relaxed);
+        self.refresh_shares(beliefs);
+    }
+
+    /// Works out all shares anew: limits may have changed, or the node is no
+    /// longer a new one.
+    pub fn refresh_shares(&self, beliefs: &Beliefs) {
         for (service, limit) in lock(&self.limits).iter() {
             limit.store(self.share(service, beliefs), Ordering::Relaxed);
         }
