Share out 60% of the connections; starting nodes take the rest

Change: 60% of the limit is shared out, a node's first 3.3 s use its part of the remaining 40%, so that both lives together stay within the limit.

--- a/crates/linkhold-core/src/service/connection_share.rs
+++ b/crates/linkhold-core/src/service/connection_share.rs
@@ -7,7 +7,7 @@
 /// Limit assumed for a service whose limit is not known.
 pub const UNKNOWN_LIMIT: usize = 20;
 /// Part of the limit that is shared out, in percent.
-const SHARED_PERCENT: usize = 85;
+const SHARED_PERCENT: usize = 60;
 
 /// The share of one of `nodes` nodes in `limit` connections; at least one.
 pub fn of_node(limit: usize, nodes: usize) -> usize {
@@ -15,11 +15,12 @@
 }
 
 /// The share of a node that has just started, while connections of its last
-/// life may still stand: half of what it will have, at least one. Less was
-/// measured and is worse: transactions hold a connection each, and a refusal
-/// for the limit costs less than a wait.
+/// life may still stand: its part of what is not shared out, at least one. A
+/// fleet that lost power as a whole stays within the limit.
 pub fn of_starting_node(limit: usize, nodes: usize) -> usize {
-    of_node(limit, nodes).div_ceil(2)
+    let nodes = nodes.max(1);
+    let reserve = limit.saturating_sub(of_node(limit, nodes) * nodes);
+    (reserve / nodes).clamp(1, of_node(limit, nodes))
 }
 
 fn shared(limit: usize) -> usize {
