Follow a reader of the store in fleets over 16 nodes

Change: two readers a zone; the others follow one over the peer protocol, with ages that bound what they trust (2 s), and read the store when it is lost.

--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -218,6 +218,20 @@
             .filter(move |instance| &*instance.service == service)
     }
 
+    /// All instances, and whether each is listed, in the order of identities.
+    pub fn all(&self) -> Vec<(Instance, bool)> {
+        let mut all: Vec<(Instance, bool)> = self
+            .entries
+            .values()
+            .map(|entry| {
+                let is_listed = entry.missing_since.is_none();
+                (entry.instance.as_ref().clone(), is_listed)
+            })
+            .collect();
+        all.sort_by(|first, second| first.0.id.cmp(&second.0.id));
+        all
+    }
+
     /// Whether no instance was ever listed.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -9,5 +9,6 @@
 pub mod health;
 pub mod instance;
 pub mod placement;
+pub mod readers;
 pub mod session;
 pub mod waiting;
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -38,6 +38,8 @@
     configuration: Mutex<Option<Arc<Configuration>>>,
     instances: Mutex<InstanceBeliefs>,
     changes: watch::Sender<u64>,
+    /// Counts changes of the configuration and of the list of instances alone.
+    told: watch::Sender<u64>,
 }
 
 impl Beliefs {
@@ -49,6 +51,7 @@
             configuration: Mutex::default(),
             instances: Mutex::default(),
             changes: watch::channel(0).0,
+            told: watch::channel(0).0,
         }
     }
 
@@ -57,6 +60,16 @@
         self.changes.subscribe()
     }
 
+    /// Wakes when the configuration or the list of instances changes.
+    pub fn subscribe_to_lists(&self) -> watch::Receiver<u64> {
+        self.told.subscribe()
+    }
+
+    /// All instances, and whether each is listed.
+    pub fn all_instances(&self) -> Vec<(Instance, bool)> {
+        lock(&self.instances).directory.all()
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         lock(&self.configuration).clone()
@@ -76,7 +89,7 @@
             .log();
         *current = Some(Arc::new(configuration));
         drop(current);
-        self.announce_change();
+        self.lists_changed();
     }
 
     /// Limits of a service, if it is configured.
@@ -98,7 +111,7 @@
         for change in changes {
             log_primary(&change);
         }
-        self.announce_change();
+        self.lists_changed();
     }
 
     /// An instance is announced or changed its announcement.
@@ -106,7 +119,7 @@
         self.log_instance(&instance);
         let change = lock(&self.instances).directory.announce(instance, now);
         self.after(change);
-        self.announce_change();
+        self.lists_changed();
     }
 
     fn log_instance(&self, instance: &Instance) {
@@ -304,6 +317,11 @@
             .latest_sent_at()
     }
 
+    fn lists_changed(&self) {
+        self.told.send_modify(|count| *count += 1);
+        self.announce_change();
+    }
+
     fn announce_change(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
 use crate::settings::GatewaySettings;
+use crate::sources::Sources;
 
 /// Nodes assumed to share the connections until the fleet is known.
 const ASSUMED_NODES: usize = 9;
@@ -40,6 +41,7 @@
     pub(crate) questions: Questions,
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
+    pub(crate) sources: Sources,
     pub(crate) leases: HeldLeases,
     leaving: AtomicBool,
 }
@@ -83,6 +85,7 @@
             questions: Questions::default(),
             fleet: Fleet::default(),
             peers: Peers::default(),
+            sources: Sources::default(),
             leases: HeldLeases::default(),
             leaving: AtomicBool::new(false),
         })
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -87,6 +87,9 @@
     let mut contact = Contact::new(&gateway, "configuration");
     let mut cursor: Option<Cursor> = None;
     loop {
+        if gateway.sources.wait_until_reading().await {
+            cursor = None;
+        }
         let answer = match cursor {
             Some(from) => {
                 let call = gateway.platform.follow_configuration(from, FOLLOW_WAIT);
@@ -97,6 +100,7 @@
         match answer {
             Ok((configuration, next)) => {
                 contact.answered();
+                gateway.sources.configuration_answered();
                 cursor = Some(next);
                 if let Some(configuration) = configuration {
                     gateway.beliefs.adopt_configuration(configuration);
@@ -115,6 +119,9 @@
     let mut contact = Contact::new(&gateway, "instances");
     let mut cursor: Option<Cursor> = None;
     loop {
+        if gateway.sources.wait_until_reading().await {
+            cursor = None;
+        }
         let answer = match cursor {
             Some(from) => follow_instances(&gateway, from).await,
             None => read_instances(&gateway).await,
@@ -122,6 +129,7 @@
         match answer {
             Ok(next) => {
                 contact.answered();
+                gateway.sources.instances_answered();
                 cursor = Some(next);
             }
             Err(error) => {
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod beliefs;
 mod evidence_probe;
 mod failover;
+mod feed;
 mod fleet;
 mod gateway;
 mod keeper;
@@ -24,6 +25,7 @@
 pub mod ports;
 mod session;
 pub mod settings;
+mod sources;
 mod statement;
 mod survey;
 mod transaction;
@@ -43,5 +45,7 @@
     tokio::spawn(keeper::expire_instances(gateway.clone()));
     tokio::spawn(fleet::keep_registered(gateway.clone()));
     tokio::spawn(peers::answer_questions(gateway.clone()));
+    tokio::spawn(feed::serve_followers(gateway.clone()));
+    tokio::spawn(sources::choose(gateway.clone()));
     tokio::spawn(failover::watch_primaries(gateway.clone()));
 }
--- /dev/null
+++ b/crates/linkhold-peer/src/feed.rs
@@ -0,0 +1,316 @@
+//! What a node that reads the store tells those that follow it.
+//!
+//! Messages are framed on a stream by their length; see [`MAX_FEED_MESSAGE`].
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
+use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use minicbor::{Decode, Encode};
+
+use crate::{PeerError, PeerKey};
+
+/// Longest message, in bytes.
+pub const MAX_FEED_MESSAGE: usize = 8 * 1024 * 1024;
+
+/// A node as a reader knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedNode {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where other nodes reach it.
+    pub address: Option<SocketAddr>,
+}
+
+/// A message of a feed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedMessage {
+    /// A follower asks to be told everything from now on.
+    Subscribe,
+    /// A version of the configuration.
+    Configuration(Configuration),
+    /// All instances, and whether each is still listed.
+    Instances(Vec<(Instance, bool)>),
+    /// All nodes of the fleet.
+    Nodes(Vec<FeedNode>),
+    /// The reader lives; its last answer from the store is this old.
+    Beat {
+        /// Age of the last answer, in milliseconds.
+        age: Duration,
+    },
+}
+
+#[derive(Encode, Decode)]
+struct WireRoute {
+    #[n(0)]
+    database: String,
+    #[n(1)]
+    service: String,
+    #[n(2)]
+    consistency: u8,
+    #[n(3)]
+    staleness_ms: u64,
+    #[n(4)]
+    timeout_ms: u64,
+    #[n(5)]
+    objective_ms: u64,
+    #[n(6)]
+    priority: u8,
+}
+
+#[derive(Encode, Decode)]
+struct WireService {
+    #[n(0)]
+    name: String,
+    #[n(1)]
+    max_connections: u64,
+    #[n(2)]
+    synchronous_replicas: u64,
+}
+
+#[derive(Encode, Decode)]
+struct WireConfiguration {
+    #[n(0)]
+    version: u64,
+    #[n(1)]
+    routes: Vec<WireRoute>,
+    #[n(2)]
+    services: Vec<WireService>,
+    #[n(3)]
+    idle_ms: Option<u64>,
+}
+
+#[derive(Encode, Decode)]
+struct WireInstance {
+    #[n(0)]
+    id: String,
+    #[n(1)]
+    service: String,
+    #[n(2)]
+    address: String,
+    #[n(3)]
+    zone: String,
+    #[n(4)]
+    capacity: u64,
+    #[n(5)]
+    is_draining: bool,
+    #[n(6)]
+    is_primary: bool,
+    #[n(7)]
+    is_listed: bool,
+}
+
+#[derive(Encode, Decode)]
+struct WireNode {
+    #[n(0)]
+    name: String,
+    #[n(1)]
+    zone: String,
+    #[n(2)]
+    address: Option<String>,
+}
+
+#[derive(Encode, Decode)]
+enum WireMessage {
+    #[n(0)]
+    Subscribe,
+    #[n(1)]
+    Configuration(#[n(0)] WireConfiguration),
+    #[n(2)]
+    Instances(#[n(0)] Vec<WireInstance>),
+    #[n(3)]
+    Nodes(#[n(0)] Vec<WireNode>),
+    #[n(4)]
+    Beat(#[n(0)] u64),
+}
+
+const LATEST: u8 = 0;
+const BOUNDED: u8 = 1;
+const READ_YOUR_WRITES: u8 = 2;
+
+/// Encodes a message, without its length.
+pub fn encode_feed(message: &FeedMessage, key: &PeerKey) -> Vec<u8> {
+    let wire = to_wire(message);
+    let body = minicbor::to_vec(&wire).expect("encoding to a vector does not fail");
+    key.seal(&body)
+}
+
+/// Decodes a message.
+pub fn decode_feed(bytes: &[u8], key: &PeerKey) -> Result<FeedMessage, PeerError> {
+    let body = key.open(bytes, MAX_FEED_MESSAGE)?;
+    let wire: WireMessage = minicbor::decode(body).map_err(|_| PeerError::Malformed)?;
+    from_wire(wire).ok_or(PeerError::Malformed)
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn to_wire(message: &FeedMessage) -> WireMessage {
+    match message {
+        FeedMessage::Subscribe => WireMessage::Subscribe,
+        FeedMessage::Configuration(configuration) => {
+            WireMessage::Configuration(configuration_to_wire(configuration))
+        }
+        FeedMessage::Instances(instances) => {
+            let wire = instances
+                .iter()
+                .map(|(instance, is_listed)| instance_to_wire(instance, *is_listed));
+            WireMessage::Instances(wire.collect())
+        }
+        FeedMessage::Nodes(nodes) => {
+            let wire = nodes.iter().map(|node| WireNode {
+                name: node.name.clone(),
+                zone: node.zone.clone(),
+                address: node.address.map(|address| address.to_string()),
+            });
+            WireMessage::Nodes(wire.collect())
+        }
+        FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
+    }
+}
+
+fn configuration_to_wire(configuration: &Configuration) -> WireConfiguration {
+    let routes = configuration
+        .routes
+        .iter()
+        .map(|(database, route)| route_to_wire(database, route));
+    let services = configuration
+        .services
+        .iter()
+        .map(|(name, limits)| WireService {
+            name: name.to_string(),
+            max_connections: limits.max_connections as u64,
+            synchronous_replicas: limits.synchronous_replicas as u64,
+        });
+    WireConfiguration {
+        version: configuration.version,
+        routes: routes.collect(),
+        services: services.collect(),
+        idle_ms: configuration.transaction_idle_timeout.map(milliseconds),
+    }
+}
+
+fn route_to_wire(database: &str, route: &Route) -> WireRoute {
+    let (consistency, staleness) = match route.consistency {
+        Consistency::Latest => (LATEST, Duration::ZERO),
+        Consistency::BoundedStaleness(most) => (BOUNDED, most),
+        Consistency::ReadYourWrites(most) => (READ_YOUR_WRITES, most),
+    };
+    WireRoute {
+        database: database.to_owned(),
+        service: route.service.to_string(),
+        consistency,
+        staleness_ms: milliseconds(staleness),
+        timeout_ms: milliseconds(route.statement_timeout),
+        objective_ms: milliseconds(route.latency_objective),
+        priority: route.priority,
+    }
+}
+
+fn instance_to_wire(instance: &Instance, is_listed: bool) -> WireInstance {
+    WireInstance {
+        id: instance.id.to_string(),
+        service: instance.service.to_string(),
+        address: instance.address.to_string(),
+        zone: instance.zone.to_string(),
+        capacity: instance.capacity as u64,
+        is_draining: instance.lifecycle == Lifecycle::Draining,
+        is_primary: instance.role == Role::Primary,
+        is_listed,
+    }
+}
+
+fn from_wire(wire: WireMessage) -> Option<FeedMessage> {
+    Some(match wire {
+        WireMessage::Subscribe => FeedMessage::Subscribe,
+        WireMessage::Configuration(wire) => {
+            FeedMessage::Configuration(configuration_from_wire(wire)?)
+        }
+        WireMessage::Instances(wire) => {
+            let instances: Option<Vec<_>> = wire.into_iter().map(instance_from_wire).collect();
+            FeedMessage::Instances(instances?)
+        }
+        WireMessage::Nodes(wire) => {
+            let nodes: Option<Vec<_>> = wire.into_iter().map(node_from_wire).collect();
+            FeedMessage::Nodes(nodes?)
+        }
+        WireMessage::Beat(age) => FeedMessage::Beat {
+            age: Duration::from_millis(age),
+        },
+    })
+}
+
+fn configuration_from_wire(wire: WireConfiguration) -> Option<Configuration> {
+    let routes: Option<HashMap<Arc<str>, Arc<Route>>> =
+        wire.routes.into_iter().map(route_from_wire).collect();
+    let services = wire.services.into_iter().map(|service| {
+        let limits = ServiceLimits {
+            max_connections: service.max_connections as usize,
+            synchronous_replicas: service.synchronous_replicas as usize,
+        };
+        (Arc::from(service.name), limits)
+    });
+    Some(Configuration {
+        version: wire.version,
+        routes: routes?,
+        services: services.collect(),
+        transaction_idle_timeout: wire.idle_ms.map(Duration::from_millis),
+    })
+}
+
+fn route_from_wire(wire: WireRoute) -> Option<(Arc<str>, Arc<Route>)> {
+    let staleness = Duration::from_millis(wire.staleness_ms);
+    let consistency = match wire.consistency {
+        LATEST => Consistency::Latest,
+        BOUNDED => Consistency::BoundedStaleness(staleness),
+        READ_YOUR_WRITES => Consistency::ReadYourWrites(staleness),
+        _ => return None,
+    };
+    let route = Route {
+        service: wire.service.into(),
+        consistency,
+        statement_timeout: Duration::from_millis(wire.timeout_ms),
+        latency_objective: Duration::from_millis(wire.objective_ms),
+        priority: wire.priority,
+    };
+    Some((wire.database.into(), Arc::new(route)))
+}
+
+fn instance_from_wire(wire: WireInstance) -> Option<(Instance, bool)> {
+    let instance = Instance {
+        id: InstanceId(wire.id.into()),
+        service: wire.service.into(),
+        address: wire.address.parse().ok()?,
+        zone: wire.zone.into(),
+        capacity: wire.capacity as usize,
+        lifecycle: if wire.is_draining {
+            Lifecycle::Draining
+        } else {
+            Lifecycle::Ready
+        },
+        role: if wire.is_primary {
+            Role::Primary
+        } else {
+            Role::Replica
+        },
+    };
+    Some((instance, wire.is_listed))
+}
+
+fn node_from_wire(wire: WireNode) -> Option<FeedNode> {
+    let address = match wire.address {
+        Some(text) => Some(text.parse().ok()?),
+        None => None,
+    };
+    Some(FeedNode {
+        name: wire.name,
+        zone: wire.zone,
+        address,
+    })
+}
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a stranger on the network cannot change a view. Membership messages
 //! fit one datagram; table messages are framed on a stream by a length.
 
+mod feed;
 mod membership;
 mod reachability;
 mod table;
@@ -13,6 +14,7 @@
 use sha2::Sha256;
 use thiserror::Error;
 
+pub use feed::{FeedMessage, FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed};
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
     Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
