Find readers by key order and tell followers the fleet in constant size

Cause: a reader encoded all 300 nodes for each follower (51% of its processor, 57 MB), and starting nodes read every row. Change: rows keyed by zone and name, so two small reads tell a starting node whether the fleet is large and who reads the store; followers are told the size and a sample; frames are encoded once.

--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -1,10 +1,11 @@
 //! Which nodes read the platform's store, and how long a node trusts what a
 //! reader tells it.
 //!
-//! In a small fleet every node reads the store. In a larger one a few nodes of
-//! each zone do, chosen by rendezvous hashing, and the others follow one of
-//! them. A follower that hears nothing, or only from a reader that has itself
-//! lost the store, reads the store again.
+//! In a small fleet every node reads the store. In a larger one the first nodes
+//! of each zone by name do, and the others follow one of them: a node finds
+//! them by reading a few rows, however large the fleet is. A follower that
+//! hears nothing, or only from a reader that has itself lost the store, reads
+//! the store again.
 //!
 //! # Invariant
 //!
@@ -13,41 +14,30 @@
 
 use std::time::Duration;
 
-use crate::membership::NodeId;
-use crate::rendezvous;
-
 /// Largest fleet in which every node reads the store.
 pub const SMALL_FLEET: usize = 16;
 /// Readers in each zone of a larger fleet.
 pub const READERS_PER_ZONE: usize = 2;
 /// Oldest knowledge that a follower accepts.
 pub const TRUST: Duration = Duration::from_millis(2_000);
+/// Nodes that a reader names to its followers, for questions between nodes.
+pub const SAMPLE: usize = 24;
 
 /// Where a node gets configuration and instances from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// From the store.
     Store,
-    /// From one of these nodes.
-    Readers(Vec<NodeId>),
+    /// From one of the zone's readers.
+    Readers,
 }
 
-/// Chooses a node's source from the nodes of its zone and of the whole fleet.
-pub fn source(
-    own: NodeId,
-    zone: &str,
-    zone_nodes: impl Iterator<Item = NodeId>,
-    fleet_size: usize,
-) -> Source {
-    if fleet_size <= SMALL_FLEET {
-        return Source::Store;
-    }
-    let duty = format!("store-reader/{zone}");
-    let readers = rendezvous::owners(&duty, zone_nodes, READERS_PER_ZONE);
-    if readers.is_empty() || readers.contains(&own) {
+/// Chooses a node's source. `readers` are the zone's first nodes by name.
+pub fn source(own: &str, readers: &[&str], fleet_size: usize) -> Source {
+    if fleet_size <= SMALL_FLEET || readers.is_empty() || readers.contains(&own) {
         Source::Store
     } else {
-        Source::Readers(readers)
+        Source::Readers
     }
 }
 
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -65,6 +65,11 @@
         self.told.subscribe()
     }
 
+    /// Rises with every change of the configuration or the list of instances.
+    pub fn lists_revision(&self) -> u64 {
+        *self.told.borrow()
+    }
+
     /// All instances, and whether each is listed.
     pub fn all_instances(&self) -> Vec<(Instance, bool)> {
         lock(&self.instances).directory.all()
--- a/crates/linkhold-gateway/src/failover.rs
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -24,7 +24,9 @@
 use crate::gateway::Gateway;
 use crate::lease_format::{decode_lease, encode_lease};
 use crate::peers;
-use crate::ports::{FleetTable, Platform, PromoteAnswer, PromoteOrder, StoreError, WriteResult};
+use crate::ports::{
+    FleetTable, Platform, PromoteAnswer, PromoteOrder, RowRange, StoreError, WriteResult,
+};
 use crate::survey;
 
 /// How often primaries that leave are looked for.
@@ -370,7 +372,7 @@
 ) -> Result<Option<FailoverLease>, StoreError> {
     let rows = gateway
         .platform
-        .read_rows(FleetTable::Leases, Some(service))
+        .read_rows(FleetTable::Leases, RowRange::Key(service))
         .await?;
     let row = rows.rows.first();
     // A row that cannot be read may hold any token: none is handed out over it.
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -3,18 +3,20 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::configuration::Configuration;
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::readers::{self, TRUST};
 use linkhold_events::Event;
-use linkhold_peer::{FeedMessage, FeedNode, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed};
+use linkhold_peer::{FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, timeout_at};
 
-use crate::fleet::{self, FleetSource};
+use crate::beliefs::{Beliefs, lock};
+use crate::fleet::{self, Fleet, FleetSource};
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
@@ -22,8 +24,8 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Changes that come closer together are told together.
 const GATHER_TIME: Duration = Duration::from_millis(10);
-/// How often followers are told the nodes of the fleet.
-const NODES_INTERVAL: Duration = Duration::from_millis(4_000);
+/// How often followers are told the fleet.
+const FLEET_INTERVAL: Duration = Duration::from_millis(4_000);
 /// How long connecting to a reader may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a follower may take to take a message.
@@ -49,11 +51,21 @@
     message: &FeedMessage,
     key: &PeerKey,
 ) -> io::Result<()> {
+    write_frame(stream, &frame(message, key)).await
+}
+
+/// A message as it goes on a stream.
+fn frame(message: &FeedMessage, key: &PeerKey) -> Arc<[u8]> {
     let body = encode_feed(message, key);
-    let length = u32::try_from(body.len()).map_err(|_| io::ErrorKind::InvalidData)?;
+    // Longer than any message: the other side refuses it.
+    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
     let mut frame = length.to_be_bytes().to_vec();
     frame.extend_from_slice(&body);
-    timeout(WRITE_TIMEOUT, stream.write_all(&frame))
+    frame.into()
+}
+
+async fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+    timeout(WRITE_TIMEOUT, stream.write_all(frame))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
@@ -83,12 +95,70 @@
     }
 }
 
+/// An encoded message and the version of what it tells.
+struct VersionedFrame {
+    version: u64,
+    frame: Arc<[u8]>,
+}
+
+/// Messages that are the same for all followers, encoded once.
+#[derive(Default)]
+pub(crate) struct FeedFrames {
+    configuration: Mutex<Option<VersionedFrame>>,
+    instances: Mutex<Option<VersionedFrame>>,
+    fleet: Mutex<Option<(Instant, Arc<[u8]>)>>,
+}
+
+impl FeedFrames {
+    fn configuration(&self, configuration: &Configuration, key: &PeerKey) -> Arc<[u8]> {
+        let message = || FeedMessage::Configuration(configuration.clone());
+        cached(&self.configuration, configuration.version, key, message)
+    }
+
+    fn instances(&self, revision: u64, beliefs: &Beliefs, key: &PeerKey) -> Arc<[u8]> {
+        let message = || FeedMessage::Instances(beliefs.all_instances());
+        cached(&self.instances, revision, key, message)
+    }
+
+    fn fleet(&self, fleet: &Fleet, key: &PeerKey) -> Arc<[u8]> {
+        let mut known = lock(&self.fleet);
+        if let Some((at, frame)) = &*known
+            && at.elapsed() < FLEET_INTERVAL
+        {
+            return frame.clone();
+        }
+        let encoded = frame(&FeedMessage::Fleet(fleet.for_followers()), key);
+        *known = Some((Instant::now(), encoded.clone()));
+        encoded
+    }
+}
+
+fn cached(
+    slot: &Mutex<Option<VersionedFrame>>,
+    version: u64,
+    key: &PeerKey,
+    message: impl FnOnce() -> FeedMessage,
+) -> Arc<[u8]> {
+    let mut known = lock(slot);
+    if let Some(known) = &*known
+        && known.version == version
+    {
+        return known.frame.clone();
+    }
+    let encoded = frame(&message(), key);
+    *known = Some(VersionedFrame {
+        version,
+        frame: encoded.clone(),
+    });
+    encoded
+}
+
 /// What a follower was told last.
 #[derive(Default)]
 struct Told {
     version: u64,
-    instances: Vec<(Instance, bool)>,
-    nodes_at: Option<Instant>,
+    revision: Option<u64>,
+    fleet_at: Option<Instant>,
 }
 
 /// Tells a follower everything until it leaves or this node no longer reads
@@ -107,38 +177,42 @@
     let mut told = Told::default();
     while let Some(age) = gateway.sources.age() {
         changes.mark_unchanged();
-        let messages = news(&gateway, &mut told, age);
-        for message in &messages {
-            if write_message(&mut stream, message, &key).await.is_err() {
+        for frame in news(&gateway, &mut told, &key) {
+            if write_frame(&mut stream, &frame).await.is_err() {
                 return;
             }
         }
+        // The age goes last: it vouches for all that came before it.
+        let beat = FeedMessage::Beat { age };
+        if write_message(&mut stream, &beat, &key).await.is_err() {
+            return;
+        }
         // Time passing is as good a reason to speak as a change.
         let _ = timeout(BEAT_INTERVAL, changes.changed()).await;
         sleep(GATHER_TIME).await;
     }
 }
 
-fn news<P: Platform>(gateway: &Gateway<P>, told: &mut Told, age: Duration) -> Vec<FeedMessage> {
-    let mut messages = Vec::new();
+/// What a follower has not been told yet.
+fn news<P: Platform>(gateway: &Gateway<P>, told: &mut Told, key: &PeerKey) -> Vec<Arc<[u8]>> {
+    let frames = &gateway.feed_frames;
+    let mut news = Vec::new();
     if let Some(configuration) = gateway.beliefs.configuration()
         && configuration.version > told.version
     {
         told.version = configuration.version;
-        messages.push(FeedMessage::Configuration(configuration.as_ref().clone()));
+        news.push(frames.configuration(&configuration, key));
     }
-    let instances = gateway.beliefs.all_instances();
-    if instances != told.instances {
-        messages.push(FeedMessage::Instances(instances.clone()));
-        told.instances = instances;
+    let revision = gateway.beliefs.lists_revision();
+    if told.revision != Some(revision) {
+        told.revision = Some(revision);
+        news.push(frames.instances(revision, &gateway.beliefs, key));
     }
-    if told.nodes_at.is_none_or(|at| at.elapsed() > NODES_INTERVAL) {
-        told.nodes_at = Some(Instant::now());
-        messages.push(FeedMessage::Nodes(gateway.fleet.nodes()));
+    if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL) {
+        told.fleet_at = Some(Instant::now());
+        news.push(frames.fleet(&gateway.fleet, key));
     }
-    // The age goes last: it vouches for all that came before it.
-    messages.push(FeedMessage::Beat { age });
-    messages
+    news
 }
 
 /// Follows a reader until it is lost or `source` is no longer this node's.
@@ -171,8 +245,9 @@
                 gateway.beliefs.adopt_configuration(configuration);
             }
             FeedMessage::Instances(instances) => adopt_instances(gateway, instances),
-            FeedMessage::Nodes(nodes) => {
-                if !adopt_nodes(gateway, nodes, source) {
+            FeedMessage::Fleet(fleet) => {
+                fleet::adopt_fleet(gateway, fleet);
+                if gateway.fleet.source(&gateway.settings.node) != *source {
                     return Lost::NoLongerChosen;
                 }
             }
@@ -204,14 +279,3 @@
         .beliefs
         .replace_instances(listed.collect(), Instant::now());
 }
-
-/// Takes in the nodes of the fleet; `false` if that changes this node's source.
-fn adopt_nodes<P: Platform>(
-    gateway: &Gateway<P>,
-    nodes: Vec<FeedNode>,
-    source: &FleetSource,
-) -> bool {
-    fleet::adopt_nodes(gateway, nodes);
-    let zone = &gateway.settings.places.zone;
-    gateway.fleet.source(&gateway.settings.node, zone) == *source
-}
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -1,8 +1,10 @@
 //! The nodes of the fleet, as they register themselves in the metadata store.
 //!
 //! A node renews its row at an interval that grows with the fleet; one that was
-//! not renewed for some intervals on the store's clock is gone. Nodes that read
-//! the store read all rows, the others are told by them. The number of nodes
+//! not renewed for some intervals on the store's clock is gone. Rows are keyed
+//! by zone and name, so that a starting node finds out with two small reads
+//! whether the fleet is large and who reads the store in its zone. Only readers
+//! read all rows; they tell their followers the size and a sample. The size
 //! decides each node's share of connections. While the store cannot be read,
 //! the last view stays.
 
@@ -13,15 +15,16 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
-use linkhold_core::service::readers::{self, Source};
+use linkhold_core::service::readers::{self, READERS_PER_ZONE, SAMPLE, SMALL_FLEET, Source};
 use linkhold_events::Event;
-use linkhold_peer::{FeedNode, PeerKey};
+use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
-use crate::ports::{FleetTable, Platform, StoreError, StoredRows, WriteResult};
+use crate::ports::{FleetTable, Platform, RowRange, StoreError, StoredRows, WriteResult};
 
 /// Pause before registering is tried again after a failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
@@ -33,9 +36,14 @@
 const PEER_KEY_ROW: &str = "peer";
 /// Bytes of that key.
 const PEER_KEY_LENGTH: usize = 32;
+/// Rows read to find a zone's readers: some may have expired.
+const READER_ROWS: usize = READERS_PER_ZONE + 6;
+
 /// A node's row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct NodeRow {
+    /// Its name.
+    name: String,
     /// Where other nodes reach it.
     address: Option<SocketAddr>,
     /// Its zone.
@@ -53,19 +61,16 @@
 #[derive(Default)]
 struct View {
     key: Option<PeerKey>,
-    /// Nodes by name, this one included once it is registered.
-    nodes: BTreeMap<String, Member>,
+    /// Nodes in all, this one included; 0 until anything is known.
+    size: usize,
+    /// Nodes by name: all, or a sample in a large fleet.
+    nodes: BTreeMap<String, FeedNode>,
+    /// The zone's nodes that read the store.
+    readers: Vec<FeedNode>,
     /// The store's clock and when it was read.
     store_clock: Option<(u64, Instant)>,
 }
 
-/// Another node, or this one.
-#[derive(Clone, Debug)]
-struct Member {
-    zone: String,
-    address: Option<SocketAddr>,
-}
-
 /// Where this node gets configuration and instances from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetSource {
@@ -81,46 +86,41 @@
         lock(&self.view).key.clone()
     }
 
-    /// Other nodes' addresses.
+    /// Other nodes' addresses; a sample in a large fleet.
     pub fn peers(&self, own_name: &str) -> Vec<SocketAddr> {
         lock(&self.view)
             .nodes
-            .iter()
-            .filter(|(name, _)| *name != own_name)
-            .filter_map(|(_, member)| member.address)
+            .values()
+            .filter(|node| node.name != own_name)
+            .filter_map(|node| node.address)
             .collect()
     }
 
     /// Nodes of the fleet, this one included.
     pub fn size(&self) -> usize {
-        lock(&self.view).nodes.len()
+        lock(&self.view).size
     }
 
-    /// All nodes, as they are told to followers.
-    pub fn nodes(&self) -> Vec<FeedNode> {
-        lock(&self.view)
-            .nodes
-            .iter()
-            .map(|(name, member)| FeedNode {
-                name: name.clone(),
-                zone: member.zone.clone(),
-                address: member.address,
-            })
-            .collect()
+    /// What followers are told.
+    pub fn for_followers(&self) -> FeedFleet {
+        let view = lock(&self.view);
+        let nodes: Vec<&FeedNode> = view.nodes.values().collect();
+        let sample = nodes.choose_multiple(&mut rand::rng(), SAMPLE);
+        FeedFleet {
+            size: view.size,
+            readers: view.readers.clone(),
+            sample: sample.map(|node| (*node).clone()).collect(),
+        }
     }
 
     /// Where this node gets configuration and instances from.
-    pub fn source(&self, own_name: &str, zone: &str) -> FleetSource {
+    pub fn source(&self, own_name: &str) -> FleetSource {
         let view = lock(&self.view);
-        let in_zone = || view.nodes.iter().filter(|(_, member)| member.zone == zone);
-        let ids = in_zone().map(|(name, _)| NodeId::of_name(name));
-        let own = NodeId::of_name(own_name);
-        match readers::source(own, zone, ids, view.nodes.len()) {
+        let names: Vec<&str> = view.readers.iter().map(|node| node.name.as_str()).collect();
+        match readers::source(own_name, &names, view.size) {
             Source::Store => FleetSource::Store,
-            Source::Readers(readers) => {
-                let addresses = in_zone()
-                    .filter(|(name, _)| readers.contains(&NodeId::of_name(name)))
-                    .filter_map(|(_, member)| member.address);
+            Source::Readers => {
+                let addresses = view.readers.iter().filter_map(|node| node.address);
                 FleetSource::Readers(addresses.collect())
             }
         }
@@ -132,7 +132,8 @@
         Some(time + u64::try_from(read_at.elapsed().as_millis()).ok()?)
     }
 
-    /// This node's place in the order in which nodes take up a duty.
+    /// This node's place in the order in which nodes take up a duty, among
+    /// those it knows.
     pub fn rank(&self, own_name: &str, duty: &str) -> usize {
         let view = lock(&self.view);
         let own = NodeId::of_name(own_name);
@@ -173,10 +174,49 @@
     {
         return bounded(write_own_row(gateway, now)).await;
     }
-    let rows = bounded(gateway.platform.read_rows(FleetTable::Nodes, None)).await?;
+    let now = read_fleet(gateway).await?;
+    bounded(write_own_row(gateway, now)).await
+}
+
+/// Reads as much of the fleet as this node needs; returns the store's clock.
+async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<u64, StoreError> {
+    let first = read(
+        gateway,
+        RowRange::From {
+            key: "",
+            limit: SMALL_FLEET + 1,
+        },
+    )
+    .await?;
+    if first.rows.len() <= SMALL_FLEET {
+        adopt_all(gateway, &first);
+        return Ok(first.now);
+    }
+    let zone_start = row_key(gateway, "");
+    let zone = read(
+        gateway,
+        RowRange::From {
+            key: &zone_start,
+            limit: READER_ROWS,
+        },
+    )
+    .await?;
+    let readers = fresh_nodes(&zone, gateway.fleet.size().max(SMALL_FLEET + 1));
+    adopt_readers(gateway, readers);
+    if gateway.fleet.source(&gateway.settings.node) == FleetSource::Store {
+        let all = read(gateway, RowRange::All).await?;
+        adopt_all(gateway, &all);
+    }
+    Ok(zone.now)
+}
+
+async fn read<P: Platform>(
+    gateway: &Gateway<P>,
+    range: RowRange<'_>,
+) -> Result<StoredRows, StoreError> {
+    let rows = bounded(gateway.platform.read_rows(FleetTable::Nodes, range)).await?;
     lock(&gateway.fleet.view).store_clock = Some((rows.now, Instant::now()));
-    adopt_rows(gateway, &rows);
-    bounded(write_own_row(gateway, rows.now)).await
+    Ok(rows)
 }
 
 async fn bounded<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
@@ -185,8 +225,18 @@
         .unwrap_or(Err(StoreError::NoAnswer))
 }
 
+/// Key of a node of this zone: zones first, so that a zone's rows lie together.
+fn row_key<P: Platform>(gateway: &Gateway<P>, name: &str) -> String {
+    format!("{}/{name}", gateway.settings.places.zone)
+}
+
+fn own_key<P: Platform>(gateway: &Gateway<P>) -> String {
+    row_key(gateway, &gateway.settings.node)
+}
+
 async fn write_own_row<P: Platform>(gateway: &Gateway<P>, now: u64) -> Result<(), StoreError> {
     let row = NodeRow {
+        name: gateway.settings.node.clone(),
         address: gateway.peers.address(),
         zone: gateway.settings.places.zone.to_string(),
         renewed_at: now,
@@ -194,15 +244,15 @@
     let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
     gateway
         .platform
-        .write_row(FleetTable::Nodes, &gateway.settings.node, value, None)
+        .write_row(FleetTable::Nodes, &own_key(gateway), value, None)
         .await
         .map(|_| ())
 }
 
 /// Takes this node out of the fleet, so that nobody waits for its answers.
 pub(crate) async fn deregister<P: Platform>(gateway: &Gateway<P>) {
-    let node = &gateway.settings.node;
-    let removal = gateway.platform.remove_row(FleetTable::Nodes, node);
+    let key = own_key(gateway);
+    let removal = gateway.platform.remove_row(FleetTable::Nodes, &key);
     // Without it, the row expires by itself.
     let _ = timeout(DEREGISTER_TIMEOUT, removal).await;
 }
@@ -212,7 +262,7 @@
     let own: [u8; PEER_KEY_LENGTH] = rand::random();
     let known = gateway
         .platform
-        .read_rows(FleetTable::Keys, Some(PEER_KEY_ROW))
+        .read_rows(FleetTable::Keys, RowRange::Key(PEER_KEY_ROW))
         .await?;
     if let Some(row) = known.rows.into_iter().next() {
         return Ok(PeerKey::new(row.value));
@@ -228,53 +278,77 @@
     }
 }
 
-fn adopt_rows<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
-    let expiry = readers::row_expiry(rows.rows.len());
-    let mut nodes = Vec::new();
-    for row in &rows.rows {
-        let Ok(node) = serde_json::from_slice::<NodeRow>(&row.value) else {
-            continue;
-        };
-        let age = Duration::from_millis(rows.now.saturating_sub(node.renewed_at));
-        if age < expiry {
-            nodes.push(FeedNode {
-                name: row.key.clone(),
-                zone: node.zone,
-                address: node.address,
-            });
-        }
-    }
-    adopt_nodes(gateway, nodes);
+/// The nodes in rows that were renewed lately, in the order of their keys.
+fn fresh_nodes(rows: &StoredRows, fleet_size: usize) -> Vec<FeedNode> {
+    let expiry = readers::row_expiry(fleet_size);
+    rows.rows
+        .iter()
+        .filter_map(|row| serde_json::from_slice::<NodeRow>(&row.value).ok())
+        .filter(|node| Duration::from_millis(rows.now.saturating_sub(node.renewed_at)) < expiry)
+        .map(|node| FeedNode {
+            name: node.name,
+            zone: node.zone,
+            address: node.address,
+        })
+        .collect()
 }
 
-/// Takes in the nodes of the fleet. This node always counts itself.
-pub(crate) fn adopt_nodes<P: Platform>(gateway: &Gateway<P>, nodes: Vec<FeedNode>) {
-    let own = FeedNode {
+fn own_node<P: Platform>(gateway: &Gateway<P>) -> FeedNode {
+    FeedNode {
         name: gateway.settings.node.clone(),
         zone: gateway.settings.places.zone.to_string(),
         address: gateway.peers.address(),
+    }
+}
+
+/// Takes in the whole fleet. This node always counts itself.
+fn adopt_all<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
+    let own = own_node(gateway);
+    let mut nodes = fresh_nodes(rows, rows.rows.len());
+    if !nodes.iter().any(|node| node.name == own.name) {
+        nodes.push(own);
+    }
+    let in_zone = |node: &&FeedNode| node.zone == *gateway.settings.places.zone;
+    let mut zone_nodes: Vec<FeedNode> = nodes.iter().filter(in_zone).cloned().collect();
+    zone_nodes.sort_by(|first, second| first.name.cmp(&second.name));
+    zone_nodes.truncate(READERS_PER_ZONE);
+    let fleet = FeedFleet {
+        size: nodes.len(),
+        readers: zone_nodes,
+        sample: nodes,
     };
-    let members: BTreeMap<String, Member> = nodes
+    adopt_fleet(gateway, fleet);
+}
+
+/// Takes in the zone's first nodes of a large fleet.
+fn adopt_readers<P: Platform>(gateway: &Gateway<P>, mut zone_nodes: Vec<FeedNode>) {
+    zone_nodes.retain(|node| node.zone == *gateway.settings.places.zone);
+    zone_nodes.truncate(READERS_PER_ZONE);
+    let mut view = lock(&gateway.fleet.view);
+    view.size = view.size.max(SMALL_FLEET + 1);
+    view.readers = zone_nodes;
+}
+
+/// Takes in the fleet as it was read or told.
+pub(crate) fn adopt_fleet<P: Platform>(gateway: &Gateway<P>, fleet: FeedFleet) {
+    let own = own_node(gateway);
+    let mut nodes: BTreeMap<String, FeedNode> = fleet
+        .sample
         .into_iter()
-        .chain([own])
-        .map(|node| {
-            let member = Member {
-                zone: node.zone,
-                address: node.address,
-            };
-            (node.name, member)
-        })
+        .map(|node| (node.name.clone(), node))
         .collect();
-    let count = members.len();
+    nodes.insert(own.name.clone(), own);
     let mut view = lock(&gateway.fleet.view);
-    let previous = view.nodes.len();
-    view.nodes = members;
+    let previous = view.size;
+    view.size = fleet.size.max(1);
+    view.nodes = nodes;
+    view.readers = fleet.readers;
     drop(view);
-    if previous != count {
+    if previous != fleet.size {
         Event::info("fleet_changed")
-            .field("nodes", count)
+            .field("nodes", fleet.size)
             .field("previous", previous)
             .log();
     }
-    gateway.pools.set_nodes(count, &gateway.beliefs);
+    gateway.pools.set_nodes(fleet.size, &gateway.beliefs);
 }
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 
 use crate::beliefs::{Beliefs, lock};
 use crate::evidence_probe::Questions;
+use crate::feed::FeedFrames;
 use crate::fleet::Fleet;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
@@ -42,6 +43,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
     pub(crate) sources: Sources,
+    pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
     leaving: AtomicBool,
 }
@@ -86,6 +88,7 @@
             fleet: Fleet::default(),
             peers: Peers::default(),
             sources: Sources::default(),
+            feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
             leaving: AtomicBool::new(false),
         })
--- a/crates/linkhold-gateway/src/ports.rs
+++ b/crates/linkhold-gateway/src/ports.rs
@@ -352,6 +352,22 @@
     pub version: u64,
 }
 
+/// Which rows of a table are read, in the order of their keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowRange<'a> {
+    /// All of them.
+    All,
+    /// The one with this key.
+    Key(&'a str),
+    /// Some from this key on.
+    From {
+        /// The first key.
+        key: &'a str,
+        /// Rows at the most.
+        limit: usize,
+    },
+}
+
 /// Rows and the store's clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredRows {
@@ -383,11 +399,11 @@
 
 /// Small rows that outlive every node, with conditional writes.
 pub trait MetadataStore: Send + Sync + 'static {
-    /// Reads all rows of a table, or the one named.
+    /// Reads rows of a table.
     fn read_rows(
         &self,
         table: FleetTable,
-        key: Option<&str>,
+        range: RowRange<'_>,
     ) -> impl Future<Output = Result<StoredRows, StoreError>> + Send;
     /// Writes a row if it still has `expected` as version (0: not there);
     /// without a condition if `expected` is `None`.
--- a/crates/linkhold-gateway/src/sources.rs
+++ b/crates/linkhold-gateway/src/sources.rs
@@ -107,8 +107,7 @@
 /// process ends.
 pub(crate) async fn choose<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
-        let zone = &gateway.settings.places.zone;
-        let source = gateway.fleet.source(&gateway.settings.node, zone);
+        let source = gateway.fleet.source(&gateway.settings.node);
         let reader = match &source {
             FleetSource::Store => None,
             FleetSource::Readers(readers) => readers.choose(&mut rand::rng()).copied(),
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -27,6 +27,17 @@
     pub address: Option<SocketAddr>,
 }
 
+/// The fleet as a reader tells it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedFleet {
+    /// Nodes in all.
+    pub size: usize,
+    /// Nodes of the zone that read the store.
+    pub readers: Vec<FeedNode>,
+    /// Some nodes of the fleet, chosen at random.
+    pub sample: Vec<FeedNode>,
+}
+
 /// A message of a feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedMessage {
@@ -36,8 +47,8 @@
     Configuration(Configuration),
     /// All instances, and whether each is still listed.
     Instances(Vec<(Instance, bool)>),
-    /// All nodes of the fleet.
-    Nodes(Vec<FeedNode>),
+    /// The size of the fleet, the zone's readers and some other nodes.
+    Fleet(FeedFleet),
     /// The reader lives; its last answer from the store is this old.
     Beat {
         /// Age of the last answer, in milliseconds.
@@ -115,6 +126,16 @@
     address: Option<String>,
 }
 
+#[derive(Encode, Decode)]
+struct WireFleet {
+    #[n(0)]
+    size: u64,
+    #[n(1)]
+    readers: Vec<WireNode>,
+    #[n(2)]
+    sample: Vec<WireNode>,
+}
+
 #[derive(Encode, Decode)]
 enum WireMessage {
     #[n(0)]
@@ -124,7 +145,7 @@
     #[n(2)]
     Instances(#[n(0)] Vec<WireInstance>),
     #[n(3)]
-    Nodes(#[n(0)] Vec<WireNode>),
+    Fleet(#[n(0)] WireFleet),
     #[n(4)]
     Beat(#[n(0)] u64),
 }
@@ -163,14 +184,11 @@
                 .map(|(instance, is_listed)| instance_to_wire(instance, *is_listed));
             WireMessage::Instances(wire.collect())
         }
-        FeedMessage::Nodes(nodes) => {
-            let wire = nodes.iter().map(|node| WireNode {
-                name: node.name.clone(),
-                zone: node.zone.clone(),
-                address: node.address.map(|address| address.to_string()),
-            });
-            WireMessage::Nodes(wire.collect())
-        }
+        FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
+            size: fleet.size as u64,
+            readers: fleet.readers.iter().map(node_to_wire).collect(),
+            sample: fleet.sample.iter().map(node_to_wire).collect(),
+        }),
         FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
     }
 }
@@ -236,10 +254,11 @@
             let instances: Option<Vec<_>> = wire.into_iter().map(instance_from_wire).collect();
             FeedMessage::Instances(instances?)
         }
-        WireMessage::Nodes(wire) => {
-            let nodes: Option<Vec<_>> = wire.into_iter().map(node_from_wire).collect();
-            FeedMessage::Nodes(nodes?)
-        }
+        WireMessage::Fleet(wire) => FeedMessage::Fleet(FeedFleet {
+            size: wire.size as usize,
+            readers: nodes_from_wire(wire.readers)?,
+            sample: nodes_from_wire(wire.sample)?,
+        }),
         WireMessage::Beat(age) => FeedMessage::Beat {
             age: Duration::from_millis(age),
         },
@@ -303,6 +322,18 @@
     Some((instance, wire.is_listed))
 }
 
+fn node_to_wire(node: &FeedNode) -> WireNode {
+    WireNode {
+        name: node.name.clone(),
+        zone: node.zone.clone(),
+        address: node.address.map(|address| address.to_string()),
+    }
+}
+
+fn nodes_from_wire(wire: Vec<WireNode>) -> Option<Vec<FeedNode>> {
+    wire.into_iter().map(node_from_wire).collect()
+}
+
 fn node_from_wire(wire: WireNode) -> Option<FeedNode> {
     let address = match wire.address {
         Some(text) => Some(text.parse().ok()?),
--- /dev/null
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -0,0 +1,109 @@
+//! Messages of the feed and of questions about reachability.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
+use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_peer::{
+    FeedFleet, FeedMessage, FeedNode, PeerError, PeerKey, Reachability, ReachabilityMessage,
+    decode_feed, decode_reachability, encode_feed, encode_reachability,
+};
+use proptest::prelude::*;
+
+fn key() -> PeerKey {
+    PeerKey::new(*b"a key that both sides have")
+}
+
+fn configuration() -> Configuration {
+    let route = Route {
+        service: "ledger".into(),
+        consistency: Consistency::BoundedStaleness(Duration::from_millis(1_500)),
+        statement_timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(400),
+        priority: 2,
+    };
+    let limits = ServiceLimits {
+        max_connections: 36,
+        synchronous_replicas: 1,
+    };
+    Configuration {
+        version: 7,
+        routes: HashMap::from([("portal".into(), Arc::new(route))]),
+        services: HashMap::from([("ledger".into(), limits)]),
+        transaction_idle_timeout: Some(Duration::from_secs(3)),
+    }
+}
+
+fn messages() -> Vec<FeedMessage> {
+    let instance = Instance {
+        id: InstanceId("one".into()),
+        service: "ledger".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        capacity: 3,
+        lifecycle: Lifecycle::Draining,
+        role: Role::Primary,
+    };
+    let node = FeedNode {
+        name: "node-1".to_owned(),
+        zone: "a".to_owned(),
+        address: Some("10.0.0.2:7440".parse().unwrap()),
+    };
+    vec![
+        FeedMessage::Subscribe,
+        FeedMessage::Configuration(configuration()),
+        FeedMessage::Instances(vec![(instance, false)]),
+        FeedMessage::Fleet(FeedFleet {
+            size: 300,
+            readers: vec![node.clone()],
+            sample: vec![node],
+        }),
+        FeedMessage::Beat {
+            age: Duration::from_millis(250),
+        },
+    ]
+}
+
+#[test]
+fn every_message_comes_out_as_it_went_in() {
+    for message in messages() {
+        let bytes = encode_feed(&message, &key());
+        assert_eq!(decode_feed(&bytes, &key()), Ok(message));
+    }
+    let question = ReachabilityMessage::Question {
+        number: 9,
+        instance: "one".to_owned(),
+    };
+    let answer = ReachabilityMessage::Answer {
+        number: 9,
+        found: Reachability::NotPrimary,
+    };
+    for message in [question, answer] {
+        let bytes = encode_reachability(&message, &key());
+        assert_eq!(decode_reachability(&bytes, &key()), Ok(message));
+    }
+}
+
+#[test]
+fn a_foreign_key_is_refused() {
+    let bytes = encode_feed(&FeedMessage::Subscribe, &PeerKey::new(*b"another key"));
+    assert_eq!(decode_feed(&bytes, &key()), Err(PeerError::Mac));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(decode_feed(&bytes, &key()).is_err());
+        prop_assert!(decode_reachability(&bytes, &key()).is_err());
+    }
+
+    #[test]
+    fn a_damaged_message_is_refused(which in 0_usize..5, place in 0_usize..400, bit in 0_u8..8) {
+        let mut bytes = encode_feed(&messages()[which], &key());
+        let place = place % bytes.len();
+        bytes[place] ^= 1 << bit;
+        prop_assert!(decode_feed(&bytes, &key()).is_err());
+    }
+}
