Leave sessions open that are about to ask when a node stops

Ruled out: cut requests (none had been read). Change: a session may be closed right after an operation, 0.4 s after a set-up statement, 1 s after it opened without a request; just before the exit nothing is accepted.

--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -2,7 +2,8 @@
 //!
 //! 1. The node says at once that it is not ready, and goes on serving: the
 //!    platform needs some seconds to send new callers elsewhere.
-//! 2. Sessions are closed when no transaction is open and nothing is asked.
+//! 2. Sessions are closed when no transaction is open and nothing is asked, nor
+//!    about to be.
 //! 3. In the second half of the grace period open transactions are ended.
 //! 4. The process exits when no session is left, or just before it is killed.
 
@@ -28,12 +29,14 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What sessions are to do about a stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     /// Serve.
     Serving,
     /// End when no transaction is open and nothing is asked.
     ClosingIdle,
+    /// The same, and no new session is accepted.
+    Refusing,
     /// End.
     ClosingAll,
 }
@@ -56,8 +59,11 @@
         let now = Instant::now();
         if now >= half {
             stage.send_replace(Stage::ClosingAll);
+        } else if now >= started + ROUTING_DELAY {
+            stage.send_replace(Stage::Refusing);
         }
-        if now >= started + ROUTING_DELAY && open_sessions(&gateway) == 0 {
+        let refuses = *stage.borrow() >= Stage::Refusing;
+        if refuses && open_sessions(&gateway) == 0 {
             break;
         }
     }
--- a/crates/linkhold-gateway/src/session.rs
+++ b/crates/linkhold-gateway/src/session.rs
@@ -1,7 +1,7 @@
 //! One caller's session: reads its statements, runs them, answers.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use linkhold_core::outcome::{Failure, NotRun};
@@ -49,6 +49,35 @@
     transaction: Transaction<P>,
     marks: SessionMarks,
     stage: watch::Receiver<Stage>,
+    activity: Activity,
+}
+
+/// How long a session is left open after its caller did something that is
+/// usually followed by a request.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+/// The same for a session in which nothing was asked yet.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
+
+/// What the caller did last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    /// It opened the session.
+    Opened(Instant),
+    /// It asked for something that prepares an operation.
+    Preparing(Instant),
+    /// An operation was answered.
+    OperationDone,
+}
+
+impl Activity {
+    /// From when on the session may be closed between requests.
+    fn may_close_at(self) -> Option<Instant> {
+        match self {
+            Self::Opened(at) => Some(at + FIRST_REQUEST_TIME),
+            Self::Preparing(at) => Some(at + SETTLE_TIME),
+            Self::OperationDone => None,
+        }
+    }
 }
 
 /// Serves a caller until either side ends the session.
@@ -68,17 +97,34 @@
             state: SessionState::default(),
             transaction: Transaction::None,
             stage,
+            activity: Activity::Opened(Instant::now()),
         };
         session.run().await;
     }
     metrics_holder.metrics.sessions_closed.add();
 }
 
+/// When a session is closed by the node's stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closing {
+    No,
+    At(Instant),
+    Now,
+}
+
+async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What a session waits for.
 enum Wake {
     Request(Result<Option<CallerRequest>, CallerError>),
     IdleTooLong,
     StageChanged,
+    Close,
 }
 
 impl<P: Platform, C: CallerConnection> Session<P, C> {
@@ -120,27 +166,29 @@
                 Wake::Request(Ok(None)) => return Ok(()),
                 Wake::Request(Err(error)) => return Err(error),
                 Wake::IdleTooLong => self.end_transaction("idle_too_long"),
-                Wake::StageChanged => {
-                    if self.should_close() {
-                        return Ok(());
-                    }
-                }
+                Wake::StageChanged => {}
+                Wake::Close => return Ok(()),
             }
         }
     }
 
     async fn wait(&mut self) -> Wake {
-        if self.should_close() {
-            return Wake::StageChanged;
+        let closing = self.closing();
+        if closing == Closing::Now && !self.caller.has_pending_input() {
+            return Wake::Close;
         }
         let idle_end = self.idle_end();
+        let close_at = match closing {
+            Closing::At(at) => Some(at),
+            Closing::No | Closing::Now => None,
+        };
         tokio::select! {
             biased;
             request = self.caller.request() => Wake::Request(request),
             _ = self.stage.changed() => Wake::StageChanged,
-            () = sleep_until(idle_end.unwrap_or_else(Instant::now).into()), if idle_end.is_some() => {
-                Wake::IdleTooLong
-            }
+            // The next round closes the session, unless something has come.
+            () = sleep_until_some(close_at) => Wake::StageChanged,
+            () = sleep_until_some(idle_end) => Wake::IdleTooLong,
         }
     }
 
@@ -157,19 +205,25 @@
         Some(Instant::now() + limit)
     }
 
-    /// Whether the node's stop ends this session now.
-    fn should_close(&mut self) -> bool {
+    /// When the node's stop ends this session, as things stand.
+    fn closing(&mut self) -> Closing {
         let stage = *self.stage.borrow_and_update();
         match stage {
-            Stage::Serving => false,
-            Stage::ClosingIdle => {
-                matches!(self.transaction, Transaction::None) && !self.caller.has_pending_input()
+            Stage::Serving => Closing::No,
+            Stage::ClosingIdle | Stage::Refusing
+                if !matches!(self.transaction, Transaction::None) =>
+            {
+                Closing::No
             }
+            Stage::ClosingIdle | Stage::Refusing => match self.activity.may_close_at() {
+                Some(at) if at > Instant::now() => Closing::At(at),
+                _ => Closing::Now,
+            },
             Stage::ClosingAll => {
                 if !matches!(self.transaction, Transaction::None) {
                     log_aborted(&self.startup.database, &self.startup.user, "node_stops");
                 }
-                true
+                Closing::Now
             }
         }
     }
@@ -198,6 +252,12 @@
             }
             _ => {}
         }
+        self.activity = match &request.statement {
+            Statement::Set { .. } | Statement::Prepare { .. } | Statement::Deallocate { .. } => {
+                Activity::Preparing(Instant::now())
+            }
+            _ => Activity::OperationDone,
+        };
         let status = self.status();
         self.caller.reply(&reply, status).await
     }
