Write every node's log to standard output through one non-blocking queue

The PostgreSQL node shares quoting and the queue with the platform's; the end of a program waits for its last lines. A promotion is given up when the primary that was diagnosed is no longer the one believed in: a node of low rank could have acted on an old diagnosis after its lease wait.

--- a/crates/linkhold-gateway/src/failover.rs
+++ b/crates/linkhold-gateway/src/failover.rs
@@ -109,16 +109,13 @@
         if gateway.is_leaving() {
             return;
         }
+        let subject = primary_id(gateway, service);
         let Some(trouble) = diagnose(gateway, service).await else {
             sleep(CALM_PAUSE).await;
             return;
         };
-        let before = gateway.beliefs.primary(service).map(|it| it.id.clone());
         sleep(rank_delay(gateway, service)).await;
-        if gateway.beliefs.primary(service).map(|it| it.id.clone()) != before {
-            return;
-        }
-        replace(gateway, service, trouble).await;
+        replace(gateway, service, trouble, subject.as_ref()).await;
         if !needs_care(gateway, service) {
             return;
         }
@@ -126,6 +123,25 @@
     }
 }
 
+fn primary_id<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<InstanceId> {
+    gateway
+        .beliefs
+        .primary(service)
+        .map(|primary| primary.id.clone())
+}
+
+/// Whether the primary that was diagnosed is still the one believed in, or is
+/// no longer believed in and nobody else is. A diagnosis says nothing about
+/// another primary.
+fn is_still_subject<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    subject: Option<&InstanceId>,
+) -> bool {
+    let present = primary_id(gateway, service);
+    present.is_none() || present.as_ref() == subject
+}
+
 fn rank_delay<P: Platform>(gateway: &Gateway<P>, service: &str) -> Duration {
     let rank = gateway.fleet.rank(&gateway.settings.node, service);
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
@@ -246,7 +262,15 @@
     old: Option<Arc<Instance>>,
 }
 
-async fn replace<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName, trouble: Trouble) {
+async fn replace<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    trouble: Trouble,
+    subject: Option<&InstanceId>,
+) {
+    if !is_still_subject(gateway, service, subject) {
+        return;
+    }
     let situation = survey_service(gateway, service).await;
     if let Some(primary) = find_primary(&situation.statuses)
         && trouble == Trouble::Unknown
@@ -265,6 +289,9 @@
     let Some(lease) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
+    if !is_still_subject(gateway, service, subject) {
+        return;
+    }
     let mut chosen = successor.status;
     if trouble == Trouble::Leaving {
         match hand_over(gateway, &situation, &chosen).await {
--- a/crates/linkhold/src/cli/proxy.rs
+++ b/crates/linkhold/src/cli/proxy.rs
@@ -1,6 +1,7 @@
 //! `linkhold proxy`: runs a node.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr};
@@ -8,7 +9,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::{EXIT_FINDINGS, EXIT_OK};
-use crate::log_event::start_logging;
 use crate::node::Node;
 use crate::settings::{Overrides, parse};
 
@@ -61,6 +61,9 @@
     key.replace(['.', '_'], "-")
 }
 
+/// How long the last log lines may take to be written.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Runs the subcommand.
 pub fn run(arguments: &ArgMatches) -> Result<u8> {
     let text = match arguments.get_one::<PathBuf>("settings") {
@@ -88,7 +91,7 @@
     if arguments.get_flag("check") {
         return Ok(EXIT_OK);
     }
-    start_logging(LevelFilter::Info);
+    linkhold_events::start_logging(LevelFilter::Info);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
@@ -109,6 +112,7 @@
             _ = interrupt.recv() => {}
         }
         node.stop().await;
+        linkhold_events::queue::flush(LOG_FLUSH_TIME);
         Ok(EXIT_OK)
     })
 }
--- a/crates/linkhold/src/log_event.rs
+++ b/crates/linkhold/src/log_event.rs
@@ -7,6 +7,7 @@
 use std::fmt::{Display, Write};
 use std::time::SystemTime;
 
+use linkhold_events::quoted;
 use log::Level;
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use time::OffsetDateTime;
@@ -141,30 +142,8 @@
     }
 }
 
-/// Quotes a value unless it consists of plain characters only.
-pub fn quoted(value: &str) -> String {
-    let is_plain =
-        |character: char| character.is_ascii_alphanumeric() || "-_.:/,+".contains(character);
-    if !value.is_empty() && value.chars().all(is_plain) {
-        return value.to_owned();
-    }
-    let mut output = String::with_capacity(value.len() + 2);
-    output.push('"');
-    for character in value.chars() {
-        match character {
-            '"' | '\\' => {
-                output.push('\\');
-                output.push(character);
-            }
-            control if control.is_control() => output.extend(control.escape_unicode()),
-            other => output.push(other),
-        }
-    }
-    output.push('"');
-    output
-}
-
-/// Sends log lines to standard error. Later calls in a process do nothing.
+/// Sends log lines to standard error, for commands whose result goes to
+/// standard output. Later calls in a process do nothing.
 pub fn start_logging(level: LevelFilter) {
     let config = ConfigBuilder::new()
         .set_max_level(LevelFilter::Off)
--- a/crates/linkhold/tests/common/mod.rs
+++ b/crates/linkhold/tests/common/mod.rs
@@ -21,6 +21,8 @@
     child: Child,
     pairs: HashMap<String, String>,
     reader: BufReader<std::process::ChildStdout>,
+    /// Log lines that came before the ready line.
+    early_log: String,
 }
 
 impl ReadyProcess {
@@ -31,8 +33,14 @@
             .spawn()
             .expect("the program was built");
         let mut reader = BufReader::new(child.stdout.take().expect("is piped"));
+        let mut early_log = String::new();
         let mut line = String::new();
         reader.read_line(&mut line).expect("a line is printed");
+        while line.starts_with("time=") {
+            early_log.push_str(&line);
+            line.clear();
+            reader.read_line(&mut line).expect("a line is printed");
+        }
         let pairs: HashMap<String, String> = line
             .split_whitespace()
             .filter_map(|word| word.split_once('='))
@@ -51,6 +59,7 @@
             child,
             pairs,
             reader,
+            early_log,
         }
     }
 }
@@ -283,7 +292,9 @@
     /// Waits for the process to end and returns its log.
     pub fn wait(mut self) -> (Option<i32>, String) {
         let status = self.process.child.wait().expect("it ends");
-        let mut log = String::new();
+        let mut log = self.process.early_log.clone();
+        let rest = self.process.reader.read_to_string(&mut log);
+        rest.expect("is text");
         let mut stderr = self.process.child.stderr.take().expect("is piped");
         stderr.read_to_string(&mut log).expect("is text");
         (status.code(), log)
