Change readers without reading the store in between

Change: what was told stays good while it is trusted; another reader is tried at once; a reader is kept while it is one of the node's readers.

--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -215,12 +215,13 @@
     news
 }
 
-/// Follows a reader until it is lost or `source` is no longer this node's.
+/// Follows a reader until it is lost or no longer one of this node's readers.
+/// `trusted_until` tells how long what was told may be used.
 pub(crate) async fn follow<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     reader: SocketAddr,
     key: &PeerKey,
-    source: &FleetSource,
+    trusted_until: &mut Instant,
 ) -> Lost {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(reader)).await;
     let Ok(Ok(mut stream)) = connecting else {
@@ -232,9 +233,10 @@
     {
         return Lost::Broken;
     }
-    let mut trusted_until = Instant::now() + TRUST;
+    // A new reader gets its time even if nothing is trusted now.
+    let mut silent_at = Instant::now() + TRUST;
     loop {
-        let reading = timeout_at(trusted_until.into(), read_message(&mut stream, key));
+        let reading = timeout_at(silent_at.into(), read_message(&mut stream, key));
         let message = match reading.await {
             Ok(Ok(message)) => message,
             Ok(Err(_)) => return Lost::Broken,
@@ -247,7 +249,7 @@
             FeedMessage::Instances(instances) => adopt_instances(gateway, instances),
             FeedMessage::Fleet(fleet) => {
                 fleet::adopt_fleet(gateway, fleet);
-                if gateway.fleet.source(&gateway.settings.node) != *source {
+                if !is_reader_of(gateway, reader) {
                     return Lost::NoLongerChosen;
                 }
             }
@@ -255,7 +257,8 @@
                 if !readers::is_trusted(age, Duration::ZERO) {
                     return Lost::Stale;
                 }
-                trusted_until = Instant::now() + (TRUST - age);
+                silent_at = Instant::now() + (TRUST - age);
+                *trusted_until = silent_at;
                 start_following(gateway, reader);
             }
             FeedMessage::Subscribe => return Lost::Broken,
@@ -263,6 +266,13 @@
     }
 }
 
+fn is_reader_of<P: Platform>(gateway: &Gateway<P>, reader: SocketAddr) -> bool {
+    match gateway.fleet.source(&gateway.settings.node) {
+        FleetSource::Store => false,
+        FleetSource::Readers(readers) => readers.contains(&reader),
+    }
+}
+
 fn start_following<P: Platform>(gateway: &Gateway<P>, reader: SocketAddr) {
     if !gateway.sources.is_following() && gateway.beliefs.can_serve() {
         gateway.sources.follow();
--- a/crates/linkhold-gateway/src/sources.rs
+++ b/crates/linkhold-gateway/src/sources.rs
@@ -18,7 +18,9 @@
 
 /// How often a node that reads the store looks whether it still should.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Pause before another reader is followed after one was lost.
+/// Pause before another reader is tried while the last one is still trusted.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before another reader is tried when none is trusted any more.
 const LOST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// What the node does about the store.
@@ -105,7 +107,12 @@
 
 /// Chooses the source as the fleet changes and readers are lost. Runs until the
 /// process ends.
+///
+/// What a reader told last stays good for as long as it is trusted, so a node
+/// that changes to another reader within that time does not read the store in
+/// between: in a large fleet all of them would at once.
 pub(crate) async fn choose<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut trusted_until = Instant::now();
     loop {
         let source = gateway.fleet.source(&gateway.settings.node);
         let reader = match &source {
@@ -113,15 +120,21 @@
             FleetSource::Readers(readers) => readers.choose(&mut rand::rng()).copied(),
         };
         let (Some(reader), Some(key)) = (reader, gateway.fleet.key()) else {
+            gateway.sources.read();
             sleep(LOOK_INTERVAL).await;
             continue;
         };
-        let why = feed::follow(&gateway, reader, &key, &source).await;
-        gateway.sources.read();
+        let why = feed::follow(&gateway, reader, &key, &mut trusted_until).await;
         Event::info("reader_lost")
             .field("reader", reader)
             .field("reason", format_args!("{why:?}"))
             .log();
-        sleep(LOST_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+        let pause = RECONNECT_PAUSE.mul_f64(rand::random_range(0.5..1.5));
+        if Instant::now() + pause >= trusted_until {
+            gateway.sources.read();
+            sleep(LOST_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+        } else {
+            sleep(pause).await;
+        }
     }
 }
