--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{SessionState, TransactionStatus};
+use linkhold_events::Event;
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::batch::{self, Batch, Frame, Work};
@@ -124,8 +125,14 @@
     };
     let sent_at = Instant::now();
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
-        Conversation::Silent => Attempt::TimedOut,
-        Conversation::Broken(error) => broken(lease, &error, batch.main),
+        Conversation::Silent => {
+            log_unanswered(work, &lease, sent_at, "silent");
+            Attempt::TimedOut
+        }
+        Conversation::Broken(error) => {
+            log_unanswered(work, &lease, sent_at, "connection_lost");
+            broken(lease, &error, batch.main)
+        }
         Conversation::Answered(replies) => {
             let mut answer = Answer {
                 reply: replies[batch.main].clone(),
@@ -142,6 +149,21 @@
     }
 }
 
+/// Logs a statement that was sent and got no whole answer.
+fn log_unanswered<C: BackendConnection>(
+    work: &Work,
+    lease: &Lease<C>,
+    sent_at: Instant,
+    reason: &'static str,
+) {
+    Event::warn("statement_unanswered")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &lease.instance().id)
+        .field("reason", reason)
+        .field("waited_ms", sent_at.elapsed().as_millis())
+        .log();
+}
+
 /// When a transaction's start was sent, and the reply to it.
 pub(crate) type BeginReply = (Instant, BackendReply);
 
--- a/crates/linkhold-gateway/src/session.rs
+++ b/crates/linkhold-gateway/src/session.rs
@@ -9,7 +9,7 @@
 use linkhold_core::service::session::{Access, SessionState, TransactionStatus};
 use linkhold_events::Event;
 use tokio::sync::watch;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::batch::Work;
 use crate::gateway::Gateway;
@@ -58,6 +58,9 @@
 /// The same for a session in which nothing was asked yet.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
 
+/// How long a session that opens waits for the node's first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
+
 /// What the caller did last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
@@ -129,8 +132,9 @@
 
 impl<P: Platform, C: CallerConnection> Session<P, C> {
     async fn run(mut self) {
+        self.wait_for_configuration().await;
         if let Err(failure) = self.admit() {
-            self.log_refusal(&Bytes::from_static(b"-"), failure);
+            self.log_refusal(&Bytes::from_static(b"-"), failure, self.marks.opened_at);
             let _ = self.caller.refuse(failure).await;
             return;
         }
@@ -149,6 +153,22 @@
         }
     }
 
+    /// A node that has just started learns the configuration within
+    /// milliseconds if it can at all.
+    async fn wait_for_configuration(&self) {
+        let deadline = self.marks.opened_at + CONFIGURATION_WAIT;
+        let mut changes = self.gateway.beliefs.subscribe();
+        while !self.gateway.beliefs.can_serve() {
+            changes.mark_unchanged();
+            if timeout_at(deadline.into(), changes.changed())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
     fn admit(&self) -> Result<(), Failure> {
         match self.gateway.beliefs.configuration() {
             None => Err(Failure::NotRun(NotRun::NotConfigured)),
@@ -241,7 +261,7 @@
         let received_at = Instant::now();
         let reply = self.handle(&request, received_at).await;
         match &reply {
-            CallerReply::Failed(failure) => self.log_refusal(&request.id, *failure),
+            CallerReply::Failed(failure) => self.log_refusal(&request.id, *failure, received_at),
             CallerReply::Relayed(reply) if !is_success(reply) => {
                 self.gateway.metrics.failed.add();
                 Event::info("statement_failed")
@@ -262,7 +282,7 @@
         self.caller.reply(&reply, status).await
     }
 
-    fn log_refusal(&self, request: &Bytes, failure: Failure) {
+    fn log_refusal(&self, request: &Bytes, failure: Failure, received_at: Instant) {
         let metrics = &self.gateway.metrics;
         match failure {
             Failure::NotRun(_) => metrics.refused.add(),
@@ -290,6 +310,7 @@
             )
             .field("primary", primary.as_ref().map_or("none", |it| &it.id.0))
             .field("evidence_age_ms", evidence_age)
+            .field("took_ms", received_at.elapsed().as_millis())
             .log();
     }
 
