Hold leases ready; try a claim again at once when its answer is lost

The claim was written, its answer came after 0.5 s; the row then kept all others out for 4 s, and the holder did not know that it held it. Change: a claim without an answer is tried again at once; the first node of each service holds its lease ready, so that it may promote without the store where the platform checks tokens.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -26,8 +26,9 @@
     pub token: u64,
     /// When it was claimed or renewed, on the store's clock in milliseconds.
     pub claimed_at: u64,
-    /// The instance it promotes.
-    pub successor: InstanceId,
+    /// The instance its token promotes; `None` while the lease is only held
+    /// ready and its token was not used.
+    pub successor: Option<InstanceId>,
 }
 
 /// What a node may do about a service's lease.
@@ -50,7 +51,7 @@
         return ClaimDecision::Write(lease(node, 1, now, successor));
     };
     if current.holder == node {
-        let token = if current.successor == *successor {
+        let token = if current.may_promote(successor) {
             current.token
         } else {
             current.token + 1
@@ -69,7 +70,43 @@
         holder: node.to_owned(),
         token,
         claimed_at: now,
-        successor: successor.clone(),
+        successor: Some(successor.clone()),
+    }
+}
+
+/// A lease to hold ready, so that a promotion needs no store where the
+/// authority itself refuses old tokens; `None` if there is nothing to claim.
+/// Only a lease whose holder is gone is taken over.
+pub fn hold_ready(
+    current: Option<&FailoverLease>,
+    node: &str,
+    is_in_fleet: impl FnOnce(&str) -> bool,
+    now: u64,
+) -> Option<FailoverLease> {
+    let token = match current {
+        None => 1,
+        Some(current) => {
+            let age = Duration::from_millis(now.saturating_sub(current.claimed_at));
+            if age < LEASE || is_in_fleet(&current.holder) {
+                return None;
+            }
+            current.token + 1
+        }
+    };
+    Some(FailoverLease {
+        holder: node.to_owned(),
+        token,
+        claimed_at: now,
+        successor: None,
+    })
+}
+
+impl FailoverLease {
+    /// Whether its token may be used for this successor.
+    pub fn may_promote(&self, successor: &InstanceId) -> bool {
+        self.successor
+            .as_ref()
+            .is_none_or(|promoted| promoted == successor)
     }
 }
 
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -5,7 +5,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{
     ClaimDecision, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
-    choose_successor, claim, is_current, may_hand_over, statuses_required,
+    choose_successor, claim, hold_ready, is_current, may_hand_over, statuses_required,
 };
 use linkhold_core::service::instance::{InstanceId, Role};
 use proptest::prelude::*;
@@ -40,6 +40,12 @@
         for (node, successor, pause) in claims {
             now += pause;
             let node = format!("node-{node}");
+            if successor == 0 {
+                if let Some(lease) = hold_ready(current.as_ref(), &node, |_| false, now) {
+                    current = Some(lease);
+                }
+                continue;
+            }
             let successor = id(&format!("instance-{successor}"));
             let ClaimDecision::Write(lease) = claim(current.as_ref(), &node, &successor, now) else {
                 continue;
@@ -61,6 +67,31 @@
     }
 }
 
+#[test]
+fn a_lease_held_ready_promotes_one_successor_and_is_taken_over_from_the_gone_only() {
+    let lease = hold_ready(None, "node-1", |_| true, 1_000).unwrap();
+    assert_eq!(lease.token, 1);
+    let later = 1_000 + LEASE.as_millis() as u64;
+    assert_eq!(hold_ready(Some(&lease), "node-2", |_| true, later), None);
+    assert_eq!(
+        hold_ready(Some(&lease), "node-2", |_| false, later - 1),
+        None
+    );
+    let taken = hold_ready(Some(&lease), "node-2", |_| false, later).unwrap();
+    assert_eq!((taken.holder.as_str(), taken.token), ("node-2", 2));
+    let ClaimDecision::Write(used) = claim(Some(&lease), "node-1", &id("a"), later) else {
+        panic!("its own lease");
+    };
+    assert_eq!(
+        used.token, 1,
+        "the first successor takes the token as it is"
+    );
+    let ClaimDecision::Write(next) = claim(Some(&used), "node-1", &id("b"), later) else {
+        panic!("its own lease");
+    };
+    assert_eq!(next.token, 2, "another one takes a higher token");
+}
+
 #[test]
 fn a_primary_that_any_node_reaches_is_not_lost() {
     let tally = ReachabilityTally {
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -96,6 +96,13 @@
             .collect()
     }
 
+    /// Whether a node is in the fleet; nodes beyond a large fleet's sample are
+    /// taken to be.
+    pub fn knows(&self, name: &str) -> bool {
+        let view = lock(&self.view);
+        view.nodes.contains_key(name) || view.size > view.nodes.len()
+    }
+
     /// Nodes of the fleet, this one included.
     pub fn size(&self) -> usize {
         lock(&self.view).size
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -15,7 +15,7 @@
     holder: String,
     token: u64,
     claimed_at: u64,
-    successor: String,
+    successor: Option<String>,
 }
 
 /// A lease as a row's value.
@@ -24,7 +24,7 @@
         holder: lease.holder.clone(),
         token: lease.token,
         claimed_at: lease.claimed_at,
-        successor: lease.successor.0.to_string(),
+        successor: lease.successor.as_ref().map(ToString::to_string),
     };
     serde_json::to_vec(&row).expect("a lease has nothing that cannot be written")
 }
@@ -36,7 +36,7 @@
         holder: row.holder,
         token: row.token,
         claimed_at: row.claimed_at,
-        successor: InstanceId(row.successor.into()),
+        successor: row.successor.map(|id| InstanceId(id.into())),
     })
 }
 
@@ -50,22 +50,36 @@
         lock(&self.0).insert(service.clone(), lease.clone());
     }
 
+    /// Whether this node claimed the service's lease last, as far as it knows.
+    pub fn holds(&self, service: &str, node: &str) -> bool {
+        lock(&self.0)
+            .get(service)
+            .is_some_and(|lease| lease.holder == node)
+    }
+
+    /// Another node holds the lease now.
+    pub fn lost(&self, service: &str) {
+        lock(&self.0).remove(service);
+    }
+
     /// A lease on which this node may act although the store does not answer:
-    /// its own last one for the same successor, where the authority itself
-    /// refuses tokens that are no longer the newest.
-    pub fn usable_without_store(
+    /// its own last one, unused or for the same successor, where the authority
+    /// itself refuses tokens that are no longer the newest. From then on its
+    /// token belongs to this successor.
+    pub fn use_without_store(
         &self,
         service: &str,
-        node: &str,
         successor: &InstanceId,
         authority_checks_tokens: bool,
     ) -> Option<FailoverLease> {
         if !authority_checks_tokens {
             return None;
         }
-        lock(&self.0)
-            .get(service)
-            .filter(|lease| lease.holder == node && lease.successor == *successor)
-            .cloned()
+        let mut leases = lock(&self.0);
+        let lease = leases
+            .get_mut(service)
+            .filter(|lease| lease.may_promote(successor))?;
+        lease.successor = Some(successor.clone());
+        Some(lease.clone())
     }
 }
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -48,4 +48,5 @@
     tokio::spawn(feed::serve_followers(gateway.clone()));
     tokio::spawn(sources::choose(gateway.clone()));
     tokio::spawn(failover::watch_primaries(gateway.clone()));
+    tokio::spawn(failover::hold_leases_ready(gateway.clone()));
 }
--- a/crates/linkhold-gateway/src/session.rs
+++ b/crates/linkhold-gateway/src/session.rs
@@ -59,7 +59,7 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
 
 /// How long a session that opens waits for the node's first configuration.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(80);
 
 /// What the caller did last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
