--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -355,7 +355,10 @@
             ConnectError::WrongInstance => {
                 self.instance_failed(instance, "address_used_by_another");
             }
-            ConnectError::Rejected => {
+            ConnectError::Closed if !self.answered_lately(instance) => {
+                self.instance_failed(instance, "closed_at_once");
+            }
+            ConnectError::Rejected | ConnectError::Closed => {
                 self.note_refusal(instance, BackendErrorKind::TooManyConnections);
             }
         }
@@ -415,6 +418,16 @@
         }
     }
 
+    /// Whether an instance has answered on some connection a moment ago, so
+    /// that one it closed at once was one too many.
+    pub(crate) fn answered_lately(&self, instance: &Instance) -> bool {
+        /// How long an answer tells that an instance lives.
+        const ALIVE_TIME: Duration = Duration::from_millis(600);
+        Instant::now()
+            .checked_sub(ALIVE_TIME)
+            .is_some_and(|moment| self.answered_since(instance, moment))
+    }
+
     fn answered_since(&self, instance: &Instance, moment: Instant) -> bool {
         self.beliefs
             .inspect(&instance.id, |health| health.last_success())
--- /dev/null
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -0,0 +1,144 @@
+//! The failover lease of each service in the metadata store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease};
+use linkhold_core::service::instance::InstanceId;
+use linkhold_events::Event;
+use tokio::time::{sleep, timeout};
+
+use crate::gateway::Gateway;
+use crate::lease_format::{decode_lease, encode_lease};
+use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
+
+/// How long a claim, a read and a write, may take.
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Claims tried in a row when the store gives no answer.
+const CLAIM_TRIES: u32 = 2;
+/// How often a node looks for leases that it is to hold ready.
+const READY_INTERVAL: Duration = Duration::from_millis(3_000);
+
+/// Claims the lease of a service for a successor; `None` if another node holds
+/// it or the store cannot be used. An answer that is lost or late is no reason
+/// to find out everything anew: the row tells whether the claim was taken.
+pub(super) async fn claim<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) -> Option<FailoverLease> {
+    for _ in 0..CLAIM_TRIES {
+        let claiming = timeout(STORE_TIMEOUT, try_claim(gateway, service, successor));
+        if let Ok(Ok(lease)) = claiming.await {
+            match &lease {
+                Some(lease) => gateway.leases.remember(service, lease),
+                None => gateway.leases.lost(service),
+            }
+            return lease;
+        }
+    }
+    let checks_tokens = gateway.platform.checks_tokens();
+    let held = gateway
+        .leases
+        .use_without_store(service, successor, checks_tokens);
+    Event::warn("lease_unconfirmed")
+        .field("service", service)
+        .field("acts_on_old_lease", held.is_some())
+        .log();
+    held
+}
+
+/// Holds the leases ready whose first node this is. Runs until the process
+/// ends.
+pub(crate) async fn hold_leases_ready<P: Platform>(gateway: Arc<Gateway<P>>) {
+    loop {
+        sleep(READY_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
+        for service in gateway.beliefs.services() {
+            let node = &gateway.settings.node;
+            let is_first = gateway.fleet.rank(node, &service) == 0;
+            if is_first && !gateway.leases.holds(&service, node) && !gateway.is_leaving() {
+                // Without the store there is nothing to hold; the next round tries again.
+                let _ = timeout(STORE_TIMEOUT, hold_ready(&gateway, &service)).await;
+            }
+        }
+    }
+}
+
+async fn hold_ready<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> Result<(), StoreError> {
+    let (current, version, now) = read_lease(gateway, service).await?;
+    let is_in_fleet = |holder: &str| gateway.fleet.knows(holder);
+    let node = &gateway.settings.node;
+    let Some(lease) = failover::hold_ready(current.as_ref(), node, is_in_fleet, now) else {
+        return Ok(());
+    };
+    if write_lease(gateway, service, &lease, version).await? {
+        gateway.leases.remember(service, &lease);
+        Event::info("lease_held_ready")
+            .field("service", service)
+            .field("token", lease.token)
+            .log();
+    }
+    Ok(())
+}
+
+/// The lease's row as it is, its version, and the store's clock.
+async fn read_lease<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> Result<(Option<FailoverLease>, u64, u64), StoreError> {
+    let rows = gateway
+        .platform
+        .read_rows(FleetTable::Leases, RowRange::Key(service))
+        .await?;
+    let row = rows.rows.first();
+    // A row that cannot be read may hold any token: none is handed out over it.
+    let current = row
+        .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
+        .transpose()?;
+    Ok((current, row.map_or(0, |row| row.version), rows.now))
+}
+
+/// Writes a lease if its row still has `version`; whether it was written.
+async fn write_lease<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    lease: &FailoverLease,
+    version: u64,
+) -> Result<bool, StoreError> {
+    let written = gateway
+        .platform
+        .write_row(
+            FleetTable::Leases,
+            service,
+            encode_lease(lease),
+            Some(version),
+        )
+        .await?;
+    Ok(written == WriteResult::Written)
+}
+
+async fn try_claim<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) -> Result<Option<FailoverLease>, StoreError> {
+    let (current, version, now) = read_lease(gateway, service).await?;
+    let node = &gateway.settings.node;
+    let lease = match failover::claim(current.as_ref(), node, successor, now) {
+        ClaimDecision::Write(lease) => lease,
+        ClaimDecision::HeldElsewhere(left) => {
+            Event::info("lease_held_elsewhere")
+                .field("service", service)
+                .field("holder", current.map_or_else(String::new, |it| it.holder))
+                .field("left_ms", left.as_millis())
+                .log();
+            return Ok(None);
+        }
+    };
+    let written = write_lease(gateway, service, &lease, version).await?;
+    Ok(written.then_some(lease))
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -0,0 +1,257 @@
+//! Replaces a primary: chooses the successor, hands over, orders the promotion.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::directory::PrimarySource;
+use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
+use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_events::Event;
+use tokio::time::{sleep, timeout, timeout_at};
+
+use super::diagnosis::someone_may_lead;
+use super::lease::claim;
+use super::{Trouble, is_still_subject};
+use crate::gateway::Gateway;
+use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
+use crate::survey;
+
+/// How long an order to promote may take to be answered.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a successor may take to lead after the order was accepted.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How often a successor is asked whether it leads, when nothing announces it.
+const LEAD_QUESTION_INTERVAL: Duration = Duration::from_millis(400);
+/// How long replicas may take to receive what a primary that stepped down had.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause between questions whether they have.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
+
+/// What was found out before a primary is replaced.
+pub(super) struct Situation {
+    /// All instances but the old primary.
+    pub(super) others: Vec<Arc<Instance>>,
+    pub(super) statuses: Vec<InstanceStatus>,
+    pub(super) old: Option<Arc<Instance>>,
+}
+
+pub(super) async fn replace<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    trouble: Trouble,
+    subject: Option<&InstanceId>,
+) {
+    if !is_still_subject(gateway, service, subject) {
+        return;
+    }
+    let situation = survey_service(gateway, service).await;
+    if let Some(primary) = find_primary(&situation.statuses)
+        && trouble == Trouble::Unknown
+    {
+        gateway
+            .beliefs
+            .confirm_primary(&primary.id, PrimarySource::Asked);
+        return;
+    }
+    let Some(successor) = successor(gateway, service, &situation) else {
+        return;
+    };
+    if trouble == Trouble::Unknown && someone_may_lead(gateway, service, &situation).await {
+        return;
+    }
+    let Some(lease) = claim(gateway, service, &successor.status.id).await else {
+        return;
+    };
+    if !is_still_subject(gateway, service, subject) {
+        return;
+    }
+    let mut chosen = successor.status;
+    if trouble == Trouble::Leaving {
+        match hand_over(gateway, &situation, &chosen).await {
+            Some(caught_up) => chosen = caught_up,
+            None => return,
+        }
+    }
+    order(gateway, service, &lease, &chosen, trouble).await;
+}
+
+async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &str) -> Situation {
+    let old = gateway.beliefs.primary(service);
+    let others: Vec<Arc<Instance>> = gateway
+        .beliefs
+        .instances(service)
+        .into_iter()
+        .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
+        .collect();
+    let statuses = survey::statuses(gateway, &others).await;
+    Situation {
+        others,
+        statuses,
+        old,
+    }
+}
+
+/// An instance that says it is primary in the newest term that any follows.
+fn find_primary(statuses: &[InstanceStatus]) -> Option<&InstanceStatus> {
+    let newest = statuses.iter().map(|status| status.term).max()?;
+    statuses
+        .iter()
+        .find(|status| status.role == Role::Primary && status.term == newest)
+}
+
+/// The instance to promote, if enough is known to choose one.
+fn successor<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    situation: &Situation,
+) -> Option<Successor> {
+    let now = Instant::now();
+    let synchronous = gateway
+        .beliefs
+        .limits(service)
+        .map_or(0, |limits| limits.synchronous_replicas);
+    let required = failover::statuses_required(situation.others.len(), synchronous);
+    let evidence = gateway.beliefs.newest_position(service);
+    let candidates: Vec<Successor> = situation
+        .statuses
+        .iter()
+        .filter(|status| failover::is_current(status, evidence))
+        .map(|status| Successor {
+            status: status.clone(),
+            is_leaving: gateway.beliefs.is_leaving(&status.id, now),
+        })
+        .collect();
+    let chosen = failover::choose_successor(&candidates, synchronous);
+    if chosen.is_none() || situation.statuses.len() < required {
+        Event::warn("no_successor")
+            .field("service", service)
+            .field("replicas", situation.others.len())
+            .field("statuses", situation.statuses.len())
+            .field("candidates", candidates.len())
+            .field("required", required)
+            .log();
+        return None;
+    }
+    chosen.cloned()
+}
+
+/// Ends the term of a primary that leaves and waits until the successor has
+/// everything that it had, so that no commit is rolled back. `None` if that is
+/// not possible yet.
+async fn hand_over<P: Platform>(
+    gateway: &Gateway<P>,
+    situation: &Situation,
+    successor: &InstanceStatus,
+) -> Option<InstanceStatus> {
+    let old = situation.old.as_ref()?;
+    let instance = gateway.beliefs.instance(&successor.id)?;
+    let present = survey::status(gateway, old).await?;
+    let now = Instant::now();
+    let leaving_for = gateway.beliefs.leaving_for(&old.id, now)?;
+    let drain = gateway.settings.drain;
+    if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
+        Event::info("hand_over_postponed")
+            .field("service", &old.service)
+            .field("position", present.received)
+            .field("successor_position", successor.received)
+            .log();
+        return None;
+    }
+    let term = Term(successor.term.max(present.term).0 + 1);
+    let last = survey::step_down(gateway, old, term).await?;
+    gateway.beliefs.deny_primary(&old.id);
+    let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+    let mut latest = successor.clone();
+    while latest.received < last.received && Instant::now() < deadline {
+        sleep(CATCH_UP_PAUSE).await;
+        latest = survey::status(gateway, &instance).await.unwrap_or(latest);
+    }
+    Event::info("primary_stepped_down")
+        .field("service", &old.service)
+        .field("old", &old.id)
+        .field("position", last.received)
+        .field("successor", &successor.id)
+        .field("successor_position", latest.received)
+        .log();
+    Some(latest)
+}
+
+async fn order<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    lease: &FailoverLease,
+    successor: &InstanceStatus,
+    trouble: Trouble,
+) {
+    let order = PromoteOrder {
+        service: service.to_string(),
+        successor: successor.id.clone(),
+        holder: lease.holder.clone(),
+        token: lease.token,
+    };
+    gateway.metrics.promotions.add();
+    let started = Instant::now();
+    let answer = timeout(ORDER_TIMEOUT, gateway.platform.promote(&order))
+        .await
+        .unwrap_or(PromoteAnswer::Unknown);
+    log_order(&order, successor.received, trouble, answer, started);
+    if matches!(answer, PromoteAnswer::Accepted | PromoteAnswer::Unknown) {
+        await_lead(gateway, service, &successor.id).await;
+    }
+}
+
+fn log_order(
+    order: &PromoteOrder,
+    received: Position,
+    trouble: Trouble,
+    answer: PromoteAnswer,
+    started: Instant,
+) {
+    Event::info("promotion_ordered")
+        .field("service", &order.service)
+        .field("successor", &order.successor)
+        .field("token", order.token)
+        .field("received", received)
+        .field("because", format_args!("{trouble:?}"))
+        .field("answer", format_args!("{answer:?}"))
+        .field("took_ms", started.elapsed().as_millis())
+        .log();
+}
+
+/// Waits until the successor leads: it announces that, or says so when asked.
+async fn await_lead<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    successor: &InstanceId,
+) {
+    let deadline = Instant::now() + LEAD_TIMEOUT;
+    let mut changes = gateway.beliefs.subscribe();
+    let mut ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
+    while Instant::now() < deadline {
+        changes.mark_unchanged();
+        if gateway
+            .beliefs
+            .primary(service)
+            .is_some_and(|primary| primary.id == *successor)
+        {
+            return;
+        }
+        if Instant::now() >= ask_at {
+            ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
+            let Some(instance) = gateway.beliefs.instance(successor) else {
+                return;
+            };
+            let status = survey::status(gateway, &instance).await;
+            if status.is_some_and(|status| status.role == Role::Primary) {
+                gateway
+                    .beliefs
+                    .confirm_primary(successor, PrimarySource::Promoted);
+                return;
+            }
+        }
+        // Time passing is as good a reason to look again as a change.
+        let _ = timeout_at(ask_at.min(deadline).into(), changes.changed()).await;
+    }
+}
--- a/crates/linkhold-gateway/src/ports.rs
+++ b/crates/linkhold-gateway/src/ports.rs
@@ -259,9 +259,13 @@
     /// Another instance answers at the address.
     #[error("another instance answers at the address")]
     WrongInstance,
-    /// It took the connection and closed it again: it has none left.
+    /// It said that it has no connection left.
     #[error("instance has no connection left")]
     Rejected,
+    /// The connection was taken and closed without a word: the instance has
+    /// none left, or something stands before an instance that is gone.
+    #[error("connection was closed at once")]
+    Closed,
 }
 
 /// A connection to an instance broke during an exchange.
--- a/crates/linkhold-gateway/src/survey.rs
+++ b/crates/linkhold-gateway/src/survey.rs
@@ -37,6 +37,9 @@
         Ok(replies) => replies,
         // It lives, and has all the connections it can take.
         Err(ConnectError::Rejected) => return Reachability::Reached,
+        Err(ConnectError::Closed) if gateway.answered_lately(instance) => {
+            return Reachability::Reached;
+        }
         Err(_) => return Reachability::Unreached,
     };
     match (replies[0].error(), replies[0].position) {
