Open connections when needed where nodes are too many for shares

Change: where a fair share is under two, a node may hold three for a short time and closes what it has not used for 0.15 s.

--- a/crates/linkhold-core/src/service/connection_share.rs
+++ b/crates/linkhold-core/src/service/connection_share.rs
@@ -4,6 +4,35 @@
 //! an equal part, less a reserve: connections of a node that lost power still
 //! stand for some seconds while its next life opens new ones.
 
+use std::time::Duration;
+
+/// Connections below which a fair share is of no use: a transaction holds one
+/// for as long as its caller thinks.
+const LEAST_USEFUL: usize = 2;
+/// Connections that a node may hold at a time where fair shares are of no use.
+const CROWDED_CONNECTIONS: usize = 3;
+/// How long such a node keeps a connection that it does not use: the fewer
+/// stand idle, the more nodes get one.
+pub const CROWDED_IDLE: Duration = Duration::from_millis(150);
+
+/// Whether so many nodes share a limit that connections cannot be held ready.
+/// They are then opened when needed and closed soon after; an instance that
+/// has none left refuses, which proves that nothing ran.
+pub fn is_crowded(limit: usize, nodes: usize) -> bool {
+    shared(limit) / nodes.max(1) < LEAST_USEFUL
+}
+
+/// Connections that a node may hold to an instance at a time.
+pub fn most_at_a_time(limit: usize, nodes: usize, has_just_started: bool) -> usize {
+    if is_crowded(limit, nodes) {
+        CROWDED_CONNECTIONS.min(limit)
+    } else if has_just_started {
+        of_starting_node(limit, nodes)
+    } else {
+        of_node(limit, nodes)
+    }
+}
+
 /// Limit assumed for a service whose limit is not known.
 pub const UNKNOWN_LIMIT: usize = 20;
 /// Part of the limit that is shared out, in percent.
--- a/crates/linkhold-core/tests/service_placement.rs
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -110,6 +110,18 @@
     }
 }
 
+#[test]
+fn connections_are_held_ready_only_while_every_node_gets_a_useful_share() {
+    assert!(!connection_share::is_crowded(36, 7));
+    assert!(!connection_share::is_crowded(50, 15));
+    assert!(connection_share::is_crowded(50, 16));
+    assert!(connection_share::is_crowded(36, 300));
+    assert_eq!(connection_share::most_at_a_time(36, 7, false), 3);
+    assert_eq!(connection_share::most_at_a_time(36, 7, true), 2);
+    assert_eq!(connection_share::most_at_a_time(36, 300, true), 3);
+    assert_eq!(connection_share::most_at_a_time(1, 300, false), 1);
+}
+
 #[test]
 fn a_request_waits_for_less_than_a_quarter_of_its_objective() {
     let objective = Duration::from_millis(400);
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::connection_share::CROWDED_IDLE;
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout};
 
@@ -176,3 +177,19 @@
         }
     }
 }
+
+/// How often unused connections are looked for where nodes are many.
+const UNUSED_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Closes unused connections where there are too few for all nodes. Runs until
+/// the process ends.
+pub async fn close_unused_connections<P: Platform>(gateway: Arc<Gateway<P>>) {
+    loop {
+        if gateway.pools.is_crowded() {
+            sleep(UNUSED_INTERVAL).await;
+            gateway.pools.close_unused(CROWDED_IDLE);
+        } else {
+            sleep(EXPIRY_INTERVAL).await;
+        }
+    }
+}
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -43,6 +43,7 @@
     tokio::spawn(keeper::keep_configuration(gateway.clone()));
     tokio::spawn(keeper::keep_instances(gateway.clone()));
     tokio::spawn(keeper::expire_instances(gateway.clone()));
+    tokio::spawn(keeper::close_unused_connections(gateway.clone()));
     tokio::spawn(fleet::keep_registered(gateway.clone()));
     tokio::spawn(peers::answer_questions(gateway.clone()));
     tokio::spawn(feed::serve_followers(gateway.clone()));
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -50,6 +50,8 @@
     pub state: ConnectionState,
     /// A transaction of the last user is still to be rolled back.
     pub needs_rollback: bool,
+    /// When it was given back last.
+    given_back_at: Instant,
 }
 
 /// What a waiter gets.
@@ -175,6 +177,7 @@
                     connection,
                     state: ConnectionState::default(),
                     needs_rollback: false,
+                    given_back_at: Instant::now(),
                 });
             }
             Err(error) => {
@@ -195,7 +198,8 @@
         }
     }
 
-    fn put_back(&self, pooled: Pooled<C>) {
+    fn put_back(&self, mut pooled: Pooled<C>) {
+        pooled.given_back_at = Instant::now();
         let mut state = lock(&self.state);
         if state.open > self.limit.load(Ordering::Relaxed) {
             state.open -= 1;
@@ -226,6 +230,16 @@
         state.open -= count;
     }
 
+    /// Closes connections that have not been in use for `idle_for`.
+    pub fn close_unused(&self, idle_for: Duration) {
+        let mut state = lock(&self.state);
+        let before = state.idle.len();
+        state
+            .idle
+            .retain(|pooled| pooled.given_back_at.elapsed() < idle_for);
+        state.open -= before - state.idle.len();
+    }
+
     /// Connections open or being opened.
     pub fn open_connections(&self) -> usize {
         lock(&self.state).open
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -1,7 +1,7 @@
 //! The pools of all instances and the share of connections this node may use.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,8 @@
     /// Nodes that share the connections, this one included.
     nodes: AtomicUsize,
     started: Instant,
+    /// Some service has so many nodes that connections are not held ready.
+    is_crowded: AtomicBool,
 }
 
 /// How long connections of this node's last life may still stand: an instance
@@ -34,6 +36,7 @@
             limits: Mutex::default(),
             nodes: AtomicUsize::new(nodes.max(1)),
             started: Instant::now(),
+            is_crowded: AtomicBool::new(false),
         }
     }
 
@@ -62,11 +65,11 @@
                 limits.max_connections
             });
         let nodes = self.nodes.load(Ordering::Relaxed);
-        if self.started.elapsed() < LAST_LIFE {
-            connection_share::of_starting_node(most, nodes)
-        } else {
-            connection_share::of_node(most, nodes)
+        if connection_share::is_crowded(most, nodes) {
+            self.is_crowded.store(true, Ordering::Relaxed);
         }
+        let has_just_started = self.started.elapsed() < LAST_LIFE;
+        connection_share::most_at_a_time(most, nodes, has_just_started)
     }
 
     /// Takes in a new number of nodes.
@@ -78,6 +81,7 @@
     /// Works out all shares anew: limits may have changed, or the node is no
     /// longer a new one.
     pub fn refresh_shares(&self, beliefs: &Beliefs) {
+        self.is_crowded.store(false, Ordering::Relaxed);
         for (service, limit) in lock(&self.limits).iter() {
             limit.store(self.share(service, beliefs), Ordering::Relaxed);
         }
@@ -97,6 +101,18 @@
         }
     }
 
+    /// Whether connections that are not used are to be closed soon.
+    pub fn is_crowded(&self) -> bool {
+        self.is_crowded.load(Ordering::Relaxed)
+    }
+
+    /// Closes connections that have not been used for a while.
+    pub fn close_unused(&self, idle_for: Duration) {
+        for pool in lock(&self.pools).values() {
+            pool.close_unused(idle_for);
+        }
+    }
+
     /// Connections opened since the start, over all present pools.
     pub fn opened(&self) -> usize {
         lock(&self.pools).values().map(|pool| pool.opened()).sum()
