Take nothing from a reader that it does not vouch for or that is older

Change: what a reader tells is used only once a trusted age has come after it; lists carry the store's count of changes and never go back. A starting reader looks at the fleet again once its own row is there, and tells the fleet only once it knows itself to be a reader (followers were sent away before).

--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::places::Places;
+use crate::ports::Cursor;
 
 /// Part of the drain time in which a leaving instance may get new work, in
 /// percent.
@@ -37,6 +38,7 @@
     drain: Duration,
     configuration: Mutex<Option<Arc<Configuration>>>,
     instances: Mutex<InstanceBeliefs>,
+    directory_cursor: Mutex<Cursor>,
     changes: watch::Sender<u64>,
     /// Counts changes of the configuration and of the list of instances alone.
     told: watch::Sender<u64>,
@@ -50,6 +52,7 @@
             drain,
             configuration: Mutex::default(),
             instances: Mutex::default(),
+            directory_cursor: Mutex::default(),
             changes: watch::channel(0).0,
             told: watch::channel(0).0,
         }
@@ -107,8 +110,12 @@
         self.configuration().is_some() && !lock(&self.instances).directory.is_empty()
     }
 
-    /// Takes in everything that is listed now.
-    pub fn replace_instances(&self, listed: Vec<Instance>, now: Instant) {
+    /// Takes in everything that is listed as of a place in the store's changes,
+    /// unless more is known already: what is known never goes back.
+    pub fn replace_instances(&self, listed: Vec<Instance>, cursor: Cursor, now: Instant) {
+        if !self.advance_directory(cursor) {
+            return;
+        }
         for instance in &listed {
             self.log_instance(instance);
         }
@@ -119,6 +126,22 @@
         self.lists_changed();
     }
 
+    /// The list of instances is known up to a place in the store's changes;
+    /// `false` if it was known further already.
+    pub fn advance_directory(&self, cursor: Cursor) -> bool {
+        let mut known = lock(&self.directory_cursor);
+        let is_news = cursor >= *known;
+        if is_news {
+            *known = cursor;
+        }
+        is_news
+    }
+
+    /// The place in the store's changes up to which instances are known.
+    pub fn directory_cursor(&self) -> Cursor {
+        *lock(&self.directory_cursor)
+    }
+
     /// An instance is announced or changed its announcement.
     pub fn announce_instance(&self, instance: Instance, now: Instant) {
         self.log_instance(&instance);
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::Configuration;
-use linkhold_core::service::instance::Instance;
 use linkhold_core::service::readers::{self, TRUST};
 use linkhold_events::Event;
-use linkhold_peer::{FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed};
+use linkhold_peer::{
+    FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, timeout_at};
@@ -18,7 +19,7 @@
 use crate::beliefs::{Beliefs, lock};
 use crate::fleet::{self, Fleet, FleetSource};
 use crate::gateway::Gateway;
-use crate::ports::Platform;
+use crate::ports::{Cursor, Platform};
 
 /// How often a reader says that it lives.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -116,20 +117,27 @@
     }
 
     fn instances(&self, revision: u64, beliefs: &Beliefs, key: &PeerKey) -> Arc<[u8]> {
-        let message = || FeedMessage::Instances(beliefs.all_instances());
+        let message = || {
+            // Read first: what is listed may be newer than that, never older.
+            let cursor = beliefs.directory_cursor().0;
+            FeedMessage::Instances(FeedInstances {
+                cursor,
+                instances: beliefs.all_instances(),
+            })
+        };
         cached(&self.instances, revision, key, message)
     }
 
-    fn fleet(&self, fleet: &Fleet, key: &PeerKey) -> Arc<[u8]> {
+    fn fleet(&self, fleet: &Fleet, own_name: &str, key: &PeerKey) -> Option<Arc<[u8]>> {
         let mut known = lock(&self.fleet);
         if let Some((at, frame)) = &*known
             && at.elapsed() < FLEET_INTERVAL
         {
-            return frame.clone();
+            return Some(frame.clone());
         }
-        let encoded = frame(&FeedMessage::Fleet(fleet.for_followers()), key);
+        let encoded = frame(&FeedMessage::Fleet(fleet.for_followers(own_name)?), key);
         *known = Some((Instant::now(), encoded.clone()));
-        encoded
+        Some(encoded)
     }
 }
 
@@ -209,8 +217,10 @@
         news.push(frames.instances(revision, &gateway.beliefs, key));
     }
     if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL) {
-        told.fleet_at = Some(Instant::now());
-        news.push(frames.fleet(&gateway.fleet, key));
+        if let Some(frame) = frames.fleet(&gateway.fleet, &gateway.settings.node, key) {
+            told.fleet_at = Some(Instant::now());
+            news.push(frame);
+        }
     }
     news
 }
@@ -235,6 +245,8 @@
     }
     // A new reader gets its time even if nothing is trusted now.
     let mut silent_at = Instant::now() + TRUST;
+    // What was told and not vouched for yet.
+    let mut told: Vec<FeedMessage> = Vec::new();
     loop {
         let reading = timeout_at(silent_at.into(), read_message(&mut stream, key));
         let message = match reading.await {
@@ -242,27 +254,35 @@
             Ok(Err(_)) => return Lost::Broken,
             Err(_) => return Lost::Stale,
         };
-        match message {
-            FeedMessage::Configuration(configuration) => {
-                gateway.beliefs.adopt_configuration(configuration);
-            }
-            FeedMessage::Instances(instances) => adopt_instances(gateway, instances),
-            FeedMessage::Fleet(fleet) => {
-                fleet::adopt_fleet(gateway, fleet);
-                if !is_reader_of(gateway, reader) {
-                    return Lost::NoLongerChosen;
-                }
-            }
-            FeedMessage::Beat { age } => {
-                if !readers::is_trusted(age, Duration::ZERO) {
-                    return Lost::Stale;
-                }
-                silent_at = Instant::now() + (TRUST - age);
-                *trusted_until = silent_at;
-                start_following(gateway, reader);
-            }
-            FeedMessage::Subscribe => return Lost::Broken,
+        let FeedMessage::Beat { age } = message else {
+            told.push(message);
+            continue;
+        };
+        if !readers::is_trusted(age, Duration::ZERO) {
+            return Lost::Stale;
+        }
+        for message in told.drain(..) {
+            adopt(gateway, message);
+        }
+        silent_at = Instant::now() + (TRUST - age);
+        *trusted_until = silent_at;
+        start_following(gateway, reader);
+        if !is_reader_of(gateway, reader) {
+            return Lost::NoLongerChosen;
+        }
+    }
+}
+
+/// Takes in what a reader has told and vouched for.
+fn adopt<P: Platform>(gateway: &Gateway<P>, message: FeedMessage) {
+    match message {
+        FeedMessage::Configuration(configuration) => {
+            gateway.beliefs.adopt_configuration(configuration);
         }
+        FeedMessage::Instances(known) => adopt_instances(gateway, known),
+        FeedMessage::Fleet(fleet) => fleet::adopt_fleet(gateway, fleet),
+        // A reader has no use for the first, and the second vouches only.
+        FeedMessage::Subscribe | FeedMessage::Beat { .. } => {}
     }
 }
 
@@ -280,12 +300,14 @@
     }
 }
 
-fn adopt_instances<P: Platform>(gateway: &Gateway<P>, instances: Vec<(Instance, bool)>) {
-    let listed = instances
+fn adopt_instances<P: Platform>(gateway: &Gateway<P>, known: FeedInstances) {
+    let listed = known
+        .instances
         .into_iter()
         .filter(|(_, is_listed)| *is_listed)
         .map(|(instance, _)| instance);
+    let cursor = Cursor(known.cursor);
     gateway
         .beliefs
-        .replace_instances(listed.collect(), Instant::now());
+        .replace_instances(listed.collect(), cursor, Instant::now());
 }
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -28,6 +28,8 @@
 
 /// Pause before registering is tried again after a failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
+/// When a node that has just registered looks at the fleet again.
+const SECOND_LOOK: Duration = Duration::from_millis(400);
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a node that stops waits for its row to be removed.
@@ -108,16 +110,20 @@
         lock(&self.view).size
     }
 
-    /// What followers are told.
-    pub fn for_followers(&self) -> FeedFleet {
+    /// What followers are told; `None` as long as this node does not know
+    /// itself to be a reader, since its view is not theirs.
+    pub fn for_followers(&self, own_name: &str) -> Option<FeedFleet> {
         let view = lock(&self.view);
+        if !view.readers.iter().any(|node| node.name == own_name) {
+            return None;
+        }
         let nodes: Vec<&FeedNode> = view.nodes.values().collect();
         let sample = nodes.choose_multiple(&mut rand::rng(), SAMPLE);
-        FeedFleet {
+        Some(FeedFleet {
             size: view.size,
             readers: view.readers.clone(),
             sample: sample.map(|node| (*node).clone()).collect(),
-        }
+        })
     }
 
     /// Where this node gets configuration and instances from.
@@ -155,8 +161,12 @@
 /// Keeps this node registered and the view of the fleet fresh. Runs until the
 /// node leaves.
 pub(crate) async fn keep_registered<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut is_first = true;
     while !gateway.is_leaving() {
         let pause = match register(&gateway).await {
+            // What was read before its own row was there lacks this node: a
+            // reader would not know that it is one.
+            Ok(()) if std::mem::take(&mut is_first) => SECOND_LOOK,
             Ok(()) => readers::renewal_interval(gateway.fleet.size()),
             Err(error) => {
                 gateway.metrics.store_failures.add();
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -144,7 +144,9 @@
 
 async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
     let (listed, next) = bounded(gateway.platform.read_instances(), ANSWER_TIMEOUT).await?;
-    gateway.beliefs.replace_instances(listed, Instant::now());
+    gateway
+        .beliefs
+        .replace_instances(listed, next, Instant::now());
     Ok(next)
 }
 
@@ -162,6 +164,7 @@
             DirectoryChange::Absent(id) => gateway.beliefs.vanish_instance(&id, Instant::now()),
         }
     }
+    gateway.beliefs.advance_directory(next);
     Ok(next)
 }
 
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -38,6 +38,15 @@
     pub sample: Vec<FeedNode>,
 }
 
+/// All instances, as a reader knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedInstances {
+    /// The store's count of changes up to which they were read.
+    pub cursor: u64,
+    /// Each instance, and whether it is still listed.
+    pub instances: Vec<(Instance, bool)>,
+}
+
 /// A message of a feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedMessage {
@@ -45,8 +54,8 @@
     Subscribe,
     /// A version of the configuration.
     Configuration(Configuration),
-    /// All instances, and whether each is still listed.
-    Instances(Vec<(Instance, bool)>),
+    /// All instances as of a place in the store's changes.
+    Instances(FeedInstances),
     /// The size of the fleet, the zone's readers and some other nodes.
     Fleet(FeedFleet),
     /// The reader lives; its last answer from the store is this old.
@@ -143,7 +152,7 @@
     #[n(1)]
     Configuration(#[n(0)] WireConfiguration),
     #[n(2)]
-    Instances(#[n(0)] Vec<WireInstance>),
+    Instances(#[n(0)] u64, #[n(1)] Vec<WireInstance>),
     #[n(3)]
     Fleet(#[n(0)] WireFleet),
     #[n(4)]
@@ -178,11 +187,12 @@
         FeedMessage::Configuration(configuration) => {
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
-        FeedMessage::Instances(instances) => {
-            let wire = instances
+        FeedMessage::Instances(known) => {
+            let wire = known
+                .instances
                 .iter()
                 .map(|(instance, is_listed)| instance_to_wire(instance, *is_listed));
-            WireMessage::Instances(wire.collect())
+            WireMessage::Instances(known.cursor, wire.collect())
         }
         FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
             size: fleet.size as u64,
@@ -250,9 +260,12 @@
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
-        WireMessage::Instances(wire) => {
+        WireMessage::Instances(cursor, wire) => {
             let instances: Option<Vec<_>> = wire.into_iter().map(instance_from_wire).collect();
-            FeedMessage::Instances(instances?)
+            FeedMessage::Instances(FeedInstances {
+                cursor,
+                instances: instances?,
+            })
         }
         WireMessage::Fleet(wire) => FeedMessage::Fleet(FeedFleet {
             size: wire.size as usize,
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -14,7 +14,9 @@
 use sha2::Sha256;
 use thiserror::Error;
 
-pub use feed::{FeedFleet, FeedMessage, FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed};
+pub use feed::{
+    FeedFleet, FeedInstances, FeedMessage, FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed,
+};
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
     Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -7,8 +7,8 @@
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_peer::{
-    FeedFleet, FeedMessage, FeedNode, PeerError, PeerKey, Reachability, ReachabilityMessage,
-    decode_feed, decode_reachability, encode_feed, encode_reachability,
+    FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError, PeerKey, Reachability,
+    ReachabilityMessage, decode_feed, decode_reachability, encode_feed, encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -54,7 +54,10 @@
     vec![
         FeedMessage::Subscribe,
         FeedMessage::Configuration(configuration()),
-        FeedMessage::Instances(vec![(instance, false)]),
+        FeedMessage::Instances(FeedInstances {
+            cursor: 77,
+            instances: vec![(instance, false)],
+        }),
         FeedMessage::Fleet(FeedFleet {
             size: 300,
             readers: vec![node.clone()],
