--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -216,11 +216,11 @@
         told.revision = Some(revision);
         news.push(frames.instances(revision, &gateway.beliefs, key));
     }
-    if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL) {
-        if let Some(frame) = frames.fleet(&gateway.fleet, &gateway.settings.node, key) {
-            told.fleet_at = Some(Instant::now());
-            news.push(frame);
-        }
+    if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL)
+        && let Some(frame) = frames.fleet(&gateway.fleet, &gateway.settings.node, key)
+    {
+        told.fleet_at = Some(Instant::now());
+        news.push(frame);
     }
     news
 }
