--- /dev/null
+++ b/crates/linkhold-gateway/src/ports/mod.rs
@@ -0,0 +1,43 @@
+//! What the engine needs from the world around it.
+//!
+//! An adapter translates these typed messages to one platform's protocols. It
+//! makes no decision, retries nothing and keeps no state beyond a call.
+
+mod authority;
+mod backend;
+mod caller;
+mod store;
+
+pub use authority::{FailoverAuthority, PromoteAnswer, PromoteOrder};
+pub use backend::{
+    BackendConnection, BackendConnector, BackendErrorKind, BackendOutcome, BackendReply, Command,
+    ConnectError, ExchangeError, StatusReader, StatusReply,
+};
+pub use caller::{
+    CallerConnection, CallerError, CallerReply, CallerRequest, Rejection, Startup, Statement,
+};
+pub use store::{
+    ConfigurationSource, Cursor, DirectoryChange, FleetTable, InstanceDirectory, MetadataStore,
+    RowRange, StoreError, StoredRow, StoredRows, WriteResult,
+};
+
+/// Everything the engine needs.
+pub trait Platform:
+    ConfigurationSource
+    + InstanceDirectory
+    + MetadataStore
+    + FailoverAuthority
+    + BackendConnector
+    + StatusReader
+{
+}
+
+impl<T> Platform for T where
+    T: ConfigurationSource
+        + InstanceDirectory
+        + MetadataStore
+        + FailoverAuthority
+        + BackendConnector
+        + StatusReader
+{
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -0,0 +1,147 @@
+//! The platform's store: configuration, instances, the fleet's own rows.
+
+use std::future::Future;
+use std::time::Duration;
+
+use linkhold_core::service::configuration::Configuration;
+use linkhold_core::service::instance::{Instance, InstanceId};
+use thiserror::Error;
+
+/// The store could not be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// It refused the call; nothing was done.
+    #[error("store refused the call")]
+    Refused,
+    /// No answer, or a broken one; a write may have been done.
+    #[error("store gave no answer")]
+    NoAnswer,
+    /// Changes since the cursor are no longer known.
+    #[error("store has forgotten its history")]
+    HistoryGone,
+    /// The answer made no sense.
+    #[error("store gave an answer that makes no sense")]
+    Malformed,
+}
+
+/// Place in a stream of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cursor(pub u64);
+
+/// A change to one entry of the instance directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// The entry is there and reads so.
+    Present(Instance),
+    /// The entry is gone.
+    Absent(InstanceId),
+}
+
+/// Where the configuration comes from.
+pub trait ConfigurationSource: Send + Sync + 'static {
+    /// The newest version, and the place from which to follow.
+    fn read_configuration(
+        &self,
+    ) -> impl Future<Output = Result<(Option<Configuration>, Cursor), StoreError>> + Send;
+    /// Newer versions; returns when there is one or after `wait`.
+    fn follow_configuration(
+        &self,
+        from: Cursor,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(Option<Configuration>, Cursor), StoreError>> + Send;
+}
+
+/// Where instances announce themselves.
+pub trait InstanceDirectory: Send + Sync + 'static {
+    /// All instances, and the place from which to follow.
+    fn read_instances(
+        &self,
+    ) -> impl Future<Output = Result<(Vec<Instance>, Cursor), StoreError>> + Send;
+    /// Changes; returns when there is one or after `wait`.
+    fn follow_instances(
+        &self,
+        from: Cursor,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(Vec<DirectoryChange>, Cursor), StoreError>> + Send;
+}
+
+/// A row of the metadata store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Version for conditional writes.
+    pub version: u64,
+}
+
+/// Which rows of a table are read, in the order of their keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowRange<'a> {
+    /// All of them.
+    All,
+    /// The one with this key.
+    Key(&'a str),
+    /// Some from this key on.
+    From {
+        /// The first key.
+        key: &'a str,
+        /// Rows at the most.
+        limit: usize,
+    },
+}
+
+/// Rows and the store's clock.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredRows {
+    /// The rows in the order of their keys.
+    pub rows: Vec<StoredRow>,
+    /// The store's steady clock, in milliseconds.
+    pub now: u64,
+}
+
+/// Result of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// Done.
+    Written,
+    /// The row had changed; nothing was done.
+    Conflict,
+}
+
+/// A table of the fleet's own in the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetTable {
+    /// Nodes that are in service.
+    Nodes,
+    /// Failover leases by service.
+    Leases,
+    /// Secrets that all nodes share.
+    Keys,
+}
+
+/// Small rows that outlive every node, with conditional writes.
+pub trait MetadataStore: Send + Sync + 'static {
+    /// Reads rows of a table.
+    fn read_rows(
+        &self,
+        table: FleetTable,
+        range: RowRange<'_>,
+    ) -> impl Future<Output = Result<StoredRows, StoreError>> + Send;
+    /// Writes a row if it still has `expected` as version (0: not there);
+    /// without a condition if `expected` is `None`.
+    fn write_row(
+        &self,
+        table: FleetTable,
+        key: &str,
+        value: Vec<u8>,
+        expected: Option<u64>,
+    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
+    /// Removes a row.
+    fn remove_row(
+        &self,
+        table: FleetTable,
+        key: &str,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+}
