Let nodes follow readers in fleets of 17 to 128 only

Change: over 128 nodes every node reads the store, as before; the fleet is counted up to 129 rows in one read.

--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -2,10 +2,11 @@
 //! reader tells it.
 //!
 //! In a small fleet every node reads the store. In a larger one the first nodes
-//! of each zone by name do, and the others follow one of them: a node finds
-//! them by reading a few rows, however large the fleet is. A follower that
+//! of each zone by name do, and the others follow one of them. A follower that
 //! hears nothing, or only from a reader that has itself lost the store, reads
-//! the store again.
+//! the store again. Over [`LARGEST_FOLLOWING_FLEET`] a reader has more followers
+//! than it can tell a large configuration within [`TRUST`], and all of them
+//! would go back to the store at once: there every node reads the store.
 //!
 //! # Invariant
 //!
@@ -16,6 +17,8 @@
 
 /// Largest fleet in which every node reads the store.
 pub const SMALL_FLEET: usize = 16;
+/// Largest fleet in which nodes follow readers.
+pub const LARGEST_FOLLOWING_FLEET: usize = 128;
 /// Readers in each zone of a larger fleet.
 pub const READERS_PER_ZONE: usize = 2;
 /// Oldest knowledge that a follower accepts.
@@ -34,7 +37,8 @@
 
 /// Chooses a node's source. `readers` are the zone's first nodes by name.
 pub fn source(own: &str, readers: &[&str], fleet_size: usize) -> Source {
-    if fleet_size <= SMALL_FLEET || readers.is_empty() || readers.contains(&own) {
+    let may_follow = fleet_size > SMALL_FLEET && fleet_size <= LARGEST_FOLLOWING_FLEET;
+    if !may_follow || readers.is_empty() || readers.contains(&own) {
         Source::Store
     } else {
         Source::Readers
@@ -46,18 +50,22 @@
     age + since < TRUST
 }
 
-/// Shortest time between two renewals of a node's row.
-const SHORTEST_RENEWAL: Duration = Duration::from_millis(4_000);
-/// Renewals of all nodes together in a second.
-const RENEWALS_PER_SECOND: usize = 40;
+/// Time between two renewals of a node's row while the fleet is counted.
+const RENEWAL: Duration = Duration::from_millis(4_000);
+/// The same in a fleet that is larger than is counted, so that all renewals
+/// together stay within what the store takes.
+const UNCOUNTED_RENEWAL: Duration = Duration::from_millis(12_000);
 /// Age of a row, in renewals, after which its node no longer counts.
 const EXPIRY_RENEWALS: u32 = 3;
 
-/// How often a node renews its row in a fleet of this size, so that all
-/// renewals together stay within what the store takes.
+/// How often a node renews its row. Fleets are counted up to one node more
+/// than [`LARGEST_FOLLOWING_FLEET`].
 pub fn renewal_interval(fleet_size: usize) -> Duration {
-    let spread = Duration::from_secs((fleet_size / RENEWALS_PER_SECOND) as u64);
-    SHORTEST_RENEWAL.max(spread)
+    if fleet_size > LARGEST_FOLLOWING_FLEET {
+        UNCOUNTED_RENEWAL
+    } else {
+        RENEWAL
+    }
 }
 
 /// Age at which a row no longer counts.
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -2,10 +2,9 @@
 //!
 //! A node renews its row at an interval that grows with the fleet; one that was
 //! not renewed for some intervals on the store's clock is gone. Rows are keyed
-//! by zone and name, so that a starting node finds out with two small reads
-//! whether the fleet is large and who reads the store in its zone. Only readers
-//! read all rows; they tell their followers the size and a sample. The size
-//! decides each node's share of connections. While the store cannot be read,
+//! by zone and name and read up to a limit: a larger fleet is not counted.
+//! Followers of a reader are told the size and a sample. The size decides each
+//! node's share of connections. While the store cannot be read,
 //! the last view stays.
 
 use std::collections::BTreeMap;
@@ -15,7 +14,9 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
-use linkhold_core::service::readers::{self, READERS_PER_ZONE, SAMPLE, SMALL_FLEET, Source};
+use linkhold_core::service::readers::{
+    self, LARGEST_FOLLOWING_FLEET, READERS_PER_ZONE, SAMPLE, Source,
+};
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
 use rand::seq::IndexedRandom;
@@ -38,8 +39,6 @@
 const PEER_KEY_ROW: &str = "peer";
 /// Bytes of that key.
 const PEER_KEY_LENGTH: usize = 32;
-/// Rows read to find a zone's readers: some may have expired.
-const READER_ROWS: usize = READERS_PER_ZONE + 6;
 
 /// A node's row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -102,7 +101,8 @@
     /// taken to be.
     pub fn knows(&self, name: &str) -> bool {
         let view = lock(&self.view);
-        view.nodes.contains_key(name) || view.size > view.nodes.len()
+        let is_counted = view.size <= LARGEST_FOLLOWING_FLEET;
+        view.nodes.contains_key(name) || !is_counted || view.size > view.nodes.len()
     }
 
     /// Nodes of the fleet, this one included.
@@ -195,36 +195,15 @@
     bounded(write_own_row(gateway, now)).await
 }
 
-/// Reads as much of the fleet as this node needs; returns the store's clock.
+/// Reads the fleet, as far as it is counted; returns the store's clock.
 async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<u64, StoreError> {
-    let first = read(
-        gateway,
-        RowRange::From {
-            key: "",
-            limit: SMALL_FLEET + 1,
-        },
-    )
-    .await?;
-    if first.rows.len() <= SMALL_FLEET {
-        adopt_all(gateway, &first);
-        return Ok(first.now);
-    }
-    let zone_start = row_key(gateway, "");
-    let zone = read(
-        gateway,
-        RowRange::From {
-            key: &zone_start,
-            limit: READER_ROWS,
-        },
-    )
-    .await?;
-    let readers = fresh_nodes(&zone, gateway.fleet.size().max(SMALL_FLEET + 1));
-    adopt_readers(gateway, readers);
-    if gateway.fleet.source(&gateway.settings.node) == FleetSource::Store {
-        let all = read(gateway, RowRange::All).await?;
-        adopt_all(gateway, &all);
-    }
-    Ok(zone.now)
+    let range = RowRange::From {
+        key: "",
+        limit: LARGEST_FOLLOWING_FLEET + 1,
+    };
+    let rows = read(gateway, range).await?;
+    adopt_rows(gateway, &rows);
+    Ok(rows.now)
 }
 
 async fn read<P: Platform>(
@@ -318,8 +297,8 @@
     }
 }
 
-/// Takes in the whole fleet. This node always counts itself.
-fn adopt_all<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
+/// Takes in the fleet as it was read. This node always counts itself.
+fn adopt_rows<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
     let own = own_node(gateway);
     let mut nodes = fresh_nodes(rows, rows.rows.len());
     if !nodes.iter().any(|node| node.name == own.name) {
@@ -337,15 +316,6 @@
     adopt_fleet(gateway, fleet);
 }
 
-/// Takes in the zone's first nodes of a large fleet.
-fn adopt_readers<P: Platform>(gateway: &Gateway<P>, mut zone_nodes: Vec<FeedNode>) {
-    zone_nodes.retain(|node| node.zone == *gateway.settings.places.zone);
-    zone_nodes.truncate(READERS_PER_ZONE);
-    let mut view = lock(&gateway.fleet.view);
-    view.size = view.size.max(SMALL_FLEET + 1);
-    view.readers = zone_nodes;
-}
-
 /// Takes in the fleet as it was read or told.
 pub(crate) fn adopt_fleet<P: Platform>(gateway: &Gateway<P>, fleet: FeedFleet) {
     let own = own_node(gateway);
