--- a/crates/linkhold-gateway/src/transaction.rs
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -81,7 +81,7 @@
 
     /// Commits.
     pub async fn commit(
-        mut self,
+        self,
         gateway: &Arc<Gateway<P>>,
         session: &SessionState,
         work: &Work,
@@ -105,7 +105,6 @@
             };
             gateway.primary_proved(&instance, sample);
         }
-        self.wrote = false;
         finish(answer.lease, answer.reply.status);
         Ok(Committed {
             reply: answer.reply,
