Ask the store less: two readers a region, longer waits, followers renewed by readers

Cause: on the grown sites calls to the store are the largest price.

Ruled out: renewing more rarely. A node that is silent at a crash delays the promotion until its row expires.

Change: two readers a region in different zones instead of two a zone; the wait of a question and the trust in a reader follow bounds.config_apply_ms (3 s: as before, 6 s: 2.6 and 3.6 s); followers tell their reader that they live, and it renews their rows with its own in one call; only readers hold leases ready, by the list of all.

--- a/crates/linkhold-core/tests/service_readers.rs
+++ b/crates/linkhold-core/tests/service_readers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use linkhold_core::service::readers::{
-    LARGEST_FOLLOWING_FLEET, SMALL_FLEET, Source, TRUST, is_trusted, renewal_interval, row_expiry,
-    source,
+    FOLLOWER_RENEWAL, Freshness, LARGEST_FOLLOWING_FLEET, ReaderCandidate, SMALL_FLEET, Source,
+    choose_readers, renewal_interval, row_expiry, source,
 };
 
 #[test]
@@ -21,10 +21,61 @@
 
 #[test]
 fn trust_covers_the_readers_own_age() {
-    let half = TRUST / 2;
-    assert!(is_trusted(half, Duration::ZERO));
-    assert!(is_trusted(Duration::ZERO, half));
-    assert!(!is_trusted(half, half));
+    let freshness = Freshness::for_bound(Duration::from_secs(4));
+    let half = freshness.trust / 2;
+    assert!(freshness.is_trusted(half, Duration::ZERO));
+    assert!(freshness.is_trusted(Duration::ZERO, half));
+    assert!(!freshness.is_trusted(half, half));
+}
+
+/// A follower that loses a reader just before a change has to learn it from
+/// another source within the bound; a reader that only waits is not lost.
+#[test]
+fn trust_ends_before_the_bound_and_after_the_readers_wait() {
+    for bound in [3_000, 4_000, 5_000, 6_000, 13_000].map(Duration::from_millis) {
+        let freshness = Freshness::for_bound(bound);
+        let other_source = Duration::from_millis(1_000);
+        let beat = Duration::from_millis(500);
+        assert!(freshness.trust + other_source <= bound, "{bound:?}");
+        assert!(freshness.wait + beat < freshness.trust, "{bound:?}");
+    }
+    let strictest = Freshness::for_bound(Duration::from_secs(3));
+    assert_eq!(strictest.wait, Duration::from_secs(1));
+    assert!(Freshness::for_bound(Duration::from_secs(6)).wait > strictest.wait);
+}
+
+fn node<'a>(zone: &'a str, name: &'a str) -> ReaderCandidate<'a> {
+    ReaderCandidate { zone, name }
+}
+
+#[test]
+fn readers_stand_in_different_zones_of_their_region() {
+    let region = [
+        node("b", "b-1"),
+        node("a", "a-2"),
+        node("a", "a-1"),
+        node("b", "b-2"),
+    ];
+    assert_eq!(choose_readers(&region), ["a-1", "b-1"]);
+    assert_eq!(choose_readers(&region[1..3]), ["a-1", "a-2"]);
+    assert_eq!(choose_readers(&region[..1]), ["b-1"]);
+}
+
+#[test]
+fn a_region_of_many_nodes_has_more_readers() {
+    let names: Vec<String> = (0..120).map(|number| format!("n-{number:03}")).collect();
+    let region: Vec<_> = names.iter().map(|name| node("a", name)).collect();
+    assert_eq!(choose_readers(&region).len(), 4);
+    assert_eq!(choose_readers(&region[..60]).len(), 2);
+}
+
+/// A follower's row may be as old as its own interval and its reader's, and a
+/// change of reader, which takes as long as it is trusted, comes on top.
+#[test]
+fn a_followers_row_outlives_a_change_of_its_reader() {
+    let freshness = Freshness::for_bound(Duration::from_secs(13));
+    let spread = FOLLOWER_RENEWAL * 12 / 10;
+    assert!(spread * 2 + freshness.trust < row_expiry(SMALL_FLEET + 1));
 }
 
 /// The store takes 600 writes a second from all nodes; the largest fleet named
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -56,7 +56,7 @@
         sleep(READY_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
         for service in gateway.beliefs.services() {
             let node = &gateway.settings.node;
-            let is_first = gateway.fleet.rank(node, &service) == 0;
+            let is_first = gateway.fleet.is_first(node, &service);
             if is_first && !gateway.leases.holds(&service, node) && !gateway.is_leaving() {
                 // Without the store there is nothing to hold; the next round tries again.
                 let _ = timeout(STORE_TIMEOUT, hold_ready(&gateway, &service)).await;
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -7,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::Configuration;
-use linkhold_core::service::readers::{self, TRUST};
+use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
 use linkhold_peer::{
     FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed,
 };
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -47,8 +48,8 @@
     NoLongerChosen,
 }
 
-async fn write_message(
-    stream: &mut TcpStream,
+async fn write_message<S: AsyncWrite + Unpin>(
+    stream: &mut S,
     message: &FeedMessage,
     key: &PeerKey,
 ) -> io::Result<()> {
@@ -65,13 +66,16 @@
     frame.into()
 }
 
-async fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+async fn write_frame<S: AsyncWrite + Unpin>(stream: &mut S, frame: &[u8]) -> io::Result<()> {
     timeout(WRITE_TIMEOUT, stream.write_all(frame))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
-async fn read_message(stream: &mut TcpStream, key: &PeerKey) -> io::Result<FeedMessage> {
+async fn read_message<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    key: &PeerKey,
+) -> io::Result<FeedMessage> {
     let length = stream.read_u32().await? as usize;
     if length > MAX_FEED_MESSAGE {
         return Err(io::ErrorKind::InvalidData.into());
@@ -89,7 +93,7 @@
             && let Ok(listener) = TcpListener::bind(address).await
         {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(tell(gateway.clone(), stream));
+                tokio::spawn(serve_follower(gateway.clone(), stream));
             }
         }
         sleep(LISTEN_PAUSE).await;
@@ -169,9 +173,8 @@
     fleet_at: Option<Instant>,
 }
 
-/// Tells a follower everything until it leaves or this node no longer reads
-/// the store.
-async fn tell<P: Platform>(gateway: Arc<Gateway<P>>, mut stream: TcpStream) {
+/// Serves a follower until it leaves or this node no longer reads the store.
+async fn serve_follower<P: Platform>(gateway: Arc<Gateway<P>>, mut stream: TcpStream) {
     let Some(key) = gateway.fleet.key() else {
         return;
     };
@@ -181,18 +184,36 @@
     if !matches!(subscribe, Ok(Ok(FeedMessage::Subscribe))) {
         return;
     }
+    let (mut reading, mut writing) = stream.into_split();
+    tokio::select! {
+        () = tell(&gateway, &mut writing, &key) => {}
+        () = hear(&gateway, &mut reading, &key) => {}
+    }
+}
+
+/// Takes in what a follower says, until it leaves.
+async fn hear<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedReadHalf, key: &PeerKey) {
+    while let Ok(message) = read_message(stream, key).await {
+        if let FeedMessage::Renewal(node) = message {
+            gateway.fleet.heard(node);
+        }
+    }
+}
+
+/// Tells a follower everything as long as this node reads the store.
+async fn tell<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedWriteHalf, key: &PeerKey) {
     let mut changes = gateway.beliefs.subscribe_to_lists();
     let mut told = Told::default();
     while let Some(age) = gateway.sources.age() {
         changes.mark_unchanged();
-        for frame in news(&gateway, &mut told, &key) {
-            if write_frame(&mut stream, &frame).await.is_err() {
+        for frame in news(gateway, &mut told, key) {
+            if write_frame(stream, &frame).await.is_err() {
                 return;
             }
         }
         // The age goes last: it vouches for all that came before it.
         let beat = FeedMessage::Beat { age };
-        if write_message(&mut stream, &beat, &key).await.is_err() {
+        if write_message(stream, &beat, key).await.is_err() {
             return;
         }
         // Time passing is as good a reason to speak as a change.
@@ -243,12 +264,39 @@
     {
         return Lost::Broken;
     }
+    let (mut reading, mut writing) = stream.into_split();
+    tokio::select! {
+        lost = listen(gateway, reader, &mut reading, key, trusted_until) => lost,
+        () = renew(gateway, &mut writing, key) => Lost::Broken,
+    }
+}
+
+/// Tells the reader at intervals that this node lives, until it cannot.
+async fn renew<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedWriteHalf, key: &PeerKey) {
+    loop {
+        let renewal = FeedMessage::Renewal(fleet::own_node(gateway));
+        if write_message(stream, &renewal, key).await.is_err() {
+            return;
+        }
+        sleep(FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+/// Takes in what the reader says until it is not to be followed any more.
+async fn listen<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    reader: SocketAddr,
+    stream: &mut OwnedReadHalf,
+    key: &PeerKey,
+    trusted_until: &mut Instant,
+) -> Lost {
+    let freshness = gateway.freshness;
     // A new reader gets its time even if nothing is trusted now.
-    let mut silent_at = Instant::now() + TRUST;
+    let mut silent_at = Instant::now() + freshness.trust;
     // What was told and not vouched for yet.
     let mut told: Vec<FeedMessage> = Vec::new();
     loop {
-        let reading = timeout_at(silent_at.into(), read_message(&mut stream, key));
+        let reading = timeout_at(silent_at.into(), read_message(stream, key));
         let message = match reading.await {
             Ok(Ok(message)) => message,
             Ok(Err(_)) => return Lost::Broken,
@@ -258,13 +306,13 @@
             told.push(message);
             continue;
         };
-        if !readers::is_trusted(age, Duration::ZERO) {
+        if !freshness.is_trusted(age, Duration::ZERO) {
             return Lost::Stale;
         }
         for message in told.drain(..) {
             adopt(gateway, message);
         }
-        silent_at = Instant::now() + (TRUST - age);
+        silent_at = Instant::now() + (freshness.trust - age);
         *trusted_until = silent_at;
         start_following(gateway, reader);
         if !is_reader_of(gateway, reader) {
@@ -281,8 +329,8 @@
         }
         FeedMessage::Instances(known) => adopt_instances(gateway, known),
         FeedMessage::Fleet(fleet) => fleet::adopt_fleet(gateway, fleet),
-        // A reader has no use for the first, and the second vouches only.
-        FeedMessage::Subscribe | FeedMessage::Beat { .. } => {}
+        // A follower has no use for the first two, and the third vouches only.
+        FeedMessage::Subscribe | FeedMessage::Renewal(_) | FeedMessage::Beat { .. } => {}
     }
 }
 
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -1,59 +1,31 @@
-//! The nodes of the fleet, as they register themselves in the metadata store.
+//! What a node knows of the fleet: its size, which decides shares of
+//! connections, who reads the store, and whom to ask.
 //!
-//! A node renews its row at an interval that grows with the fleet; one that was
-//! not renewed for some intervals on the store's clock is gone. Rows are keyed
-//! by zone and name and read up to a limit: a larger fleet is not counted.
-//! Followers of a reader are told the size and a sample. The size decides each
-//! node's share of connections. While the store cannot be read,
-//! the last view stays.
+//! Nodes that read the store see the rows by which nodes register
+//! ([`crate::registration`]), up to a limit: a larger fleet is not counted.
+//! Followers of a reader are told the size and a sample. While the store cannot
+//! be read, the last view stays.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
 use linkhold_core::service::placement::Distance;
 use linkhold_core::service::readers::{
-    self, LARGEST_FOLLOWING_FLEET, READERS_PER_ZONE, SAMPLE, Source,
+    self, LARGEST_FOLLOWING_FLEET, ReaderCandidate, SAMPLE, Source,
 };
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, timeout};
 
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
+use crate::places::Places;
 use crate::pools::NodeCounts;
-use crate::ports::{FleetTable, Platform, RowRange, StoreError, StoredRows, WriteResult};
-
-/// Pause before registering is tried again after a failure.
-const RETRY_INTERVAL: Duration = Duration::from_millis(700);
-/// When a node that has just registered looks at the fleet again.
-const SECOND_LOOK: Duration = Duration::from_millis(400);
-/// How long a call to the store may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long a node that stops waits for its row to be removed.
-const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Row of the key between nodes.
-const PEER_KEY_ROW: &str = "peer";
-/// Bytes of that key.
-const PEER_KEY_LENGTH: usize = 32;
-
-/// A node's row.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct NodeRow {
-    /// Its name.
-    name: String,
-    /// Where other nodes reach it.
-    address: Option<SocketAddr>,
-    /// Its zone.
-    zone: String,
-    /// When it was written, on the store's clock in milliseconds.
-    renewed_at: u64,
-}
+use crate::ports::Platform;
 
 /// What is known of the fleet.
 #[derive(Default)]
@@ -70,12 +42,26 @@
     nearby: usize,
     /// Nodes by name: all, or a sample in a large fleet.
     nodes: BTreeMap<String, FeedNode>,
-    /// The zone's nodes that read the store.
+    /// The region's nodes that read the store.
     readers: Vec<FeedNode>,
+    /// Nodes among which duties are dealt out; none where this node follows a
+    /// reader and does not know them all.
+    duty_nodes: Vec<NodeId>,
+    /// Followers that told this node that they live, and when.
+    renewals: BTreeMap<String, Renewal>,
     /// The store's clock and when it was read.
     store_clock: Option<(u64, Instant)>,
 }
 
+/// A follower that lives.
+#[derive(Clone, Debug)]
+pub(crate) struct Renewal {
+    /// The follower.
+    pub node: FeedNode,
+    /// When it said so.
+    pub heard_at: Instant,
+}
+
 /// Where this node gets configuration and instances from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetSource {
@@ -144,12 +130,50 @@
         }
     }
 
+    /// Whether few nodes of the fleet read the store.
+    pub fn has_readers(&self) -> bool {
+        readers::has_readers(self.size())
+    }
+
     /// The store's clock, carried on from when it was read.
-    fn store_time(&self) -> Option<u64> {
+    pub fn store_time(&self) -> Option<u64> {
         let (time, read_at) = lock(&self.view).store_clock?;
         Some(time + u64::try_from(read_at.elapsed().as_millis()).ok()?)
     }
 
+    /// Takes in the key between nodes.
+    pub fn set_key(&self, key: PeerKey) {
+        lock(&self.view).key = Some(key);
+    }
+
+    /// Takes in the store's clock, read just now.
+    pub fn set_store_time(&self, now: u64) {
+        lock(&self.view).store_clock = Some((now, Instant::now()));
+    }
+
+    /// A follower of this node lives.
+    pub fn heard(&self, node: FeedNode) {
+        let heard_at = Instant::now();
+        let renewal = Renewal { node, heard_at };
+        lock(&self.view)
+            .renewals
+            .insert(renewal.node.name.clone(), renewal);
+    }
+
+    /// Takes the followers that told that they live since the last call.
+    pub fn take_renewals(&self) -> Vec<Renewal> {
+        let renewals = std::mem::take(&mut lock(&self.view).renewals);
+        renewals.into_values().collect()
+    }
+
+    /// Whether this node is the first of those that take up a duty. Followers
+    /// of a reader know too little of the fleet to be.
+    pub fn is_first(&self, own_name: &str, duty: &str) -> bool {
+        let view = lock(&self.view);
+        let nodes = view.duty_nodes.iter().copied();
+        rendezvous::owners(duty, nodes, 1) == [NodeId::of_name(own_name)]
+    }
+
     /// This node's place in the order in which nodes take up a duty, among
     /// those it knows.
     pub fn rank(&self, own_name: &str, duty: &str) -> usize {
@@ -163,138 +187,8 @@
     }
 }
 
-/// Keeps this node registered and the view of the fleet fresh. Runs until the
-/// node leaves.
-pub(crate) async fn keep_registered<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let mut is_first = true;
-    while !gateway.is_leaving() {
-        let pause = match register(&gateway).await {
-            // What was read before its own row was there lacks this node: a
-            // reader would not know that it is one.
-            Ok(()) if std::mem::take(&mut is_first) => SECOND_LOOK,
-            Ok(()) => readers::renewal_interval(gateway.fleet.size()),
-            Err(error) => {
-                gateway.metrics.store_failures.add();
-                Event::info("registration_failed")
-                    .field("error", error)
-                    .log();
-                RETRY_INTERVAL
-            }
-        };
-        sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
-    }
-}
-
-async fn register<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
-    if gateway.fleet.key().is_none() {
-        let key = bounded(shared_key(gateway)).await?;
-        lock(&gateway.fleet.view).key = Some(key);
-    }
-    let known_time = gateway.fleet.store_time();
-    if let Some(now) = known_time
-        && gateway.sources.is_following()
-    {
-        return bounded(write_own_row(gateway, now)).await;
-    }
-    let now = read_fleet(gateway).await?;
-    bounded(write_own_row(gateway, now)).await
-}
-
-/// Reads the fleet, as far as it is counted; returns the store's clock.
-async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<u64, StoreError> {
-    let range = RowRange::From {
-        key: "",
-        limit: LARGEST_FOLLOWING_FLEET + 1,
-    };
-    let rows = read(gateway, range).await?;
-    adopt_rows(gateway, &rows);
-    Ok(rows.now)
-}
-
-async fn read<P: Platform>(
-    gateway: &Gateway<P>,
-    range: RowRange<'_>,
-) -> Result<StoredRows, StoreError> {
-    let rows = bounded(gateway.platform.read_rows(FleetTable::Nodes, range)).await?;
-    lock(&gateway.fleet.view).store_clock = Some((rows.now, Instant::now()));
-    Ok(rows)
-}
-
-async fn bounded<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-    timeout(CALL_TIMEOUT, call)
-        .await
-        .unwrap_or(Err(StoreError::NoAnswer))
-}
-
-/// Key of a node of this zone: zones first, so that a zone's rows lie together.
-fn row_key<P: Platform>(gateway: &Gateway<P>, name: &str) -> String {
-    format!("{}/{name}", gateway.settings.places.zone)
-}
-
-fn own_key<P: Platform>(gateway: &Gateway<P>) -> String {
-    row_key(gateway, &gateway.settings.node)
-}
-
-async fn write_own_row<P: Platform>(gateway: &Gateway<P>, now: u64) -> Result<(), StoreError> {
-    let row = NodeRow {
-        name: gateway.settings.node.clone(),
-        address: gateway.peers.address(),
-        zone: gateway.settings.places.zone.to_string(),
-        renewed_at: now,
-    };
-    let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
-    gateway
-        .platform
-        .write_row(FleetTable::Nodes, &own_key(gateway), value, None)
-        .await
-        .map(|_| ())
-}
-
-/// Takes this node out of the fleet, so that nobody waits for its answers.
-pub(crate) async fn deregister<P: Platform>(gateway: &Gateway<P>) {
-    let key = own_key(gateway);
-    let removal = gateway.platform.remove_row(FleetTable::Nodes, &key);
-    // Without it, the row expires by itself.
-    let _ = timeout(DEREGISTER_TIMEOUT, removal).await;
-}
-
-/// The key between nodes; made by whichever node comes first.
-async fn shared_key<P: Platform>(gateway: &Gateway<P>) -> Result<PeerKey, StoreError> {
-    let own: [u8; PEER_KEY_LENGTH] = rand::random();
-    let known = gateway
-        .platform
-        .read_rows(FleetTable::Keys, RowRange::Key(PEER_KEY_ROW))
-        .await?;
-    if let Some(row) = known.rows.into_iter().next() {
-        return Ok(PeerKey::new(row.value));
-    }
-    let written = gateway
-        .platform
-        .write_row(FleetTable::Keys, PEER_KEY_ROW, own.to_vec(), Some(0))
-        .await?;
-    match written {
-        WriteResult::Written => Ok(PeerKey::new(own)),
-        // Another node was first; its key is read at the next try.
-        WriteResult::Conflict => Err(StoreError::Refused),
-    }
-}
-
-/// The nodes in rows that were renewed lately, in the order of their keys.
-fn fresh_nodes(rows: &StoredRows, fleet_size: usize) -> Vec<FeedNode> {
-    let expiry = readers::row_expiry(fleet_size);
-    rows.rows
-        .iter()
-        .filter_map(|row| serde_json::from_slice::<NodeRow>(&row.value).ok())
-        .filter(|node| Duration::from_millis(rows.now.saturating_sub(node.renewed_at)) < expiry)
-        .map(|node| FeedNode {
-            name: node.name,
-            zone: node.zone,
-            address: node.address,
-        })
-        .collect()
-}
-
-fn own_node<P: Platform>(gateway: &Gateway<P>) -> FeedNode {
+/// The node itself, as it tells others.
+pub(crate) fn own_node<P: Platform>(gateway: &Gateway<P>) -> FeedNode {
     FeedNode {
         name: gateway.settings.node.clone(),
         zone: gateway.settings.places.zone.to_string(),
@@ -303,23 +197,55 @@
 }
 
 /// Takes in the fleet as it was read. This node always counts itself.
-fn adopt_rows<P: Platform>(gateway: &Gateway<P>, rows: &StoredRows) {
+pub(crate) fn adopt_nodes<P: Platform>(gateway: &Gateway<P>, mut nodes: Vec<FeedNode>) {
     let own = own_node(gateway);
-    let mut nodes = fresh_nodes(rows, rows.rows.len());
     if !nodes.iter().any(|node| node.name == own.name) {
         nodes.push(own);
     }
-    let in_zone = |node: &&FeedNode| node.zone == *gateway.settings.places.zone;
-    let mut zone_nodes: Vec<FeedNode> = nodes.iter().filter(in_zone).cloned().collect();
-    zone_nodes.sort_by(|first, second| first.name.cmp(&second.name));
-    zone_nodes.truncate(READERS_PER_ZONE);
+    let own_region = gateway.settings.places.own_region();
+    let readers = regional_readers(&gateway.settings.places, &nodes);
+    let own_readers = readers.get(&own_region).cloned().unwrap_or_default();
+    let duty_nodes = if readers::has_readers(nodes.len()) {
+        let all_readers = readers.values().flatten();
+        all_readers
+            .map(|node| NodeId::of_name(&node.name))
+            .collect()
+    } else {
+        let names = nodes.iter().map(|node| NodeId::of_name(&node.name));
+        names.collect()
+    };
     let fleet = FeedFleet {
         size: nodes.len(),
         nearby: count_nearby(gateway, &nodes),
-        readers: zone_nodes,
+        readers: own_readers,
         sample: nodes,
     };
     adopt_fleet(gateway, fleet);
+    lock(&gateway.fleet.view).duty_nodes = duty_nodes;
+}
+
+/// The nodes of each region that read the store in a fleet that has readers.
+fn regional_readers(places: &Places, nodes: &[FeedNode]) -> BTreeMap<Arc<str>, Vec<FeedNode>> {
+    let mut regions: BTreeMap<Arc<str>, Vec<&FeedNode>> = BTreeMap::new();
+    for node in nodes {
+        let region = places.region(&node.zone);
+        regions.entry(region).or_default().push(node);
+    }
+    let choose = |(region, nodes): (Arc<str>, Vec<&FeedNode>)| {
+        let candidates: Vec<ReaderCandidate<'_>> = nodes.iter().map(|it| candidate(it)).collect();
+        let chosen = readers::choose_readers(&candidates);
+        let is_chosen = |node: &&&FeedNode| chosen.contains(&node.name.as_str());
+        let chosen = nodes.iter().filter(is_chosen).map(|node| (*node).clone());
+        (region, chosen.collect())
+    };
+    regions.into_iter().map(choose).collect()
+}
+
+fn candidate(node: &FeedNode) -> ReaderCandidate<'_> {
+    ReaderCandidate {
+        zone: &node.zone,
+        name: &node.name,
+    }
 }
 
 /// Nodes in this node's region, if all nodes were read.
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::readers::Freshness;
 use tokio::sync::Notify;
 
 use crate::beliefs::{Beliefs, lock};
@@ -28,6 +29,8 @@
     pub platform: Arc<P>,
     /// What it was told at its start.
     pub settings: GatewaySettings,
+    /// How fresh it keeps what it knows of the store.
+    pub(crate) freshness: Freshness,
     /// What it believes.
     pub beliefs: Beliefs,
     /// Its connections to instances.
@@ -78,6 +81,7 @@
             platform,
             beliefs: Beliefs::new(settings.places.clone(), settings.drain),
             pools: Pools::new(&settings),
+            freshness: Freshness::for_bound(settings.change_bound),
             settings,
             metrics: Metrics::default(),
             attention: Attention::default(),
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -14,8 +14,6 @@
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
 
-/// How long the store holds a question for changes.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
 /// How long an answer may take beyond that.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// First pause after a failure; it doubles up to [`LONGEST_PAUSE`].
@@ -93,8 +91,9 @@
         }
         let answer = match cursor {
             Some(from) => {
-                let call = gateway.platform.follow_configuration(from, FOLLOW_WAIT);
-                bounded(call, FOLLOW_WAIT + ANSWER_TIMEOUT).await
+                let wait = gateway.freshness.wait;
+                let call = gateway.platform.follow_configuration(from, wait);
+                bounded(call, wait + ANSWER_TIMEOUT).await
             }
             None => bounded(gateway.platform.read_configuration(), ANSWER_TIMEOUT).await,
         };
@@ -154,8 +153,9 @@
     gateway: &Gateway<P>,
     from: Cursor,
 ) -> Result<Cursor, StoreError> {
-    let call = gateway.platform.follow_instances(from, FOLLOW_WAIT);
-    let (changes, next) = bounded(call, FOLLOW_WAIT + ANSWER_TIMEOUT).await?;
+    let wait = gateway.freshness.wait;
+    let call = gateway.platform.follow_instances(from, wait);
+    let (changes, next) = bounded(call, wait + ANSWER_TIMEOUT).await?;
     for change in changes {
         match change {
             DirectoryChange::Present(instance) => {
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod pool;
 mod pools;
 pub mod ports;
+mod registration;
 mod session;
 pub mod settings;
 mod sources;
@@ -44,7 +45,7 @@
     tokio::spawn(keeper::keep_instances(gateway.clone()));
     tokio::spawn(keeper::expire_instances(gateway.clone()));
     tokio::spawn(keeper::close_unused_connections(gateway.clone()));
-    tokio::spawn(fleet::keep_registered(gateway.clone()));
+    tokio::spawn(registration::keep_registered(gateway.clone()));
     tokio::spawn(peers::answer_questions(gateway.clone()));
     tokio::spawn(feed::serve_followers(gateway.clone()));
     tokio::spawn(sources::choose(gateway.clone()));
--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -14,9 +14,9 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::fleet;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::registration;
 
 /// How long new callers may still be sent here after the node is not ready.
 const ROUTING_DELAY: Duration = Duration::from_millis(2_300);
@@ -67,7 +67,7 @@
             break;
         }
     }
-    fleet::deregister(&gateway).await;
+    registration::deregister(&gateway).await;
     Event::info("node_stopped")
         .field("node", &gateway.settings.node)
         .field("sessions_left", open_sessions(&gateway))
--- a/crates/linkhold-gateway/src/places.rs
+++ b/crates/linkhold-gateway/src/places.rs
@@ -15,6 +15,19 @@
 }
 
 impl Places {
+    /// The region of a zone; one that is not told of is a region of its own.
+    pub fn region(&self, zone: &str) -> Arc<str> {
+        self.regions
+            .get(zone)
+            .cloned()
+            .unwrap_or_else(|| Arc::from(zone))
+    }
+
+    /// The node's region.
+    pub fn own_region(&self) -> Arc<str> {
+        self.region(&self.zone)
+    }
+
     /// How far a zone is from the node.
     pub fn distance(&self, zone: &str) -> Distance {
         if zone == &*self.zone {
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -92,6 +92,18 @@
     },
 }
 
+/// A row to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// Rows that one call writes, at the most.
+pub const MOST_ROWS_AT_ONCE: usize = 50;
+
 /// Rows and the store's clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredRows {
@@ -138,6 +150,12 @@
         value: Vec<u8>,
         expected: Option<u64>,
     ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
+    /// Writes up to [`MOST_ROWS_AT_ONCE`] rows without conditions, all or none.
+    fn write_rows(
+        &self,
+        table: FleetTable,
+        rows: &[NewRow],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
     /// Removes a row.
     fn remove_row(
         &self,
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub peer_address: Option<SocketAddr>,
     /// How long an instance that leaves may still get new work.
     pub drain: Duration,
+    /// How soon a change of the configuration must be in force.
+    pub change_bound: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
 }
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -35,7 +35,7 @@
     /// Nodes in the reader's region, which is the follower's; 0 where they are
     /// not counted.
     pub nearby: usize,
-    /// Nodes of the zone that read the store.
+    /// Nodes of the region that read the store.
     pub readers: Vec<FeedNode>,
     /// Some nodes of the fleet, chosen at random.
     pub sample: Vec<FeedNode>,
@@ -55,6 +55,8 @@
 pub enum FeedMessage {
     /// A follower asks to be told everything from now on.
     Subscribe,
+    /// A follower lives; its reader renews its registration.
+    Renewal(FeedNode),
     /// A version of the configuration.
     Configuration(Configuration),
     /// All instances as of a place in the store's changes.
@@ -163,6 +165,8 @@
     Fleet(#[n(0)] WireFleet),
     #[n(4)]
     Beat(#[n(0)] u64),
+    #[n(5)]
+    Renewal(#[n(0)] WireNode),
 }
 
 const LATEST: u8 = 0;
@@ -190,6 +194,7 @@
 fn to_wire(message: &FeedMessage) -> WireMessage {
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
+        FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
         FeedMessage::Configuration(configuration) => {
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
@@ -264,6 +269,7 @@
 fn from_wire(wire: WireMessage) -> Option<FeedMessage> {
     Some(match wire {
         WireMessage::Subscribe => FeedMessage::Subscribe,
+        WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -53,6 +53,7 @@
     };
     vec![
         FeedMessage::Subscribe,
+        FeedMessage::Renewal(node.clone()),
         FeedMessage::Configuration(configuration()),
         FeedMessage::Instances(FeedInstances {
             cursor: 77,
