Reach a primary that is cut off through nodes that do reach it

Ruled out: replacing it (undoes what it acknowledges); statements as messages between nodes (a second place that decides promises).

Change: peers that answer 'reached' are remembered in the order of their answers; the pool opens its connections to that instance through one of them, a stream that the peer joins to the instance after a sealed request.

--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -1,6 +1,7 @@
 //! Finds out what is wrong with a primary, from this node's own try and from
 //! what other nodes find.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
@@ -33,6 +34,7 @@
     };
     match own {
         Reachability::Reached => {
+            gateway.relays.forget(&primary.id);
             gateway.instance_answered(&primary.id, Duration::ZERO);
             let leaves = gateway.beliefs.is_leaving(&primary.id, Instant::now());
             leaves.then_some(Trouble::Leaving)
@@ -42,16 +44,40 @@
             Some(Trouble::Unknown)
         }
         Reachability::Unreached => {
-            gateway.instance_failed(&primary, "unreachable");
-            let tally = match early {
-                Some(tally) => tally,
+            // Through a peer it may be served all the while.
+            if !gateway.relays.is_relayed(&primary.id) {
+                gateway.instance_failed(&primary, "unreachable");
+            }
+            let findings = match early {
+                Some(findings) => findings,
                 None => peers.await,
             };
-            judge_unreached(&primary, tally)
+            use_peers(gateway, &primary, findings.reached_by);
+            judge_unreached(&primary, findings.tally)
         }
     }
 }
 
+/// Has connections to a primary that this node does not reach relayed by peers
+/// that do.
+fn use_peers<P: Platform>(gateway: &Gateway<P>, primary: &Instance, peers: Vec<SocketAddr>) {
+    if peers.is_empty() {
+        if gateway.relays.forget(&primary.id) {
+            gateway.instance_failed(primary, "unreachable");
+        }
+        return;
+    }
+    if !gateway.relays.is_relayed(&primary.id) {
+        Event::info("relay_used")
+            .field("service", &primary.service)
+            .field("instance", &primary.id)
+            .field("peers", peers.len())
+            .log();
+    }
+    gateway.relays.learn(&primary.id, peers);
+    gateway.instance_answered(&primary.id, Duration::ZERO);
+}
+
 /// Judges a primary that this node does not reach by what others found.
 fn judge_unreached(primary: &Instance, mut tally: ReachabilityTally) -> Option<Trouble> {
     tally.unreached += 1;
@@ -98,7 +124,7 @@
         if answered {
             continue;
         }
-        let mut tally = peers::ask(gateway, &instance.id).await;
+        let mut tally = peers::ask(gateway, &instance.id).await.tally;
         tally.unreached += 1;
         log_tally(instance, tally);
         if !tally.is_lost() {
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::relay;
 
 use diagnosis::diagnose;
 use promotion::replace;
@@ -50,6 +51,7 @@
                 busy.remove(&service);
             }
         }
+        relay::try_direct_ways(&gateway).await;
         let mut services = gateway.attention.take();
         services.extend(services_with_leaving_primary(&gateway));
         for service in services {
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -21,6 +21,7 @@
 use crate::fleet::{self, Fleet, FleetSource};
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
+use crate::relay;
 
 /// How often a reader says that it lives.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -48,7 +49,7 @@
     NoLongerChosen,
 }
 
-async fn write_message<S: AsyncWrite + Unpin>(
+pub(crate) async fn write_message<S: AsyncWrite + Unpin>(
     stream: &mut S,
     message: &FeedMessage,
     key: &PeerKey,
@@ -72,7 +73,7 @@
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
-async fn read_message<S: AsyncRead + Unpin>(
+pub(crate) async fn read_message<S: AsyncRead + Unpin>(
     stream: &mut S,
     key: &PeerKey,
 ) -> io::Result<FeedMessage> {
@@ -85,15 +86,15 @@
     decode_feed(&body, key).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
 }
 
-/// Takes followers. Runs until the process ends.
-pub(crate) async fn serve_followers<P: Platform>(gateway: Arc<Gateway<P>>) {
+/// Takes streams of other nodes. Runs until the process ends.
+pub(crate) async fn serve_peers<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
         // Followers find it under the address by which peers are asked.
         if let Some(address) = gateway.peers.address()
             && let Ok(listener) = TcpListener::bind(address).await
         {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve_follower(gateway.clone(), stream));
+                tokio::spawn(serve_stream(gateway.clone(), stream));
             }
         }
         sleep(LISTEN_PAUSE).await;
@@ -173,21 +174,28 @@
     fleet_at: Option<Instant>,
 }
 
-/// Serves a follower until it leaves or this node no longer reads the store.
-async fn serve_follower<P: Platform>(gateway: Arc<Gateway<P>>, mut stream: TcpStream) {
+/// Serves what another node opens a stream for.
+async fn serve_stream<P: Platform>(gateway: Arc<Gateway<P>>, mut stream: TcpStream) {
     let Some(key) = gateway.fleet.key() else {
         return;
     };
     // A socket that refuses it still works, only later.
     let _ = stream.set_nodelay(true);
-    let subscribe = timeout(CONNECT_TIMEOUT, read_message(&mut stream, &key)).await;
-    if !matches!(subscribe, Ok(Ok(FeedMessage::Subscribe))) {
-        return;
+    let opening = timeout(CONNECT_TIMEOUT, read_message(&mut stream, &key)).await;
+    match opening {
+        Ok(Ok(FeedMessage::Subscribe)) => serve_follower(&gateway, stream, &key).await,
+        Ok(Ok(FeedMessage::Relay(id))) => relay::serve(&gateway, stream, &id, &key).await,
+        // Whoever opened it finds it closed.
+        _ => {}
     }
+}
+
+/// Serves a follower until it leaves or this node no longer reads the store.
+async fn serve_follower<P: Platform>(gateway: &Gateway<P>, stream: TcpStream, key: &PeerKey) {
     let (mut reading, mut writing) = stream.into_split();
     tokio::select! {
-        () = tell(&gateway, &mut writing, &key) => {}
-        () = hear(&gateway, &mut reading, &key) => {}
+        () = tell(gateway, &mut writing, key) => {}
+        () = hear(gateway, &mut reading, key) => {}
     }
 }
 
@@ -329,8 +337,12 @@
         }
         FeedMessage::Instances(known) => adopt_instances(gateway, known),
         FeedMessage::Fleet(fleet) => fleet::adopt_fleet(gateway, fleet),
-        // A follower has no use for the first two, and the third vouches only.
-        FeedMessage::Subscribe | FeedMessage::Renewal(_) | FeedMessage::Beat { .. } => {}
+        // A beat vouches only; a follower has no use for the others.
+        FeedMessage::Beat { .. }
+        | FeedMessage::Subscribe
+        | FeedMessage::Renewal(_)
+        | FeedMessage::Relay(_)
+        | FeedMessage::Relayed => {}
     }
 }
 
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
+use crate::relay::Relays;
 use crate::settings::GatewaySettings;
 use crate::sources::Sources;
 
@@ -42,6 +43,7 @@
     pub(crate) questions: Questions,
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
+    pub(crate) relays: Relays,
     pub(crate) sources: Sources,
     pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
@@ -88,6 +90,7 @@
             questions: Questions::default(),
             fleet: Fleet::default(),
             peers: Peers::default(),
+            relays: Relays::default(),
             sources: Sources::default(),
             feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod pools;
 pub mod ports;
 mod registration;
+mod relay;
 mod session;
 pub mod settings;
 mod sources;
@@ -47,7 +48,7 @@
     tokio::spawn(keeper::close_unused_connections(gateway.clone()));
     tokio::spawn(registration::keep_registered(gateway.clone()));
     tokio::spawn(peers::answer_questions(gateway.clone()));
-    tokio::spawn(feed::serve_followers(gateway.clone()));
+    tokio::spawn(feed::serve_peers(gateway.clone()));
     tokio::spawn(sources::choose(gateway.clone()));
     tokio::spawn(failover::watch_primaries(gateway.clone()));
     tokio::spawn(failover::hold_leases_ready(gateway.clone()));
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     pub instance_failures: Counter,
     /// Questions to primaries for evidence alone.
     pub evidence_probes: Counter,
+    /// Connections relayed to an instance for another node.
+    pub relays_served: Counter,
     /// Orders to promote.
     pub promotions: Counter,
     /// Calls to the store that failed.
@@ -100,6 +102,7 @@
             ("retries_total", &self.retries),
             ("instance_failures_total", &self.instance_failures),
             ("evidence_probes_total", &self.evidence_probes),
+            ("relays_served_total", &self.relays_served),
             ("promotions_total", &self.promotions),
             ("store_failures_total", &self.store_failures),
         ];
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -120,23 +120,27 @@
         .await;
 }
 
+/// What other nodes answered.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerFindings {
+    /// How many found what.
+    pub tally: ReachabilityTally,
+    /// Nodes that reach the instance as a primary, in the order of their answers.
+    pub reached_by: Vec<SocketAddr>,
+}
+
 /// Asks other nodes whether they reach an instance as a primary. Nothing is
 /// counted while the fleet is not known.
-pub(crate) async fn ask<P: Platform>(
-    gateway: &Gateway<P>,
-    instance: &InstanceId,
-) -> ReachabilityTally {
+pub(crate) async fn ask<P: Platform>(gateway: &Gateway<P>, instance: &InstanceId) -> PeerFindings {
     let mut peers = gateway.fleet.peers(&gateway.settings.node);
     peers.shuffle(&mut rand::rng());
     peers.truncate(MOST_ASKED);
     let socket = lock(&gateway.peers.socket).clone();
     let (Some(key), Some(socket)) = (gateway.fleet.key(), socket) else {
-        return ReachabilityTally::default();
-    };
-    let mut tally = ReachabilityTally {
-        nodes: peers.len() + 1,
-        ..ReachabilityTally::default()
+        return PeerFindings::default();
     };
+    let mut findings = PeerFindings::default();
+    findings.tally.nodes = peers.len() + 1;
     let number = rand::random();
     let (sender, receiver) = mpsc::unbounded_channel();
     lock(&gateway.peers.waiting).insert(number, sender);
@@ -145,9 +149,9 @@
         instance: instance.0.to_string(),
     };
     let datagram = encode_reachability(&message, &key);
-    collect(&socket, &peers, &datagram, receiver, &mut tally).await;
+    collect(&socket, &peers, &datagram, receiver, &mut findings).await;
     lock(&gateway.peers.waiting).remove(&number);
-    tally
+    findings
 }
 
 async fn collect(
@@ -155,7 +159,7 @@
     peers: &[SocketAddr],
     datagram: &[u8],
     mut receiver: mpsc::UnboundedReceiver<(SocketAddr, Reachability)>,
-    tally: &mut ReachabilityTally,
+    findings: &mut PeerFindings,
 ) {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let repeat_at = Instant::now() + REPEAT_AFTER;
@@ -167,8 +171,12 @@
         match timeout_at(until, receiver.recv()).await {
             Ok(Some((from, found))) if !answered.contains(&from) => {
                 answered.push(from);
+                let tally = &mut findings.tally;
                 match found {
-                    Reachability::Reached => tally.reached += 1,
+                    Reachability::Reached => {
+                        tally.reached += 1;
+                        findings.reached_by.push(from);
+                    }
                     Reachability::Unreached => tally.unreached += 1,
                     Reachability::NotPrimary => tally.not_primary += 1,
                 }
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::ports::{BackendConnection, ConnectError, Platform};
+use crate::relay;
 
 /// Rank of a request in queues; the lowest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,10 +51,18 @@
     pub state: ConnectionState,
     /// A transaction of the last user is still to be rolled back.
     pub needs_rollback: bool,
+    /// Until when it may be used again, if not for as long as it stands.
+    reuse_until: Option<Instant>,
     /// When it was given back last.
     given_back_at: Instant,
 }
 
+impl<C> Pooled<C> {
+    fn may_be_reused(&self) -> bool {
+        self.reuse_until.is_none_or(|until| Instant::now() < until)
+    }
+}
+
 /// What a waiter gets.
 enum Grant<C> {
     Connection(Box<Pooled<C>>),
@@ -141,7 +150,7 @@
         loop {
             let index = best_idle(&state.idle, values)?;
             let mut pooled = state.idle.swap_remove(index);
-            if pooled.connection.is_open() {
+            if pooled.connection.is_open() && pooled.may_be_reused() {
                 return Some(pooled);
             }
             state.open -= 1;
@@ -168,15 +177,17 @@
 
     /// Opens a connection on a place that is reserved and hands it on.
     async fn open<P: Platform<Connection = C>>(self: Arc<Self>, gateway: Arc<Gateway<P>>) {
-        let connecting = gateway.platform.connect(&self.instance);
+        let connecting = relay::connect(&gateway, &self.instance);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .unwrap_or(Err(ConnectError::Unreachable));
         match connected {
-            Ok(connection) => {
+            Ok(connected) => {
                 self.opened.fetch_add(1, Ordering::Relaxed);
+                let reuse_until = Instant::now() + relay::LONGEST_REUSE;
                 self.put_back(Pooled {
-                    connection,
+                    connection: connected.connection,
+                    reuse_until: connected.is_relayed.then_some(reuse_until),
                     state: ConnectionState::default(),
                     needs_rollback: false,
                     given_back_at: Instant::now(),
@@ -203,7 +214,7 @@
     fn put_back(&self, mut pooled: Pooled<C>) {
         pooled.given_back_at = Instant::now();
         let mut state = lock(&self.state);
-        if state.open > self.limit.load(Ordering::Relaxed) {
+        if state.open > self.limit.load(Ordering::Relaxed) || !pooled.may_be_reused() {
             state.open -= 1;
             return;
         }
--- a/crates/linkhold-gateway/src/ports/backend.rs
+++ b/crates/linkhold-gateway/src/ports/backend.rs
@@ -8,6 +8,7 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::session::{Prepared, TransactionStatus};
 use thiserror::Error;
+use tokio::net::TcpStream;
 
 /// A command to an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -170,6 +171,12 @@
         &self,
         instance: &Instance,
     ) -> impl Future<Output = Result<Self::Connection, ConnectError>> + Send;
+    /// The same over a stream that leads to the instance's address.
+    fn connect_over(
+        &self,
+        stream: TcpStream,
+        instance: &Instance,
+    ) -> impl Future<Output = Result<Self::Connection, ConnectError>> + Send;
 }
 
 /// An instance's answer to a status question, and its log's position.
--- /dev/null
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -0,0 +1,265 @@
+//! Connections to a primary that this node does not reach, through a node that
+//! does.
+//!
+//! A partition may leave a primary with some nodes only. It is not replaced,
+//! since it goes on acknowledging commits; a node on the other side opens its
+//! connections through a peer that answered that it reaches the primary. The
+//! peer passes bytes on and decides nothing: whatever a broken connection
+//! proves or leaves open holds for a relayed one as well.
+//!
+//! # Invariants
+//!
+//! * A relayed connection is not used again once it is older than
+//!   [`LONGEST_REUSE`], so that a peer that stops loses it between requests.
+//! * A peer relays to instances of its own directory only, for nodes that hold
+//!   the key between nodes, and starts nothing while it is leaving.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_events::Event;
+use linkhold_peer::{FeedMessage, PeerKey};
+use rand::seq::IndexedRandom;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::beliefs::lock;
+use crate::feed::{read_message, write_message};
+use crate::gateway::Gateway;
+use crate::ports::{BackendConnector, ConnectError, Platform};
+
+/// Age up to which a relayed connection is used for other requests.
+pub(crate) const LONGEST_REUSE: Duration = Duration::from_millis(1_000);
+/// How long a peer stays chosen after a connection through it was made.
+const PATH_LIFE: Duration = Duration::from_millis(3_000);
+/// How often the direct way is tried while connections are relayed.
+const DIRECT_TRIAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Peers that connections are spread over: those that answered first.
+const MOST_PEERS: usize = 3;
+/// How long a peer may take to connect to the instance and say so.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest life of a connection that is relayed for another node: one whose
+/// other end has gone dark does not stand for ever.
+const LONGEST_RELAY: Duration = Duration::from_secs(30);
+/// Connections that are relayed for other nodes at a time.
+const MOST_RELAYS: usize = 64;
+
+/// Peers through which an instance is reached.
+struct Path {
+    peers: Vec<SocketAddr>,
+    until: Instant,
+    direct_tried_at: Instant,
+}
+
+/// What a node relays, and for which instances it needs that.
+#[derive(Default)]
+pub(crate) struct Relays {
+    paths: Mutex<HashMap<InstanceId, Path>>,
+    serving: AtomicUsize,
+}
+
+impl Relays {
+    /// Peers reach an instance that this node does not.
+    pub fn learn(&self, id: &InstanceId, mut peers: Vec<SocketAddr>) {
+        peers.truncate(MOST_PEERS);
+        let now = Instant::now();
+        let path = Path {
+            peers,
+            until: now + PATH_LIFE,
+            direct_tried_at: now,
+        };
+        lock(&self.paths).insert(id.clone(), path);
+    }
+
+    /// The instance is reached directly, or by nobody.
+    pub fn forget(&self, id: &InstanceId) -> bool {
+        lock(&self.paths).remove(id).is_some()
+    }
+
+    /// Whether connections to an instance are relayed.
+    pub fn is_relayed(&self, id: &InstanceId) -> bool {
+        self.peer(id).is_some()
+    }
+
+    /// Connections that are relayed for other nodes.
+    pub fn serving(&self) -> usize {
+        self.serving.load(Ordering::Relaxed)
+    }
+
+    fn peer(&self, id: &InstanceId) -> Option<SocketAddr> {
+        let paths = lock(&self.paths);
+        let path = paths.get(id)?;
+        if Instant::now() >= path.until {
+            return None;
+        }
+        path.peers.choose(&mut rand::rng()).copied()
+    }
+
+    fn connected(&self, id: &InstanceId) {
+        if let Some(path) = lock(&self.paths).get_mut(id) {
+            path.until = Instant::now() + PATH_LIFE;
+        }
+    }
+
+    fn failed(&self, id: &InstanceId, peer: SocketAddr) {
+        let mut paths = lock(&self.paths);
+        let Some(path) = paths.get_mut(id) else {
+            return;
+        };
+        path.peers.retain(|other| *other != peer);
+        if path.peers.is_empty() {
+            paths.remove(id);
+        }
+    }
+
+    /// Instances whose direct way is to be tried now.
+    pub fn due_for_direct_trial(&self) -> Vec<InstanceId> {
+        let now = Instant::now();
+        let mut paths = lock(&self.paths);
+        paths.retain(|_, path| now < path.until);
+        let due = paths
+            .iter_mut()
+            .filter(|(_, path)| now >= path.direct_tried_at + DIRECT_TRIAL_INTERVAL);
+        due.map(|(id, path)| {
+            path.direct_tried_at = now;
+            id.clone()
+        })
+        .collect()
+    }
+}
+
+/// A connection to an instance.
+pub(crate) struct Connected<C> {
+    /// The connection.
+    pub connection: C,
+    /// Whether it goes through a peer.
+    pub is_relayed: bool,
+}
+
+/// Connects to an instance: directly, or through a peer where this node does
+/// not reach it.
+pub(crate) async fn connect<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+) -> Result<Connected<<P as BackendConnector>::Connection>, ConnectError> {
+    let Some(peer) = gateway.relays.peer(&instance.id) else {
+        let connection = gateway.platform.connect(instance).await?;
+        return Ok(Connected {
+            connection,
+            is_relayed: false,
+        });
+    };
+    let connected = connect_through(gateway, instance, peer).await;
+    match &connected {
+        Ok(_) => gateway.relays.connected(&instance.id),
+        Err(error) => {
+            Event::info("relay_failed")
+                .field("instance", &instance.id)
+                .field("peer", peer)
+                .field("error", error)
+                .log();
+            gateway.relays.failed(&instance.id, peer);
+        }
+    }
+    Ok(Connected {
+        connection: connected?,
+        is_relayed: true,
+    })
+}
+
+async fn connect_through<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    peer: SocketAddr,
+) -> Result<<P as BackendConnector>::Connection, ConnectError> {
+    let key = gateway.fleet.key().ok_or(ConnectError::Unreachable)?;
+    let asking = ask_for_relay(peer, &instance.id, &key);
+    let stream = timeout(ACCEPT_TIMEOUT, asking)
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        .map_err(|_| ConnectError::Unreachable)?;
+    gateway.platform.connect_over(stream, instance).await
+}
+
+async fn ask_for_relay(peer: SocketAddr, id: &InstanceId, key: &PeerKey) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    write_message(&mut stream, &FeedMessage::Relay(id.clone()), key).await?;
+    match read_message(&mut stream, key).await? {
+        FeedMessage::Relayed => Ok(stream),
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+/// Counts a relayed connection until it is dropped.
+struct Serving<'a>(&'a AtomicUsize);
+
+impl<'a> Serving<'a> {
+    /// `None` if there are too many.
+    fn start(count: &'a AtomicUsize) -> Option<Self> {
+        let before = count.fetch_add(1, Ordering::Relaxed);
+        let serving = Self(count);
+        (before < MOST_RELAYS).then_some(serving)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Relays a peer's connection to an instance until either side closes it.
+pub(crate) async fn serve<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut stream: TcpStream,
+    id: &InstanceId,
+    key: &PeerKey,
+) {
+    let Some(_serving) = Serving::start(&gateway.relays.serving) else {
+        return;
+    };
+    let Some(instance) = gateway.beliefs.instance(id) else {
+        return;
+    };
+    if gateway.is_leaving() {
+        return;
+    }
+    let connecting = timeout(ACCEPT_TIMEOUT, TcpStream::connect(instance.address));
+    let Ok(Ok(mut onward)) = connecting.await else {
+        return;
+    };
+    // A socket that refuses it still works, only later.
+    let _ = onward.set_nodelay(true);
+    if write_message(&mut stream, &FeedMessage::Relayed, key)
+        .await
+        .is_err()
+    {
+        return;
+    }
+    gateway.metrics.relays_served.add();
+    // However it ends, both sides are closed.
+    let _ = timeout(LONGEST_RELAY, copy_bidirectional(&mut stream, &mut onward)).await;
+}
+
+/// Tries the direct way to instances whose connections are relayed.
+pub(crate) async fn try_direct_ways<P: Platform>(gateway: &Arc<Gateway<P>>) {
+    for id in gateway.relays.due_for_direct_trial() {
+        let Some(instance) = gateway.beliefs.instance(&id) else {
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let found = crate::survey::reach_primary(&gateway, &instance).await;
+            if found != linkhold_peer::Reachability::Unreached && gateway.relays.forget(&id) {
+                Event::info("relay_ended").field("instance", &id).log();
+            }
+        });
+    }
+}
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -1,4 +1,5 @@
-//! What a node that reads the store tells those that follow it.
+//! Streams between nodes: what a node that reads the store tells those that
+//! follow it, and the opening of a connection that one relays for another.
 //!
 //! Messages are framed on a stream by their length; see [`MAX_FEED_MESSAGE`].
 
@@ -57,6 +58,10 @@
     Subscribe,
     /// A follower lives; its reader renews its registration.
     Renewal(FeedNode),
+    /// A node asks to be connected to an instance over this stream.
+    Relay(InstanceId),
+    /// From here on the stream leads to the instance.
+    Relayed,
     /// A version of the configuration.
     Configuration(Configuration),
     /// All instances as of a place in the store's changes.
@@ -167,6 +172,10 @@
     Beat(#[n(0)] u64),
     #[n(5)]
     Renewal(#[n(0)] WireNode),
+    #[n(6)]
+    Relay(#[n(0)] String),
+    #[n(7)]
+    Relayed,
 }
 
 const LATEST: u8 = 0;
@@ -195,6 +204,8 @@
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
         FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
+        FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
+        FeedMessage::Relayed => WireMessage::Relayed,
         FeedMessage::Configuration(configuration) => {
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
@@ -270,6 +281,8 @@
     Some(match wire {
         WireMessage::Subscribe => FeedMessage::Subscribe,
         WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
+        WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
+        WireMessage::Relayed => FeedMessage::Relayed,
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -54,6 +54,8 @@
     vec![
         FeedMessage::Subscribe,
         FeedMessage::Renewal(node.clone()),
+        FeedMessage::Relay(InstanceId("i-1".into())),
+        FeedMessage::Relayed,
         FeedMessage::Configuration(configuration()),
         FeedMessage::Instances(FeedInstances {
             cursor: 77,
