Write a starting node's row before the fleet is read

Change: the clock that rows are dated with comes with the key between nodes, which is read first anyway; the row is written before the fleet is read.

Tried and reverted: looking for a reader as soon as the fleet changes.

--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -53,8 +53,7 @@
     let mut is_first = true;
     while !gateway.is_leaving() {
         let pause = match register(&gateway).await {
-            // What was read before its own row was there lacks this node: a
-            // reader would not know that it is one.
+            // Nodes that start together see each other at the second look.
             Ok(()) if std::mem::take(&mut is_first) => SECOND_LOOK,
             Ok(()) if gateway.fleet.has_readers() => readers::FOLLOWER_RENEWAL,
             Ok(()) => readers::renewal_interval(gateway.fleet.size()),
@@ -79,19 +78,12 @@
         // The reader renews this node's row.
         return Ok(());
     }
-    match gateway.fleet.store_time() {
-        // Rows are renewed first: after the store was lost for long, they would
-        // all be too old to count.
-        Some(now) => {
-            renew_rows(gateway, now).await?;
-            read_fleet(gateway).await?;
-        }
-        None => {
-            let now = read_fleet(gateway).await?;
-            renew_rows(gateway, now).await?;
-        }
-    }
-    Ok(())
+    // Rows are renewed first: what is read then holds this node, and after the
+    // store was lost for long, all rows would be too old to count. The clock is
+    // known from reading the key.
+    let now = gateway.fleet.store_time().ok_or(StoreError::Refused)?;
+    renew_rows(gateway, now).await?;
+    read_fleet(gateway).await
 }
 
 /// Renews the rows of this node and of those that follow it.
@@ -127,8 +119,8 @@
     })
 }
 
-/// Reads the fleet, as far as it is counted; returns the store's clock.
-async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<u64, StoreError> {
+/// Reads the fleet, as far as it is counted.
+async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     let range = RowRange::From {
         key: "",
         limit: LARGEST_FOLLOWING_FLEET + 1,
@@ -136,7 +128,7 @@
     let rows = bounded(gateway.platform.read_rows(FleetTable::Nodes, range)).await?;
     gateway.fleet.set_store_time(rows.now);
     fleet::adopt_nodes(gateway, fresh_nodes(&rows));
-    Ok(rows.now)
+    Ok(())
 }
 
 async fn bounded<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
@@ -165,6 +157,7 @@
         .platform
         .read_rows(FleetTable::Keys, RowRange::Key(PEER_KEY_ROW))
         .await?;
+    gateway.fleet.set_store_time(known.now);
     if let Some(row) = known.rows.into_iter().next() {
         return Ok(PeerKey::new(row.value));
     }
