Let followers take evidence of primaries over from their reader

Ruled out: telling evidence with the feed's beats. Its age on the way is not known there, and evidence must never be taken to be younger than it is.

The reader answers from what it knows, if that is young enough, or asks the primary once for all who wait, and tells the age at the question's arrival; the follower counts that back from before it asked.

--- a/crates/linkhold-core/src/service/evidence.rs
+++ b/crates/linkhold-core/src/service/evidence.rs
@@ -87,9 +87,14 @@
             .max_by_key(|sample| sample.position)
     }
 
+    /// The observation that was sent last.
+    pub fn latest(&self) -> Option<Sample> {
+        self.samples.back().copied()
+    }
+
     /// When the latest observation was sent.
     pub fn latest_sent_at(&self) -> Option<Instant> {
-        self.samples.back().map(|sample| sample.sent_at)
+        self.latest().map(|sample| sample.sent_at)
     }
 }
 
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -347,6 +347,11 @@
             .latest_sent_at()
     }
 
+    /// The latest observation of a service's primary.
+    pub fn latest_sample(&self, service: &str) -> Option<Sample> {
+        lock(&self.instances).evidence.get(service)?.latest()
+    }
+
     fn lists_changed(&self) {
         self.told.send_modify(|count| *count += 1);
         self.announce_change();
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -19,6 +19,7 @@
 use crate::gateway::Gateway;
 use crate::pool::Urgency;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
+use crate::shared_evidence;
 
 /// How long one question may take.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(600);
@@ -56,7 +57,7 @@
         if let Some(position) = gateway.beliefs.fence(service, moment) {
             return Some(position);
         }
-        ask_in_background(gateway, service);
+        ask_in_background(gateway, service, moment);
         timeout_at(deadline.into(), changes.changed())
             .await
             .ok()?
@@ -64,20 +65,28 @@
     }
 }
 
-/// Asks for fresh evidence unless a question is under way.
-pub(crate) fn ask_in_background<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+/// Asks for evidence that covers `moment` unless a question is under way: the
+/// reader that is followed, or the primary itself.
+pub(crate) fn ask_in_background<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    moment: Instant,
+) {
     if !gateway.questions.start(service) {
         return;
     }
     let gateway = gateway.clone();
     let service = service.clone();
     tokio::spawn(async move {
-        ask(&gateway, &service).await;
+        match shared_evidence::ask_reader(&gateway, &service, moment).await {
+            Some(sample) => gateway.beliefs.record_evidence(&service, sample),
+            None => ask_primary(&gateway, &service).await,
+        }
         gateway.questions.end(&service);
     });
 }
 
-async fn ask<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+async fn ask_primary<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
     let started = Instant::now();
     let Some(primary) = gateway.beliefs.usable_primary(service, started) else {
         // The next change of beliefs asks again.
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -10,11 +10,13 @@
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
 use linkhold_peer::{
-    FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed,
+    EvidenceQuestion, FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed,
+    encode_feed,
 };
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::beliefs::{Beliefs, lock};
@@ -22,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
 use crate::relay;
+use crate::shared_evidence;
 
 /// How often a reader says that it lives.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -191,37 +194,77 @@
 }
 
 /// Serves a follower until it leaves or this node no longer reads the store.
-async fn serve_follower<P: Platform>(gateway: &Gateway<P>, stream: TcpStream, key: &PeerKey) {
-    let (mut reading, mut writing) = stream.into_split();
+async fn serve_follower<P: Platform>(gateway: &Arc<Gateway<P>>, stream: TcpStream, key: &PeerKey) {
+    let (mut reading, writing) = stream.into_split();
+    let writing = Arc::new(tokio::sync::Mutex::new(writing));
     tokio::select! {
-        () = tell(gateway, &mut writing, key) => {}
-        () = hear(gateway, &mut reading, key) => {}
+        () = tell(gateway, &writing, key) => {}
+        () = hear(gateway, &mut reading, &writing, key) => {}
     }
 }
 
+/// The sending half of a follower's stream, shared by all who tell it something.
+type SharedWriter = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
 /// Takes in what a follower says, until it leaves.
-async fn hear<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedReadHalf, key: &PeerKey) {
+async fn hear<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    stream: &mut OwnedReadHalf,
+    writing: &SharedWriter,
+    key: &PeerKey,
+) {
     while let Ok(message) = read_message(stream, key).await {
-        if let FeedMessage::Renewal(node) = message {
-            gateway.fleet.heard(node);
+        match message {
+            FeedMessage::Renewal(node) => gateway.fleet.heard(node),
+            FeedMessage::EvidenceQuestion(question) => {
+                let answering = answer_evidence(
+                    gateway.clone(),
+                    question,
+                    Instant::now(),
+                    writing.clone(),
+                    key.clone(),
+                );
+                tokio::spawn(answering);
+            }
+            // Nothing else comes from a follower.
+            _ => return,
         }
     }
 }
 
+async fn answer_evidence<P: Platform>(
+    gateway: Arc<Gateway<P>>,
+    question: EvidenceQuestion,
+    received_at: Instant,
+    writing: SharedWriter,
+    key: PeerKey,
+) {
+    let answer = shared_evidence::answer(&gateway, &question, received_at).await;
+    let message = FeedMessage::EvidenceAnswer(answer);
+    // A follower that is gone needs no answer; `tell` finds out.
+    let _ = write_message(&mut *writing.lock().await, &message, &key).await;
+}
+
 /// Tells a follower everything as long as this node reads the store.
-async fn tell<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedWriteHalf, key: &PeerKey) {
+async fn tell<P: Platform>(gateway: &Gateway<P>, writing: &SharedWriter, key: &PeerKey) {
     let mut changes = gateway.beliefs.subscribe_to_lists();
     let mut told = Told::default();
     while let Some(age) = gateway.sources.age() {
         changes.mark_unchanged();
         for frame in news(gateway, &mut told, key) {
-            if write_frame(stream, &frame).await.is_err() {
+            if write_frame(&mut *writing.lock().await, &frame)
+                .await
+                .is_err()
+            {
                 return;
             }
         }
         // The age goes last: it vouches for all that came before it.
         let beat = FeedMessage::Beat { age };
-        if write_message(stream, &beat, key).await.is_err() {
+        if write_message(&mut *writing.lock().await, &beat, key)
+            .await
+            .is_err()
+        {
             return;
         }
         // Time passing is as good a reason to speak as a change.
@@ -273,20 +316,37 @@
         return Lost::Broken;
     }
     let (mut reading, mut writing) = stream.into_split();
-    tokio::select! {
+    let outbox = gateway.reader_link.open();
+    let lost = tokio::select! {
         lost = listen(gateway, reader, &mut reading, key, trusted_until) => lost,
-        () = renew(gateway, &mut writing, key) => Lost::Broken,
-    }
+        () = speak(gateway, &mut writing, outbox, key) => Lost::Broken,
+    };
+    gateway.reader_link.close();
+    lost
 }
 
-/// Tells the reader at intervals that this node lives, until it cannot.
-async fn renew<P: Platform>(gateway: &Gateway<P>, stream: &mut OwnedWriteHalf, key: &PeerKey) {
+/// Tells the reader at intervals that this node lives, and passes questions on,
+/// until it cannot.
+async fn speak<P: Platform>(
+    gateway: &Gateway<P>,
+    stream: &mut OwnedWriteHalf,
+    mut outbox: mpsc::UnboundedReceiver<FeedMessage>,
+    key: &PeerKey,
+) {
+    let mut renew_at = Instant::now();
     loop {
-        let renewal = FeedMessage::Renewal(fleet::own_node(gateway));
-        if write_message(stream, &renewal, key).await.is_err() {
+        let message = match timeout_at(renew_at.into(), outbox.recv()).await {
+            Ok(Some(question)) => question,
+            // The link was opened anew.
+            Ok(None) => return,
+            Err(_) => {
+                renew_at = Instant::now() + FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2));
+                FeedMessage::Renewal(fleet::own_node(gateway))
+            }
+        };
+        if write_message(stream, &message, key).await.is_err() {
             return;
         }
-        sleep(FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
@@ -310,9 +370,16 @@
             Ok(Err(_)) => return Lost::Broken,
             Err(_) => return Lost::Stale,
         };
-        let FeedMessage::Beat { age } = message else {
-            told.push(message);
-            continue;
+        let age = match message {
+            FeedMessage::Beat { age } => age,
+            FeedMessage::EvidenceAnswer(answer) => {
+                gateway.reader_link.answered(answer);
+                continue;
+            }
+            message => {
+                told.push(message);
+                continue;
+            }
         };
         if !freshness.is_trusted(age, Duration::ZERO) {
             return Lost::Stale;
@@ -342,7 +409,9 @@
         | FeedMessage::Subscribe
         | FeedMessage::Renewal(_)
         | FeedMessage::Relay(_)
-        | FeedMessage::Relayed => {}
+        | FeedMessage::Relayed
+        | FeedMessage::EvidenceQuestion(_)
+        | FeedMessage::EvidenceAnswer(_) => {}
     }
 }
 
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::ports::{BackendConnector, Platform};
 use crate::relay::Relays;
 use crate::settings::GatewaySettings;
+use crate::shared_evidence::ReaderLink;
 use crate::sources::Sources;
 
 /// The engine.
@@ -44,6 +45,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
     pub(crate) relays: Relays,
+    pub(crate) reader_link: ReaderLink,
     pub(crate) sources: Sources,
     pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
@@ -91,6 +93,7 @@
             fleet: Fleet::default(),
             peers: Peers::default(),
             relays: Relays::default(),
+            reader_link: ReaderLink::default(),
             sources: Sources::default(),
             feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod relay;
 mod session;
 pub mod settings;
+mod shared_evidence;
 mod sources;
 mod statement;
 mod survey;
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -279,7 +279,7 @@
         oldest
     };
     if rounds > 0 {
-        evidence_probe::ask_in_background(gateway, service);
+        evidence_probe::ask_in_background(gateway, service, Instant::now());
     }
     refresh_ahead(gateway, service, staleness);
     let evidence = evidence_probe::fence(gateway, service, moment, unit.wait_until())
@@ -303,7 +303,9 @@
         .latest_evidence(service)
         .is_none_or(|sent_at| sent_at.elapsed() > staleness / 2);
     if is_old {
-        evidence_probe::ask_in_background(gateway, service);
+        let moment = Instant::now().checked_sub(staleness / 2);
+        let moment = moment.unwrap_or_else(Instant::now);
+        evidence_probe::ask_in_background(gateway, service, moment);
     }
 }
 
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -8,7 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::configuration::{
+    Configuration, Consistency, Route, ServiceLimits, ServiceName,
+};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use minicbor::{Decode, Encode};
 
@@ -51,6 +54,29 @@
     pub instances: Vec<(Instance, bool)>,
 }
 
+/// A follower asks how far a service's log had come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvidenceQuestion {
+    /// Ties the answer to it.
+    pub number: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// Age that the evidence may have when the question arrives.
+    pub max_age: Duration,
+}
+
+/// A reader's answer to an [`EvidenceQuestion`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EvidenceAnswer {
+    /// The question's number.
+    pub number: u64,
+    /// Age of the evidence when the question arrived, in whole milliseconds
+    /// rounded up; zero if it is younger.
+    pub age: Duration,
+    /// Position of the primary's log; `None` if there is no evidence.
+    pub position: Option<Position>,
+}
+
 /// A message of a feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedMessage {
@@ -62,6 +88,10 @@
     Relay(InstanceId),
     /// From here on the stream leads to the instance.
     Relayed,
+    /// A follower asks for evidence.
+    EvidenceQuestion(EvidenceQuestion),
+    /// A reader has or has no evidence.
+    EvidenceAnswer(EvidenceAnswer),
     /// A version of the configuration.
     Configuration(Configuration),
     /// All instances as of a place in the store's changes.
@@ -135,6 +165,14 @@
     is_listed: bool,
 }
 
+#[derive(Encode, Decode)]
+struct WirePosition {
+    #[n(0)]
+    term: u64,
+    #[n(1)]
+    index: u64,
+}
+
 #[derive(Encode, Decode)]
 struct WireNode {
     #[n(0)]
@@ -176,6 +214,10 @@
     Relay(#[n(0)] String),
     #[n(7)]
     Relayed,
+    #[n(8)]
+    EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
+    #[n(9)]
+    EvidenceAnswer(#[n(0)] u64, #[n(1)] u64, #[n(2)] Option<WirePosition>),
 }
 
 const LATEST: u8 = 0;
@@ -206,6 +248,16 @@
         FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
         FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
         FeedMessage::Relayed => WireMessage::Relayed,
+        FeedMessage::EvidenceQuestion(question) => WireMessage::EvidenceQuestion(
+            question.number,
+            question.service.to_string(),
+            milliseconds(question.max_age),
+        ),
+        FeedMessage::EvidenceAnswer(answer) => WireMessage::EvidenceAnswer(
+            answer.number,
+            milliseconds(answer.age),
+            answer.position.map(position_to_wire),
+        ),
         FeedMessage::Configuration(configuration) => {
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
@@ -283,6 +335,20 @@
         WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
         WireMessage::Relayed => FeedMessage::Relayed,
+        WireMessage::EvidenceQuestion(number, service, max_age) => {
+            FeedMessage::EvidenceQuestion(EvidenceQuestion {
+                number,
+                service: service.into(),
+                max_age: Duration::from_millis(max_age),
+            })
+        }
+        WireMessage::EvidenceAnswer(number, age, position) => {
+            FeedMessage::EvidenceAnswer(EvidenceAnswer {
+                number,
+                age: Duration::from_millis(age),
+                position: position.map(position_from_wire),
+            })
+        }
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
@@ -370,6 +436,20 @@
     }
 }
 
+fn position_to_wire(position: Position) -> WirePosition {
+    WirePosition {
+        term: position.term.0,
+        index: position.index,
+    }
+}
+
+fn position_from_wire(wire: WirePosition) -> Position {
+    Position {
+        term: Term(wire.term),
+        index: wire.index,
+    }
+}
+
 fn nodes_from_wire(wire: Vec<WireNode>) -> Option<Vec<FeedNode>> {
     wire.into_iter().map(node_from_wire).collect()
 }
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -15,7 +15,8 @@
 use thiserror::Error;
 
 pub use feed::{
-    FeedFleet, FeedInstances, FeedMessage, FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed,
+    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode,
+    MAX_FEED_MESSAGE, decode_feed, encode_feed,
 };
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_peer::{
-    FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError, PeerKey, Reachability,
-    ReachabilityMessage, decode_feed, decode_reachability, encode_feed, encode_reachability,
+    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError,
+    PeerKey, Reachability, ReachabilityMessage, decode_feed, decode_reachability, encode_feed,
+    encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -56,6 +58,24 @@
         FeedMessage::Renewal(node.clone()),
         FeedMessage::Relay(InstanceId("i-1".into())),
         FeedMessage::Relayed,
+        FeedMessage::EvidenceQuestion(EvidenceQuestion {
+            number: 3,
+            service: "ledger".into(),
+            max_age: Duration::from_millis(300),
+        }),
+        FeedMessage::EvidenceAnswer(EvidenceAnswer {
+            number: 3,
+            age: Duration::from_millis(12),
+            position: Some(Position {
+                term: Term(2),
+                index: 77,
+            }),
+        }),
+        FeedMessage::EvidenceAnswer(EvidenceAnswer {
+            number: 4,
+            age: Duration::ZERO,
+            position: None,
+        }),
         FeedMessage::Configuration(configuration()),
         FeedMessage::Instances(FeedInstances {
             cursor: 77,
