Do not use a refused token again without the store

While the store is lost a node orders on its last lease, and did so on every try.

Change: a refusal makes the node forget the lease it held.

Test: failures::a_token_that_was_refused_is_not_used_again failed before (acts_on_old_lease=true on the next try) and passes now.

--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -197,6 +197,11 @@
         .await
         .unwrap_or(PromoteAnswer::Unknown);
     log_order(&order, successor.received, trouble, answer, started);
+    if answer == PromoteAnswer::Refused {
+        // A newer token may have been seen: this one is not used without the
+        // store again.
+        gateway.leases.lost(service);
+    }
     if matches!(answer, PromoteAnswer::Accepted | PromoteAnswer::Unknown) {
         await_lead(gateway, service, &successor.id).await;
     }
