--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -21,7 +21,7 @@
 /// Largest fleet in which every node reads the store.
 pub const SMALL_FLEET: usize = 16;
 /// Largest fleet in which nodes follow readers.
-pub const LARGEST_FOLLOWING_FLEET: usize = 128;
+pub const LARGEST_FOLLOWING_FLEET: usize = 400;
 /// Readers in each region of a larger fleet, at the least.
 const LEAST_READERS: usize = 2;
 /// Nodes of a region for each of its readers, at the most.
