--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -51,7 +51,7 @@
                 busy.remove(&service);
             }
         }
-        relay::try_direct_ways(&gateway).await;
+        relay::try_direct_ways(&gateway);
         let mut services = gateway.attention.take();
         services.extend(services_with_leaving_primary(&gateway));
         for service in services {
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -44,8 +44,8 @@
     nodes: BTreeMap<String, FeedNode>,
     /// The region's nodes that read the store.
     readers: Vec<FeedNode>,
-    /// Nodes among which duties are dealt out; none where this node follows a
-    /// reader and does not know them all.
+    /// Nodes among which duties are dealt out, as of this node's own last
+    /// reading of the fleet: all of a small fleet, the readers of a larger one.
     duty_nodes: Vec<NodeId>,
     /// Followers that told this node that they live, and when.
     renewals: BTreeMap<String, Renewal>,
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -23,7 +23,7 @@
 
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_events::Event;
-use linkhold_peer::{FeedMessage, PeerKey};
+use linkhold_peer::{FeedMessage, PeerKey, Reachability};
 use rand::seq::IndexedRandom;
 use tokio::io::copy_bidirectional;
 use tokio::net::TcpStream;
@@ -33,6 +33,7 @@
 use crate::feed::{read_message, write_message};
 use crate::gateway::Gateway;
 use crate::ports::{BackendConnector, ConnectError, Platform};
+use crate::survey;
 
 /// Age up to which a relayed connection is used for other requests.
 pub(crate) const LONGEST_REUSE: Duration = Duration::from_millis(1_000);
@@ -249,15 +250,15 @@
 }
 
 /// Tries the direct way to instances whose connections are relayed.
-pub(crate) async fn try_direct_ways<P: Platform>(gateway: &Arc<Gateway<P>>) {
+pub(crate) fn try_direct_ways<P: Platform>(gateway: &Arc<Gateway<P>>) {
     for id in gateway.relays.due_for_direct_trial() {
         let Some(instance) = gateway.beliefs.instance(&id) else {
             continue;
         };
         let gateway = gateway.clone();
         tokio::spawn(async move {
-            let found = crate::survey::reach_primary(&gateway, &instance).await;
-            if found != linkhold_peer::Reachability::Unreached && gateway.relays.forget(&id) {
+            let found = survey::reach_primary(&gateway, &instance).await;
+            if found != Reachability::Unreached && gateway.relays.forget(&id) {
                 Event::info("relay_ended").field("instance", &id).log();
             }
         });
