Ask every node, under the lease, before a primary is replaced

Cause: a node asked nine of the others whether they reach the primary and took "none of those asked" for "none".

Change: a look may ask a sample. The holder of the lease reads all nodes' rows from the store at that moment and asks everyone, also nodes whose rows expired in the last 30 s. A node that does not reach the primary agrees to acknowledge nothing of it for 2.5 s: its transactions there are closed, answers that come later are told as unknown, what it relays there is broken. The order goes out within 1 s of the question. Without the store only a node that knows the whole fleet goes on.

Cost: one call to the store a promotion, one datagram a node.

--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -12,3 +12,4 @@
 pub mod readers;
 pub mod session;
 pub mod waiting;
+pub mod withholding;
--- /dev/null
+++ b/crates/linkhold-core/tests/service_withholding.rs
@@ -0,0 +1,42 @@
+//! What a node agrees to when a primary is about to be replaced.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::withholding::{
+    ORDER_WINDOW, RECENT_FAILURE, WITHHOLDING, Withholdings,
+};
+
+#[test]
+fn an_agreement_holds_for_its_time_and_its_instance() {
+    let now = Instant::now();
+    let [one, two] = ["one", "two"].map(|name| InstanceId(name.into()));
+    let mut withholdings = Withholdings::default();
+    assert!(!withholdings.holds(&one, now));
+    withholdings.agree(&one, now);
+    let last = now + WITHHOLDING - Duration::from_millis(1);
+    assert!(withholdings.holds(&one, last));
+    assert!(!withholdings.holds(&two, last));
+    assert!(!withholdings.holds(&one, now + WITHHOLDING));
+}
+
+#[test]
+fn a_later_agreement_prolongs_an_earlier_one() {
+    let now = Instant::now();
+    let one = InstanceId("one".into());
+    let mut withholdings = Withholdings::default();
+    withholdings.agree(&one, now);
+    let later = now + WITHHOLDING / 2;
+    withholdings.agree(&one, later);
+    assert!(withholdings.holds(&one, now + WITHHOLDING));
+    assert!(!withholdings.holds(&one, later + WITHHOLDING));
+}
+
+/// Whoever was asked counts from later than whoever asked: an order within its
+/// window takes effect while all of them still withhold.
+#[test]
+fn an_order_has_time_to_take_effect_before_the_first_agreement_ends() {
+    let longest_promotion = Duration::from_millis(1_500);
+    assert!(ORDER_WINDOW + longest_promotion <= WITHHOLDING);
+    assert!(RECENT_FAILURE < WITHHOLDING);
+}
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -111,6 +111,10 @@
     frame: Frame,
     answer_by: Instant,
 ) -> Attempt<P> {
+    if is_withheld(gateway, &lease) {
+        // The connection is closed, which undoes what is open on it.
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
     let batch = batch::build(lease.pooled(), session, work, frame);
     let begin = if batch.setup.is_empty() {
         None
@@ -133,6 +137,10 @@
             log_unanswered(work, &lease, sent_at, "connection_lost");
             broken(lease, &error, batch.main)
         }
+        Conversation::Answered(_) if work.may_commit() && is_withheld(gateway, &lease) => {
+            log_unanswered(work, &lease, sent_at, "primary_being_replaced");
+            Attempt::Lost
+        }
         Conversation::Answered(replies) => {
             let mut answer = Answer {
                 reply: replies[batch.main].clone(),
@@ -149,6 +157,12 @@
     }
 }
 
+/// Whether nothing that comes on a connection may be acknowledged. What comes
+/// through a peer is withheld by the peer.
+fn is_withheld<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
+    gateway.beliefs.is_withheld(&lease.instance().id)
+}
+
 /// Logs a statement that was sent and got no whole answer.
 fn log_unanswered<C: BackendConnection>(
     work: &Work,
@@ -428,7 +442,8 @@
             .is_some_and(|moment| self.answered_since(instance, moment))
     }
 
-    fn answered_since(&self, instance: &Instance, moment: Instant) -> bool {
+    /// Whether an instance has answered on some connection since a moment.
+    pub(crate) fn answered_since(&self, instance: &Instance, moment: Instant) -> bool {
         self.beliefs
             .inspect(&instance.id, |health| health.last_success())
             .flatten()
--- a/crates/linkhold-gateway/src/batch.rs
+++ b/crates/linkhold-gateway/src/batch.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Whether its success may acknowledge a change of data.
+    pub fn may_commit(&self) -> bool {
+        matches!(self, Self::Commit { .. }) || self.access() == Access::Write
+    }
+
     /// The caller's identifier.
     pub fn id(&self) -> &Bytes {
         match self {
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -13,6 +13,7 @@
 use linkhold_core::service::health::InstanceHealth;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::placement::{self, Candidate, Distance};
+use linkhold_core::service::withholding::{WITHHOLDING, Withholdings};
 use linkhold_events::Event;
 use tokio::sync::watch;
 
@@ -29,6 +30,7 @@
     directory: Directory,
     health: HashMap<InstanceId, InstanceHealth>,
     evidence: HashMap<ServiceName, EvidenceLog>,
+    withholdings: Withholdings,
 }
 
 /// Everything a node believes.
@@ -214,7 +216,8 @@
         lock(&self.instances).directory.primary(service).cloned()
     }
 
-    /// The believed primary, unless it failed a moment ago.
+    /// The believed primary, unless it failed a moment ago or is being
+    /// replaced.
     pub fn usable_primary(&self, service: &str, now: Instant) -> Option<Arc<Instance>> {
         let instances = lock(&self.instances);
         let primary = instances.directory.primary(service)?;
@@ -223,7 +226,24 @@
             .get(&primary.id)
             .is_some_and(|health| health.is_avoided(now));
         let left = self.has_left(&instances.directory, &primary.id, now);
-        (!avoided && !left).then(|| primary.clone())
+        let withheld = instances.withholdings.holds(&primary.id, now);
+        (!avoided && !left && !withheld).then(|| primary.clone())
+    }
+
+    /// This node agrees to acknowledge nothing of an instance for a while, since
+    /// it may be replaced.
+    pub fn withhold(&self, id: &InstanceId) {
+        lock(&self.instances).withholdings.agree(id, Instant::now());
+        Event::info("instance_withheld")
+            .field("instance", id)
+            .field("for_ms", WITHHOLDING.as_millis())
+            .log();
+        self.announce_change();
+    }
+
+    /// Whether nothing of an instance may be acknowledged.
+    pub fn is_withheld(&self, id: &InstanceId) -> bool {
+        lock(&self.instances).withholdings.holds(id, Instant::now())
     }
 
     /// Whether an instance is leaving.
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -8,12 +8,12 @@
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::Instance;
 use linkhold_events::Event;
-use linkhold_peer::Reachability;
+use linkhold_peer::{QuestionPurpose, Reachability};
 
 use super::Trouble;
 use super::promotion::Situation;
 use crate::gateway::Gateway;
-use crate::peers;
+use crate::peers::{self, Audience};
 use crate::ports::Platform;
 use crate::survey;
 
@@ -23,7 +23,8 @@
     let Some(primary) = gateway.beliefs.primary(service) else {
         return Some(Trouble::Unknown);
     };
-    let peers = peers::ask(gateway, &primary.id);
+    let audience = Audience::for_look(gateway);
+    let peers = peers::ask(gateway, &primary.id, QuestionPurpose::Look, &audience);
     tokio::pin!(peers);
     let own = survey::reach_primary(gateway, &primary);
     tokio::pin!(own);
@@ -78,7 +79,8 @@
     gateway.instance_answered(&primary.id, Duration::ZERO);
 }
 
-/// Judges a primary that this node does not reach by what others found.
+/// Judges a primary that this node does not reach by what others found. Where
+/// only some were asked, [`confirm_lost`] asks the rest.
 fn judge_unreached(primary: &Instance, mut tally: ReachabilityTally) -> Option<Trouble> {
     tally.unreached += 1;
     log_tally(primary, tally);
@@ -102,34 +104,66 @@
         .log();
 }
 
-/// Whether an instance that this node does not see as primary may be one: it is
-/// not listed for now, or it told this node nothing and may serve others.
-pub(super) async fn someone_may_lead<P: Platform>(
+/// Asks every node to agree that an instance may be replaced: none reaches it as
+/// a primary, and none acknowledges anything of it while that is done. Returns
+/// when they were asked, or `None` if one does not agree; whoever reaches it
+/// then serves this node's connections.
+pub(super) async fn confirm_lost<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+) -> Option<Instant> {
+    let Some(audience) = Audience::everyone(gateway).await else {
+        log_withheld(&instance.service, "fleet_not_known");
+        return None;
+    };
+    let asked_at = Instant::now();
+    let purpose = QuestionPurpose::Replace;
+    let findings = peers::ask(gateway, &instance.id, purpose, &audience).await;
+    let mut tally = findings.tally;
+    tally.unreached += 1;
+    log_tally(instance, tally);
+    if tally.is_lost() {
+        peers::withhold(gateway, &instance.id);
+        return Some(asked_at);
+    }
+    log_withheld(&instance.service, "not_all_nodes_agree");
+    if !findings.reached_by.is_empty() {
+        use_peers(gateway, instance, findings.reached_by);
+    }
+    None
+}
+
+/// Makes sure that no instance which told this node no status is a primary for
+/// others: what is not listed may be there until the directory has settled, and
+/// every silent instance has to be given up by all nodes. Returns the time of
+/// the first question, or `None` if there may be a primary.
+pub(super) async fn confirm_none_leads<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
     situation: &Situation,
-) -> bool {
-    if !gateway.beliefs.is_directory_settled(Instant::now()) {
-        Event::info("promotion_withheld")
-            .field("service", service)
-            .field("reason", "directory_not_settled")
-            .log();
-        return true;
+) -> Option<Instant> {
+    let started = Instant::now();
+    if !gateway.beliefs.is_directory_settled(started) {
+        log_withheld(service, "directory_not_settled");
+        return None;
     }
+    let mut first_asked: Option<Instant> = None;
     for instance in &situation.others {
         let answered = situation
             .statuses
             .iter()
             .any(|status| status.id == instance.id);
-        if answered {
-            continue;
-        }
-        let mut tally = peers::ask(gateway, &instance.id).await.tally;
-        tally.unreached += 1;
-        log_tally(instance, tally);
-        if !tally.is_lost() {
-            return true;
+        if !answered {
+            let asked_at = confirm_lost(gateway, instance).await?;
+            first_asked.get_or_insert(asked_at);
         }
     }
-    false
+    Some(first_asked.unwrap_or(started))
+}
+
+fn log_withheld(service: &ServiceName, reason: &'static str) {
+    Event::info("promotion_withheld")
+        .field("service", service)
+        .field("reason", reason)
+        .log();
 }
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -8,10 +8,11 @@
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::withholding::ORDER_WINDOW;
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout, timeout_at};
 
-use super::diagnosis::someone_may_lead;
+use super::diagnosis::{confirm_lost, confirm_none_leads};
 use super::lease::claim;
 use super::{Trouble, is_still_subject};
 use crate::gateway::Gateway;
@@ -58,13 +59,13 @@
     let Some(successor) = successor(gateway, service, &situation) else {
         return;
     };
-    if trouble == Trouble::Unknown && someone_may_lead(gateway, service, &situation).await {
-        return;
-    }
     let Some(lease) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
-    if !is_still_subject(gateway, service, subject) {
+    let Some(agreed_at) = agreement(gateway, service, trouble, &situation).await else {
+        return;
+    };
+    if !is_still_subject(gateway, service, subject) || agreed_at.elapsed() >= ORDER_WINDOW {
         return;
     }
     let mut chosen = successor.status;
@@ -77,6 +78,25 @@
     order(gateway, service, &lease, &chosen, trouble).await;
 }
 
+/// From when on all nodes acknowledge nothing that the present primary commits,
+/// so that it may be replaced; `None` if they do not agree. A primary that hands
+/// over ends its term itself.
+async fn agreement<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    trouble: Trouble,
+    situation: &Situation,
+) -> Option<Instant> {
+    match (trouble, &situation.old) {
+        (Trouble::Leaving, _) => Some(Instant::now()),
+        (Trouble::Lost, Some(primary)) => confirm_lost(gateway, primary).await,
+        // What was lost is no longer believed in: the others decide.
+        (Trouble::Lost, None) | (Trouble::Unknown, _) => {
+            confirm_none_leads(gateway, service, situation).await
+        }
+    }
+}
+
 async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &str) -> Situation {
     let old = gateway.beliefs.primary(service);
     let others: Vec<Arc<Instance>> = gateway
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -87,6 +87,15 @@
             .collect()
     }
 
+    /// Other nodes' addresses; `None` unless all nodes are known.
+    pub fn all_peers(&self, own_name: &str) -> Option<Vec<SocketAddr>> {
+        let view = lock(&self.view);
+        let knows_all =
+            view.size > 0 && view.size == view.nodes.len() && view.size <= LARGEST_FOLLOWING_FLEET;
+        drop(view);
+        knows_all.then(|| self.peers(own_name))
+    }
+
     /// Whether a node is in the fleet; nodes beyond a large fleet's sample are
     /// taken to be.
     pub fn knows(&self, name: &str) -> bool {
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -1,4 +1,10 @@
 //! Questions between nodes about the reachability of primaries.
+//!
+//! # Invariant
+//!
+//! No promotion rests on a sample of the fleet. A look ([`QuestionPurpose::Look`])
+//! may ask some nodes; whoever replaces a primary asks everyone
+//! ([`Audience::everyone`]), as listed in the store at that moment.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -6,10 +12,11 @@
 use std::time::Duration;
 
 use linkhold_core::service::failover::ReachabilityTally;
-use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::withholding::RECENT_FAILURE;
 use linkhold_events::Event;
 use linkhold_peer::{
-    MAX_DATAGRAM, PeerKey, Reachability, ReachabilityMessage, decode_reachability,
+    MAX_DATAGRAM, PeerKey, QuestionPurpose, Reachability, ReachabilityMessage, decode_reachability,
     encode_reachability,
 };
 use rand::seq::SliceRandom;
@@ -20,10 +27,14 @@
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::registration;
 use crate::survey;
 
-/// Nodes asked at the most; more would tell no more.
-const MOST_ASKED: usize = 9;
+/// Others whom a look asks in a fleet in which it does not ask all: enough to
+/// find one that reaches a primary which many reach.
+const LOOK_SAMPLE: usize = 9;
+/// Others up to whom a look asks all.
+const LOOK_ALL: usize = 24;
 /// How long answers are waited for: a peer tries the instance itself.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(620);
 /// Datagrams may be lost: a question is asked once more after this.
@@ -39,6 +50,8 @@
 pub(crate) struct Peers {
     socket: Mutex<Option<Arc<UdpSocket>>>,
     waiting: Waiting,
+    /// When this node last failed to reach an instance it was asked about.
+    failures: Mutex<HashMap<InstanceId, std::time::Instant>>,
 }
 
 impl Peers {
@@ -79,9 +92,21 @@
             continue;
         };
         match decode_reachability(&buffer[..length], &key) {
-            Ok(ReachabilityMessage::Question { number, instance }) => {
-                let task = answer(gateway.clone(), socket.clone(), key, from, number, instance);
-                tokio::spawn(task);
+            Ok(ReachabilityMessage::Question {
+                number,
+                instance,
+                purpose,
+            }) => {
+                let Some(instance) = gateway.beliefs.instance(&InstanceId(instance.into())) else {
+                    continue;
+                };
+                let asker = Asker {
+                    socket: socket.clone(),
+                    key,
+                    address: from,
+                    number,
+                };
+                tokio::spawn(answer(gateway.clone(), asker, instance, purpose));
             }
             Ok(ReachabilityMessage::Answer { number, found }) => {
                 if let Some(sender) = lock(&gateway.peers.waiting).get(&number) {
@@ -97,29 +122,112 @@
     }
 }
 
-async fn answer<P: Platform>(
-    gateway: Arc<Gateway<P>>,
+/// Who asked a question, and where the answer goes.
+struct Asker {
     socket: Arc<UdpSocket>,
     key: PeerKey,
-    to: SocketAddr,
+    address: SocketAddr,
     number: u64,
-    instance: String,
+}
+
+async fn answer<P: Platform>(
+    gateway: Arc<Gateway<P>>,
+    asker: Asker,
+    instance: Arc<Instance>,
+    purpose: QuestionPurpose,
 ) {
-    let id = InstanceId(instance.into());
-    let Some(instance) = gateway.beliefs.instance(&id) else {
-        return;
+    let found = match purpose {
+        QuestionPurpose::Replace if has_failed_lately(&gateway, &instance) => {
+            Reachability::Unreached
+        }
+        QuestionPurpose::Look | QuestionPurpose::Replace => try_to_reach(&gateway, &instance).await,
     };
-    let found = survey::reach_primary(&gateway, &instance).await;
     if found == Reachability::Unreached {
         gateway.attention.suspect(&instance.service);
+        if purpose == QuestionPurpose::Replace {
+            withhold(&gateway, &instance.id);
+        }
     }
-    let message = ReachabilityMessage::Answer { number, found };
+    let message = ReachabilityMessage::Answer {
+        number: asker.number,
+        found,
+    };
     // A lost answer counts as none.
-    let _ = socket
-        .send_to(&encode_reachability(&message, &key), to)
+    let _ = asker
+        .socket
+        .send_to(&encode_reachability(&message, &asker.key), asker.address)
         .await;
 }
 
+/// Agrees to acknowledge nothing of an instance for a while. A node that uses it
+/// through a peer need not: the peer is asked as well.
+pub(crate) fn withhold<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) {
+    if !gateway.relays.is_relayed(id) {
+        gateway.beliefs.withhold(id);
+    }
+}
+
+async fn try_to_reach<P: Platform>(gateway: &Gateway<P>, instance: &Arc<Instance>) -> Reachability {
+    let found = survey::reach_primary(gateway, instance).await;
+    let mut failures = lock(&gateway.peers.failures);
+    if found == Reachability::Unreached {
+        failures.insert(instance.id.clone(), std::time::Instant::now());
+    } else {
+        failures.remove(&instance.id);
+    }
+    found
+}
+
+/// Whether this node failed to reach an instance a moment ago and has heard
+/// nothing of it since.
+fn has_failed_lately<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> bool {
+    let failures = lock(&gateway.peers.failures);
+    failures.get(&instance.id).is_some_and(|failed_at| {
+        failed_at.elapsed() < RECENT_FAILURE && !gateway.answered_since(instance, *failed_at)
+    })
+}
+
+/// Whom a question goes to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Audience {
+    /// Nodes whose silence counts.
+    nodes: Vec<SocketAddr>,
+    /// Nodes that have left the fleet's list lately without a word: what they
+    /// say counts, their silence does not.
+    former: Vec<SocketAddr>,
+}
+
+impl Audience {
+    /// For a look: all others of a small fleet, some of a larger one.
+    pub fn for_look<P: Platform>(gateway: &Gateway<P>) -> Self {
+        let mut nodes = gateway.fleet.peers(&gateway.settings.node);
+        if nodes.len() > LOOK_ALL {
+            nodes.shuffle(&mut rand::rng());
+            nodes.truncate(LOOK_SAMPLE);
+        }
+        Self {
+            nodes,
+            former: Vec::new(),
+        }
+    }
+
+    /// Everyone: as the store lists them now or, if it gives no answer, as this
+    /// node knows them. `None` if it then knows a part of the fleet only.
+    pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
+        if let Ok(listed) = registration::list_nodes(gateway).await {
+            return Some(Self {
+                nodes: listed.present,
+                former: listed.former,
+            });
+        }
+        let nodes = gateway.fleet.all_peers(&gateway.settings.node)?;
+        Some(Self {
+            nodes,
+            former: Vec::new(),
+        })
+    }
+}
+
 /// What other nodes answered.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerFindings {
@@ -129,71 +237,84 @@
     pub reached_by: Vec<SocketAddr>,
 }
 
+impl PeerFindings {
+    fn take(&mut self, from: SocketAddr, found: Reachability, is_former: bool) {
+        match found {
+            Reachability::Reached => {
+                self.tally.reached += 1;
+                self.reached_by.push(from);
+            }
+            // It stands for nobody who is waited for.
+            Reachability::Unreached if is_former => {}
+            Reachability::Unreached => self.tally.unreached += 1,
+            Reachability::NotPrimary => self.tally.not_primary += 1,
+        }
+    }
+}
+
 /// Asks other nodes whether they reach an instance as a primary. Nothing is
 /// counted while the fleet is not known.
-pub(crate) async fn ask<P: Platform>(gateway: &Gateway<P>, instance: &InstanceId) -> PeerFindings {
-    let mut peers = gateway.fleet.peers(&gateway.settings.node);
-    peers.shuffle(&mut rand::rng());
-    peers.truncate(MOST_ASKED);
+pub(crate) async fn ask<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &InstanceId,
+    purpose: QuestionPurpose,
+    audience: &Audience,
+) -> PeerFindings {
     let socket = lock(&gateway.peers.socket).clone();
     let (Some(key), Some(socket)) = (gateway.fleet.key(), socket) else {
         return PeerFindings::default();
     };
     let mut findings = PeerFindings::default();
-    findings.tally.nodes = peers.len() + 1;
+    findings.tally.nodes = audience.nodes.len() + 1;
     let number = rand::random();
     let (sender, receiver) = mpsc::unbounded_channel();
     lock(&gateway.peers.waiting).insert(number, sender);
     let message = ReachabilityMessage::Question {
         number,
         instance: instance.0.to_string(),
+        purpose,
     };
     let datagram = encode_reachability(&message, &key);
-    collect(&socket, &peers, &datagram, receiver, &mut findings).await;
+    collect(&socket, audience, &datagram, receiver, &mut findings).await;
     lock(&gateway.peers.waiting).remove(&number);
     findings
 }
 
 async fn collect(
     socket: &UdpSocket,
-    peers: &[SocketAddr],
+    audience: &Audience,
     datagram: &[u8],
     mut receiver: mpsc::UnboundedReceiver<(SocketAddr, Reachability)>,
     findings: &mut PeerFindings,
 ) {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let repeat_at = Instant::now() + REPEAT_AFTER;
-    let mut answered: Vec<SocketAddr> = Vec::new();
-    send(socket, peers, &answered, datagram).await;
+    let mut pending: Vec<SocketAddr> = audience.nodes.clone();
+    pending.extend(&audience.former);
+    send(socket, &pending, datagram).await;
     let mut repeated = false;
-    while answered.len() < peers.len() {
+    while !pending.is_empty() {
         let until = if repeated { deadline } else { repeat_at };
         match timeout_at(until, receiver.recv()).await {
-            Ok(Some((from, found))) if !answered.contains(&from) => {
-                answered.push(from);
-                let tally = &mut findings.tally;
-                match found {
-                    Reachability::Reached => {
-                        tally.reached += 1;
-                        findings.reached_by.push(from);
-                    }
-                    Reachability::Unreached => tally.unreached += 1,
-                    Reachability::NotPrimary => tally.not_primary += 1,
-                }
+            Ok(Some((from, found))) => {
+                let Some(index) = pending.iter().position(|peer| *peer == from) else {
+                    continue;
+                };
+                pending.swap_remove(index);
+                findings.take(from, found, audience.former.contains(&from));
             }
-            Ok(Some(_)) => {}
             Ok(None) => return,
             Err(_) if repeated => return,
             Err(_) => {
                 repeated = true;
-                send(socket, peers, &answered, datagram).await;
+                send(socket, &pending, datagram).await;
             }
         }
     }
 }
 
-async fn send(socket: &UdpSocket, peers: &[SocketAddr], answered: &[SocketAddr], datagram: &[u8]) {
-    for peer in peers.iter().filter(|peer| !answered.contains(peer)) {
+async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
+    for peer in peers {
         // A peer that cannot be reached does not answer.
         let _ = socket.send_to(datagram, peer).await;
     }
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -29,6 +29,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a node that stops waits for its row to be removed.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
+/// For how long after its row has expired a node is still asked before a
+/// primary is replaced: it may live and have lost the store alone.
+const FORMER_TIME: Duration = Duration::from_secs(30);
+/// How long reading them may take: a primary waits to be replaced.
+const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Row of the key between nodes.
 const PEER_KEY_ROW: &str = "peer";
 /// Bytes of that key.
@@ -175,14 +180,55 @@
 /// The nodes in rows that were renewed lately, in the order of their keys.
 fn fresh_nodes(rows: &StoredRows) -> Vec<FeedNode> {
     let expiry = readers::row_expiry(rows.rows.len());
-    rows.rows
-        .iter()
-        .filter_map(|row| serde_json::from_slice::<NodeRow>(&row.value).ok())
-        .filter(|node| Duration::from_millis(rows.now.saturating_sub(node.renewed_at)) < expiry)
-        .map(|node| FeedNode {
+    node_rows(rows)
+        .filter(|(_, age)| *age < expiry)
+        .map(|(node, _)| FeedNode {
             name: node.name,
             zone: node.zone,
             address: node.address,
         })
         .collect()
 }
+
+/// The rows of nodes that can be read, and how long ago each was renewed.
+fn node_rows(rows: &StoredRows) -> impl Iterator<Item = (NodeRow, Duration)> {
+    rows.rows.iter().filter_map(|row| {
+        let node: NodeRow = serde_json::from_slice(&row.value).ok()?;
+        let age = Duration::from_millis(rows.now.saturating_sub(node.renewed_at));
+        Some((node, age))
+    })
+}
+
+/// Addresses of the other nodes, as the store lists them.
+pub(crate) struct ListedNodes {
+    /// Nodes whose rows count.
+    pub present: Vec<SocketAddr>,
+    /// Nodes whose rows expired lately.
+    pub former: Vec<SocketAddr>,
+}
+
+/// Reads all other nodes from the store, however many they are.
+pub(crate) async fn list_nodes<P: Platform>(
+    gateway: &Gateway<P>,
+) -> Result<ListedNodes, StoreError> {
+    let reading = gateway.platform.read_rows(FleetTable::Nodes, RowRange::All);
+    let rows = timeout(LIST_TIMEOUT, reading)
+        .await
+        .unwrap_or(Err(StoreError::NoAnswer))?;
+    let expiry = readers::row_expiry(rows.rows.len());
+    let mut listed = ListedNodes {
+        present: Vec::new(),
+        former: Vec::new(),
+    };
+    for (node, age) in node_rows(&rows) {
+        let Some(address) = node.address.filter(|_| node.name != gateway.settings.node) else {
+            continue;
+        };
+        if age < expiry {
+            listed.present.push(address);
+        } else if age < expiry + FORMER_TIME {
+            listed.former.push(address);
+        }
+    }
+    Ok(listed)
+}
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -13,6 +13,8 @@
 //!   [`LONGEST_REUSE`], so that a peer that stops loses it between requests.
 //! * A peer relays to instances of its own directory only, for nodes that hold
 //!   the key between nodes, and starts nothing while it is leaving.
+//! * A peer that agrees to the replacement of a primary breaks what it relays to
+//!   it: those whom it serves need not agree.
 
 use std::collections::HashMap;
 use std::io;
@@ -229,7 +231,7 @@
     let Some(instance) = gateway.beliefs.instance(id) else {
         return;
     };
-    if gateway.is_leaving() {
+    if gateway.is_leaving() || gateway.beliefs.is_withheld(id) {
         return;
     }
     let connecting = timeout(ACCEPT_TIMEOUT, TcpStream::connect(instance.address));
@@ -246,7 +248,20 @@
     }
     gateway.metrics.relays_served.add();
     // However it ends, both sides are closed.
-    let _ = timeout(LONGEST_RELAY, copy_bidirectional(&mut stream, &mut onward)).await;
+    tokio::select! {
+        _ = timeout(LONGEST_RELAY, copy_bidirectional(&mut stream, &mut onward)) => {}
+        () = until_withheld(gateway, id) => {}
+    }
+}
+
+/// Waits until this node has agreed to acknowledge nothing of an instance.
+async fn until_withheld<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) {
+    let mut changes = gateway.beliefs.subscribe();
+    while !gateway.beliefs.is_withheld(id) {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
 }
 
 /// Tries the direct way to instances whose connections are relayed.
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -20,7 +20,7 @@
 };
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
-    Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
+    QuestionPurpose, Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
 };
 pub use table::{TableMessage, decode_table, encode_table};
 
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -1,4 +1,5 @@
-//! Questions between nodes: can you reach this instance as a primary?
+//! Questions between nodes: can you reach this instance as a primary, and will
+//! you send it nothing while it is replaced?
 
 use minicbor::{Decode, Encode};
 
@@ -19,6 +20,19 @@
     NotPrimary,
 }
 
+/// What a question is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum QuestionPurpose {
+    /// To find out whether the instance is lost.
+    #[n(0)]
+    Look,
+    /// To replace it. Whoever answers [`Reachability::Unreached`] agrees to
+    /// acknowledge nothing that the instance commits for a while.
+    #[n(1)]
+    Replace,
+}
+
 /// A message about the reachability of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ReachabilityMessage {
@@ -31,6 +45,9 @@
         /// The instance.
         #[n(1)]
         instance: String,
+        /// What it is asked for.
+        #[n(2)]
+        purpose: QuestionPurpose,
     },
     /// What was found.
     #[n(1)]
--- a/crates/linkhold-standin/src/relay.rs
+++ b/crates/linkhold-standin/src/relay.rs
@@ -74,6 +74,12 @@
     pub fn set_link(&self, link: Link) {
         self.state.send_modify(|state| state.link = link);
     }
+
+    /// Changes how long each byte takes in each direction.
+    pub fn set_delay(&self, one_way_delay: Duration) {
+        self.state
+            .send_modify(|state| state.one_way_delay = one_way_delay);
+    }
 }
 
 async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Receiver<RelayState>) {
