--- a/crates/linkhold-core/src/rendezvous.rs
+++ b/crates/linkhold-core/src/rendezvous.rs
@@ -9,15 +9,6 @@
 
 use crate::membership::NodeId;
 
-/// Whether `node` is among about `count` of `candidates` nodes that take up
-/// `duty`. Needs no list of them: each node decides by its own weight alone, so
-/// that the number chosen is `count` on average only.
-pub fn is_chosen(duty: &str, node: NodeId, count: usize, candidates: usize) -> bool {
-    let weight = u128::from(xxh3_64_with_seed(duty.as_bytes(), node.0));
-    let space = u128::from(u64::MAX) + 1;
-    weight * candidates as u128 / space < count as u128
-}
-
 /// The `count` nodes with the highest weights for `duty`, highest first.
 pub fn owners(duty: &str, nodes: impl Iterator<Item = NodeId>, count: usize) -> Vec<NodeId> {
     let mut weighted: Vec<(u64, NodeId)> = nodes
--- a/crates/linkhold-core/src/service/connection_share.rs
+++ b/crates/linkhold-core/src/service/connection_share.rs
@@ -4,63 +4,63 @@
 //! an equal part, less a reserve: connections of a node that lost power still
 //! stand for some seconds while its next life opens new ones.
 //!
-//! Where nodes are so many that equal parts are of no use, the nodes near an
-//! instance keep one each ([`kept_ready`]) and open others when needed.
+//! Where nodes are so many that equal parts are of no use, few nodes hold the
+//! connections for all ([`super::owners`]).
 
 use std::time::Duration;
 
-use super::instance::InstanceId;
-use crate::membership::NodeId;
-use crate::rendezvous;
+use super::owners;
 
 /// Connections below which a fair share is of no use: a transaction holds one
 /// for as long as its caller thinks.
 const LEAST_USEFUL: usize = 2;
-/// Connections that a node may hold at a time where fair shares are of no use.
-const CROWDED_CONNECTIONS: usize = 3;
+/// Connections that a node which is no owner may hold at a time.
+const WITHOUT_OWNER: usize = 3;
 /// How long such a node keeps a connection that it does not use: the fewer
 /// stand idle, the more nodes get one.
-pub const CROWDED_IDLE: Duration = Duration::from_millis(50);
+const WITHOUT_OWNER_IDLE: Duration = Duration::from_millis(50);
 
-/// Connections to an instance that a node keeps ready where fair shares are of
-/// no use. `nearby` nodes are in the instance's region, the node among them;
-/// 0 where they are not counted.
-///
-/// A replica serves its neighbours' reads: they keep what is shared out, one
-/// connection each, or one in as many of them as there are connections. Half
-/// of that at a primary, where nodes of all regions open connections for their
-/// writes as well.
-pub fn kept_ready(
-    limit: usize,
-    nearby: usize,
-    is_primary: bool,
-    node: NodeId,
-    instance: &InstanceId,
-) -> usize {
-    let kept = if is_primary {
-        shared(limit) / 2
-    } else {
-        shared(limit)
-    };
-    let is_holder = nearby > 0 && rendezvous::is_chosen(&instance.0, node, kept, nearby);
-    usize::from(is_holder)
+/// What a node may hold to one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Connections at a time.
+    pub limit: usize,
+    /// After which time without use one is closed; `None`: never.
+    pub idle_for: Option<Duration>,
 }
 
-/// Whether so many nodes share a limit that connections cannot be held ready.
-/// They are then opened when needed and closed soon after; an instance that
-/// has none left refuses, which proves that nothing ran.
+/// Whether so many nodes share a limit that connections cannot be held ready
+/// by each of them.
 pub fn is_crowded(limit: usize, nodes: usize) -> bool {
     shared(limit) / nodes.max(1) < LEAST_USEFUL
 }
 
-/// Connections that a node may hold to an instance at a time.
-pub fn most_at_a_time(limit: usize, nodes: usize, has_just_started: bool) -> usize {
-    if is_crowded(limit, nodes) {
-        CROWDED_CONNECTIONS.min(limit)
-    } else if has_just_started {
+/// The share of one of `nodes` nodes that all hold connections.
+pub fn equal(limit: usize, nodes: usize, has_just_started: bool) -> Share {
+    let most = if has_just_started {
         of_starting_node(limit, nodes)
     } else {
         of_node(limit, nodes)
+    };
+    Share {
+        limit: most,
+        idle_for: None,
+    }
+}
+
+/// The share of one of `owners` nodes that hold connections for all.
+pub fn of_owner(limit: usize, owners: usize) -> Share {
+    Share {
+        limit: owners::share(limit, owners),
+        idle_for: Some(owners::OWNER_IDLE),
+    }
+}
+
+/// What a node may hold that is no owner: for when it finds none.
+pub fn without_owner(limit: usize) -> Share {
+    Share {
+        limit: WITHOUT_OWNER.min(limit),
+        idle_for: Some(WITHOUT_OWNER_IDLE),
     }
 }
 
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -8,6 +8,7 @@
 pub mod failover;
 pub mod health;
 pub mod instance;
+pub mod owners;
 pub mod placement;
 pub mod readers;
 pub mod session;
--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -104,9 +104,6 @@
     }
 }
 
-/// Nodes that a reader names to its followers, for questions between nodes.
-pub const SAMPLE: usize = 24;
-
 /// Where a node gets configuration and instances from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- /dev/null
+++ b/crates/linkhold-core/tests/service_owners.rs
@@ -0,0 +1,75 @@
+//! Which nodes own the connections to an instance, and how many each.
+
+use linkhold_core::membership::NodeId;
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::{connection_share, owners};
+use proptest::prelude::*;
+
+fn nodes(count: usize) -> Vec<NodeId> {
+    (0..count)
+        .map(|number| NodeId::of_name(&format!("node-{number}")))
+        .collect()
+}
+
+fn chosen(nodes: &[NodeId], instance: &str) -> Vec<NodeId> {
+    owners::choose(&InstanceId(instance.into()), nodes.iter().copied())
+}
+
+#[test]
+fn a_node_that_leaves_changes_only_what_it_owned() {
+    let all = nodes(24);
+    for instance in ["one", "two", "three"] {
+        let before = chosen(&all, instance);
+        assert_eq!(before.len(), owners::OWNERS);
+        for gone in &all {
+            let left: Vec<NodeId> = all.iter().copied().filter(|it| it != gone).collect();
+            let after = chosen(&left, instance);
+            let kept = before.iter().filter(|owner| after.contains(owner)).count();
+            let expected = owners::OWNERS - usize::from(before.contains(gone));
+            assert_eq!(kept, expected);
+        }
+    }
+}
+
+#[test]
+fn a_small_region_has_as_many_owners_as_nodes() {
+    assert_eq!(chosen(&nodes(2), "one").len(), 2);
+    assert!(chosen(&[], "one").is_empty());
+}
+
+#[test]
+fn nodes_are_spread_over_the_owners() {
+    let all = nodes(80);
+    let owners = chosen(&all, "one");
+    let first = |node: &NodeId| owners::preference(*node, &owners)[0];
+    for owner in &owners {
+        let askers = all.iter().filter(|node| first(node) == *owner).count();
+        assert!(askers > 8, "{askers}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn all_see_the_same_owners_whatever_order_they_know_nodes_in(
+        count in 1_usize..40,
+        seed in any::<u64>(),
+    ) {
+        let all = nodes(count);
+        let mut shuffled = all.clone();
+        shuffled.sort_by_key(|node| node.0 ^ seed);
+        prop_assert_eq!(chosen(&all, "one"), chosen(&shuffled, "one"));
+        let owners = chosen(&all, "one");
+        let mut preferred = owners::preference(all[0], &owners);
+        let mut expected = owners;
+        preferred.sort_unstable();
+        expected.sort_unstable();
+        prop_assert_eq!(preferred, expected);
+    }
+
+    #[test]
+    fn what_owners_share_leaves_room_for_questions(limit in 8_usize..500, count in 1_usize..=4) {
+        let held = connection_share::of_owner(limit, count).limit * count;
+        prop_assert!(held < limit, "{held} of {limit}");
+        prop_assert!(held * 10 >= limit * 5, "{held} of {limit}");
+    }
+}
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::instance::Instance;
-use linkhold_core::service::session::{SessionState, TransactionStatus};
+use linkhold_core::service::session::{SessionState, SessionValues, TransactionStatus};
 use linkhold_events::Event;
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::batch::{self, Batch, Frame, Work};
+use crate::forward::{self, LentConnection};
 use crate::gateway::Gateway;
 use crate::pool::{CheckoutError, Lease, Urgency};
 use crate::ports::{
@@ -24,6 +25,35 @@
 /// The connection type of a platform.
 pub(crate) type ConnectionOf<P> = <P as BackendConnector>::Connection;
 
+/// A connection that is held for a session.
+pub(crate) enum Held<P: Platform> {
+    /// One of this node's own.
+    Own(Lease<ConnectionOf<P>>),
+    /// One that an owner holds for this node.
+    Lent(LentConnection),
+}
+
+impl<P: Platform> Held<P> {
+    /// Gives the connection back. What is still open on it in `status` is rolled
+    /// back before its next use.
+    pub fn finish(self, status: TransactionStatus) {
+        match self {
+            Self::Own(lease) => finish_own(lease, status),
+            Self::Lent(lent) => lent.release(),
+        }
+    }
+}
+
+/// Gives a connection of this node's own back, noting what its next user must
+/// undo first.
+pub(crate) fn finish_own<C: BackendConnection>(mut lease: Lease<C>, status: TransactionStatus) {
+    if batch::is_worn(lease.pooled()) {
+        return;
+    }
+    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
+    lease.release();
+}
+
 /// Bounds of one try.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -52,7 +82,7 @@
     pub reply: BackendReply,
     /// The start of the transaction, if there was one.
     pub begin: Option<BeginReply>,
-    pub lease: Lease<ConnectionOf<P>>,
+    pub held: Held<P>,
     /// When the batch was sent, measured before.
     pub sent_at: Instant,
 }
@@ -68,7 +98,8 @@
     Refused(BackendErrorKind),
 }
 
-/// Runs `work` on `instance`.
+/// Runs `work` on `instance`: on a connection of this node's own or, where few
+/// nodes own the connections, on one of theirs.
 pub(crate) async fn run<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     instance: &Arc<Instance>,
@@ -81,14 +112,29 @@
     gateway
         .beliefs
         .observe(&instance.id, |health| health.begin_trial(now));
+    if let Some(owners) = gateway.pools.owners_of(instance, &gateway.beliefs)
+        && !owners.includes_self
+    {
+        let asked = forward::run(gateway, &owners, instance, session, work, frame, bounds).await;
+        if let Some(attempt) = asked {
+            return attempt;
+        }
+    }
+    run_here(gateway, instance, &session.values, work, frame, bounds).await
+}
+
+/// Runs `work` on a connection of this node's own.
+pub(crate) async fn run_here<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    instance: &Arc<Instance>,
+    values: &SessionValues,
+    work: &Work,
+    frame: Frame,
+    bounds: Bounds,
+) -> Attempt<P> {
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
     let checkout = pool
-        .checkout(
-            gateway,
-            &session.values,
-            bounds.urgency,
-            bounds.connection_by.into(),
-        )
+        .checkout(gateway, values, bounds.urgency, bounds.connection_by.into())
         .await;
     let lease = match checkout {
         Ok(lease) => lease,
@@ -99,15 +145,32 @@
             });
         }
     };
-    run_on(gateway, lease, session, work, frame, bounds.answer_by).await
+    run_on_own(gateway, lease, values, work, frame, bounds.answer_by).await
 }
 
-/// Runs `work` on a connection that is held.
+/// Runs `work` in the transaction of a connection that is held.
 pub(crate) async fn run_on<P: Platform>(
     gateway: &Arc<Gateway<P>>,
-    mut lease: Lease<ConnectionOf<P>>,
+    held: Held<P>,
     session: &SessionState,
     work: &Work,
+    answer_by: Instant,
+) -> Attempt<P> {
+    let frame = Frame::Bare { fence: None };
+    match held {
+        Held::Own(lease) => {
+            run_on_own(gateway, lease, &session.values, work, frame, answer_by).await
+        }
+        Held::Lent(lent) => forward::run_on(gateway, lent, session, work, answer_by).await,
+    }
+}
+
+/// Runs `work` on a connection of this node's own that is held.
+pub(crate) async fn run_on_own<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut lease: Lease<ConnectionOf<P>>,
+    values: &SessionValues,
+    work: &Work,
     frame: Frame,
     answer_by: Instant,
 ) -> Attempt<P> {
@@ -115,7 +178,7 @@
         // The connection is closed, which undoes what is open on it.
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
-    let batch = batch::build(lease.pooled(), session, work, frame);
+    let batch = batch::build(lease.pooled(), values, work, frame);
     let begin = if batch.setup.is_empty() {
         None
     } else {
@@ -142,17 +205,21 @@
             Attempt::Lost
         }
         Conversation::Answered(replies) => {
-            let mut answer = Answer {
-                reply: replies[batch.main].clone(),
-                begin,
-                lease,
-                sent_at,
+            let begin = match frame {
+                Frame::ProvingPrimary => Some((sent_at, replies[0].clone())),
+                Frame::Bare { .. } | Frame::Opening { .. } => begin,
             };
-            if frame == Frame::ProvingPrimary {
-                answer.begin = Some((sent_at, replies[0].clone()));
-            }
             let status = replies[replies.len() - 1].status;
-            judge(gateway, answer, status)
+            let reply = replies[batch.main].clone();
+            if let Some(kind) = refusal(begin.as_ref(), &reply) {
+                return refused(gateway, lease, kind, status);
+            }
+            Attempt::Answered(Answer {
+                reply,
+                begin,
+                held: Held::Own(lease),
+                sent_at,
+            })
         }
     }
 }
@@ -250,13 +317,13 @@
 }
 
 /// Counts a statement as under way until it is dropped.
-struct InFlight<'a, P: Platform> {
+pub(crate) struct InFlight<'a, P: Platform> {
     gateway: &'a Gateway<P>,
     instance: Arc<Instance>,
 }
 
 impl<'a, P: Platform> InFlight<'a, P> {
-    fn start(gateway: &'a Gateway<P>, instance: &Arc<Instance>) -> Self {
+    pub fn start(gateway: &'a Gateway<P>, instance: &Arc<Instance>) -> Self {
         gateway
             .beliefs
             .observe(&instance.id, |health| health.begin());
@@ -323,26 +390,27 @@
     }
 }
 
-/// Tells an answer from a refusal that proves that the statement did not run.
-/// `status` is the connection's state after the last reply.
-fn judge<P: Platform>(
+/// The refusal in an answer that proves that the statement did not run.
+fn refusal(begin: Option<&BeginReply>, reply: &BackendReply) -> Option<BackendErrorKind> {
+    let begin_refused = begin.and_then(|(_, reply)| reply.error());
+    begin_refused.or_else(|| reply.error().filter(|kind| proves_not_run(*kind)))
+}
+
+/// Gives back the connection of a statement that was refused. `status` is the
+/// connection's state after the last reply.
+fn refused<P: Platform>(
     gateway: &Gateway<P>,
-    mut answer: Answer<P>,
+    mut lease: Lease<ConnectionOf<P>>,
+    kind: BackendErrorKind,
     status: TransactionStatus,
 ) -> Attempt<P> {
-    let begin_refused = answer.begin.as_ref().and_then(|(_, reply)| reply.error());
-    let refusal =
-        begin_refused.or_else(|| answer.reply.error().filter(|kind| proves_not_run(*kind)));
-    let Some(kind) = refusal else {
-        return Attempt::Answered(answer);
-    };
-    let instance = answer.lease.instance().clone();
-    answer.lease.pooled().needs_rollback = status != TransactionStatus::Idle;
+    let instance = lease.instance().clone();
+    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
     if kind == BackendErrorKind::UnknownPrepared {
         // What was recorded as prepared is not there: do not use it again.
-        drop(answer);
+        drop(lease);
     } else {
-        answer.lease.release();
+        lease.release();
     }
     gateway.note_refusal(&instance, kind);
     Attempt::NotRun(NotRunCause::Refused(kind))
--- a/crates/linkhold-gateway/src/batch.rs
+++ b/crates/linkhold-gateway/src/batch.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use linkhold_core::position::Position;
-use linkhold_core::service::session::{Access, Prepared, SessionState};
+use linkhold_core::service::session::{Access, Prepared, SessionValues};
 
 use crate::pool::Pooled;
 use crate::ports::Command;
@@ -96,7 +96,7 @@
 /// Builds the batch and records what the connection will have been told.
 pub(crate) fn build<C>(
     pooled: &mut Pooled<C>,
-    session: &SessionState,
+    values: &SessionValues,
     work: &Work,
     frame: Frame,
 ) -> Batch {
@@ -104,7 +104,7 @@
     if std::mem::take(&mut pooled.needs_rollback) {
         setup.push(Command::Rollback);
     }
-    adopt_values(pooled, session, &mut setup);
+    adopt_values(pooled, values, &mut setup);
     let number = adopt_prepared(pooled, work, &mut setup);
     let mut batch = Batch {
         setup,
@@ -132,8 +132,8 @@
     batch
 }
 
-fn adopt_values<C>(pooled: &mut Pooled<C>, session: &SessionState, commands: &mut Vec<Command>) {
-    let changes = pooled.state.adopt_values(&session.values);
+fn adopt_values<C>(pooled: &mut Pooled<C>, values: &SessionValues, commands: &mut Vec<Command>) {
+    let changes = pooled.state.adopt_values(values);
     if changes.discard {
         commands.push(Command::Discard);
     }
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout_at;
 
 use crate::beliefs::lock;
+use crate::forward;
 use crate::gateway::Gateway;
 use crate::pool::Urgency;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
@@ -80,19 +81,30 @@
     tokio::spawn(async move {
         match shared_evidence::ask_reader(&gateway, &service, moment).await {
             Some(sample) => gateway.beliefs.record_evidence(&service, sample),
-            None => ask_primary(&gateway, &service).await,
+            None => ask_primary(&gateway, &service, moment).await,
         }
         gateway.questions.end(&service);
     });
 }
 
-async fn ask_primary<P: Platform>(gateway: &Arc<Gateway<P>>, service: &ServiceName) {
+async fn ask_primary<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    service: &ServiceName,
+    moment: Instant,
+) {
     let started = Instant::now();
     let Some(primary) = gateway.beliefs.usable_primary(service, started) else {
         // The next change of beliefs asks again.
         tokio::time::sleep(Duration::from_millis(20)).await;
         return;
     };
+    if let Some(owners) = gateway.pools.owners_of(&primary, &gateway.beliefs)
+        && !owners.includes_self
+        && let Some(sample) = forward::ask_evidence(gateway, &owners, service, moment).await
+    {
+        gateway.primary_proved(&primary, sample);
+        return;
+    }
     gateway.metrics.evidence_probes.add();
     let deadline = tokio::time::Instant::from_std(started + QUESTION_TIMEOUT);
     let pool = gateway.pools.pool(&primary, &gateway.beliefs);
--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -21,6 +21,7 @@
 
 use crate::beliefs::{Beliefs, lock};
 use crate::fleet::{self, Fleet, FleetSource};
+use crate::forward;
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
 use crate::relay;
@@ -30,7 +31,7 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Changes that come closer together are told together.
 const GATHER_TIME: Duration = Duration::from_millis(10);
-/// How often followers are told the fleet.
+/// How often it is looked whether followers are to be told the fleet anew.
 const FLEET_INTERVAL: Duration = Duration::from_millis(4_000);
 /// How long connecting to a reader may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,12 +63,16 @@
 
 /// A message as it goes on a stream.
 fn frame(message: &FeedMessage, key: &PeerKey) -> Arc<[u8]> {
-    let body = encode_feed(message, key);
+    framed(&encode_feed(message, key)).into()
+}
+
+/// An encoded message behind its length.
+pub(crate) fn framed(body: &[u8]) -> Vec<u8> {
     // Longer than any message: the other side refuses it.
     let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
     let mut frame = length.to_be_bytes().to_vec();
-    frame.extend_from_slice(&body);
-    frame.into()
+    frame.extend_from_slice(body);
+    frame
 }
 
 async fn write_frame<S: AsyncWrite + Unpin>(stream: &mut S, frame: &[u8]) -> io::Result<()> {
@@ -80,13 +85,23 @@
     stream: &mut S,
     key: &PeerKey,
 ) -> io::Result<FeedMessage> {
+    let body = read_body(stream, MAX_FEED_MESSAGE).await?;
+    decode_feed(&body, key).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+}
+
+/// Reads a message of at most `most` bytes as it is on the stream, without its
+/// length.
+pub(crate) async fn read_body<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    most: usize,
+) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await? as usize;
-    if length > MAX_FEED_MESSAGE {
+    if length > most {
         return Err(io::ErrorKind::InvalidData.into());
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
-    decode_feed(&body, key).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    Ok(body)
 }
 
 /// Takes streams of other nodes. Runs until the process ends.
@@ -115,7 +130,13 @@
 pub(crate) struct FeedFrames {
     configuration: Mutex<Option<VersionedFrame>>,
     instances: Mutex<Option<VersionedFrame>>,
-    fleet: Mutex<Option<(Instant, Arc<[u8]>)>>,
+    fleet: Mutex<Option<FleetFrame>>,
+}
+
+/// The fleet as it was encoded last.
+struct FleetFrame {
+    encoded_at: Instant,
+    frame: Arc<[u8]>,
 }
 
 impl FeedFrames {
@@ -138,14 +159,19 @@
 
     fn fleet(&self, fleet: &Fleet, own_name: &str, key: &PeerKey) -> Option<Arc<[u8]>> {
         let mut known = lock(&self.fleet);
-        if let Some((at, frame)) = &*known
-            && at.elapsed() < FLEET_INTERVAL
+        if let Some(known) = &*known
+            && known.encoded_at.elapsed() < FLEET_INTERVAL
         {
-            return Some(frame.clone());
+            return Some(known.frame.clone());
         }
         let encoded = frame(&FeedMessage::Fleet(fleet.for_followers(own_name)?), key);
-        *known = Some((Instant::now(), encoded.clone()));
-        Some(encoded)
+        let unchanged = known.take().map(|known| known.frame);
+        let frame = unchanged.filter(|old| *old == encoded).unwrap_or(encoded);
+        *known = Some(FleetFrame {
+            encoded_at: Instant::now(),
+            frame: frame.clone(),
+        });
+        Some(frame)
     }
 }
 
@@ -175,6 +201,7 @@
     version: u64,
     revision: Option<u64>,
     fleet_at: Option<Instant>,
+    fleet: Option<Arc<[u8]>>,
 }
 
 /// Serves what another node opens a stream for.
@@ -188,6 +215,7 @@
     match opening {
         Ok(Ok(FeedMessage::Subscribe)) => serve_follower(&gateway, stream, &key).await,
         Ok(Ok(FeedMessage::Relay(id))) => relay::serve(&gateway, stream, &id, &key).await,
+        Ok(Ok(FeedMessage::Forward)) => forward::serve(&gateway, stream, &key).await,
         // Whoever opened it finds it closed.
         _ => {}
     }
@@ -292,7 +320,10 @@
         && let Some(frame) = frames.fleet(&gateway.fleet, &gateway.settings.node, key)
     {
         told.fleet_at = Some(Instant::now());
-        news.push(frame);
+        if told.fleet.as_ref() != Some(&frame) {
+            told.fleet = Some(frame.clone());
+            news.push(frame);
+        }
     }
     news
 }
@@ -410,6 +441,7 @@
         | FeedMessage::Renewal(_)
         | FeedMessage::Relay(_)
         | FeedMessage::Relayed
+        | FeedMessage::Forward
         | FeedMessage::EvidenceQuestion(_)
         | FeedMessage::EvidenceAnswer(_) => {}
     }
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -3,8 +3,8 @@
 //!
 //! Nodes that read the store see the rows by which nodes register
 //! ([`crate::registration`]), up to a limit: a larger fleet is not counted.
-//! Followers of a reader are told the size and a sample. While the store cannot
-//! be read, the last view stays.
+//! Followers of a reader are told the same. While the store cannot be read, the
+//! last view stays.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,12 +14,9 @@
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
 use linkhold_core::service::placement::Distance;
-use linkhold_core::service::readers::{
-    self, LARGEST_FOLLOWING_FLEET, ReaderCandidate, SAMPLE, Source,
-};
+use linkhold_core::service::readers::{self, LARGEST_FOLLOWING_FLEET, ReaderCandidate, Source};
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
-use rand::seq::IndexedRandom;
 
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
@@ -40,7 +37,7 @@
     size: usize,
     /// Nodes of this node's region; 0 where they are not counted.
     nearby: usize,
-    /// Nodes by name: all, or a sample in a large fleet.
+    /// Nodes by name; in a fleet too large to be counted, some of them.
     nodes: BTreeMap<String, FeedNode>,
     /// The region's nodes that read the store.
     readers: Vec<FeedNode>,
@@ -77,7 +74,7 @@
         lock(&self.view).key.clone()
     }
 
-    /// Other nodes' addresses; a sample in a large fleet.
+    /// Addresses of the other nodes that are known.
     pub fn peers(&self, own_name: &str) -> Vec<SocketAddr> {
         lock(&self.view)
             .nodes
@@ -96,7 +93,7 @@
         knows_all.then(|| self.peers(own_name))
     }
 
-    /// Whether a node is in the fleet; nodes beyond a large fleet's sample are
+    /// Whether a node is in the fleet; in a fleet too large to be counted, any is
     /// taken to be.
     pub fn knows(&self, name: &str) -> bool {
         let view = lock(&self.view);
@@ -116,13 +113,11 @@
         if !view.readers.iter().any(|node| node.name == own_name) {
             return None;
         }
-        let nodes: Vec<&FeedNode> = view.nodes.values().collect();
-        let sample = nodes.choose_multiple(&mut rand::rng(), SAMPLE);
         Some(FeedFleet {
             size: view.size,
             nearby: view.nearby,
             readers: view.readers.clone(),
-            sample: sample.map(|node| (*node).clone()).collect(),
+            nodes: view.nodes.values().cloned().collect(),
         })
     }
 
@@ -236,7 +231,7 @@
         size: nodes.len(),
         nearby: count_nearby(gateway, &nodes),
         readers: own_readers,
-        sample: nodes,
+        nodes,
     };
     adopt_fleet(gateway, fleet);
     lock(&gateway.fleet.view).duty_nodes = duty_nodes;
@@ -280,11 +275,15 @@
 pub(crate) fn adopt_fleet<P: Platform>(gateway: &Gateway<P>, fleet: FeedFleet) {
     let own = own_node(gateway);
     let mut nodes: BTreeMap<String, FeedNode> = fleet
-        .sample
+        .nodes
         .into_iter()
         .map(|node| (node.name.clone(), node))
         .collect();
     nodes.insert(own.name.clone(), own);
+    gateway
+        .pools
+        .owners()
+        .set_nodes(nodes.values().filter(|node| node.address.is_some()));
     let mut view = lock(&gateway.fleet.view);
     let previous = view.size;
     view.size = fleet.size.max(1);
--- /dev/null
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -0,0 +1,365 @@
+//! Statements that owners of connections run for other nodes.
+//!
+//! Where few nodes own the connections to an instance
+//! ([`linkhold_core::service::owners`]), a node that is none of them has an
+//! owner make the whole try: take a connection, bring it to the session's state,
+//! run the statement. The owner runs the same code ([`crate::attempt`]) as for
+//! its own callers and tells how the try ended; what is tried again, and what a
+//! caller is told, is decided by the node that the caller is connected to.
+//!
+//! # Invariants
+//!
+//! * An owner runs a statement at most once and tries nothing again. Another
+//!   owner is asked only if the statement ran nowhere, reads, or opens a
+//!   transaction, which the lost owner can never commit.
+//! * What was handed to a stream that broke before an answer came is taken to
+//!   have been sent to the instance; what was not handed over yet certainly ran
+//!   nowhere.
+//! * A lent connection serves the transaction that opened it alone. It goes back
+//!   when the transaction has ended, the asking node gives it up, its stream
+//!   ends, or nothing is asked for longer than a transaction may rest.
+//! * Time limits are handed on as what is left of them, so clocks need not agree.
+
+mod link;
+mod owner;
+mod translate;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::session::{Access, SessionState, SessionValues};
+use linkhold_events::Event;
+use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement};
+
+use crate::attempt::{Answer, Attempt, Bounds, Held, InFlight, NotRunCause};
+use crate::batch::{Frame, Work};
+use crate::beliefs::lock;
+use crate::gateway::Gateway;
+use crate::owners::InstanceOwners;
+use crate::ports::{BackendErrorKind, Platform};
+
+use link::{CallFailure, Link, LinkState};
+pub(crate) use owner::serve;
+
+/// How long an owner that could not be reached, or kept silent, is passed over.
+const OWNER_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long an owner may take to tell evidence.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Streams to owners.
+#[derive(Default)]
+pub(crate) struct Forwarding {
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    passed_over_until: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Connections lent to other nodes.
+    lent: Arc<AtomicUsize>,
+}
+
+impl Forwarding {
+    fn link<P: Platform>(&self, gateway: &Arc<Gateway<P>>, owner: SocketAddr) -> Option<Arc<Link>> {
+        let key = gateway.fleet.key()?;
+        let mut links = lock(&self.links);
+        if let Some(link) = links.get(&owner)
+            && link.state() != LinkState::Ended
+        {
+            return Some(link.clone());
+        }
+        let link = Link::open(owner, key);
+        links.insert(owner, link.clone());
+        Some(link)
+    }
+
+    /// Connections that are lent to other nodes for their transactions.
+    pub fn lent(&self) -> usize {
+        self.lent.load(Ordering::Relaxed)
+    }
+
+    fn pass_over(&self, owner: SocketAddr, why: &'static str) {
+        let until = Instant::now() + OWNER_PAUSE;
+        lock(&self.passed_over_until).insert(owner, until);
+        lock(&self.links).remove(&owner);
+        Event::info("owner_passed_over")
+            .field("owner", owner)
+            .field("reason", why)
+            .field("for_ms", OWNER_PAUSE.as_millis())
+            .log();
+    }
+
+    /// The first owner that is not passed over and not silent.
+    fn choose(&self, owners: &InstanceOwners) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let passed_over = lock(&self.passed_over_until);
+        let links = lock(&self.links);
+        let is_silent = |owner: &SocketAddr| {
+            let link = links.get(owner);
+            link.is_some_and(|link| link.state() == LinkState::Silent)
+        };
+        owners
+            .others
+            .iter()
+            .filter(|owner| !is_silent(owner))
+            .find(|owner| passed_over.get(owner).is_none_or(|until| now >= *until))
+            .copied()
+    }
+}
+
+/// A connection that an owner holds for a transaction of this node.
+pub(crate) struct LentConnection {
+    link: Arc<Link>,
+    /// Number of the statement that opened the transaction; `None` once it is
+    /// given back.
+    number: Option<u64>,
+    instance: Arc<Instance>,
+}
+
+impl LentConnection {
+    /// Gives it back; what is open on it is rolled back.
+    pub fn release(mut self) {
+        self.give_back(false);
+    }
+
+    fn give_back(&mut self, close: bool) {
+        if let Some(number) = self.number.take() {
+            self.link.tell(ForwardMessage::Release { number, close });
+        }
+    }
+}
+
+impl Drop for LentConnection {
+    fn drop(&mut self) {
+        self.give_back(true);
+    }
+}
+
+/// Has an owner run a statement that stands alone or opens a transaction;
+/// `None` if no owner takes it, in which case nothing of it ran.
+pub(crate) async fn run<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    owners: &InstanceOwners,
+    instance: &Arc<Instance>,
+    session: &SessionState,
+    work: &Work,
+    frame: Frame,
+    bounds: Bounds,
+) -> Option<Attempt<P>> {
+    loop {
+        if Instant::now() >= bounds.answer_by {
+            return Some(Attempt::NotRun(NotRunCause::NoConnection));
+        }
+        let owner = gateway.forwarding.choose(owners)?;
+        let link = gateway.forwarding.link(gateway, owner)?;
+        let statement = ForwardStatement {
+            number: rand::random(),
+            lent: None,
+            instance: instance.id.0.to_string(),
+            values: translate::values(&session.values),
+            work: translate::work(work),
+            frame: translate::frame(frame),
+            is_read: bounds.urgency.is_read,
+            priority: bounds.urgency.priority,
+            connection_within_ms: milliseconds_until(bounds.connection_by),
+            answer_within_ms: milliseconds_until(bounds.answer_by),
+        };
+        gateway.metrics.forwarded.add();
+        let call = Call {
+            gateway,
+            link: &link,
+            instance,
+            work,
+        };
+        // Nothing of these can be kept by an owner that is lost.
+        let repeatable = work.access() == Access::Read || matches!(frame, Frame::Opening { .. });
+        match call.run(statement, bounds.answer_by, repeatable).await {
+            Ended::Attempt(attempt) => return Some(attempt),
+            Ended::NotTaken(why) => gateway.forwarding.pass_over(owner, why),
+        }
+    }
+}
+
+/// Runs a statement in the transaction of a lent connection.
+pub(crate) async fn run_on<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut lent: LentConnection,
+    session: &SessionState,
+    work: &Work,
+    answer_by: Instant,
+) -> Attempt<P> {
+    let opened_by = lent.number.take();
+    let statement = ForwardStatement {
+        number: rand::random(),
+        lent: opened_by,
+        instance: lent.instance.id.0.to_string(),
+        values: translate::values(&session.values),
+        work: translate::work(work),
+        frame: translate::frame(Frame::Bare { fence: None }),
+        is_read: false,
+        priority: 0,
+        connection_within_ms: 0,
+        answer_within_ms: milliseconds_until(answer_by),
+    };
+    let call = Call {
+        gateway,
+        link: &lent.link,
+        instance: &lent.instance,
+        work,
+    };
+    match call.run(statement, answer_by, false).await {
+        Ended::Attempt(attempt) => attempt,
+        // The owner lost the connection, which undoes what was open on it.
+        Ended::NotTaken(_) => Attempt::NotRun(NotRunCause::Unreachable),
+    }
+}
+
+/// One statement with an owner.
+struct Call<'a, P: Platform> {
+    gateway: &'a Arc<Gateway<P>>,
+    link: &'a Arc<Link>,
+    instance: &'a Arc<Instance>,
+    work: &'a Work,
+}
+
+/// How a call ended.
+enum Ended<P: Platform> {
+    Attempt(Attempt<P>),
+    /// The owner did not take it, or is lost and can keep nothing of it.
+    NotTaken(&'static str),
+}
+
+impl<P: Platform> Call<'_, P> {
+    /// Has it run. One that is `repeatable` is given up if the owner is silent.
+    async fn run(
+        &self,
+        statement: ForwardStatement,
+        answer_by: Instant,
+        repeatable: bool,
+    ) -> Ended<P> {
+        // Whatever becomes of this call, the owner is told to let go of what
+        // it still holds for it.
+        let mut lent = LentConnection {
+            link: self.link.clone(),
+            number: Some(statement.lent.unwrap_or(statement.number)),
+            instance: self.instance.clone(),
+        };
+        let sent_at = Instant::now();
+        let in_flight = InFlight::start(self.gateway, self.instance);
+        let outcome = self.link.call(statement, answer_by, repeatable).await;
+        drop(in_flight);
+        self.log_failure(&outcome, sent_at);
+        match outcome {
+            Ok(outcome) => self.judge(outcome, lent, sent_at),
+            Err(CallFailure::NotSent) => {
+                lent.number = None;
+                Ended::NotTaken("unreachable")
+            }
+            Err(CallFailure::Broken) => {
+                lent.number = None;
+                Ended::Attempt(Attempt::Lost)
+            }
+            Err(CallFailure::OwnerSilent) if repeatable => Ended::NotTaken("silent"),
+            Err(CallFailure::OwnerSilent) => {
+                let owner = self.link.owner();
+                self.gateway.forwarding.pass_over(owner, "silent");
+                Ended::Attempt(Attempt::TimedOut)
+            }
+            Err(CallFailure::NoAnswer) => {
+                self.gateway.instance_silent(self.instance, sent_at);
+                Ended::Attempt(Attempt::TimedOut)
+            }
+        }
+    }
+
+    /// Logs a statement that its owner did not have answered.
+    fn log_failure(&self, outcome: &Result<ForwardOutcome, CallFailure>, sent_at: Instant) {
+        if matches!(outcome, Ok(ForwardOutcome::Answered { .. })) {
+            return;
+        }
+        Event::info("forwarded_statement_failed")
+            .field("request", String::from_utf8_lossy(self.work.id()))
+            .field("instance", &self.instance.id)
+            .field("owner", self.link.owner())
+            .field("outcome", format_args!("{outcome:?}"))
+            .field("took_ms", sent_at.elapsed().as_millis())
+            .log();
+    }
+
+    fn judge(
+        &self,
+        outcome: ForwardOutcome,
+        mut lent: LentConnection,
+        sent_at: Instant,
+    ) -> Ended<P> {
+        let gateway = self.gateway;
+        let is_lent = matches!(outcome, ForwardOutcome::Answered { is_lent: true, .. });
+        if !is_lent {
+            lent.number = None;
+        }
+        Ended::Attempt(match outcome {
+            ForwardOutcome::Answered { reply, begin, .. } => {
+                gateway.instance_answered(&self.instance.id, sent_at.elapsed());
+                Attempt::Answered(Answer {
+                    reply: translate::reply_from(reply),
+                    begin: begin.map(|begin| (sent_at, translate::reply_from(begin))),
+                    held: Held::Lent(lent),
+                    sent_at,
+                })
+            }
+            ForwardOutcome::NotOwner => return Ended::NotTaken("not_owner"),
+            ForwardOutcome::NoConnection => Attempt::NotRun(NotRunCause::NoConnection),
+            ForwardOutcome::Unreachable => {
+                gateway.connection_lost(self.instance);
+                Attempt::NotRun(NotRunCause::Unreachable)
+            }
+            ForwardOutcome::Refused(kind) => {
+                let kind: BackendErrorKind = translate::error_from(kind);
+                gateway.note_refusal(self.instance, kind);
+                Attempt::NotRun(NotRunCause::Refused(kind))
+            }
+            ForwardOutcome::Lost => {
+                gateway.connection_lost(self.instance);
+                Attempt::Lost
+            }
+            ForwardOutcome::TimedOut => {
+                gateway.instance_silent(self.instance, sent_at);
+                Attempt::TimedOut
+            }
+        })
+    }
+}
+
+/// Asks an owner of a primary's connections for evidence that is no older than
+/// `max_age`; `None` if none tells any.
+pub(crate) async fn ask_evidence<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    owners: &InstanceOwners,
+    service: &ServiceName,
+    moment: Instant,
+) -> Option<Sample> {
+    let owner = gateway.forwarding.choose(owners)?;
+    let link = gateway.forwarding.link(gateway, owner)?;
+    let asked_at = Instant::now();
+    let max_age = asked_at.saturating_duration_since(moment);
+    let answer = link
+        .ask_evidence(service, max_age, EVIDENCE_TIMEOUT)
+        .await?;
+    Some(Sample {
+        sent_at: asked_at.checked_sub(answer.age)?,
+        position: answer.position?,
+    })
+}
+
+/// Whole milliseconds left until a moment, rounded down.
+fn milliseconds_until(moment: Instant) -> u64 {
+    let left = moment.saturating_duration_since(Instant::now());
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Values of a session as they were handed over.
+fn session_values(statement: &ForwardStatement) -> SessionValues {
+    translate::values_from(&statement.values)
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -0,0 +1,193 @@
+//! Statements and replies as they go between nodes.
+
+use bytes::Bytes;
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::session::{Access, Prepared, SessionValues, TransactionStatus};
+use linkhold_peer::{
+    ForwardErrorKind, ForwardFrame, ForwardPosition, ForwardReply, ForwardResult, ForwardStatus,
+    ForwardWork,
+};
+use minicbor::bytes::ByteVec;
+
+use crate::batch::{Frame, Work};
+use crate::ports::{BackendErrorKind, BackendOutcome, BackendReply};
+
+fn pack(bytes: &Bytes) -> ByteVec {
+    bytes.to_vec().into()
+}
+
+fn unpack(bytes: &ByteVec) -> Bytes {
+    Bytes::copy_from_slice(bytes)
+}
+
+fn access(writes: bool) -> Access {
+    if writes { Access::Write } else { Access::Read }
+}
+
+pub(super) fn values(values: &SessionValues) -> Vec<(ByteVec, ByteVec)> {
+    let pairs = values.iter();
+    pairs
+        .map(|(name, value)| (pack(name), pack(value)))
+        .collect()
+}
+
+pub(super) fn values_from(values: &[(ByteVec, ByteVec)]) -> SessionValues {
+    let pairs = values.iter();
+    pairs
+        .map(|(name, value)| (unpack(name), unpack(value)))
+        .collect()
+}
+
+pub(super) fn work(work: &Work) -> ForwardWork {
+    match work {
+        Work::Text { id, text, access } => ForwardWork::Text {
+            id: pack(id),
+            text: pack(text),
+            writes: *access == Access::Write,
+        },
+        Work::Prepared {
+            id,
+            prepared,
+            arguments,
+        } => ForwardWork::Prepared {
+            id: pack(id),
+            shape: pack(&prepared.shape),
+            writes: prepared.access == Access::Write,
+            arguments: pack(arguments),
+        },
+        Work::Commit { id, text } => ForwardWork::Commit {
+            id: pack(id),
+            text: pack(text),
+        },
+    }
+}
+
+pub(super) fn work_from(work: &ForwardWork) -> Work {
+    match work {
+        ForwardWork::Text { id, text, writes } => Work::Text {
+            id: unpack(id),
+            text: unpack(text),
+            access: access(*writes),
+        },
+        ForwardWork::Prepared {
+            id,
+            shape,
+            writes,
+            arguments,
+        } => Work::Prepared {
+            id: unpack(id),
+            prepared: Prepared {
+                access: access(*writes),
+                shape: unpack(shape),
+            },
+            arguments: unpack(arguments),
+        },
+        ForwardWork::Commit { id, text } => Work::Commit {
+            id: unpack(id),
+            text: unpack(text),
+        },
+    }
+}
+
+pub(super) fn position(position: Position) -> ForwardPosition {
+    ForwardPosition {
+        term: position.term.0,
+        index: position.index,
+    }
+}
+
+pub(super) fn position_from(position: ForwardPosition) -> Position {
+    Position {
+        term: Term(position.term),
+        index: position.index,
+    }
+}
+
+pub(super) fn frame(frame: Frame) -> ForwardFrame {
+    match frame {
+        Frame::Bare { fence } => ForwardFrame::Bare {
+            fence: fence.map(position),
+        },
+        Frame::Opening { read_only, fence } => ForwardFrame::Opening {
+            read_only,
+            fence: fence.map(position),
+        },
+        Frame::ProvingPrimary => ForwardFrame::ProvingPrimary,
+    }
+}
+
+pub(super) fn frame_from(frame: ForwardFrame) -> Frame {
+    match frame {
+        ForwardFrame::Bare { fence } => Frame::Bare {
+            fence: fence.map(position_from),
+        },
+        ForwardFrame::Opening { read_only, fence } => Frame::Opening {
+            read_only,
+            fence: fence.map(position_from),
+        },
+        ForwardFrame::ProvingPrimary => Frame::ProvingPrimary,
+    }
+}
+
+pub(super) fn error(kind: BackendErrorKind) -> ForwardErrorKind {
+    match kind {
+        BackendErrorKind::Busy => ForwardErrorKind::Busy,
+        BackendErrorKind::Lagging => ForwardErrorKind::Lagging,
+        BackendErrorKind::ReadOnly => ForwardErrorKind::ReadOnly,
+        BackendErrorKind::WrongInstance => ForwardErrorKind::WrongInstance,
+        BackendErrorKind::TooManyConnections => ForwardErrorKind::TooManyConnections,
+        BackendErrorKind::UnknownPrepared => ForwardErrorKind::UnknownPrepared,
+        BackendErrorKind::Aborted => ForwardErrorKind::Aborted,
+        BackendErrorKind::Ran => ForwardErrorKind::Ran,
+    }
+}
+
+pub(super) fn error_from(kind: ForwardErrorKind) -> BackendErrorKind {
+    match kind {
+        ForwardErrorKind::Busy => BackendErrorKind::Busy,
+        ForwardErrorKind::Lagging => BackendErrorKind::Lagging,
+        ForwardErrorKind::ReadOnly => BackendErrorKind::ReadOnly,
+        ForwardErrorKind::WrongInstance => BackendErrorKind::WrongInstance,
+        ForwardErrorKind::TooManyConnections => BackendErrorKind::TooManyConnections,
+        ForwardErrorKind::UnknownPrepared => BackendErrorKind::UnknownPrepared,
+        ForwardErrorKind::Aborted => BackendErrorKind::Aborted,
+        ForwardErrorKind::Ran => BackendErrorKind::Ran,
+    }
+}
+
+pub(super) fn reply(reply: &BackendReply) -> ForwardReply {
+    ForwardReply {
+        rows: reply.rows.iter().map(pack).collect(),
+        result: match &reply.outcome {
+            BackendOutcome::Completed(signature) => ForwardResult::Completed(pack(signature)),
+            BackendOutcome::Error { kind, message } => {
+                ForwardResult::Error(error(*kind), pack(message))
+            }
+        },
+        status: match reply.status {
+            TransactionStatus::Idle => ForwardStatus::Idle,
+            TransactionStatus::Open => ForwardStatus::Open,
+            TransactionStatus::Failed => ForwardStatus::Failed,
+        },
+        position: reply.position.map(position),
+    }
+}
+
+pub(super) fn reply_from(reply: ForwardReply) -> BackendReply {
+    BackendReply {
+        rows: reply.rows.iter().map(unpack).collect(),
+        outcome: match &reply.result {
+            ForwardResult::Completed(signature) => BackendOutcome::Completed(unpack(signature)),
+            ForwardResult::Error(kind, message) => BackendOutcome::Error {
+                kind: error_from(*kind),
+                message: unpack(message),
+            },
+        },
+        status: match reply.status {
+            ForwardStatus::Idle => TransactionStatus::Idle,
+            ForwardStatus::Open => TransactionStatus::Open,
+            ForwardStatus::Failed => TransactionStatus::Failed,
+        },
+        position: reply.position.map(position_from),
+    }
+}
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::evidence_probe::Questions;
 use crate::feed::FeedFrames;
 use crate::fleet::Fleet;
+use crate::forward::Forwarding;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -45,6 +46,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
     pub(crate) relays: Relays,
+    pub(crate) forwarding: Forwarding,
     pub(crate) reader_link: ReaderLink,
     pub(crate) sources: Sources,
     pub(crate) feed_frames: FeedFrames,
@@ -93,6 +95,7 @@
             fleet: Fleet::default(),
             peers: Peers::default(),
             relays: Relays::default(),
+            forwarding: Forwarding::default(),
             reader_link: ReaderLink::default(),
             sources: Sources::default(),
             feed_frames: FeedFrames::default(),
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::connection_share::CROWDED_IDLE;
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout};
 
@@ -189,7 +188,7 @@
     loop {
         if gateway.pools.is_crowded() {
             sleep(UNUSED_INTERVAL).await;
-            gateway.pools.close_unused(CROWDED_IDLE);
+            gateway.pools.close_unused();
         } else {
             sleep(EXPIRY_INTERVAL).await;
         }
--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -63,7 +63,8 @@
             stage.send_replace(Stage::Refusing);
         }
         let refuses = *stage.borrow() >= Stage::Refusing;
-        if refuses && open_sessions(&gateway) == 0 && gateway.relays.serving() == 0 {
+        let served = gateway.relays.serving() + gateway.forwarding.lent();
+        if refuses && open_sessions(&gateway) == 0 && served == 0 {
             break;
         }
     }
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -77,6 +77,10 @@
     pub evidence_probes: Counter,
     /// Connections relayed to an instance for another node.
     pub relays_served: Counter,
+    /// Statements that owners of connections were asked to run.
+    pub forwarded: Counter,
+    /// Statements run for other nodes.
+    pub run_for_others: Counter,
     /// Orders to promote.
     pub promotions: Counter,
     /// Calls to the store that failed.
@@ -103,6 +107,8 @@
             ("instance_failures_total", &self.instance_failures),
             ("evidence_probes_total", &self.evidence_probes),
             ("relays_served_total", &self.relays_served),
+            ("forwarded_total", &self.forwarded),
+            ("run_for_others_total", &self.run_for_others),
             ("promotions_total", &self.promotions),
             ("store_failures_total", &self.store_failures),
         ];
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use linkhold_core::service::connection_share::Share;
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{ConnectionState, SessionValues};
 use tokio::sync::oneshot;
@@ -82,19 +83,17 @@
 /// The pool of one instance.
 pub struct Pool<C> {
     instance: Arc<Instance>,
-    limit: Arc<AtomicUsize>,
-    kept_ready: AtomicUsize,
+    share: Mutex<Share>,
     state: Mutex<PoolState<C>>,
     opened: AtomicUsize,
 }
 
 impl<C: BackendConnection> Pool<C> {
-    /// An empty pool; `limit` is shared with whoever sets it.
-    pub fn new(instance: Arc<Instance>, limit: Arc<AtomicUsize>) -> Self {
+    /// An empty pool.
+    pub fn new(instance: Arc<Instance>, share: Share) -> Self {
         Self {
             instance,
-            limit,
-            kept_ready: AtomicUsize::new(0),
+            share: Mutex::new(share),
             state: Mutex::new(PoolState {
                 idle: Vec::new(),
                 open: 0,
@@ -159,7 +158,7 @@
 
     fn try_reserve(&self) -> bool {
         let mut state = lock(&self.state);
-        let has_room = state.open < self.limit.load(Ordering::Relaxed);
+        let has_room = state.open < self.limit();
         if has_room {
             state.open += 1;
         }
@@ -214,7 +213,7 @@
     fn put_back(&self, mut pooled: Pooled<C>) {
         pooled.given_back_at = Instant::now();
         let mut state = lock(&self.state);
-        if state.open > self.limit.load(Ordering::Relaxed) || !pooled.may_be_reused() {
+        if state.open > self.limit() || !pooled.may_be_reused() {
             state.open -= 1;
             return;
         }
@@ -243,24 +242,26 @@
         state.open -= count;
     }
 
-    /// Sets how many connections outlive [`Pool::close_unused`].
-    pub fn keep_ready(&self, count: usize) {
-        self.kept_ready.store(count, Ordering::Relaxed);
+    /// Sets what this node may hold.
+    pub fn set_share(&self, share: Share) {
+        *lock(&self.share) = share;
     }
 
-    /// Closes connections that have not been in use for `idle_for`, but for
-    /// those that are kept ready.
-    pub fn close_unused(&self, idle_for: Duration) {
-        let kept = self.kept_ready.load(Ordering::Relaxed);
+    fn limit(&self) -> usize {
+        lock(&self.share).limit
+    }
+
+    /// Closes connections that have not been in use for as long as the share
+    /// tells.
+    pub fn close_unused(&self) {
+        let Some(idle_for) = lock(&self.share).idle_for else {
+            return;
+        };
         let mut state = lock(&self.state);
-        let in_use = state.open.saturating_sub(state.idle.len());
-        let mut surplus = state.idle.len().saturating_sub(kept.saturating_sub(in_use));
         let before = state.idle.len();
-        state.idle.retain(|pooled| {
-            let goes = surplus > 0 && pooled.given_back_at.elapsed() >= idle_for;
-            surplus -= usize::from(goes);
-            !goes
-        });
+        state
+            .idle
+            .retain(|pooled| pooled.given_back_at.elapsed() < idle_for);
         state.open -= before - state.idle.len();
     }
 
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -1,18 +1,16 @@
 //! The pools of all instances and the share of connections this node may use.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use linkhold_core::membership::NodeId;
-use linkhold_core::service::configuration::ServiceName;
-use linkhold_core::service::connection_share;
+use linkhold_core::service::connection_share::{self, Share};
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::placement::Distance;
 
 use crate::beliefs::{Beliefs, lock};
-use crate::places::Places;
+use crate::owners::{InstanceOwners, Owners};
 use crate::pool::Pool;
 use crate::ports::BackendConnection;
 use crate::settings::GatewaySettings;
@@ -32,12 +30,10 @@
 /// All pools of a node.
 pub struct Pools<C> {
     pools: Mutex<HashMap<InstanceId, Arc<Pool<C>>>>,
-    limits: Mutex<HashMap<ServiceName, Arc<AtomicUsize>>>,
-    node: NodeId,
-    places: Places,
     nodes: Mutex<NodeCounts>,
+    owners: Owners,
     started: Instant,
-    /// Some service has so many nodes that connections are not held ready.
+    /// Some service has so many nodes that connections are closed when unused.
     is_crowded: AtomicBool,
 }
 
@@ -48,15 +44,14 @@
 impl<C: BackendConnection> Pools<C> {
     /// No pools yet.
     pub fn new(settings: &GatewaySettings) -> Self {
+        let own = NodeId::of_name(&settings.node);
         Self {
             pools: Mutex::default(),
-            limits: Mutex::default(),
-            node: NodeId::of_name(&settings.node),
-            places: settings.places.clone(),
             nodes: Mutex::new(NodeCounts {
                 all: ASSUMED_NODES,
                 nearby: 0,
             }),
+            owners: Owners::new(own, settings.places.clone()),
             started: Instant::now(),
             is_crowded: AtomicBool::new(false),
         }
@@ -67,41 +62,45 @@
         if let Some(pool) = lock(&self.pools).get(&instance.id) {
             return pool.clone();
         }
-        let limit = self.limit(&instance.service, beliefs);
-        let pool = Arc::new(Pool::new(instance.clone(), limit));
-        pool.keep_ready(self.kept_ready(instance, beliefs));
+        let share = self.share(instance, beliefs);
+        let pool = Arc::new(Pool::new(instance.clone(), share));
         lock(&self.pools).insert(instance.id.clone(), pool.clone());
         pool
     }
 
-    fn limit(&self, service: &ServiceName, beliefs: &Beliefs) -> Arc<AtomicUsize> {
-        let mut limits = lock(&self.limits);
-        let limit = limits.entry(service.clone()).or_default().clone();
-        limit.store(self.share(service, beliefs), Ordering::Relaxed);
-        limit
+    /// Who owns the connections to an instance; `None` if all nodes hold some.
+    pub(crate) fn owners_of(
+        &self,
+        instance: &Instance,
+        beliefs: &Beliefs,
+    ) -> Option<Arc<InstanceOwners>> {
+        let most = most_connections(&instance.service, beliefs);
+        let nodes = lock(&self.nodes).all;
+        if !connection_share::is_crowded(most, nodes) {
+            return None;
+        }
+        let owners = self.owners.of(instance);
+        (owners.count > 0).then_some(owners)
     }
 
-    fn share(&self, service: &str, beliefs: &Beliefs) -> usize {
-        let most = most_connections(service, beliefs);
-        let nodes = lock(&self.nodes).all.max(1);
-        if connection_share::is_crowded(most, nodes) {
-            self.is_crowded.store(true, Ordering::Relaxed);
-        }
-        let has_just_started = self.started.elapsed() < LAST_LIFE;
-        connection_share::most_at_a_time(most, nodes, has_just_started)
+    /// The owners of all instances.
+    pub(crate) fn owners(&self) -> &Owners {
+        &self.owners
     }
 
-    /// Connections to an instance that are not closed when they are not used.
-    fn kept_ready(&self, instance: &Instance, beliefs: &Beliefs) -> usize {
-        if self.places.distance(&instance.zone) == Distance::Remote {
-            return 0;
-        }
+    fn share(&self, instance: &Instance, beliefs: &Beliefs) -> Share {
         let most = most_connections(&instance.service, beliefs);
-        let nearby = lock(&self.nodes).nearby;
-        let is_primary = beliefs
-            .primary(&instance.service)
-            .is_some_and(|primary| primary.id == instance.id);
-        connection_share::kept_ready(most, nearby, is_primary, self.node, &instance.id)
+        let nodes = lock(&self.nodes).all;
+        let Some(owners) = self.owners_of(instance, beliefs) else {
+            let has_just_started = self.started.elapsed() < LAST_LIFE;
+            return connection_share::equal(most, nodes, has_just_started);
+        };
+        self.is_crowded.store(true, Ordering::Relaxed);
+        if owners.includes_self {
+            connection_share::of_owner(most, owners.count)
+        } else {
+            connection_share::without_owner(most)
+        }
     }
 
     /// Takes in new numbers of nodes.
@@ -114,16 +113,15 @@
     /// longer a new one.
     pub fn refresh_shares(&self, beliefs: &Beliefs) {
         self.is_crowded.store(false, Ordering::Relaxed);
-        for (service, limit) in lock(&self.limits).iter() {
-            limit.store(self.share(service, beliefs), Ordering::Relaxed);
-        }
-        for pool in lock(&self.pools).values() {
-            pool.keep_ready(self.kept_ready(pool.instance(), beliefs));
+        let pools: Vec<Arc<Pool<C>>> = lock(&self.pools).values().cloned().collect();
+        for pool in pools {
+            pool.set_share(self.share(pool.instance(), beliefs));
         }
     }
 
     /// Closes the idle connections of an instance and forgets its pool.
     pub fn forget(&self, id: &InstanceId) {
+        self.owners.forget(id);
         if let Some(pool) = lock(&self.pools).remove(id) {
             pool.close_idle();
         }
@@ -143,9 +141,9 @@
 
     /// Closes connections that have not been used for a while, but for those
     /// that are kept ready.
-    pub fn close_unused(&self, idle_for: Duration) {
+    pub fn close_unused(&self) {
         for pool in lock(&self.pools).values() {
-            pool.close_unused(idle_for);
+            pool.close_unused();
         }
     }
 
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -223,7 +223,7 @@
         };
         let answer = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await?;
         let reply = answer.reply.clone();
-        let open = OpenTransaction::new(route, answer.lease, work.access());
+        let open = OpenTransaction::new(route, answer.held, work.access());
         self.keep_open(open, &reply);
         Ok(reply)
     }
--- a/crates/linkhold-gateway/src/transaction.rs
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -16,12 +16,12 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::Route;
 use linkhold_core::service::evidence::Sample;
-use linkhold_core::service::session::{Access, SessionState, TransactionStatus};
+use linkhold_core::service::session::{Access, SessionState};
 use linkhold_events::Event;
 use tokio::time::timeout;
 
-use crate::attempt::{self, Answer, Attempt, ConnectionOf, NotRunCause};
-use crate::batch::{self, Frame, Work};
+use crate::attempt::{self, Answer, Attempt, Held, NotRunCause};
+use crate::batch::Work;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
 use crate::ports::{BackendConnection, BackendErrorKind, BackendReply, Command, Platform};
@@ -32,7 +32,7 @@
 /// A transaction on a connection.
 pub(crate) struct OpenTransaction<P: Platform> {
     pub route: Arc<Route>,
-    lease: Lease<ConnectionOf<P>>,
+    held: Held<P>,
     wrote: bool,
 }
 
@@ -45,10 +45,10 @@
 
 impl<P: Platform> OpenTransaction<P> {
     /// Takes over the connection on which the first statement was answered.
-    pub fn new(route: Arc<Route>, lease: Lease<ConnectionOf<P>>, access: Access) -> Self {
+    pub fn new(route: Arc<Route>, held: Held<P>, access: Access) -> Self {
         Self {
             route,
-            lease,
+            held,
             wrote: access == Access::Write,
         }
     }
@@ -63,11 +63,10 @@
     ) -> Result<(Self, BackendReply), Failure> {
         self.wrote |= work.access() == Access::Write;
         let answer_by = received_at + self.route.statement_timeout;
-        let frame = Frame::Bare { fence: None };
-        let attempt = attempt::run_on(gateway, self.lease, session, work, frame, answer_by).await;
+        let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
         match attempt {
-            Attempt::Answered(Answer { reply, lease, .. }) => {
-                self.lease = lease;
+            Attempt::Answered(Answer { reply, held, .. }) => {
+                self.held = held;
                 Ok((self, reply))
             }
             Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::Busy)) => {
@@ -87,9 +86,8 @@
         work: &Work,
         answer_by: Instant,
     ) -> Result<Committed, Failure> {
-        let instance = self.lease.instance().clone();
-        let frame = Frame::Bare { fence: None };
-        let attempt = attempt::run_on(gateway, self.lease, session, work, frame, answer_by).await;
+        let service = self.route.service.clone();
+        let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
         let answer = match attempt {
             Attempt::Answered(answer) => answer,
             Attempt::NotRun(_) => return Err(Failure::NotRun(NotRun::TransactionAborted)),
@@ -103,45 +101,37 @@
                 sent_at: answer.sent_at,
                 position,
             };
-            gateway.primary_proved(&instance, sample);
+            gateway.beliefs.record_evidence(&service, sample);
         }
-        finish(answer.lease, answer.reply.status);
+        answer.held.finish(answer.reply.status);
         Ok(Committed {
             reply: answer.reply,
             position,
         })
     }
 
-    /// Rolls back and gives the connection back; closes it if that fails.
-    pub async fn roll_back(mut self) {
-        let exchange = self
-            .lease
-            .pooled()
-            .connection
-            .exchange(&[Command::Rollback]);
-        if let Ok(Ok(replies)) = timeout(ROLLBACK_TIMEOUT, exchange).await {
-            finish(self.lease, replies[0].status);
-        }
-    }
-
     /// Rolls back without anybody waiting for it.
     pub fn abandon(self) {
-        tokio::spawn(self.roll_back());
+        match self.held {
+            Held::Own(lease) => {
+                tokio::spawn(roll_back(lease));
+            }
+            Held::Lent(lent) => lent.release(),
+        }
     }
 }
 
-/// Gives a connection back, noting what its next user must undo first.
-fn finish<C: BackendConnection>(mut lease: Lease<C>, status: TransactionStatus) {
-    if batch::is_worn(lease.pooled()) {
-        return;
+/// Rolls back and gives the connection back; closes it if that fails.
+pub(crate) async fn roll_back<C: BackendConnection>(mut lease: Lease<C>) {
+    let exchange = lease.pooled().connection.exchange(&[Command::Rollback]);
+    if let Ok(Ok(replies)) = timeout(ROLLBACK_TIMEOUT, exchange).await {
+        attempt::finish_own(lease, replies[0].status);
     }
-    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
-    lease.release();
 }
 
 /// Gives back the connection of a statement that stood alone.
 pub(crate) fn finish_alone<P: Platform>(answer: Answer<P>) -> BackendReply {
-    finish(answer.lease, answer.reply.status);
+    answer.held.finish(answer.reply.status);
     answer.reply
 }
 
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -41,8 +41,8 @@
     pub nearby: usize,
     /// Nodes of the region that read the store.
     pub readers: Vec<FeedNode>,
-    /// Some nodes of the fleet, chosen at random.
-    pub sample: Vec<FeedNode>,
+    /// The nodes of the fleet.
+    pub nodes: Vec<FeedNode>,
 }
 
 /// All instances, as a reader knows them.
@@ -88,6 +88,8 @@
     Relay(InstanceId),
     /// From here on the stream leads to the instance.
     Relayed,
+    /// From here on the stream carries [`crate::ForwardMessage`]s.
+    Forward,
     /// A follower asks for evidence.
     EvidenceQuestion(EvidenceQuestion),
     /// A reader has or has no evidence.
@@ -96,7 +98,7 @@
     Configuration(Configuration),
     /// All instances as of a place in the store's changes.
     Instances(FeedInstances),
-    /// The size of the fleet, the zone's readers and some other nodes.
+    /// The nodes of the fleet and the region's readers.
     Fleet(FeedFleet),
     /// The reader lives; its last answer from the store is this old.
     Beat {
@@ -190,7 +192,7 @@
     #[n(1)]
     readers: Vec<WireNode>,
     #[n(2)]
-    sample: Vec<WireNode>,
+    nodes: Vec<WireNode>,
     /// Absent where nodes of an earlier version tell it.
     #[n(3)]
     nearby: Option<u64>,
@@ -214,6 +216,8 @@
     Relay(#[n(0)] String),
     #[n(7)]
     Relayed,
+    #[n(10)]
+    Forward,
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -248,6 +252,7 @@
         FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
         FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
         FeedMessage::Relayed => WireMessage::Relayed,
+        FeedMessage::Forward => WireMessage::Forward,
         FeedMessage::EvidenceQuestion(question) => WireMessage::EvidenceQuestion(
             question.number,
             question.service.to_string(),
@@ -272,7 +277,7 @@
             size: fleet.size as u64,
             nearby: Some(fleet.nearby as u64),
             readers: fleet.readers.iter().map(node_to_wire).collect(),
-            sample: fleet.sample.iter().map(node_to_wire).collect(),
+            nodes: fleet.nodes.iter().map(node_to_wire).collect(),
         }),
         FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
     }
@@ -335,6 +340,7 @@
         WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
         WireMessage::Relayed => FeedMessage::Relayed,
+        WireMessage::Forward => FeedMessage::Forward,
         WireMessage::EvidenceQuestion(number, service, max_age) => {
             FeedMessage::EvidenceQuestion(EvidenceQuestion {
                 number,
@@ -363,7 +369,7 @@
             size: wire.size as usize,
             nearby: wire.nearby.unwrap_or_default() as usize,
             readers: nodes_from_wire(wire.readers)?,
-            sample: nodes_from_wire(wire.sample)?,
+            nodes: nodes_from_wire(wire.nodes)?,
         }),
         WireMessage::Beat(age) => FeedMessage::Beat {
             age: Duration::from_millis(age),
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! fit one datagram; table messages are framed on a stream by a length.
 
 mod feed;
+mod forward;
 mod membership;
 mod reachability;
 mod table;
@@ -18,6 +19,11 @@
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode,
     MAX_FEED_MESSAGE, decode_feed, encode_feed,
 };
+pub use forward::{
+    ForwardErrorKind, ForwardFrame, ForwardMessage, ForwardOutcome, ForwardPosition, ForwardReply,
+    ForwardResult, ForwardStatement, ForwardStatus, ForwardWork, MAX_FORWARD_MESSAGE,
+    decode_forward, encode_forward,
+};
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
     QuestionPurpose, Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
