Do not ask replicas for positions that they lack

Change: answers tell how far a log has come (InstanceHealth::holds, lacks). A replica that lacked a position is left alone for reads that require more than it is known to hold, for a fifth of the time for which it has been behind. The last candidate is known as the last, so that a read waits in its queue once.

Tests: service_placement, a replica that lacks a position; the last candidate.

--- a/crates/linkhold-core/src/service/health.rs
+++ b/crates/linkhold-core/src/service/health.rs
@@ -1,16 +1,33 @@
-//! What traffic tells about one instance: failures, silence, load.
+//! What traffic tells about one instance: failures, silence, load, how far its
+//! log has come.
 
 use std::time::{Duration, Instant};
 
+use crate::position::Position;
+
 /// First pause after a failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause between trials of a failing instance.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(2_000);
 /// How long a trial keeps others away.
 const TRIAL_TIME: Duration = Duration::from_millis(600);
+/// Shortest pause before an instance that lacked a position is tried again.
+const LEAST_CATCH_UP: Duration = Duration::from_millis(40);
+/// Longest such pause.
+const MOST_CATCH_UP: Duration = Duration::from_millis(400);
+/// Part of the time for which it has been behind that is waited for, in percent:
+/// one that has been behind for long will be for longer.
+const CATCH_UP_PERCENT: u32 = 20;
 /// Share of a new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// An instance's log lacked a position that a read required.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    since: Instant,
+    found_at: Instant,
+}
+
 /// Health of one instance as one node sees it.
 #[derive(Debug, Default)]
 pub struct InstanceHealth {
@@ -18,7 +35,8 @@
     failing_since: Option<Instant>,
     last_success: Option<Instant>,
     avoid_until: Option<Instant>,
-    lagging_until: Option<Instant>,
+    held: Option<Position>,
+    behind: Option<Behind>,
     busy_until: Option<Instant>,
     latency: Option<f64>,
     in_flight: usize,
@@ -65,8 +83,38 @@
     }
 
     /// It lacked a position that a read required.
-    pub fn lagged(&mut self, now: Instant, pause: Duration) {
-        self.lagging_until = Some(now + pause);
+    pub fn lagged(&mut self, now: Instant) {
+        // What it held may have been rolled back.
+        self.held = None;
+        let since = self.behind.map_or(now, |behind| behind.since);
+        self.behind = Some(Behind {
+            since,
+            found_at: now,
+        });
+    }
+
+    /// It said that its log has come so far.
+    pub fn holds(&mut self, position: Position) {
+        self.held = self.held.max(Some(position));
+    }
+
+    /// It had what a read required.
+    pub fn was_fresh_enough(&mut self) {
+        self.behind = None;
+    }
+
+    /// Whether it is not worth asking for a read that requires a position: it is
+    /// not known to have come so far, and lacked one a moment ago.
+    pub fn lacks(&self, required: Position, now: Instant) -> bool {
+        let Some(behind) = self.behind else {
+            return false;
+        };
+        if self.held.is_some_and(|held| held >= required) {
+            return false;
+        }
+        let behind_for = behind.found_at.saturating_duration_since(behind.since);
+        let pause = (behind_for * CATCH_UP_PERCENT / 100).clamp(LEAST_CATCH_UP, MOST_CATCH_UP);
+        now < behind.found_at + pause
     }
 
     /// It had no free slot.
@@ -84,11 +132,6 @@
         self.consecutive_failures > 0
     }
 
-    /// Whether it recently lacked a required position.
-    pub fn is_lagging(&self, now: Instant) -> bool {
-        self.lagging_until.is_some_and(|until| now < until)
-    }
-
     /// Whether it recently had no free slot.
     pub fn is_busy(&self, now: Instant) -> bool {
         self.busy_until.is_some_and(|until| now < until)
--- a/crates/linkhold-core/src/service/placement.rs
+++ b/crates/linkhold-core/src/service/placement.rs
@@ -1,13 +1,16 @@
 //! Choice of the instance that serves a read.
 //!
-//! Candidates are ordered by [`Standing`]: first those in good standing, then
-//! those that recently lagged or were full, then those that failed. Within a
+//! A replica that lacks what the read requires is no candidate until it may have
+//! caught up. Candidates are ordered by [`Standing`]: first those in good standing,
+//! then those that were full, then those that failed. Within a
 //! standing the one with the lowest expected time wins, where an instance in
 //! another region is charged [`REGION_PENALTY`]: bytes between regions are the
 //! dearest thing a read uses, and a wait of that length costs callers less.
 
 use std::time::{Duration, Instant};
 
+use crate::position::Position;
+
 use super::health::InstanceHealth;
 use super::instance::{Instance, InstanceId, Lifecycle};
 
@@ -36,7 +39,7 @@
 pub enum Standing {
     /// Nothing speaks against it.
     Good,
-    /// It was full or behind a moment ago.
+    /// It was full a moment ago.
     Strained,
     /// It is leaving, or a pause after a failure has passed and it may be tried.
     Doubtful,
@@ -59,7 +62,7 @@
     fn standing(&self, now: Instant) -> Standing {
         if self.health.is_failing() || self.instance.lifecycle == Lifecycle::Draining {
             Standing::Doubtful
-        } else if self.health.is_lagging(now) || self.health.is_busy(now) {
+        } else if self.health.is_busy(now) {
             Standing::Strained
         } else {
             Standing::Good
@@ -85,16 +88,35 @@
     }
 }
 
-/// The best candidate that is not in `excluded`. One that failed a moment ago
-/// is left alone until its pause has passed.
+/// A choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice<'a> {
+    /// The instance to ask.
+    pub instance: &'a Instance,
+    /// No other candidate is left.
+    pub is_last: bool,
+}
+
+/// The best candidate for a read that requires a position, and is not in
+/// `excluded`. One that failed a moment ago is left alone until its pause has
+/// passed.
 pub fn choose<'a>(
     candidates: impl Iterator<Item = Candidate<'a>>,
+    required: Position,
     excluded: &[InstanceId],
     now: Instant,
-) -> Option<&'a Instance> {
-    candidates
+) -> Option<Choice<'a>> {
+    let candidates: Vec<Candidate<'a>> = candidates
         .filter(|candidate| !excluded.contains(&candidate.instance.id))
         .filter(|candidate| !candidate.health.is_avoided(now))
+        .filter(|candidate| candidate.is_primary || !candidate.health.lacks(required, now))
+        .collect();
+    let is_last = candidates.len() == 1;
+    candidates
+        .into_iter()
         .min_by_key(|candidate| (candidate.standing(now), candidate.expected_time()))
-        .map(|candidate| candidate.instance)
+        .map(|candidate| Choice {
+            instance: candidate.instance,
+            is_last,
+        })
 }
--- a/crates/linkhold-core/tests/service_placement.rs
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::connection_share;
 use linkhold_core::service::health::InstanceHealth;
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
@@ -36,9 +37,15 @@
             health,
             distance,
         });
-    choose(candidates, &[], now).map(|instance| instance.id.clone())
+    choose(candidates, REQUIRED, &[], now).map(|choice| choice.instance.id.clone())
 }
 
+/// What reads require here.
+const REQUIRED: Position = Position {
+    term: Term(2),
+    index: 10,
+};
+
 #[test]
 fn the_nearest_serves_until_it_is_slow_busy_behind_or_failing() {
     let now = Instant::now();
@@ -64,7 +71,7 @@
     busy.was_busy(now, Duration::from_millis(40));
     assert_eq!(pick(&busy), "far");
     let mut behind = InstanceHealth::default();
-    behind.lagged(now, Duration::from_millis(150));
+    behind.lagged(now);
     assert_eq!(pick(&behind), "far");
     let mut failing = InstanceHealth::default();
     failing.failed(now);
@@ -127,6 +134,59 @@
     assert_eq!(connection_share::without_owner(1).limit, 1);
 }
 
+/// A replica that is behind is not asked again before it may have caught up, the
+/// later the longer it has been behind; one that is known to hold what is
+/// required is.
+#[test]
+fn a_replica_that_lacks_a_position_is_left_alone_until_it_may_have_it() {
+    let now = Instant::now();
+    let older = Position {
+        index: REQUIRED.index - 1,
+        ..REQUIRED
+    };
+    let mut behind = InstanceHealth::default();
+    assert!(!behind.lacks(REQUIRED, now));
+    behind.lagged(now);
+    behind.holds(older);
+    assert!(behind.lacks(REQUIRED, now));
+    assert!(!behind.lacks(older, now), "it holds that");
+    let soon = now + Duration::from_millis(100);
+    assert!(!behind.lacks(REQUIRED, soon), "it is tried again");
+    let late = now + Duration::from_secs(1);
+    behind.lagged(late);
+    assert!(behind.lacks(REQUIRED, late + Duration::from_millis(100)));
+    assert!(!behind.lacks(REQUIRED, late + Duration::from_millis(500)));
+    behind.holds(REQUIRED);
+    assert!(!behind.lacks(REQUIRED, late));
+    behind.lagged(late);
+    assert!(behind.lacks(REQUIRED, late), "what it held was rolled back");
+    behind.was_fresh_enough();
+    assert!(!behind.lacks(REQUIRED, late));
+}
+
+#[test]
+fn the_last_candidate_is_told_to_be_the_last() {
+    let now = Instant::now();
+    let (primary, replica) = (instance("primary"), instance("replica"));
+    let well = InstanceHealth::default();
+    let mut behind = InstanceHealth::default();
+    behind.lagged(now);
+    let is_last = |health: &InstanceHealth| {
+        let candidates = [(&primary, &well, true), (&replica, health, false)];
+        let candidates = candidates
+            .into_iter()
+            .map(|(instance, health, is_primary)| Candidate {
+                instance,
+                health,
+                is_primary,
+                distance: Distance::Zone,
+            });
+        choose(candidates, REQUIRED, &[], now).unwrap().is_last
+    };
+    assert!(!is_last(&well));
+    assert!(is_last(&behind));
+}
+
 /// Reads leave a primary's slots to the writes that only it can serve, unless
 /// the replicas are much slower.
 #[test]
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -310,7 +310,8 @@
             Conversation::Broken(error)
         }
         Some(Ok(replies)) => {
-            gateway.instance_answered(&instance.id, sent_at.elapsed());
+            let position = replies.last().and_then(|reply| reply.position);
+            gateway.instance_answered(&instance.id, sent_at.elapsed(), position);
             Conversation::Answered(replies)
         }
     }
@@ -462,8 +463,6 @@
     pub(crate) fn note_refusal(&self, instance: &Instance, kind: BackendErrorKind) {
         /// How long an instance without room is passed over.
         const BUSY_PAUSE: Duration = Duration::from_millis(40);
-        /// How long an instance that is behind is passed over.
-        const LAGGING_PAUSE: Duration = Duration::from_millis(150);
         let now = Instant::now();
         match kind {
             BackendErrorKind::ReadOnly => self.instance_denied_primary(instance),
@@ -472,7 +471,7 @@
                 .observe(&instance.id, |health| health.was_busy(now, BUSY_PAUSE)),
             BackendErrorKind::Lagging => self
                 .beliefs
-                .observe(&instance.id, |health| health.lagged(now, LAGGING_PAUSE)),
+                .observe(&instance.id, |health| health.lagged(now)),
             BackendErrorKind::WrongInstance => {
                 self.instance_failed(instance, "address_used_by_another");
             }
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -293,13 +293,15 @@
         }
     }
 
-    /// The best instance for a read, nearest and least loaded first.
+    /// The best instance for a read that requires a position, nearest and least
+    /// loaded first, and whether no other is left.
     pub fn choose_for_read(
         &self,
         service: &str,
+        required: Position,
         excluded: &[InstanceId],
         now: Instant,
-    ) -> Option<Arc<Instance>> {
+    ) -> Option<(Arc<Instance>, bool)> {
         let primary = self.primary(service);
         let instances = lock(&self.instances);
         let unknown = InstanceHealth::default();
@@ -313,8 +315,9 @@
                 health: instances.health.get(&instance.id).unwrap_or(&unknown),
                 distance: self.distance(instance),
             });
-        let id = placement::choose(candidates, excluded, now)?.id.clone();
-        instances.directory.instance(&id).cloned()
+        let choice = placement::choose(candidates, required, excluded, now)?;
+        let instance = instances.directory.instance(&choice.instance.id)?;
+        Some((instance.clone(), choice.is_last))
     }
 
     /// Whether an instance has been leaving for so long that it gets no new
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -129,7 +129,7 @@
     let exchange = lease.pooled().connection.exchange(&commands);
     match timeout_at(deadline, exchange).await {
         Ok(Ok(replies)) => {
-            gateway.instance_answered(&primary.id, sent_at.elapsed());
+            gateway.instance_answered(&primary.id, sent_at.elapsed(), None);
             match (replies[0].error(), replies[0].position) {
                 (None, Some(position)) => {
                     gateway.primary_proved(&primary, Sample { sent_at, position });
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -36,7 +36,7 @@
     match own {
         Reachability::Reached => {
             gateway.relays.forget(&primary.id);
-            gateway.instance_answered(&primary.id, Duration::ZERO);
+            gateway.instance_answered(&primary.id, Duration::ZERO, None);
             let leaves = gateway.beliefs.is_leaving(&primary.id, Instant::now());
             leaves.then_some(Trouble::Leaving)
         }
@@ -76,7 +76,7 @@
             .log();
     }
     gateway.relays.learn(&primary.id, peers);
-    gateway.instance_answered(&primary.id, Duration::ZERO);
+    gateway.instance_answered(&primary.id, Duration::ZERO, None);
 }
 
 /// Judges a primary that this node does not reach by what others found. Where
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -301,9 +301,11 @@
         }
         Ended::Attempt(match outcome {
             ForwardOutcome::Answered { reply, begin, .. } => {
-                gateway.instance_answered(&self.instance.id, sent_at.elapsed());
+                let reply = translate::reply_from(reply);
+                let took = sent_at.elapsed();
+                gateway.instance_answered(&self.instance.id, took, reply.position);
                 Attempt::Answered(Answer {
-                    reply: translate::reply_from(reply),
+                    reply,
                     begin: begin.map(|begin| (sent_at, translate::reply_from(begin))),
                     held: Held::Lent(lent),
                     sent_at,
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use linkhold_core::position::Position;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::{Instance, InstanceId};
@@ -148,11 +149,20 @@
         }
     }
 
-    /// An instance answered.
-    pub(crate) fn instance_answered(&self, id: &InstanceId, took: Duration) {
+    /// An instance answered, and told how far its log has come.
+    pub(crate) fn instance_answered(
+        &self,
+        id: &InstanceId,
+        took: Duration,
+        position: Option<Position>,
+    ) {
         let now = Instant::now();
-        self.beliefs
-            .observe(id, |health| health.succeeded(now, took));
+        self.beliefs.observe(id, |health| {
+            health.succeeded(now, took);
+            if let Some(position) = position {
+                health.holds(position);
+            }
+        });
     }
 
     /// An instance refused work that only a primary takes.
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -223,7 +223,10 @@
         let fence = read_fence(gateway, unit, marks, rounds).await?;
         let now = Instant::now();
         let service = &unit.route.service;
-        let Some(instance) = gateway.beliefs.choose_for_read(service, &excluded, now) else {
+        let chosen = gateway
+            .beliefs
+            .choose_for_read(service, fence, &excluded, now);
+        let Some((instance, is_last)) = chosen else {
             if now + ROUND_PAUSE >= unit.wait_until() {
                 return Err(Failure::NotRun(reason));
             }
@@ -232,12 +235,16 @@
             rounds += 1;
             continue;
         };
-        let is_last = excluded.len() + 1 >= gateway.beliefs.instances(service).len();
         let bounds = read_bounds(gateway, unit, &instance, is_last, now);
         let frame = read_frame(opening, fence);
         let attempt = attempt::run(gateway, &instance, unit.session, work, frame, bounds).await;
         match attempt {
-            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::Answered(answer) => {
+                gateway
+                    .beliefs
+                    .observe(&instance.id, |health| health.was_fresh_enough());
+                return Ok(answer);
+            }
             Attempt::NotRun(cause) => {
                 reason = refusal_reason(cause);
                 retrying(gateway, work, &instance, cause);
