Ask everyone for the primary they believe in before an unknown one is replaced

Cause: a primary that is cut from the store loses its entry there.

Ruled out: a longer wait (a longer partition breaks it again); the store (it lists what it hears).

Change: a question may be about whichever primary the node asked believes in. A node that knows no primary asks everyone that, under the lease, before it promotes; silent ones are waited for. A node that is asked about an instance it does not know agrees, since it uses nothing of it.

--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -8,7 +8,7 @@
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::Instance;
 use linkhold_events::Event;
-use linkhold_peer::{QuestionPurpose, Reachability};
+use linkhold_peer::{QuestionPurpose, QuestionSubject, Reachability};
 
 use super::Trouble;
 use super::promotion::Situation;
@@ -24,7 +24,12 @@
         return Some(Trouble::Unknown);
     };
     let audience = Audience::for_look(gateway);
-    let peers = peers::ask(gateway, &primary.id, QuestionPurpose::Look, &audience);
+    let peers = peers::ask(
+        gateway,
+        QuestionSubject::Instance(primary.id.to_string()),
+        QuestionPurpose::Look,
+        &audience,
+    );
     tokio::pin!(peers);
     let own = survey::reach_primary(gateway, &primary);
     tokio::pin!(own);
@@ -83,7 +88,7 @@
 /// only some were asked, [`confirm_lost`] asks the rest.
 fn judge_unreached(primary: &Instance, mut tally: ReachabilityTally) -> Option<Trouble> {
     tally.unreached += 1;
-    log_tally(primary, tally);
+    log_tally(&primary.service, &primary.id.0, tally);
     if tally.reached > 0 {
         return None;
     }
@@ -93,10 +98,10 @@
     tally.is_lost().then_some(Trouble::Lost)
 }
 
-fn log_tally(instance: &Instance, tally: ReachabilityTally) {
+fn log_tally(service: &ServiceName, instance: &str, tally: ReachabilityTally) {
     Event::info("primary_questioned")
-        .field("service", &instance.service)
-        .field("instance", &instance.id)
+        .field("service", service)
+        .field("instance", instance)
         .field("nodes", tally.nodes)
         .field("reached", tally.reached)
         .field("unreached", tally.unreached)
@@ -117,11 +122,11 @@
         return None;
     };
     let asked_at = Instant::now();
-    let purpose = QuestionPurpose::Replace;
-    let findings = peers::ask(gateway, &instance.id, purpose, &audience).await;
+    let subject = QuestionSubject::Instance(instance.id.to_string());
+    let findings = peers::ask(gateway, subject, QuestionPurpose::Replace, &audience).await;
     let mut tally = findings.tally;
     tally.unreached += 1;
-    log_tally(instance, tally);
+    log_tally(&instance.service, &instance.id.0, tally);
     if tally.is_lost() {
         peers::withhold(gateway, &instance.id);
         return Some(asked_at);
@@ -133,32 +138,54 @@
     None
 }
 
-/// Makes sure that no instance which told this node no status is a primary for
-/// others: what is not listed may be there until the directory has settled, and
-/// every silent instance has to be given up by all nodes. Returns the time of
-/// the first question, or `None` if there may be a primary.
+/// Makes sure that there is no primary for others: what is not listed may be
+/// there until the directory has settled, no node may believe in a primary that
+/// it reaches (the entry of one that is cut from the directory is gone), and every
+/// instance that told this node no status has to be given up by all. Returns the
+/// time of the first question, or `None` if there may be a primary.
 pub(super) async fn confirm_none_leads<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
     situation: &Situation,
 ) -> Option<Instant> {
-    let started = Instant::now();
-    if !gateway.beliefs.is_directory_settled(started) {
+    if !gateway.beliefs.is_directory_settled(Instant::now()) {
         log_withheld(service, "directory_not_settled");
         return None;
     }
-    let mut first_asked: Option<Instant> = None;
+    let first_asked = confirm_nobody_believes(gateway, service).await?;
     for instance in &situation.others {
         let answered = situation
             .statuses
             .iter()
             .any(|status| status.id == instance.id);
         if !answered {
-            let asked_at = confirm_lost(gateway, instance).await?;
-            first_asked.get_or_insert(asked_at);
+            confirm_lost(gateway, instance).await?;
         }
     }
-    Some(first_asked.unwrap_or(started))
+    Some(first_asked)
+}
+
+/// Asks every node whether it reaches a primary of the service, whichever it
+/// believes in. Returns when they were asked, or `None` if one does or is silent.
+async fn confirm_nobody_believes<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> Option<Instant> {
+    let Some(audience) = Audience::everyone(gateway).await else {
+        log_withheld(service, "fleet_not_known");
+        return None;
+    };
+    let asked_at = Instant::now();
+    let subject = QuestionSubject::PrimaryOf(service.to_string());
+    let findings = peers::ask(gateway, subject, QuestionPurpose::Replace, &audience).await;
+    let mut tally = findings.tally;
+    tally.unreached += 1;
+    log_tally(service, "any", tally);
+    if !tally.is_lost() {
+        log_withheld(service, "not_all_nodes_agree");
+        return None;
+    }
+    Some(asked_at)
 }
 
 fn log_withheld(service: &ServiceName, reason: &'static str) {
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -16,8 +16,8 @@
 use linkhold_core::service::withholding::RECENT_FAILURE;
 use linkhold_events::Event;
 use linkhold_peer::{
-    MAX_DATAGRAM, PeerKey, QuestionPurpose, Reachability, ReachabilityMessage, decode_reachability,
-    encode_reachability,
+    MAX_DATAGRAM, PeerKey, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage,
+    decode_reachability, encode_reachability,
 };
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -94,19 +94,16 @@
         match decode_reachability(&buffer[..length], &key) {
             Ok(ReachabilityMessage::Question {
                 number,
-                instance,
+                subject,
                 purpose,
             }) => {
-                let Some(instance) = gateway.beliefs.instance(&InstanceId(instance.into())) else {
-                    continue;
-                };
                 let asker = Asker {
                     socket: socket.clone(),
                     key,
                     address: from,
                     number,
                 };
-                tokio::spawn(answer(gateway.clone(), asker, instance, purpose));
+                tokio::spawn(answer(gateway.clone(), asker, subject, purpose));
             }
             Ok(ReachabilityMessage::Answer { number, found }) => {
                 if let Some(sender) = lock(&gateway.peers.waiting).get(&number) {
@@ -133,19 +130,23 @@
 async fn answer<P: Platform>(
     gateway: Arc<Gateway<P>>,
     asker: Asker,
-    instance: Arc<Instance>,
+    subject: QuestionSubject,
     purpose: QuestionPurpose,
 ) {
-    let found = match purpose {
-        QuestionPurpose::Replace if has_failed_lately(&gateway, &instance) => {
-            Reachability::Unreached
-        }
-        QuestionPurpose::Look | QuestionPurpose::Replace => try_to_reach(&gateway, &instance).await,
+    let instance = match &subject {
+        QuestionSubject::Instance(id) => gateway.beliefs.instance(&instance_id(id)),
+        QuestionSubject::PrimaryOf(service) => gateway.beliefs.primary(service),
     };
-    if found == Reachability::Unreached {
-        gateway.attention.suspect(&instance.service);
-        if purpose == QuestionPurpose::Replace {
-            withhold(&gateway, &instance.id);
+    let found = match &instance {
+        Some(instance) => find(&gateway, instance, purpose).await,
+        // What it does not know, it does not use.
+        None => Reachability::Unreached,
+    };
+    if found == Reachability::Unreached && purpose == QuestionPurpose::Replace {
+        match (&instance, &subject) {
+            (Some(instance), _) => withhold(&gateway, &instance.id),
+            (None, QuestionSubject::Instance(id)) => withhold(&gateway, &instance_id(id)),
+            (None, QuestionSubject::PrimaryOf(_)) => {}
         }
     }
     let message = ReachabilityMessage::Answer {
@@ -159,6 +160,25 @@
         .await;
 }
 
+fn instance_id(id: &str) -> InstanceId {
+    InstanceId(id.into())
+}
+
+async fn find<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+    purpose: QuestionPurpose,
+) -> Reachability {
+    if purpose == QuestionPurpose::Replace && has_failed_lately(gateway, instance) {
+        return Reachability::Unreached;
+    }
+    let found = try_to_reach(gateway, instance).await;
+    if found == Reachability::Unreached {
+        gateway.attention.suspect(&instance.service);
+    }
+    found
+}
+
 /// Agrees to acknowledge nothing of an instance for a while. A node that uses it
 /// through a peer need not: the peer is asked as well.
 pub(crate) fn withhold<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) {
@@ -252,11 +272,11 @@
     }
 }
 
-/// Asks other nodes whether they reach an instance as a primary. Nothing is
-/// counted while the fleet is not known.
+/// Asks other nodes whether they reach an instance, or whichever they believe in,
+/// as a primary. Nothing is counted while the fleet is not known.
 pub(crate) async fn ask<P: Platform>(
     gateway: &Gateway<P>,
-    instance: &InstanceId,
+    subject: QuestionSubject,
     purpose: QuestionPurpose,
     audience: &Audience,
 ) -> PeerFindings {
@@ -271,7 +291,7 @@
     lock(&gateway.peers.waiting).insert(number, sender);
     let message = ReachabilityMessage::Question {
         number,
-        instance: instance.0.to_string(),
+        subject,
         purpose,
     };
     let datagram = encode_reachability(&message, &key);
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -26,7 +26,8 @@
 };
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
-    QuestionPurpose, Reachability, ReachabilityMessage, decode_reachability, encode_reachability,
+    QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, decode_reachability,
+    encode_reachability,
 };
 pub use table::{TableMessage, decode_table, encode_table};
 
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -33,6 +33,18 @@
     Replace,
 }
 
+/// What a question is about.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum QuestionSubject {
+    /// An instance.
+    #[n(0)]
+    Instance(#[n(0)] String),
+    /// Whichever instance the node that is asked believes to be the primary of a
+    /// service. Whoever asks may not even list it.
+    #[n(1)]
+    PrimaryOf(#[n(0)] String),
+}
+
 /// A message about the reachability of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ReachabilityMessage {
@@ -42,9 +54,9 @@
         /// Told back in the answer.
         #[n(0)]
         number: u64,
-        /// The instance.
+        /// What it is about.
         #[n(1)]
-        instance: String,
+        subject: QuestionSubject,
         /// What it is asked for.
         #[n(2)]
         purpose: QuestionPurpose,
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -9,8 +9,8 @@
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_peer::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError,
-    PeerKey, QuestionPurpose, Reachability, ReachabilityMessage, decode_feed, decode_reachability,
-    encode_feed, encode_reachability,
+    PeerKey, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, decode_feed,
+    decode_reachability, encode_feed, encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -101,7 +101,7 @@
     }
     let question = ReachabilityMessage::Question {
         number: 9,
-        instance: "one".to_owned(),
+        subject: QuestionSubject::Instance("one".to_owned()),
         purpose: QuestionPurpose::Replace,
     };
     let answer = ReachabilityMessage::Answer {
