Limit the statements that a node has under way at an instance

Cause: owners hold 44 connections to an instance that runs 3 statements and lets 24 wait; the rest is refused as busy and tried again after 10 to 80 ms.

Change: a gate before each instance, in the order of urgency. The limit starts at twice the capacity that the instance tells and follows its refusals (additive increase, multiplicative decrease). Statements in transactions pass at once.

--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about services whose instances announce themselves: routes,
 //! instances, evidence of freshness, placement, session state and failover.
 
+pub mod concurrency;
 pub mod configuration;
 pub mod connection_share;
 pub mod directory;
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -10,8 +10,9 @@
 
 use crate::batch::{self, Batch, Frame, Work};
 use crate::forward::{self, LentConnection};
+use crate::gate::Urgency;
 use crate::gateway::Gateway;
-use crate::pool::{CheckoutError, Lease, Urgency};
+use crate::pool::{CheckoutError, Lease};
 use crate::ports::{
     BackendConnection, BackendConnector, BackendErrorKind, BackendReply, Command, ConnectError,
     ExchangeError, Platform,
@@ -133,6 +134,13 @@
     bounds: Bounds,
 ) -> Attempt<P> {
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
+    let entered = pool
+        .gate()
+        .enter(bounds.urgency, bounds.connection_by)
+        .await;
+    let Some(_pass) = entered else {
+        return Attempt::NotRun(NotRunCause::NoConnection);
+    };
     let checkout = pool
         .checkout(gateway, values, bounds.urgency, bounds.connection_by.into())
         .await;
@@ -159,6 +167,7 @@
     let frame = Frame::Bare { fence: None };
     match held {
         Held::Own(lease) => {
+            let _pass = lease.gate().enter_at_once();
             run_on_own(gateway, lease, &session.values, work, frame, answer_by).await
         }
         Held::Lent(lent) => forward::run_on(gateway, lent, session, work, answer_by).await,
@@ -413,6 +422,13 @@
     } else {
         lease.release();
     }
+    if kind == BackendErrorKind::Busy {
+        gateway
+            .pools
+            .pool(&instance, &gateway.beliefs)
+            .gate()
+            .refused();
+    }
     gateway.note_refusal(&instance, kind);
     Attempt::NotRun(NotRunCause::Refused(kind))
 }
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -17,8 +17,8 @@
 
 use crate::beliefs::lock;
 use crate::forward;
+use crate::gate::Urgency;
 use crate::gateway::Gateway;
-use crate::pool::Urgency;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
 use crate::shared_evidence;
 
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -24,8 +24,9 @@
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
 use crate::feed::framed;
+use crate::gate::Urgency;
 use crate::gateway::Gateway;
-use crate::pool::{Lease, Urgency};
+use crate::pool::Lease;
 use crate::ports::Platform;
 use crate::shared_evidence;
 use crate::transaction::roll_back;
@@ -240,6 +241,7 @@
     let frame = Frame::Bare { fence: None };
     let work: Work = translate::work_from(&statement.work);
     let values = session_values(statement);
+    let _pass = lease.gate().enter_at_once();
     let attempt = attempt::run_on_own(gateway, lease, &values, &work, frame, answer_by).await;
     match attempt {
         Attempt::Answered(answer) => lent.keep(opened_by, answer),
--- /dev/null
+++ b/crates/linkhold-gateway/src/gate.rs
@@ -0,0 +1,140 @@
+//! Statements of this node that are under way at one instance.
+//!
+//! # Invariants
+//!
+//! * No more than the limit run at a time, but for statements in transactions:
+//!   these hold a connection, and whatever else they hold, until they end.
+//! * Who waits goes in the order of urgency, then of arrival.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use linkhold_core::service::concurrency::ConcurrencyLimit;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use crate::beliefs::lock;
+
+/// Rank of a request in queues; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Writes go before reads.
+    pub is_read: bool,
+    /// The route's priority.
+    pub priority: u8,
+}
+
+type WaiterKey = (Urgency, u64);
+
+struct State {
+    limit: ConcurrencyLimit,
+    running: usize,
+    waiters: BTreeMap<WaiterKey, oneshot::Sender<Pass>>,
+    next_waiter: u64,
+}
+
+/// The gate before one instance.
+pub struct Gate {
+    state: Mutex<State>,
+}
+
+/// The right to have one statement under way; given back when dropped.
+pub struct Pass {
+    gate: Arc<Gate>,
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.gate.leave();
+    }
+}
+
+impl Gate {
+    /// A gate that nobody has passed.
+    pub fn new(limit: ConcurrencyLimit) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(State {
+                limit,
+                running: 0,
+                waiters: BTreeMap::new(),
+                next_waiter: 0,
+            }),
+        })
+    }
+
+    /// The node may hold so many connections now.
+    pub fn set_connections(&self, connections: usize) {
+        lock(&self.state).limit.set_connections(connections);
+    }
+
+    /// The instance had no room.
+    pub fn refused(&self) {
+        lock(&self.state).limit.refused(Instant::now());
+    }
+
+    /// Waits until a statement may go; `None` if it may not before `deadline`.
+    pub async fn enter(self: &Arc<Self>, urgency: Urgency, deadline: Instant) -> Option<Pass> {
+        let (receiver, key) = {
+            let mut state = lock(&self.state);
+            if state.running < state.limit.get() {
+                state.running += 1;
+                return Some(Pass { gate: self.clone() });
+            }
+            let (sender, receiver) = oneshot::channel();
+            let key = (urgency, state.next_waiter);
+            state.next_waiter += 1;
+            state.waiters.insert(key, sender);
+            (receiver, key)
+        };
+        let mut waiting = Waiting {
+            gate: self,
+            key,
+            receiver,
+        };
+        timeout_at(deadline.into(), &mut waiting.receiver)
+            .await
+            .ok()?
+            .ok()
+    }
+
+    /// Lets a statement of a transaction go.
+    pub fn enter_at_once(self: &Arc<Self>) -> Pass {
+        lock(&self.state).running += 1;
+        Pass { gate: self.clone() }
+    }
+
+    fn leave(self: &Arc<Self>) {
+        let mut state = lock(&self.state);
+        state.running -= 1;
+        if !state.waiters.is_empty() {
+            state.limit.answered_under_load();
+        }
+        let mut passes = Vec::new();
+        while state.running < state.limit.get() {
+            let Some((_, waiter)) = state.waiters.pop_first() else {
+                break;
+            };
+            state.running += 1;
+            passes.push((waiter, Pass { gate: self.clone() }));
+        }
+        drop(state);
+        for (waiter, pass) in passes {
+            // A pass that nobody takes is given back as it is dropped.
+            let _ = waiter.send(pass);
+        }
+    }
+}
+
+/// A place in the queue.
+struct Waiting<'a> {
+    gate: &'a Gate,
+    key: WaiterKey,
+    receiver: oneshot::Receiver<Pass>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(&self.gate.state).waiters.remove(&self.key);
+    }
+}
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod fleet;
 mod forward;
+pub mod gate;
 mod gateway;
 mod keeper;
 mod lease_format;
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use linkhold_core::service::concurrency::ConcurrencyLimit;
 use linkhold_core::service::connection_share::Share;
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{ConnectionState, SessionValues};
@@ -19,19 +20,11 @@
 use tokio::time::Instant;
 
 use crate::beliefs::lock;
+use crate::gate::{Gate, Urgency};
 use crate::gateway::Gateway;
 use crate::ports::{BackendConnection, ConnectError, Platform};
 use crate::relay;
 
-/// Rank of a request in queues; the lowest goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Urgency {
-    /// Writes go before reads.
-    pub is_read: bool,
-    /// The route's priority.
-    pub priority: u8,
-}
-
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -84,6 +77,7 @@
 pub struct Pool<C> {
     instance: Arc<Instance>,
     share: Mutex<Share>,
+    gate: Arc<Gate>,
     state: Mutex<PoolState<C>>,
     opened: AtomicUsize,
 }
@@ -92,6 +86,7 @@
     /// An empty pool.
     pub fn new(instance: Arc<Instance>, share: Share) -> Self {
         Self {
+            gate: Gate::new(ConcurrencyLimit::new(instance.capacity, share.limit)),
             instance,
             share: Mutex::new(share),
             state: Mutex::new(PoolState {
@@ -242,9 +237,15 @@
         state.open -= count;
     }
 
+    /// Statements under way at the instance.
+    pub(crate) fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
     /// Sets what this node may hold.
     pub fn set_share(&self, share: Share) {
         *lock(&self.share) = share;
+        self.gate.set_connections(share.limit);
     }
 
     fn limit(&self) -> usize {
@@ -309,6 +310,11 @@
         }
     }
 
+    /// Statements under way at the instance.
+    pub(crate) fn gate(&self) -> &Arc<Gate> {
+        &self.pool.gate
+    }
+
     /// The instance it leads to.
     pub fn instance(&self) -> &Arc<Instance> {
         &self.pool.instance
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -24,9 +24,9 @@
 use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
 use crate::batch::{Frame, Work};
 use crate::evidence_probe;
+use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::marks::SessionMarks;
-use crate::pool::Urgency;
 use crate::ports::{BackendErrorKind, BackendReply, Platform};
 
 /// Pause before an instance that was full is tried again; it doubles up to
--- /dev/null
+++ b/crates/linkhold-gateway/tests/gate.rs
@@ -0,0 +1,89 @@
+//! Statements under way at one instance: limit, order, what is given back.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::concurrency::ConcurrencyLimit;
+use linkhold_gateway::gate::{Gate, Urgency};
+
+const READ: Urgency = Urgency {
+    is_read: true,
+    priority: 2,
+};
+const WRITE: Urgency = Urgency {
+    is_read: false,
+    priority: 2,
+};
+const URGENT_READ: Urgency = Urgency {
+    is_read: true,
+    priority: 1,
+};
+
+fn gate() -> Arc<Gate> {
+    Gate::new(ConcurrencyLimit::new(1, 2))
+}
+
+fn far() -> Instant {
+    Instant::now() + Duration::from_secs(60)
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_more_than_the_limit_pass_and_whoever_waits_too_long_does_not() {
+    let gate = gate();
+    let first = gate.enter(READ, far()).await;
+    let second = gate.enter(READ, far()).await;
+    assert!(first.is_some() && second.is_some());
+    assert!(gate.enter(WRITE, Instant::now()).await.is_none());
+    drop(first);
+    assert!(gate.enter(WRITE, Instant::now()).await.is_some());
+}
+
+#[tokio::test]
+async fn who_waits_goes_by_urgency_then_by_arrival() {
+    let gate = gate();
+    let held = [gate.enter_at_once(), gate.enter_at_once()];
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut tasks = Vec::new();
+    for (name, urgency) in [
+        ("read", READ),
+        ("later read", READ),
+        ("urgent read", URGENT_READ),
+        ("write", WRITE),
+    ] {
+        let (gate, order) = (gate.clone(), order.clone());
+        tasks.push(tokio::spawn(async move {
+            let pass = gate.enter(urgency, far()).await;
+            order.lock().unwrap().push(name);
+            drop(pass);
+        }));
+        // Each waits before the next one comes.
+        tokio::task::yield_now().await;
+    }
+    let [one, other] = held;
+    drop(one);
+    for task in tasks {
+        task.await.unwrap();
+    }
+    drop(other);
+    let order = order.lock().unwrap();
+    assert_eq!(*order, ["write", "urgent read", "read", "later read"]);
+}
+
+/// A pass that was granted to someone who has left in the same moment is not
+/// lost.
+#[tokio::test]
+async fn a_pass_that_nobody_takes_goes_to_the_next() {
+    let gate = gate();
+    let held = [gate.enter_at_once(), gate.enter_at_once()];
+    let leaving = tokio::spawn({
+        let gate = gate.clone();
+        async move { gate.enter(WRITE, far()).await.is_some() }
+    });
+    tokio::task::yield_now().await;
+    drop(held);
+    leaving.abort();
+    // It has passed or has been ended; neither keeps a pass.
+    let _ = leaving.await;
+    assert!(gate.enter(READ, far()).await.is_some());
+    assert!(gate.enter(READ, far()).await.is_some());
+}
