Let nodes that nobody follows wait longer at the store

Questions for changes were held for 1 s in every fleet, because followers trust a reader for 2 s; in a fleet without followers nothing needs that.

Change: there a question is held for the bound on changes less 1 s. Also: the count of nearby nodes, which nothing used since owners, is gone.

Test: service_readers, a node alone.

--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -30,9 +30,12 @@
 /// How fresh knowledge of the store is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
-    /// How long the store holds a question for changes: the usual age of a
-    /// reader's last answer, at the most.
+    /// How long the store holds a reader's question for changes: the usual age
+    /// of its last answer, at the most.
     pub wait: Duration,
+    /// The same for a node that nobody follows: a question that hangs is found
+    /// out and asked again within the bound.
+    pub wait_alone: Duration,
     /// Oldest knowledge that a follower accepts.
     pub trust: Duration,
 }
@@ -43,6 +46,8 @@
 const LEAST_TRUST: Duration = Duration::from_millis(2_000);
 /// Longest trust.
 const MOST_TRUST: Duration = Duration::from_millis(4_000);
+/// What of the bound is left to find out that a question hangs and to ask anew.
+const ALONE_MARGIN: Duration = Duration::from_millis(1_000);
 /// What a slow answer and the time between two beats may take of the trust.
 const TRUST_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -51,8 +56,10 @@
     /// The longer it is, the fewer questions the store is asked.
     pub fn for_bound(change_bound: Duration) -> Self {
         let trust = (change_bound * TRUST_PERCENT / 100).clamp(LEAST_TRUST, MOST_TRUST);
+        let wait = trust - TRUST_MARGIN;
         Self {
-            wait: trust - TRUST_MARGIN,
+            wait,
+            wait_alone: change_bound.saturating_sub(ALONE_MARGIN).clamp(wait, trust),
             trust,
         }
     }
--- a/crates/linkhold-core/tests/service_readers.rs
+++ b/crates/linkhold-core/tests/service_readers.rs
@@ -44,6 +44,20 @@
     assert!(Freshness::for_bound(Duration::from_secs(6)).wait > strictest.wait);
 }
 
+/// A node that nobody follows finds out that a question hangs, and asks again,
+/// within the bound.
+#[test]
+fn a_node_alone_waits_longer_and_still_learns_changes_in_time() {
+    for bound in [3_000, 4_000, 5_000, 6_000, 13_000].map(Duration::from_millis) {
+        let freshness = Freshness::for_bound(bound);
+        let late_answer = Duration::from_millis(800);
+        assert!(freshness.wait_alone >= freshness.wait, "{bound:?}");
+        assert!(freshness.wait_alone + late_answer < bound, "{bound:?}");
+    }
+    let strictest = Freshness::for_bound(Duration::from_secs(3));
+    assert_eq!(strictest.wait_alone, Duration::from_secs(2));
+}
+
 fn node<'a>(zone: &'a str, name: &'a str) -> ReaderCandidate<'a> {
     ReaderCandidate { zone, name }
 }
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -13,7 +13,6 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
-use linkhold_core::service::placement::Distance;
 use linkhold_core::service::readers::{self, LARGEST_FOLLOWING_FLEET, ReaderCandidate, Source};
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
@@ -21,7 +20,6 @@
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::places::Places;
-use crate::pools::NodeCounts;
 use crate::ports::Platform;
 
 /// What is known of the fleet.
@@ -35,8 +33,6 @@
     key: Option<PeerKey>,
     /// Nodes in all, this one included; 0 until anything is known.
     size: usize,
-    /// Nodes of this node's region; 0 where they are not counted.
-    nearby: usize,
     /// Nodes by name; in a fleet too large to be counted, some of them.
     nodes: BTreeMap<String, FeedNode>,
     /// The region's nodes that read the store.
@@ -115,7 +111,6 @@
         }
         Some(FeedFleet {
             size: view.size,
-            nearby: view.nearby,
             readers: view.readers.clone(),
             nodes: view.nodes.values().cloned().collect(),
         })
@@ -229,7 +224,6 @@
     };
     let fleet = FeedFleet {
         size: nodes.len(),
-        nearby: count_nearby(gateway, &nodes),
         readers: own_readers,
         nodes,
     };
@@ -261,16 +255,6 @@
     }
 }
 
-/// Nodes in this node's region, if all nodes were read.
-fn count_nearby<P: Platform>(gateway: &Gateway<P>, nodes: &[FeedNode]) -> usize {
-    if nodes.len() > LARGEST_FOLLOWING_FLEET {
-        return 0;
-    }
-    let places = &gateway.settings.places;
-    let is_nearby = |node: &&FeedNode| places.distance(&node.zone) != Distance::Remote;
-    nodes.iter().filter(is_nearby).count()
-}
-
 /// Takes in the fleet as it was read or told.
 pub(crate) fn adopt_fleet<P: Platform>(gateway: &Gateway<P>, fleet: FeedFleet) {
     let own = own_node(gateway);
@@ -287,7 +271,6 @@
     let mut view = lock(&gateway.fleet.view);
     let previous = view.size;
     view.size = fleet.size.max(1);
-    view.nearby = fleet.nearby;
     view.nodes = nodes;
     view.readers = fleet.readers;
     drop(view);
@@ -297,9 +280,5 @@
             .field("previous", previous)
             .log();
     }
-    let counts = NodeCounts {
-        all: fleet.size,
-        nearby: fleet.nearby,
-    };
-    gateway.pools.set_nodes(counts, &gateway.beliefs);
+    gateway.pools.set_nodes(fleet.size, &gateway.beliefs);
 }
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -110,6 +110,15 @@
         !self.is_leaving() && self.beliefs.can_serve()
     }
 
+    /// How long the store holds a question for changes.
+    pub(crate) fn store_wait(&self) -> Duration {
+        if self.fleet.has_readers() {
+            self.freshness.wait
+        } else {
+            self.freshness.wait_alone
+        }
+    }
+
     /// Longest pause between two tries of a store that gives no answer.
     pub(crate) fn longest_store_pause(&self) -> Duration {
         let can_serve = self.beliefs.can_serve();
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -89,7 +89,7 @@
         }
         let answer = match cursor {
             Some(from) => {
-                let wait = gateway.freshness.wait;
+                let wait = gateway.store_wait();
                 let call = gateway.platform.follow_configuration(from, wait);
                 bounded(call, wait + ANSWER_TIMEOUT).await
             }
@@ -151,7 +151,7 @@
     gateway: &Gateway<P>,
     from: Cursor,
 ) -> Result<Cursor, StoreError> {
-    let wait = gateway.freshness.wait;
+    let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
     let (changes, next) = bounded(call, wait + ANSWER_TIMEOUT).await?;
     for change in changes {
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -1,7 +1,7 @@
 //! The pools of all instances and the share of connections this node may use.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,19 +18,11 @@
 /// Nodes assumed to share the connections until the fleet is known.
 const ASSUMED_NODES: usize = 9;
 
-/// How many nodes share the connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NodeCounts {
-    /// All nodes, this one included.
-    pub all: usize,
-    /// Those in this node's region, this one included; 0 where not counted.
-    pub nearby: usize,
-}
-
 /// All pools of a node.
 pub struct Pools<C> {
     pools: Mutex<HashMap<InstanceId, Arc<Pool<C>>>>,
-    nodes: Mutex<NodeCounts>,
+    /// How many nodes share the connections, this one included.
+    nodes: AtomicUsize,
     owners: Owners,
     started: Instant,
     /// Some service has so many nodes that connections are closed when unused.
@@ -47,10 +39,7 @@
         let own = NodeId::of_name(&settings.node);
         Self {
             pools: Mutex::default(),
-            nodes: Mutex::new(NodeCounts {
-                all: ASSUMED_NODES,
-                nearby: 0,
-            }),
+            nodes: AtomicUsize::new(ASSUMED_NODES),
             owners: Owners::new(own, settings.places.clone()),
             started: Instant::now(),
             is_crowded: AtomicBool::new(false),
@@ -75,7 +64,7 @@
         beliefs: &Beliefs,
     ) -> Option<Arc<InstanceOwners>> {
         let most = most_connections(&instance.service, beliefs);
-        let nodes = lock(&self.nodes).all;
+        let nodes = self.nodes.load(Ordering::Relaxed);
         if !connection_share::is_crowded(most, nodes) {
             return None;
         }
@@ -90,7 +79,7 @@
 
     fn share(&self, instance: &Instance, beliefs: &Beliefs) -> Share {
         let most = most_connections(&instance.service, beliefs);
-        let nodes = lock(&self.nodes).all;
+        let nodes = self.nodes.load(Ordering::Relaxed);
         let Some(owners) = self.owners_of(instance, beliefs) else {
             let has_just_started = self.started.elapsed() < LAST_LIFE;
             return connection_share::equal(most, nodes, has_just_started);
@@ -103,9 +92,9 @@
         }
     }
 
-    /// Takes in new numbers of nodes.
-    pub fn set_nodes(&self, nodes: NodeCounts, beliefs: &Beliefs) {
-        *lock(&self.nodes) = nodes;
+    /// Takes in a new number of nodes.
+    pub fn set_nodes(&self, nodes: usize, beliefs: &Beliefs) {
+        self.nodes.store(nodes, Ordering::Relaxed);
         self.refresh_shares(beliefs);
     }
 
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -36,9 +36,6 @@
 pub struct FeedFleet {
     /// Nodes in all.
     pub size: usize,
-    /// Nodes in the reader's region, which is the follower's; 0 where they are
-    /// not counted.
-    pub nearby: usize,
     /// Nodes of the region that read the store.
     pub readers: Vec<FeedNode>,
     /// The nodes of the fleet.
@@ -193,9 +190,6 @@
     readers: Vec<WireNode>,
     #[n(2)]
     nodes: Vec<WireNode>,
-    /// Absent where nodes of an earlier version tell it.
-    #[n(3)]
-    nearby: Option<u64>,
 }
 
 #[derive(Encode, Decode)]
@@ -275,7 +269,6 @@
         }
         FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
             size: fleet.size as u64,
-            nearby: Some(fleet.nearby as u64),
             readers: fleet.readers.iter().map(node_to_wire).collect(),
             nodes: fleet.nodes.iter().map(node_to_wire).collect(),
         }),
@@ -367,7 +360,6 @@
         }
         WireMessage::Fleet(wire) => FeedMessage::Fleet(FeedFleet {
             size: wire.size as usize,
-            nearby: wire.nearby.unwrap_or_default() as usize,
             readers: nodes_from_wire(wire.readers)?,
             nodes: nodes_from_wire(wire.nodes)?,
         }),
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -82,7 +82,6 @@
             instances: vec![(instance, false)],
         }),
         FeedMessage::Fleet(FeedFleet {
-            nearby: 33,
             size: 300,
             readers: vec![node.clone()],
             nodes: vec![node],
