Give a lent connection back when its next statement was never sent

Found by reading: a statement of a transaction that waited too long to be handed to the owner's stream was told as not run, which is true, but the connection was not given back; it rested at the owner with its transaction open until it was reclaimed, ten seconds and more later.

Change: it is given back in that case as well. There is no test for the first: it needs a stream that is full at the moment a deadline passes.

--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -253,10 +253,8 @@
         self.log_failure(&outcome, sent_at);
         match outcome {
             Ok(outcome) => self.judge(outcome, lent, sent_at),
-            Err(CallFailure::NotSent) => {
-                lent.number = None;
-                Ended::NotTaken("unreachable")
-            }
+            // What the owner holds for the transaction, if it lives, goes back.
+            Err(CallFailure::NotSent) => Ended::NotTaken("unreachable"),
             Err(CallFailure::Broken) => {
                 lent.number = None;
                 Ended::Attempt(Attempt::Lost)
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lifecycle;
 mod marks;
 pub mod metrics;
+mod observations;
 mod owners;
 mod peers;
 pub mod places;
