Bind a node's datagram and stream sockets together when the port is free to choose

Cause: with port 0 a node bound its datagram socket first and then a listener for streams under the same number, which another process may hold for streams. It then tried for ever, and its followers reached the other process.

Ruled out: load (the reader answered within its time everywhere else).

Change: with port 0 the listener is bound first and the datagram socket under its number.

A collision cannot be brought about on purpose, so no test fails for sure without it.

--- a/crates/linkhold-gateway/src/feed.rs
+++ b/crates/linkhold-gateway/src/feed.rs
@@ -107,10 +107,7 @@
 /// Takes streams of other nodes. Runs until the process ends.
 pub(crate) async fn serve_peers<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
-        // Followers find it under the address by which peers are asked.
-        if let Some(address) = gateway.peers.address()
-            && let Ok(listener) = TcpListener::bind(address).await
-        {
+        if let Some(listener) = peer_listener(&gateway).await {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(serve_stream(gateway.clone(), stream));
             }
@@ -119,6 +116,15 @@
     }
 }
 
+/// Listens where followers find this node: under the address by which peers are
+/// asked.
+async fn peer_listener<P: Platform>(gateway: &Gateway<P>) -> Option<TcpListener> {
+    if let Some(listener) = gateway.peers.take_listener() {
+        return Some(listener);
+    }
+    TcpListener::bind(gateway.peers.address()?).await.ok()
+}
+
 /// An encoded message and the version of what it tells.
 struct VersionedFrame {
     version: u64,
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 //! ([`Audience::everyone`]), as listed in the store at that moment.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,7 +21,7 @@
     decode_reachability, encode_reachability,
 };
 use rand::seq::SliceRandom;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -49,6 +50,8 @@
 #[derive(Default)]
 pub(crate) struct Peers {
     socket: Mutex<Option<Arc<UdpSocket>>>,
+    /// Takes streams under the same number, until [`Peers::take_listener`].
+    listener: Mutex<Option<TcpListener>>,
     waiting: Waiting,
     /// When this node last failed to reach an instance it was asked about.
     failures: Mutex<HashMap<InstanceId, std::time::Instant>>,
@@ -59,6 +62,23 @@
     pub fn address(&self) -> Option<SocketAddr> {
         lock(&self.socket).as_ref()?.local_addr().ok()
     }
+
+    /// The listener for streams, if it was bound together with the socket.
+    pub fn take_listener(&self) -> Option<TcpListener> {
+        lock(&self.listener).take()
+    }
+}
+
+/// Binds the socket for datagrams and, where the number is free to choose, a
+/// listener for streams under the same number: another process may hold it for
+/// streams.
+async fn bind(address: SocketAddr) -> io::Result<(UdpSocket, Option<TcpListener>)> {
+    if address.port() != 0 {
+        return Ok((UdpSocket::bind(address).await?, None));
+    }
+    let listener = TcpListener::bind(address).await?;
+    let socket = UdpSocket::bind(listener.local_addr()?).await?;
+    Ok((socket, Some(listener)))
 }
 
 /// Answers other nodes' questions and passes on their answers. Runs until the
@@ -68,9 +88,11 @@
         return;
     };
     loop {
-        match UdpSocket::bind(address).await {
-            Ok(socket) => {
+        match bind(address).await {
+            Ok((socket, listener)) => {
                 let socket = Arc::new(socket);
+                // Before others learn the address.
+                *lock(&gateway.peers.listener) = listener;
                 *lock(&gateway.peers.socket) = Some(socket.clone());
                 receive(&gateway, &socket).await;
             }
