--- a/crates/linkhold-core/tests/service_concurrency.rs
+++ b/crates/linkhold-core/tests/service_concurrency.rs
@@ -4,6 +4,7 @@
 
 use linkhold_core::service::concurrency::ConcurrencyLimit;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 #[test]
 fn the_limit_starts_at_twice_what_the_instance_runs_at_once() {
@@ -39,6 +40,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn it_stays_between_one_and_the_connections(
         capacity in 0_usize..50,
--- a/crates/linkhold-peer/tests/forward.rs
+++ b/crates/linkhold-peer/tests/forward.rs
@@ -6,6 +6,7 @@
     decode_forward, encode_forward,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn key() -> PeerKey {
     PeerKey::new(*b"a key between nodes")
@@ -126,6 +127,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn any_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
         prop_assert!(decode_forward(&bytes, &key()).is_err());
