--- /dev/null
+++ b/crates/linkhold-core/src/service/following.rs
@@ -0,0 +1,130 @@
+//! How a node that does not read the store finds a reader to follow, and when
+//! it turns to the store itself.
+//!
+//! The node tries some readers in turn. If none of them is of use by a random
+//! moment soon after its trust has ended, it looks at the store once: all nodes
+//! lose their readers together when the store fails. If the store answers it and still no reader
+//! is of use, the node reads the store itself for a while. If the store does not
+//! answer either, the node stays with a reader until that finds the store back.
+//!
+//! # Invariant
+//!
+//! A node whose readers are all of no use while the store answers it reads the
+//! store within twice [`Freshness::search`], the time of two tries of a reader
+//! and of one call, after its trust has ended: within the bound on changes.
+
+use std::time::{Duration, Instant};
+
+use super::readers::Freshness;
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Follow the next reader, and leave it as soon as it has lost the store.
+    Follow,
+    /// Follow a reader, also one that has lost the store, until then.
+    Stay(Instant),
+    /// Ask the store once.
+    Look,
+    /// Read the store.
+    Read,
+}
+
+/// Shortest and longest pause between two looks at a store that does not
+/// answer; it doubles.
+const LOOK_PAUSES: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(16)];
+/// Part of its time to search that a node takes if it cannot serve yet.
+const STARTING_PART: u32 = 4;
+
+/// What the store said at the last look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Looked {
+    #[default]
+    NotYet,
+    /// It answered; readers have until then to find that out.
+    Answered { confirmed_at: Instant },
+    /// It did not answer.
+    Unanswered,
+}
+
+/// A search for a reader. Begins anew whenever a reader was trusted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Search {
+    failed: usize,
+    looked: Looked,
+    look_at: Option<Instant>,
+    look_pause: Option<Duration>,
+}
+
+/// What the node knows when it decides.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation {
+    /// Now.
+    pub now: Instant,
+    /// Until when what the last reader told may be used.
+    pub trusted_until: Instant,
+    /// Readers that are tried in turn.
+    pub readers: usize,
+    /// Whether callers are served meanwhile.
+    pub can_serve: bool,
+    /// How fresh knowledge is kept.
+    pub freshness: Freshness,
+}
+
+impl Situation {
+    fn time_to_search(&self) -> Duration {
+        if self.can_serve {
+            self.freshness.search
+        } else {
+            self.freshness.search / STARTING_PART
+        }
+    }
+}
+
+impl Search {
+    /// Readers that were of no use, since one was trusted.
+    pub fn failed_readers(&self) -> usize {
+        self.failed
+    }
+
+    /// A reader was of no use. `draw`, uniform between 0 and 1, spreads the looks
+    /// of nodes that lose their readers together.
+    pub fn reader_failed(&mut self, situation: &Situation, draw: f64) {
+        self.failed += 1;
+        self.look_at.get_or_insert_with(|| {
+            let untrusted_at = situation.trusted_until.max(situation.now);
+            untrusted_at + situation.time_to_search().mul_f64(draw)
+        });
+    }
+
+    /// The store answered a look, or did not; `draw` spreads the next one.
+    pub fn looked(&mut self, has_answered: bool, situation: &Situation, draw: f64) {
+        if has_answered {
+            let confirmed_at = situation.now + situation.time_to_search();
+            self.looked = Looked::Answered { confirmed_at };
+            return;
+        }
+        let [shortest, longest] = LOOK_PAUSES;
+        let pause = self.look_pause.unwrap_or(shortest);
+        self.look_pause = Some((pause * 2).min(longest));
+        self.look_at = Some(situation.now + pause.mul_f64(0.5 + draw));
+        self.looked = Looked::Unanswered;
+    }
+
+    /// What to do next.
+    pub fn next(&self, situation: &Situation) -> Step {
+        let now = situation.now;
+        if let Looked::Answered { confirmed_at } = self.looked {
+            return if now >= confirmed_at {
+                Step::Read
+            } else {
+                Step::Stay(confirmed_at)
+            };
+        }
+        match self.look_at {
+            Some(look_at) if now >= look_at => Step::Look,
+            Some(look_at) if self.failed >= situation.readers => Step::Stay(look_at),
+            Some(_) | None => Step::Follow,
+        }
+    }
+}
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod evidence;
 pub mod failover;
+pub mod following;
 pub mod health;
 pub mod instance;
 pub mod owners;
--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -3,11 +3,12 @@
 //!
 //! In a small fleet every node reads the store. In a larger one a few nodes of
 //! each region do, in different zones if there are some, and the others follow
-//! one of them. A follower that hears nothing, or only from a reader that has
-//! itself lost the store, reads the store again. Over
-//! [`LARGEST_FOLLOWING_FLEET`] a reader has more followers than it can tell a
-//! large configuration in time, and all of them would go back to the store at
-//! once: there every node reads the store.
+//! one of them. A node that reads stays a reader as long as it lives, so that
+//! followers do not move whenever a node comes or goes.
+//!
+//! A node that starts where nobody reads yet waits for a short random time
+//! before it takes up reading ([`claim_delay`]): of many that start together a
+//! few do, and the others find them.
 //!
 //! # Invariant
 //!
@@ -20,8 +21,6 @@
 
 /// Largest fleet in which every node reads the store.
 pub const SMALL_FLEET: usize = 16;
-/// Largest fleet in which nodes follow readers.
-pub const LARGEST_FOLLOWING_FLEET: usize = 400;
 /// Readers in each region of a larger fleet, at the least.
 const LEAST_READERS: usize = 2;
 /// Nodes of a region for each of its readers, at the most.
@@ -38,10 +37,19 @@
     pub wait_alone: Duration,
     /// Oldest knowledge that a follower accepts.
     pub trust: Duration,
+    /// How long a node that has lost its readers may wait before it asks the
+    /// store, and again before it reads it: see [`super::following`].
+    pub search: Duration,
 }
 
 /// Part of the bound on changes during which a reader is trusted, in percent.
 const TRUST_PERCENT: u32 = 60;
+/// Part of what trust leaves of the bound that [`Freshness::search`] takes, in
+/// percent. Four times that, a call and a reading fit into the rest.
+const SEARCH_PERCENT: u32 = 20;
+/// How long a node that looks for a reader may wait for the first word of one,
+/// at least and at most: it answers after a call to the store.
+const FIRST_WORD_TIMES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(800)];
 /// Shortest trust.
 const LEAST_TRUST: Duration = Duration::from_millis(2_000);
 /// Longest trust.
@@ -61,9 +69,16 @@
             wait,
             wait_alone: change_bound.saturating_sub(ALONE_MARGIN).clamp(wait, trust),
             trust,
+            search: change_bound.saturating_sub(trust) * SEARCH_PERCENT / 100,
         }
     }
 
+    /// How long a node waits for the first word of a reader.
+    pub fn first_word_time(&self) -> Duration {
+        let [least, most] = FIRST_WORD_TIMES;
+        self.search.clamp(least, most)
+    }
+
     /// Whether knowledge may be trusted: `age` as the reader told it, `since`
     /// then.
     pub fn is_trusted(&self, age: Duration, since: Duration) -> bool {
@@ -71,43 +86,86 @@
     }
 }
 
-/// A node as far as the choice of readers goes; ordered by zone, then name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// A node as far as the choice of readers goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReaderCandidate<'a> {
     /// Its zone.
     pub zone: &'a str,
     /// Its name.
     pub name: &'a str,
+    /// When it took up reading, on the store's clock in milliseconds; `None` if
+    /// it does not read for others.
+    pub reads_since: Option<u64>,
+    /// Whether it could take up reading for others.
+    pub may_start: bool,
 }
 
-/// The readers among the nodes of a region: the first of each zone by name in
-/// turn, then the second of each, until there are enough.
+/// The readers among the nodes of a region: those that read, the longest first,
+/// then others, from the zones that have fewest, until there are enough.
 pub fn choose_readers<'a>(region: &[ReaderCandidate<'a>]) -> Vec<&'a str> {
-    let mut sorted = region.to_vec();
-    sorted.sort_unstable();
-    let mut ranked: Vec<(usize, ReaderCandidate<'a>)> = sorted
-        .chunk_by(|first, second| first.zone == second.zone)
-        .flat_map(|zone| zone.iter().copied().enumerate())
-        .collect();
-    ranked.sort_unstable();
     let wanted = LEAST_READERS.max(region.len().div_ceil(NODES_PER_READER));
-    ranked.truncate(wanted);
-    ranked.into_iter().map(|(_, node)| node.name).collect()
+    let mut reading: Vec<(u64, ReaderCandidate<'a>)> = region
+        .iter()
+        .filter_map(|node| Some((node.reads_since?, *node)))
+        .collect();
+    reading.sort_unstable_by_key(|(since, node)| (*since, node.zone, node.name));
+    reading.truncate(wanted);
+    let mut chosen: Vec<ReaderCandidate<'a>> = reading.into_iter().map(|(_, node)| node).collect();
+    let mut others: Vec<ReaderCandidate<'a>> = region
+        .iter()
+        .filter(|node| node.reads_since.is_none() && node.may_start)
+        .copied()
+        .collect();
+    while chosen.len() < wanted {
+        let in_zone = |zone: &str| chosen.iter().filter(|node| node.zone == zone).count();
+        let next = (0..others.len()).min_by_key(|index| {
+            let node = others[*index];
+            (in_zone(node.zone), node.zone, node.name)
+        });
+        let Some(next) = next else {
+            break;
+        };
+        chosen.push(others.swap_remove(next));
+    }
+    chosen.into_iter().map(|node| node.name).collect()
 }
 
-/// Longest pause between two tries of a node that reads the store for itself or
-/// for others, while the store gives no answer.
-const READERS_PAUSE: Duration = Duration::from_millis(400);
-/// The same for one that has readers to follow: they find out that the store is
-/// back, and that costs a call for each of them, not for each node.
-const FOLLOWERS_PAUSE: Duration = Duration::from_millis(2_000);
-
-/// Longest pause between two tries of a store that gives no answer. A node that
-/// cannot serve yet has nothing to wait with.
-pub fn longest_pause(source: Source, can_serve: bool) -> Duration {
-    match source {
-        Source::Readers if can_serve => FOLLOWERS_PAUSE,
-        Source::Readers | Source::Store => READERS_PAUSE,
+/// Longest time that a node waits before it takes up reading where nobody does.
+const CLAIM_WINDOW: Duration = Duration::from_millis(500);
+/// Nodes that may start together so that a few of them end their wait first.
+const CLAIM_FLEET: f64 = 512.0;
+
+/// How long a node waits before it takes up reading where nobody does, from a
+/// uniform draw between 0 and 1. Delays are spread exponentially towards the
+/// end of the window, as timers of receivers in a multicast group are so that
+/// few of them answer (Nonnenmacher and Biersack, 1998): whatever the number of
+/// nodes that wait, few end their wait within the time that it takes the first
+/// to be found.
+pub fn claim_delay(draw: f64) -> Duration {
+    let share = (1.0 + draw.clamp(0.0, 1.0) * (CLAIM_FLEET - 1.0)).ln() / CLAIM_FLEET.ln();
+    CLAIM_WINDOW.mul_f64(share)
+}
+
+/// Age of a reader's row after which it is no longer taken to read: two of its
+/// renewals have not come.
+pub const READER_EXPIRY: Duration = Duration::from_millis(7_000);
+/// How long readers must have been there before the fleet that they know counts
+/// as whole: nodes that start together have registered by then.
+pub const SETTLING_TIME: Duration = Duration::from_millis(2_500);
+
+/// Longest pause between two tries of a store that gives no answer, in a fleet
+/// in which every node reads.
+const EACH_PAUSE: Duration = Duration::from_millis(400);
+/// The same where few nodes read: there are several, and their tries are spread,
+/// so the first of them finds the store back about as soon.
+const READERS_PAUSE: Duration = Duration::from_millis(800);
+
+/// Longest pause between two tries of a store that gives no answer.
+pub fn longest_pause(fleet_size: usize) -> Duration {
+    if has_readers(fleet_size) {
+        READERS_PAUSE
+    } else {
+        EACH_PAUSE
     }
 }
 
@@ -122,10 +180,10 @@
 
 /// Whether few nodes of a fleet read the store.
 pub fn has_readers(fleet_size: usize) -> bool {
-    fleet_size > SMALL_FLEET && fleet_size <= LARGEST_FOLLOWING_FLEET
+    fleet_size > SMALL_FLEET
 }
 
-/// Chooses a node's source. `readers` are those of its region.
+/// Chooses a node's source. `readers` are those of the whole fleet.
 pub fn source(own: &str, readers: &[&str], fleet_size: usize) -> Source {
     if !has_readers(fleet_size) || readers.is_empty() || readers.contains(&own) {
         Source::Store
@@ -134,30 +192,13 @@
     }
 }
 
-/// Time between two renewals of a node's row while the fleet is counted.
-const RENEWAL: Duration = Duration::from_millis(4_000);
-/// The same in a fleet that is larger than is counted, so that all renewals
-/// together stay within what the store takes.
-const UNCOUNTED_RENEWAL: Duration = Duration::from_millis(12_000);
-/// Age of a row, in renewals, after which its node no longer counts.
-const EXPIRY_RENEWALS: u32 = 3;
+/// How often a node of a small fleet renews its row.
+pub const RENEWAL: Duration = Duration::from_millis(4_000);
+/// Age after which a node that has not renewed its registration no longer
+/// counts.
+pub const ROW_EXPIRY: Duration = Duration::from_millis(13_000);
 
 /// How often a follower tells its reader that it lives, and how often a reader
-/// renews the rows of those that did. Together with the change to another
-/// reader, both stay below the age at which a row no longer counts.
+/// renews its own row, which lists those that did. Together with the change to
+/// another reader, both stay below the age at which a node no longer counts.
 pub const FOLLOWER_RENEWAL: Duration = Duration::from_millis(3_000);
-
-/// How often a node renews its row. Fleets are counted up to one node more
-/// than [`LARGEST_FOLLOWING_FLEET`].
-pub fn renewal_interval(fleet_size: usize) -> Duration {
-    if fleet_size > LARGEST_FOLLOWING_FLEET {
-        UNCOUNTED_RENEWAL
-    } else {
-        RENEWAL
-    }
-}
-
-/// Age at which a row no longer counts.
-pub fn row_expiry(fleet_size: usize) -> Duration {
-    renewal_interval(fleet_size) * EXPIRY_RENEWALS + Duration::from_secs(1)
-}
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -67,7 +67,9 @@
 }
 
 /// Asks for evidence that covers `moment` unless a question is under way: the
-/// reader that is followed, or the primary itself.
+/// primary itself if this node owns connections to it, or else the reader that
+/// is followed. An owner that asked its reader would be asked back: readers ask
+/// owners.
 pub(crate) fn ask_in_background<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     service: &ServiceName,
@@ -79,7 +81,12 @@
     let gateway = gateway.clone();
     let service = service.clone();
     tokio::spawn(async move {
-        match shared_evidence::ask_reader(&gateway, &service, moment).await {
+        let shared = if owns_primary(&gateway, &service) {
+            None
+        } else {
+            shared_evidence::ask_reader(&gateway, &service, moment).await
+        };
+        match shared {
             Some(sample) => gateway.beliefs.record_evidence(&service, sample),
             None => ask_primary(&gateway, &service, moment).await,
         }
@@ -87,6 +94,15 @@
     });
 }
 
+/// Whether this node is one of those that own the connections to a primary.
+fn owns_primary<P: Platform>(gateway: &Gateway<P>, service: &ServiceName) -> bool {
+    gateway
+        .beliefs
+        .primary(service)
+        .and_then(|primary| gateway.pools.owners_of(&primary, &gateway.beliefs))
+        .is_some_and(|owners| owners.includes_self)
+}
+
 async fn ask_primary<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     service: &ServiceName,
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::lease_format::{decode_lease, encode_lease};
 use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
+use crate::store_call::CallReason;
 
 /// How long a claim, a read and a write, may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -90,6 +91,7 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
 ) -> Result<(Option<FailoverLease>, u64, u64), StoreError> {
+    gateway.metrics.store_calls.count(CallReason::Lease);
     let rows = gateway
         .platform
         .read_rows(FleetTable::Leases, RowRange::Key(service))
@@ -109,6 +111,7 @@
     lease: &FailoverLease,
     version: u64,
 ) -> Result<bool, StoreError> {
+    gateway.metrics.store_calls.count(CallReason::Lease);
     let written = gateway
         .platform
         .write_row(
--- /dev/null
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -0,0 +1,233 @@
+//! A follower's side of the feed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::readers::FOLLOWER_RENEWAL;
+use linkhold_events::Event;
+use linkhold_peer::{FeedInstances, FeedMessage, PeerKey};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+use super::{read_message, write_message};
+use crate::fleet::{self, FleetSource};
+use crate::gateway::Gateway;
+use crate::ports::{Cursor, Platform};
+
+/// Why a reader is no longer followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lost {
+    /// It could not be reached.
+    Unreachable,
+    /// It broke off, or said something that makes no sense.
+    Broken,
+    /// It was silent, or had itself not heard from the store.
+    Stale,
+    /// This node is to follow others now, or to read the store.
+    NoLongerChosen,
+}
+
+/// How long a reader is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Patience {
+    /// Until it has lost the store.
+    UntilStale,
+    /// Until this moment if it has lost the store; it may find it back before.
+    Until(Instant),
+}
+
+impl Patience {
+    /// The moment, unless patience ends before.
+    fn limit(self, moment: Instant) -> Instant {
+        match self {
+            Self::UntilStale => moment,
+            Self::Until(until) => moment.min(until),
+        }
+    }
+}
+
+/// Follows a reader until it is lost or no longer one of this node's readers.
+/// `trusted_until` tells how long what was told may be used; it is set whenever
+/// the reader is trusted.
+pub(crate) async fn follow<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    reader: SocketAddr,
+    key: &PeerKey,
+    patience: Patience,
+    trusted_until: &mut Instant,
+) -> Lost {
+    let first_word_until = patience.limit(Instant::now() + gateway.freshness.first_word_time());
+    let connecting = timeout_at(first_word_until.into(), TcpStream::connect(reader)).await;
+    let Ok(Ok(mut stream)) = connecting else {
+        return Lost::Unreachable;
+    };
+    // A socket that refuses it still works, only later.
+    let _ = stream.set_nodelay(true);
+    if write_message(&mut stream, &FeedMessage::Subscribe, key)
+        .await
+        .is_err()
+    {
+        return Lost::Broken;
+    }
+    let (mut reading, mut writing) = stream.into_split();
+    let outbox = gateway.reader_link.open();
+    let mut listener = Listener {
+        gateway,
+        reader,
+        patience,
+        trusted_until,
+        told: Vec::new(),
+    };
+    let lost = tokio::select! {
+        lost = listener.listen(&mut reading, first_word_until, key) => lost,
+        () = speak(gateway, &mut writing, outbox, key) => Lost::Broken,
+    };
+    gateway.reader_link.close();
+    lost
+}
+
+/// Tells the reader at intervals that this node lives, and passes questions on,
+/// until it cannot.
+async fn speak<P: Platform>(
+    gateway: &Gateway<P>,
+    stream: &mut OwnedWriteHalf,
+    mut outbox: mpsc::UnboundedReceiver<FeedMessage>,
+    key: &PeerKey,
+) {
+    let mut renew_at = Instant::now();
+    loop {
+        let message = match timeout_at(renew_at.into(), outbox.recv()).await {
+            Ok(Some(question)) => question,
+            // The link was opened anew.
+            Ok(None) => return,
+            Err(_) => {
+                renew_at = Instant::now() + FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2));
+                FeedMessage::Renewal(fleet::own_node(gateway))
+            }
+        };
+        if write_message(stream, &message, key).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes in what a reader says.
+struct Listener<'a, P: Platform> {
+    gateway: &'a Gateway<P>,
+    reader: SocketAddr,
+    patience: Patience,
+    trusted_until: &'a mut Instant,
+    /// What was told and not vouched for yet.
+    told: Vec<FeedMessage>,
+}
+
+impl<P: Platform> Listener<'_, P> {
+    /// Listens until the reader is not to be followed any more.
+    async fn listen(
+        &mut self,
+        stream: &mut OwnedReadHalf,
+        first_word_until: Instant,
+        key: &PeerKey,
+    ) -> Lost {
+        let mut silent_at = first_word_until;
+        loop {
+            let reading = timeout_at(silent_at.into(), read_message(stream, key));
+            let message = match reading.await {
+                Ok(Ok(message)) => message,
+                Ok(Err(_)) => return Lost::Broken,
+                Err(_) => return Lost::Stale,
+            };
+            let next = match message {
+                FeedMessage::Beat { age } => self.vouched(age),
+                FeedMessage::EvidenceAnswer(answer) => {
+                    self.gateway.reader_link.answered(answer);
+                    continue;
+                }
+                message => {
+                    self.told.push(message);
+                    continue;
+                }
+            };
+            match next {
+                Ok(until) => silent_at = until,
+                Err(lost) => return lost,
+            }
+        }
+    }
+
+    /// The reader vouches for what it told before; until when it may be silent.
+    fn vouched(&mut self, age: Duration) -> Result<Instant, Lost> {
+        let now = Instant::now();
+        let freshness = self.gateway.freshness;
+        if !freshness.is_trusted(age, Duration::ZERO) {
+            return match self.patience {
+                Patience::Until(until) if now < until => Ok(until),
+                Patience::Until(_) | Patience::UntilStale => Err(Lost::Stale),
+            };
+        }
+        for message in self.told.drain(..) {
+            adopt(self.gateway, message);
+        }
+        self.gateway.beliefs.directory_read();
+        let silent_at = now + (freshness.trust - age);
+        *self.trusted_until = silent_at;
+        self.patience = Patience::UntilStale;
+        start_following(self.gateway, self.reader);
+        if !is_reader_of(self.gateway, self.reader) {
+            return Err(Lost::NoLongerChosen);
+        }
+        Ok(silent_at)
+    }
+}
+
+/// Takes in what a reader has told and vouched for.
+fn adopt<P: Platform>(gateway: &Gateway<P>, message: FeedMessage) {
+    match message {
+        FeedMessage::Configuration(configuration) => {
+            gateway.beliefs.adopt_configuration(configuration);
+        }
+        FeedMessage::Instances(known) => adopt_instances(gateway, known),
+        FeedMessage::Fleet(fleet) => {
+            fleet::adopt_fleet(gateway, fleet, true);
+        }
+        // A beat vouches only; a follower has no use for the others.
+        FeedMessage::Beat { .. }
+        | FeedMessage::Subscribe
+        | FeedMessage::Renewal(_)
+        | FeedMessage::Leaving
+        | FeedMessage::Relay(_)
+        | FeedMessage::Relayed
+        | FeedMessage::Forward
+        | FeedMessage::EvidenceQuestion(_)
+        | FeedMessage::EvidenceAnswer(_) => {}
+    }
+}
+
+fn is_reader_of<P: Platform>(gateway: &Gateway<P>, reader: SocketAddr) -> bool {
+    match gateway.source() {
+        FleetSource::Store | FleetSource::Unknown => false,
+        FleetSource::Readers(readers) => readers.contains(&reader),
+    }
+}
+
+fn start_following<P: Platform>(gateway: &Gateway<P>, reader: SocketAddr) {
+    if !gateway.sources.is_following() {
+        gateway.sources.follow();
+        Event::info("reader_followed").field("reader", reader).log();
+    }
+}
+
+fn adopt_instances<P: Platform>(gateway: &Gateway<P>, known: FeedInstances) {
+    let listed = known
+        .instances
+        .into_iter()
+        .filter(|(_, is_listed)| *is_listed)
+        .map(|(instance, _)| instance);
+    let cursor = Cursor(known.cursor);
+    gateway
+        .beliefs
+        .replace_instances(listed.collect(), cursor, Instant::now());
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -0,0 +1,237 @@
+//! A reader's side of the feed: it lists a follower and tells it everything.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_peer::{EvidenceQuestion, FeedMessage, PeerKey};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::frames::FLEET_INTERVAL;
+use super::{read_message, write_frame, write_message};
+use crate::followers::Ticket;
+use crate::gateway::Gateway;
+use crate::ports::Platform;
+use crate::shared_evidence;
+
+/// How often a reader says that it lives.
+const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Changes that come closer together are told together.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// How long a follower of a node that has just taken up reading waits for the
+/// store's first answers.
+const FIRST_ANSWERS_TIME: Duration = Duration::from_millis(500);
+/// How long a follower waits until a row lists it.
+const LISTING_TIME: Duration = Duration::from_millis(1_000);
+/// A reader may have this part more followers than its share, as a divisor.
+const UNEVEN_PART: usize = 4;
+/// And this many more in any case.
+const UNEVEN_AT_LEAST: usize = 2;
+/// How likely a reader with too many followers sends one away at a beat.
+const SHED_PROBABILITY: f64 = 0.1;
+
+/// What a follower was told last.
+#[derive(Default)]
+struct Told {
+    version: u64,
+    revision: Option<u64>,
+    fleet_at: Option<Instant>,
+    fleet: Option<Arc<[u8]>>,
+}
+
+/// Serves a follower until it leaves, is to go elsewhere, or this node no longer
+/// reads the store.
+pub(super) async fn serve<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    stream: TcpStream,
+    key: &PeerKey,
+) {
+    let (mut reading, writing) = stream.into_split();
+    let writing = Arc::new(tokio::sync::Mutex::new(writing));
+    let (arrived, arrival) = watch::channel(None);
+    let _served = gateway.followers.serve();
+    tokio::select! {
+        () = tell(gateway, &writing, arrival, key) => {}
+        () = hear(gateway, &mut reading, &writing, &arrived, key) => {}
+    }
+}
+
+/// The sending half of a follower's stream, shared by all who tell it something.
+type SharedWriter = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
+/// Takes in what a follower says, until it leaves.
+async fn hear<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    stream: &mut OwnedReadHalf,
+    writing: &SharedWriter,
+    arrived: &watch::Sender<Option<Ticket>>,
+    key: &PeerKey,
+) {
+    let mut name = None;
+    while let Ok(message) = read_message(stream, key).await {
+        match message {
+            FeedMessage::Renewal(node) => {
+                let is_first = name.replace(node.name.clone()).is_none();
+                if is_first {
+                    arrived.send_replace(Some(gateway.followers.arrived(node)));
+                } else {
+                    gateway.followers.heard(node);
+                }
+            }
+            FeedMessage::Leaving => {
+                if let Some(name) = &name {
+                    gateway.followers.left(name);
+                }
+                return;
+            }
+            FeedMessage::EvidenceQuestion(question) => {
+                let answering = answer_evidence(
+                    gateway.clone(),
+                    question,
+                    Instant::now(),
+                    writing.clone(),
+                    key.clone(),
+                );
+                tokio::spawn(answering);
+            }
+            // Nothing else comes from a follower.
+            _ => return,
+        }
+    }
+}
+
+async fn answer_evidence<P: Platform>(
+    gateway: Arc<Gateway<P>>,
+    question: EvidenceQuestion,
+    received_at: Instant,
+    writing: SharedWriter,
+    key: PeerKey,
+) {
+    let answer = shared_evidence::answer(&gateway, &question, received_at).await;
+    let message = FeedMessage::EvidenceAnswer(answer);
+    // A follower that is gone needs no answer; `tell` finds out.
+    let _ = write_message(&mut *writing.lock().await, &message, &key).await;
+}
+
+/// Tells a follower everything as long as this node reads the store. A reader
+/// that has lost the store says so, with the age of what it knows.
+async fn tell<P: Platform>(
+    gateway: &Gateway<P>,
+    writing: &SharedWriter,
+    mut arrival: watch::Receiver<Option<Ticket>>,
+    key: &PeerKey,
+) {
+    wait_for_first_answers(gateway).await;
+    let mut changes = gateway.beliefs.subscribe_to_lists();
+    let mut told = Told::default();
+    let mut is_listed = false;
+    while let Some(age) = gateway.sources.age() {
+        if gateway.is_leaving() || is_one_too_many(gateway) {
+            return;
+        }
+        let as_of = Instant::now();
+        if !is_listed && gateway.freshness.is_trusted(age, Duration::ZERO) {
+            if !wait_until_listed(gateway, &mut arrival).await {
+                return;
+            }
+            is_listed = true;
+            continue;
+        }
+        changes.mark_unchanged();
+        let news = if is_listed {
+            news(gateway, &mut told, key)
+        } else {
+            Vec::new()
+        };
+        for frame in news {
+            if write_frame(&mut *writing.lock().await, &frame)
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        // It goes last, since it vouches for all that came before it; writing
+        // that may have taken its time.
+        let beat = FeedMessage::Beat {
+            age: age + as_of.elapsed(),
+        };
+        if write_message(&mut *writing.lock().await, &beat, key)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        // Time passing is as good a reason to speak as a change.
+        let _ = timeout(BEAT_INTERVAL, changes.changed()).await;
+        sleep(GATHER_TIME).await;
+    }
+}
+
+/// Waits until a node that has just taken up reading knows what it is to tell.
+async fn wait_for_first_answers<P: Platform>(gateway: &Gateway<P>) {
+    let deadline = Instant::now() + FIRST_ANSWERS_TIME;
+    while gateway.sources.is_reading()
+        && gateway.sources.age().is_none()
+        && Instant::now() < deadline
+    {
+        sleep(GATHER_TIME).await;
+    }
+}
+
+/// Waits until a written row lists the follower.
+async fn wait_until_listed<P: Platform>(
+    gateway: &Gateway<P>,
+    arrival: &mut watch::Receiver<Option<Ticket>>,
+) -> bool {
+    let waiting = arrival.wait_for(Option::is_some);
+    // An error: it has left, or does not say who it is.
+    let ticket = timeout(LISTING_TIME, waiting)
+        .await
+        .ok()
+        .and_then(|arrived| *arrived.ok()?);
+    let Some(ticket) = ticket else {
+        return false;
+    };
+    let listing = gateway.followers.wait_until_listed(ticket, LISTING_TIME);
+    listing.await
+}
+
+/// Whether this follower is to go to another reader of the region, which has
+/// fewer: some at a time do, since each decides for itself.
+fn is_one_too_many<P: Platform>(gateway: &Gateway<P>) -> bool {
+    let fair = gateway.fleet.followers_a_reader();
+    let most = fair + fair / UNEVEN_PART + UNEVEN_AT_LEAST;
+    gateway.fleet.is_settled()
+        && gateway.followers.served() > most
+        && rand::random_bool(SHED_PROBABILITY)
+}
+
+/// What a follower has not been told yet.
+fn news<P: Platform>(gateway: &Gateway<P>, told: &mut Told, key: &PeerKey) -> Vec<Arc<[u8]>> {
+    let frames = &gateway.feed_frames;
+    let mut news = Vec::new();
+    if let Some(configuration) = gateway.beliefs.configuration()
+        && configuration.version > told.version
+    {
+        told.version = configuration.version;
+        news.push(frames.configuration(&configuration, key));
+    }
+    let revision = gateway.beliefs.lists_revision();
+    if told.revision != Some(revision) {
+        told.revision = Some(revision);
+        news.push(frames.instances(revision, &gateway.beliefs, key));
+    }
+    if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL)
+        && let Some(frame) = frames.fleet(&gateway.fleet, key)
+    {
+        told.fleet_at = Some(Instant::now());
+        if told.fleet.as_ref() != Some(&frame) {
+            told.fleet = Some(frame.clone());
+            news.push(frame);
+        }
+    }
+    news
+}
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -2,9 +2,8 @@
 //! connections, who reads the store, and whom to ask.
 //!
 //! Nodes that read the store see the rows by which nodes register
-//! ([`crate::registration`]), up to a limit: a larger fleet is not counted.
-//! Followers of a reader are told the same. While the store cannot be read, the
-//! last view stays.
+//! ([`crate::registration`]). Followers of a reader are told the same. While the
+//! store cannot be read, the last view stays.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,7 +12,7 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
-use linkhold_core::service::readers::{self, LARGEST_FOLLOWING_FLEET, ReaderCandidate, Source};
+use linkhold_core::service::readers::{self, ReaderCandidate, Source};
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
 
@@ -21,6 +20,7 @@
 use crate::gateway::Gateway;
 use crate::places::Places;
 use crate::ports::Platform;
+use crate::registry::{Member, Registry};
 
 /// What is known of the fleet.
 #[derive(Default)]
@@ -33,35 +33,82 @@
     key: Option<PeerKey>,
     /// Nodes in all, this one included; 0 until anything is known.
     size: usize,
-    /// Nodes by name; in a fleet too large to be counted, some of them.
+    /// Nodes by name.
     nodes: BTreeMap<String, FeedNode>,
-    /// The region's nodes that read the store.
+    /// The nodes that read the store for others, of all regions.
     readers: Vec<FeedNode>,
+    /// Nodes of the own region for each of its readers.
+    followers_a_reader: usize,
+    /// Whether `size` counts all nodes: not while a fleet starts.
+    is_settled: bool,
     /// Nodes among which duties are dealt out, as of this node's own last
     /// reading of the fleet: all of a small fleet, the readers of a larger one.
     duty_nodes: Vec<NodeId>,
-    /// Followers that told this node that they live, and when.
-    renewals: BTreeMap<String, Renewal>,
+    /// When this node took up reading for others, on the store's clock.
+    reads_since: Option<u64>,
     /// The store's clock and when it was read.
     store_clock: Option<(u64, Instant)>,
+    /// When this node last read the fleet itself.
+    read_at: Option<Instant>,
+    /// Until when nodes that are not listed stay in the view.
+    keep_until: Option<Instant>,
 }
 
-/// A follower that lives.
-#[derive(Clone, Debug)]
-pub(crate) struct Renewal {
-    /// The follower.
-    pub node: FeedNode,
-    /// When it said so.
-    pub heard_at: Instant,
+/// A reader that has not read the fleet for so long had lost the store.
+const READING_GAP: Duration = Duration::from_millis(6_000);
+/// How long nodes that are not listed stay in the view after such a gap: their
+/// readers had lost the store too and need time to renew their rows.
+const KEEPING_TIME: Duration = Duration::from_millis(5_000);
+
+impl View {
+    /// Whether nodes that are not listed stay, as of a reading just now.
+    fn keeps_unlisted(&mut self, now: Instant) -> bool {
+        let has_gap = self.read_at.is_none_or(|at| at + READING_GAP < now);
+        if self.is_settled && has_gap {
+            self.keep_until = Some(now + KEEPING_TIME);
+        }
+        self.read_at = Some(now);
+        self.keep_until.is_some_and(|until| now < until)
+    }
 }
 
 /// Where this node gets configuration and instances from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetSource {
+    /// Not known: nobody is known to read the store.
+    Unknown,
     /// From the store.
     Store,
     /// From one of the nodes at these addresses.
-    Readers(Vec<SocketAddr>),
+    Readers(ReaderAddresses),
+}
+
+/// Where readers are reached.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ReaderAddresses {
+    /// Those of the own region.
+    pub near: Vec<SocketAddr>,
+    /// Those of other regions.
+    pub far: Vec<SocketAddr>,
+}
+
+impl ReaderAddresses {
+    fn among(readers: &[FeedNode], places: &Places) -> Self {
+        let own_region = places.own_region();
+        let (near, far): (Vec<&FeedNode>, Vec<&FeedNode>) = readers
+            .iter()
+            .partition(|node| places.region(&node.zone) == own_region);
+        let addresses = |nodes: Vec<&FeedNode>| nodes.iter().filter_map(|it| it.address).collect();
+        Self {
+            near: addresses(near),
+            far: addresses(far),
+        }
+    }
+
+    /// Whether a reader is among them.
+    pub fn contains(&self, address: &SocketAddr) -> bool {
+        self.near.contains(address) || self.far.contains(address)
+    }
 }
 
 impl Fleet {
@@ -83,18 +130,16 @@
     /// Other nodes' addresses; `None` unless all nodes are known.
     pub fn all_peers(&self, own_name: &str) -> Option<Vec<SocketAddr>> {
         let view = lock(&self.view);
-        let knows_all =
-            view.size > 0 && view.size == view.nodes.len() && view.size <= LARGEST_FOLLOWING_FLEET;
+        let knows_all = view.is_settled && view.size > 0 && view.size == view.nodes.len();
         drop(view);
         knows_all.then(|| self.peers(own_name))
     }
 
-    /// Whether a node is in the fleet; in a fleet too large to be counted, any is
-    /// taken to be.
+    /// Whether a node is in the fleet; any is taken to be as long as not all are
+    /// known.
     pub fn knows(&self, name: &str) -> bool {
         let view = lock(&self.view);
-        let is_counted = view.size <= LARGEST_FOLLOWING_FLEET;
-        view.nodes.contains_key(name) || !is_counted || view.size > view.nodes.len()
+        view.nodes.contains_key(name) || !view.is_settled || view.size > view.nodes.len()
     }
 
     /// Nodes of the fleet, this one included.
@@ -102,14 +147,15 @@
         lock(&self.view).size
     }
 
-    /// What followers are told; `None` as long as this node does not know
-    /// itself to be a reader, since its view is not theirs.
-    pub fn for_followers(&self, own_name: &str) -> Option<FeedFleet> {
+    /// Nodes of the own region for each of its readers.
+    pub fn followers_a_reader(&self) -> usize {
+        lock(&self.view).followers_a_reader
+    }
+
+    /// What followers are told; `None` as long as not all nodes are known.
+    pub fn for_followers(&self) -> Option<FeedFleet> {
         let view = lock(&self.view);
-        if !view.readers.iter().any(|node| node.name == own_name) {
-            return None;
-        }
-        Some(FeedFleet {
+        view.is_settled.then(|| FeedFleet {
             size: view.size,
             readers: view.readers.clone(),
             nodes: view.nodes.values().cloned().collect(),
@@ -117,32 +163,44 @@
     }
 
     /// Where this node gets configuration and instances from.
-    pub fn source(&self, own_name: &str) -> FleetSource {
+    pub fn source(&self, own_name: &str, places: &Places) -> FleetSource {
         let view = lock(&self.view);
         let names: Vec<&str> = view.readers.iter().map(|node| node.name.as_str()).collect();
+        let mut addresses = ReaderAddresses::among(&view.readers, places);
+        if view.key.is_none() {
+            // Nothing can be said to them.
+            addresses = ReaderAddresses::default();
+        }
+        if names.contains(&own_name) {
+            return FleetSource::Store;
+        }
+        if !view.is_settled {
+            // Whoever reads in another region tells nothing about this one yet.
+            return if addresses.near.is_empty() {
+                FleetSource::Unknown
+            } else {
+                FleetSource::Readers(addresses)
+            };
+        }
         match readers::source(own_name, &names, view.size) {
-            Source::Store => FleetSource::Store,
-            Source::Readers => {
-                let addresses = view.readers.iter().filter_map(|node| node.address);
-                FleetSource::Readers(addresses.collect())
+            Source::Readers if !addresses.near.is_empty() || !addresses.far.is_empty() => {
+                FleetSource::Readers(addresses)
             }
+            Source::Store if !readers::has_readers(view.size) => FleetSource::Store,
+            Source::Readers | Source::Store => FleetSource::Unknown,
         }
     }
 
-    /// Longest pause between two tries of a store that gives no answer.
-    pub fn longest_pause(&self, own_name: &str, can_serve: bool) -> Duration {
-        let source = match self.source(own_name) {
-            FleetSource::Store => Source::Store,
-            FleetSource::Readers(_) => Source::Readers,
-        };
-        readers::longest_pause(source, can_serve)
-    }
-
-    /// Whether few nodes of the fleet read the store.
+    /// Whether few nodes of the fleet read the store, as far as is known.
     pub fn has_readers(&self) -> bool {
         readers::has_readers(self.size())
     }
 
+    /// Whether all nodes are known.
+    pub fn is_settled(&self) -> bool {
+        lock(&self.view).is_settled
+    }
+
     /// The store's clock, carried on from when it was read.
     pub fn store_time(&self) -> Option<u64> {
         let (time, read_at) = lock(&self.view).store_clock?;
@@ -154,30 +212,34 @@
         lock(&self.view).key = Some(key);
     }
 
-    /// Takes in the store's clock, read just now.
-    pub fn set_store_time(&self, now: u64) {
-        lock(&self.view).store_clock = Some((now, Instant::now()));
+    /// When this node took up reading for others.
+    pub fn reads_since(&self) -> Option<u64> {
+        lock(&self.view).reads_since
     }
 
-    /// A follower of this node lives.
-    pub fn heard(&self, node: FeedNode) {
-        let heard_at = Instant::now();
-        let renewal = Renewal { node, heard_at };
-        lock(&self.view)
-            .renewals
-            .insert(renewal.node.name.clone(), renewal);
+    /// This node takes up reading for others, unless it does already.
+    pub fn take_up_reading(&self, own: FeedNode) {
+        let now = self.store_time();
+        let mut view = lock(&self.view);
+        view.reads_since = view.reads_since.or(now);
+        if !view.readers.iter().any(|reader| reader.name == own.name) {
+            view.readers.push(own);
+        }
     }
 
-    /// Takes the followers that told that they live since the last call.
-    pub fn take_renewals(&self) -> Vec<Renewal> {
-        let renewals = std::mem::take(&mut lock(&self.view).renewals);
-        renewals.into_values().collect()
+    /// This node does not read for others.
+    pub fn give_up_reading(&self) {
+        lock(&self.view).reads_since = None;
     }
 
     /// Whether this node is the first of those that take up a duty. Followers
-    /// of a reader know too little of the fleet to be.
+    /// of a reader know too little of the fleet to be, and so does every node
+    /// while not all are known.
     pub fn is_first(&self, own_name: &str, duty: &str) -> bool {
         let view = lock(&self.view);
+        if !view.is_settled {
+            return false;
+        }
         let nodes = view.duty_nodes.iter().copied();
         rendezvous::owners(duty, nodes, 1) == [NodeId::of_name(own_name)]
     }
@@ -204,59 +266,148 @@
     }
 }
 
-/// Takes in the fleet as it was read. This node always counts itself.
-pub(crate) fn adopt_nodes<P: Platform>(gateway: &Gateway<P>, mut nodes: Vec<FeedNode>) {
+/// Whether the node that reads the registry may be chosen as a reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reading {
+    /// It only looks.
+    No,
+    /// It reads the store.
+    Yes,
+}
+
+/// Takes in the fleet as it was read; whether it has changed.
+pub(crate) fn adopt_registry<P: Platform>(
+    gateway: &Gateway<P>,
+    registry: &Registry,
+    reading: Reading,
+) -> bool {
+    let own_name = &gateway.settings.node;
     let own = own_node(gateway);
-    if !nodes.iter().any(|node| node.name == own.name) {
-        nodes.push(own);
+    remember_registry(gateway, registry);
+    let mut present: BTreeMap<&str, Member> = registry
+        .present()
+        .map(|member| (member.registration.node.name.as_str(), member.clone()))
+        .collect();
+    let live = gateway.followers.live();
+    for registration in &live {
+        let member = Member {
+            registration: registration.clone(),
+            reads_since: None,
+        };
+        present.entry(&registration.node.name).or_insert(member);
+    }
+    if reading == Reading::Yes {
+        let own_member = own_member(gateway, own);
+        present.insert(own_name, own_member);
+    }
+    let members: Vec<&Member> = present.values().collect();
+    let is_settled = registry.is_settled();
+    let may_fill = is_settled || reading == Reading::Yes;
+    let readers = regional_readers(&gateway.settings.places, &members, may_fill);
+    let duty_nodes = duty_nodes(&members, &readers);
+    let mut nodes: BTreeMap<&str, FeedNode> = present
+        .iter()
+        .map(|(name, member)| (*name, member.registration.node.clone()))
+        .collect();
+    let known = known_nodes(&gateway.fleet);
+    for node in &known {
+        nodes.entry(&node.name).or_insert_with(|| node.clone());
     }
-    let own_region = gateway.settings.places.own_region();
-    let readers = regional_readers(&gateway.settings.places, &nodes);
-    let own_readers = readers.get(&own_region).cloned().unwrap_or_default();
-    let duty_nodes = if readers::has_readers(nodes.len()) {
-        let all_readers = readers.values().flatten();
-        all_readers
-            .map(|node| NodeId::of_name(&node.name))
-            .collect()
-    } else {
-        let names = nodes.iter().map(|node| NodeId::of_name(&node.name));
-        names.collect()
-    };
     let fleet = FeedFleet {
         size: nodes.len(),
-        readers: own_readers,
-        nodes,
+        readers: readers.into_values().flatten().collect(),
+        nodes: nodes.into_values().collect(),
     };
-    adopt_fleet(gateway, fleet);
+    let has_changed = adopt_fleet(gateway, fleet, is_settled || !known.is_empty());
     lock(&gateway.fleet.view).duty_nodes = duty_nodes;
+    has_changed
+}
+
+/// Nodes that stay in the view though they may not be listed.
+fn known_nodes(fleet: &Fleet) -> Vec<FeedNode> {
+    let mut view = lock(&fleet.view);
+    if !view.keeps_unlisted(Instant::now()) {
+        return Vec::new();
+    }
+    view.nodes.values().cloned().collect()
+}
+
+/// Takes in what the registry tells beside the members.
+fn remember_registry<P: Platform>(gateway: &Gateway<P>, registry: &Registry) {
+    let own_name = &gateway.settings.node;
+    let mut view = lock(&gateway.fleet.view);
+    view.store_clock = Some((registry.now, Instant::now()));
+    if let Some(key) = &registry.key {
+        view.key = Some(key.clone());
+    }
+    // This node read for others before it was started again.
+    let reads_since = registry.members.get(own_name).and_then(|it| it.reads_since);
+    view.reads_since = view.reads_since.or(reads_since);
+    drop(view);
+    gateway.followers.restore(&registry.own_followers);
+}
+
+fn own_member<P: Platform>(gateway: &Gateway<P>, own: FeedNode) -> Member {
+    Member {
+        registration: crate::registry::Registration {
+            node: own,
+            age: Duration::ZERO,
+        },
+        reads_since: gateway.fleet.reads_since(),
+    }
+}
+
+fn duty_nodes(members: &[&Member], readers: &BTreeMap<Arc<str>, Vec<FeedNode>>) -> Vec<NodeId> {
+    if readers::has_readers(members.len()) {
+        let all_readers = readers.values().flatten();
+        return all_readers
+            .map(|node| NodeId::of_name(&node.name))
+            .collect();
+    }
+    let names = members.iter().map(|it| it.registration.node.name.as_str());
+    names.map(NodeId::of_name).collect()
 }
 
 /// The nodes of each region that read the store in a fleet that has readers.
-fn regional_readers(places: &Places, nodes: &[FeedNode]) -> BTreeMap<Arc<str>, Vec<FeedNode>> {
-    let mut regions: BTreeMap<Arc<str>, Vec<&FeedNode>> = BTreeMap::new();
-    for node in nodes {
-        let region = places.region(&node.zone);
-        regions.entry(region).or_default().push(node);
+fn regional_readers(
+    places: &Places,
+    members: &[&Member],
+    may_fill: bool,
+) -> BTreeMap<Arc<str>, Vec<FeedNode>> {
+    let mut regions: BTreeMap<Arc<str>, Vec<&Member>> = BTreeMap::new();
+    for member in members {
+        let region = places.region(&member.registration.node.zone);
+        regions.entry(region).or_default().push(member);
     }
-    let choose = |(region, nodes): (Arc<str>, Vec<&FeedNode>)| {
-        let candidates: Vec<ReaderCandidate<'_>> = nodes.iter().map(|it| candidate(it)).collect();
+    let choose = |(region, members): (Arc<str>, Vec<&Member>)| {
+        let candidates: Vec<ReaderCandidate<'_>> = members
+            .iter()
+            .map(|member| candidate(member, may_fill))
+            .collect();
         let chosen = readers::choose_readers(&candidates);
-        let is_chosen = |node: &&&FeedNode| chosen.contains(&node.name.as_str());
-        let chosen = nodes.iter().filter(is_chosen).map(|node| (*node).clone());
-        (region, chosen.collect())
+        let nodes = members.iter().map(|member| &member.registration.node);
+        let is_chosen = |node: &&FeedNode| chosen.contains(&node.name.as_str());
+        (region, nodes.filter(is_chosen).cloned().collect())
     };
     regions.into_iter().map(choose).collect()
 }
 
-fn candidate(node: &FeedNode) -> ReaderCandidate<'_> {
+fn candidate(member: &Member, may_fill: bool) -> ReaderCandidate<'_> {
+    let node = &member.registration.node;
     ReaderCandidate {
         zone: &node.zone,
         name: &node.name,
+        reads_since: member.reads_since,
+        may_start: may_fill && node.address.is_some(),
     }
 }
 
-/// Takes in the fleet as it was read or told.
-pub(crate) fn adopt_fleet<P: Platform>(gateway: &Gateway<P>, fleet: FeedFleet) {
+/// Takes in the fleet as it was read or told; whether it has changed.
+pub(crate) fn adopt_fleet<P: Platform>(
+    gateway: &Gateway<P>,
+    fleet: FeedFleet,
+    is_settled: bool,
+) -> bool {
     let own = own_node(gateway);
     let mut nodes: BTreeMap<String, FeedNode> = fleet
         .nodes
@@ -268,17 +419,35 @@
         .pools
         .owners()
         .set_nodes(nodes.values().filter(|node| node.address.is_some()));
+    let size = fleet.size.max(nodes.len());
     let mut view = lock(&gateway.fleet.view);
     let previous = view.size;
-    view.size = fleet.size.max(1);
+    let has_changed =
+        view.nodes != nodes || view.readers != fleet.readers || view.is_settled != is_settled;
+    view.size = size;
+    view.followers_a_reader = followers_a_reader(&gateway.settings.places, &nodes, &fleet.readers);
     view.nodes = nodes;
     view.readers = fleet.readers;
+    view.is_settled = is_settled;
     drop(view);
-    if previous != fleet.size {
+    if previous != size {
         Event::info("fleet_changed")
-            .field("nodes", fleet.size)
+            .field("nodes", size)
             .field("previous", previous)
             .log();
     }
-    gateway.pools.set_nodes(fleet.size, &gateway.beliefs);
+    gateway.pools.set_nodes(size, &gateway.beliefs);
+    has_changed
+}
+
+fn followers_a_reader(
+    places: &Places,
+    nodes: &BTreeMap<String, FeedNode>,
+    readers: &[FeedNode],
+) -> usize {
+    let own_region = places.own_region();
+    let is_near = |node: &&FeedNode| places.region(&node.zone) == own_region;
+    let near = nodes.values().filter(is_near).count();
+    let readers = readers.iter().filter(is_near).count();
+    near.div_ceil(readers.max(1))
 }
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -9,13 +9,14 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::readers::Freshness;
+use linkhold_core::service::readers::{self, Freshness};
 use tokio::sync::Notify;
 
 use crate::beliefs::{Beliefs, lock};
 use crate::evidence_probe::Questions;
 use crate::feed::FeedFrames;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, FleetSource};
+use crate::followers::Followers;
 use crate::forward::Forwarding;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
@@ -45,6 +46,7 @@
     pub(crate) attention: Attention,
     pub(crate) questions: Questions,
     pub(crate) fleet: Fleet,
+    pub(crate) followers: Followers,
     pub(crate) peers: Peers,
     pub(crate) relays: Relays,
     pub(crate) forwarding: Forwarding,
@@ -94,6 +96,7 @@
             attention: Attention::default(),
             questions: Questions::default(),
             fleet: Fleet::default(),
+            followers: Followers::default(),
             peers: Peers::default(),
             relays: Relays::default(),
             forwarding: Forwarding::default(),
@@ -112,17 +115,27 @@
 
     /// How long the store holds a question for changes.
     pub(crate) fn store_wait(&self) -> Duration {
-        if self.fleet.has_readers() {
+        let may_be_followed = self.fleet.has_readers() || !self.fleet.is_settled();
+        if may_be_followed || self.followers.served() > 0 {
             self.freshness.wait
         } else {
             self.freshness.wait_alone
         }
     }
 
+    /// Where the node gets configuration and instances from.
+    pub(crate) fn source(&self) -> FleetSource {
+        if self.settings.peer_address.is_none() {
+            // It cannot be followed either.
+            return FleetSource::Store;
+        }
+        let own = &self.settings.node;
+        self.fleet.source(own, &self.settings.places)
+    }
+
     /// Longest pause between two tries of a store that gives no answer.
     pub(crate) fn longest_store_pause(&self) -> Duration {
-        let can_serve = self.beliefs.can_serve();
-        self.fleet.longest_pause(&self.settings.node, can_serve)
+        readers::longest_pause(self.fleet.size())
     }
 
     /// Whether the node is being stopped.
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -8,17 +8,22 @@
 use std::time::{Duration, Instant};
 
 use linkhold_events::Event;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
+use crate::store_call::{CALL_TIMEOUT, CallReason, bounded};
 
-/// How long an answer may take beyond that.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// First pause after a failure; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause when the store throttles or refuses this node, at the least.
 const LONGEST_REFUSED_PAUSE: Duration = Duration::from_millis(800);
+/// How long instances are not asked for after a failure while the configuration
+/// is not answered either. The store may be down in part.
+const STORE_RETURN_TIME: Duration = Duration::from_millis(1_500);
+/// Changes of instances that come closer together are taken in one answer:
+/// many announce themselves at the same time.
+const GATHER_TIME: Duration = Duration::from_millis(100);
 /// How often entries that vanished are looked at.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -70,15 +75,6 @@
     }
 }
 
-async fn bounded<T>(
-    call: impl Future<Output = Result<T, StoreError>>,
-    limit: Duration,
-) -> Result<T, StoreError> {
-    timeout(limit, call)
-        .await
-        .unwrap_or(Err(StoreError::NoAnswer))
-}
-
 /// Keeps the configuration in force. Runs until the process ends.
 pub async fn keep_configuration<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut contact = Contact::new(&gateway, "configuration");
@@ -87,13 +83,14 @@
         if gateway.sources.wait_until_reading().await {
             cursor = None;
         }
+        gateway.metrics.store_calls.count(CallReason::Configuration);
         let answer = match cursor {
             Some(from) => {
                 let wait = gateway.store_wait();
                 let call = gateway.platform.follow_configuration(from, wait);
-                bounded(call, wait + ANSWER_TIMEOUT).await
+                bounded(call, wait + CALL_TIMEOUT).await
             }
-            None => bounded(gateway.platform.read_configuration(), ANSWER_TIMEOUT).await,
+            None => bounded(gateway.platform.read_configuration(), CALL_TIMEOUT).await,
         };
         match answer {
             Ok((configuration, next)) => {
@@ -120,6 +117,7 @@
         if gateway.sources.wait_until_reading().await {
             cursor = None;
         }
+        gateway.metrics.store_calls.count(CallReason::Instances);
         let answer = match cursor {
             Some(from) => follow_instances(&gateway, from).await,
             None => read_instances(&gateway).await,
@@ -127,20 +125,22 @@
         match answer {
             Ok(next) => {
                 contact.answered();
-                gateway.sources.instances_answered();
                 cursor = Some(next);
             }
             Err(error) => {
                 gateway.beliefs.directory_disturbed();
                 cursor = None;
                 contact.failed(error).await;
+                // One of this node's tasks finds out that the store is back.
+                gateway.sources.wait_for_store(STORE_RETURN_TIME).await;
             }
         }
     }
 }
 
 async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
-    let (listed, next) = bounded(gateway.platform.read_instances(), ANSWER_TIMEOUT).await?;
+    let (listed, next) = bounded(gateway.platform.read_instances(), CALL_TIMEOUT).await?;
+    gateway.sources.instances_answered();
     gateway
         .beliefs
         .replace_instances(listed, next, Instant::now());
@@ -153,7 +153,9 @@
 ) -> Result<Cursor, StoreError> {
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
-    let (changes, next) = bounded(call, wait + ANSWER_TIMEOUT).await?;
+    let (changes, next) = bounded(call, wait + CALL_TIMEOUT).await?;
+    gateway.sources.instances_answered();
+    let has_changes = !changes.is_empty();
     for change in changes {
         match change {
             DirectoryChange::Present(instance) => {
@@ -164,6 +166,9 @@
     }
     gateway.beliefs.advance_directory(next);
     gateway.beliefs.directory_read();
+    if has_changes {
+        sleep(GATHER_TIME).await;
+    }
     Ok(next)
 }
 
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use hdrhistogram::Histogram;
 
 use crate::beliefs::lock;
+use crate::store_call::StoreCalls;
 
 /// Longest time the histogram tells apart, in microseconds.
 const LONGEST_MICROSECONDS: u64 = 60_000_000;
@@ -85,6 +86,8 @@
     pub promotions: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Calls to the store by reason.
+    pub store_calls: StoreCalls,
     /// Times of reads.
     pub read_latency: Latencies,
     /// Times of writes and commits.
@@ -117,6 +120,12 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "linkhold_{name} {}", counter.get());
         }
+        for (reason, calls) in self.store_calls.totals() {
+            let _ = writeln!(
+                text,
+                "linkhold_store_calls_total{{reason=\"{reason}\"}} {calls}"
+            );
+        }
         for (name, value) in gauges {
             let _ = writeln!(text, "linkhold_{name} {value}");
         }
--- a/crates/linkhold-gateway/src/ports/mod.rs
+++ b/crates/linkhold-gateway/src/ports/mod.rs
@@ -17,8 +17,8 @@
     CallerConnection, CallerError, CallerReply, CallerRequest, Rejection, Startup, Statement,
 };
 pub use store::{
-    ConfigurationSource, Cursor, DirectoryChange, FleetTable, InstanceDirectory, MOST_ROWS_AT_ONCE,
-    MetadataStore, NewRow, RowRange, StoreError, StoredRow, StoredRows, WriteResult,
+    ConfigurationSource, Cursor, DirectoryChange, FleetTable, InstanceDirectory, MetadataStore,
+    RowRange, StoreError, StoredRow, StoredRows, WriteResult,
 };
 
 /// Everything the engine needs.
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -83,27 +83,8 @@
     All,
     /// The one with this key.
     Key(&'a str),
-    /// Some from this key on.
-    From {
-        /// The first key.
-        key: &'a str,
-        /// Rows at the most.
-        limit: usize,
-    },
 }
 
-/// A row to be written.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NewRow {
-    /// Its key.
-    pub key: String,
-    /// Its value.
-    pub value: Vec<u8>,
-}
-
-/// Rows that one call writes, at the most.
-pub const MOST_ROWS_AT_ONCE: usize = 50;
-
 /// Rows and the store's clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredRows {
@@ -125,12 +106,10 @@
 /// A table of the fleet's own in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetTable {
-    /// Nodes that are in service.
+    /// Nodes that are in service, and the key between them.
     Nodes,
     /// Failover leases by service.
     Leases,
-    /// Secrets that all nodes share.
-    Keys,
 }
 
 /// Small rows that outlive every node, with conditional writes.
@@ -150,12 +129,6 @@
         value: Vec<u8>,
         expected: Option<u64>,
     ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
-    /// Writes up to [`MOST_ROWS_AT_ONCE`] rows without conditions, all or none.
-    fn write_rows(
-        &self,
-        table: FleetTable,
-        rows: &[NewRow],
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
     /// Removes a row.
     fn remove_row(
         &self,
--- /dev/null
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -0,0 +1,220 @@
+//! Rows by which nodes register in the metadata store.
+//!
+//! A node that reads the store has a row of its own, keyed by zone and name. A
+//! reader's row also lists its followers, so that a large fleet is written and
+//! read in few rows. The key between nodes stands in the same table: one call
+//! tells a starting node all that it needs to talk to others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use linkhold_core::service::readers::{READER_EXPIRY, ROW_EXPIRY, SETTLING_TIME};
+use linkhold_events::Event;
+use linkhold_peer::{FeedNode, PeerKey};
+use serde::{Deserialize, Serialize};
+
+use crate::ports::{StoreError, StoredRow, StoredRows};
+
+/// Row of the key between nodes. No zone's rows sort before it.
+pub(crate) const PEER_KEY_ROW: &str = "!key";
+/// Followers in a row, at the most: rows hold 64 KiB, an entry takes up to 120
+/// bytes. A reader has 30 followers, and lists former ones for some seconds.
+const MOST_FOLLOWERS: usize = 400;
+
+/// A node that registers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Registration {
+    /// The node.
+    pub node: FeedNode,
+    /// How long ago it was known to live.
+    pub age: Duration,
+}
+
+/// A node's row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct NodeRow {
+    /// Its name.
+    name: String,
+    /// Where other nodes reach it.
+    address: Option<SocketAddr>,
+    /// Its zone.
+    zone: String,
+    /// When it was known to live, on the store's clock in milliseconds.
+    renewed_at: u64,
+    /// When it took up reading for others, on the same clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    reads_since: Option<u64>,
+    /// Nodes that follow it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    followers: Vec<NodeRow>,
+}
+
+impl NodeRow {
+    fn new(registration: &Registration, now: u64) -> Self {
+        let age = u64::try_from(registration.age.as_millis()).unwrap_or(u64::MAX);
+        let node = &registration.node;
+        Self {
+            name: node.name.clone(),
+            address: node.address,
+            zone: node.zone.clone(),
+            renewed_at: now.saturating_sub(age),
+            reads_since: None,
+            followers: Vec::new(),
+        }
+    }
+
+    fn registration(&self, now: u64) -> Registration {
+        Registration {
+            node: FeedNode {
+                name: self.name.clone(),
+                zone: self.zone.clone(),
+                address: self.address,
+            },
+            age: Duration::from_millis(now.saturating_sub(self.renewed_at)),
+        }
+    }
+}
+
+/// Key of a node's row: zones first, so that a zone's rows lie together.
+pub(crate) fn row_key(zone: &str, name: &str) -> String {
+    format!("{zone}/{name}")
+}
+
+/// A row to be written.
+pub(crate) struct NewRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// The row of a node that reads the store, with those that follow it, written at
+/// `now` on the store's clock.
+pub(crate) fn encode_row(
+    own: FeedNode,
+    reads_since: Option<u64>,
+    mut followers: Vec<Registration>,
+    now: u64,
+) -> Result<NewRow, StoreError> {
+    if followers.len() > MOST_FOLLOWERS {
+        Event::warn("followers_not_listed")
+            .field("followers", followers.len())
+            .field("listed", MOST_FOLLOWERS)
+            .log();
+        followers.sort_by_key(|follower| follower.age);
+        followers.truncate(MOST_FOLLOWERS);
+    }
+    let registration = Registration {
+        node: own,
+        age: Duration::ZERO,
+    };
+    let mut row = NodeRow::new(&registration, now);
+    row.reads_since = reads_since;
+    row.followers = followers
+        .iter()
+        .map(|follower| NodeRow::new(follower, now))
+        .collect();
+    Ok(NewRow {
+        key: row_key(&row.zone, &row.name),
+        value: serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?,
+    })
+}
+
+/// A node as the rows tell of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Member {
+    /// The node, and how long ago it was known to live.
+    pub registration: Registration,
+    /// When it took up reading for others, if it does.
+    pub reads_since: Option<u64>,
+}
+
+impl Member {
+    /// Whether it counts.
+    pub fn is_present(&self) -> bool {
+        self.registration.age < ROW_EXPIRY
+    }
+}
+
+/// All rows of the table, decoded.
+#[derive(Clone, Default)]
+pub(crate) struct Registry {
+    /// The store's clock, in milliseconds.
+    pub now: u64,
+    /// The key between nodes, once a node has made it.
+    pub key: Option<PeerKey>,
+    /// Nodes by name, present and former.
+    pub members: BTreeMap<String, Member>,
+    /// What this node's own row lists as its followers.
+    pub own_followers: Vec<Registration>,
+}
+
+impl Registry {
+    /// Decodes the rows as `own` sees them. A row that cannot be read is logged
+    /// and passed over.
+    pub fn decode(rows: &StoredRows, own: &str) -> Self {
+        let mut registry = Self {
+            now: rows.now,
+            ..Self::default()
+        };
+        for row in &rows.rows {
+            if row.key == PEER_KEY_ROW {
+                registry.key = Some(PeerKey::new(row.value.clone()));
+            } else {
+                registry.take(row, own);
+            }
+        }
+        registry
+    }
+
+    fn take(&mut self, row: &StoredRow, own: &str) {
+        let row: NodeRow = match serde_json::from_slice(&row.value) {
+            Ok(row) => row,
+            Err(error) => {
+                Event::warn("node_row_unreadable")
+                    .field("key", &row.key)
+                    .field("error", error)
+                    .log();
+                return;
+            }
+        };
+        for follower in &row.followers {
+            let registration = follower.registration(self.now);
+            if row.name == own {
+                self.own_followers.push(registration.clone());
+            }
+            self.insert(registration, None);
+        }
+        let registration = row.registration(self.now);
+        let reads = registration.age < READER_EXPIRY;
+        self.insert(registration, row.reads_since.filter(|_| reads));
+    }
+
+    /// Takes in what one row tells of a node; a later sign of life counts more.
+    fn insert(&mut self, registration: Registration, reads_since: Option<u64>) {
+        let known = self.members.get(&registration.node.name);
+        if known.is_some_and(|known| known.registration.age <= registration.age) {
+            return;
+        }
+        let name = registration.node.name.clone();
+        let member = Member {
+            registration,
+            reads_since,
+        };
+        self.members.insert(name, member);
+    }
+
+    /// Nodes that count.
+    pub fn present(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.is_present())
+    }
+
+    /// Whether the fleet has had a reader for so long that all nodes that started
+    /// together are listed.
+    pub fn is_settled(&self) -> bool {
+        let since = self.members.values().filter_map(|it| it.reads_since);
+        let settling = u64::try_from(SETTLING_TIME.as_millis()).unwrap_or(u64::MAX);
+        since.min().is_some_and(|since| since + settling < self.now)
+    }
+}
--- a/crates/linkhold-gateway/src/shared_evidence.rs
+++ b/crates/linkhold-gateway/src/shared_evidence.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Tells the reader something, if one is followed.
+    pub fn tell(&self, message: FeedMessage) {
+        if let Some(outbox) = &*lock(&self.outbox) {
+            // A reader that is lost need not be told.
+            let _ = outbox.send(message);
+        }
+    }
+
     fn send(&self, question: EvidenceQuestion) -> Option<oneshot::Receiver<EvidenceAnswer>> {
         let outbox = lock(&self.outbox).clone()?;
         let (sender, receiver) = oneshot::channel();
--- a/crates/linkhold-gateway/src/sources.rs
+++ b/crates/linkhold-gateway/src/sources.rs
@@ -1,34 +1,46 @@
 //! Where this node gets configuration and instances from: from the store, or
-//! from a node of its zone that reads it.
+//! from a node that reads it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::following::{Search, Situation, Step};
+use linkhold_core::service::readers::claim_delay;
 use linkhold_events::Event;
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::beliefs::lock;
-use crate::feed;
-use crate::fleet::FleetSource;
+use crate::feed::{self, Patience};
+use crate::fleet::{self, FleetSource, ReaderAddresses};
 use crate::gateway::Gateway;
-use crate::ports::Platform;
+use crate::ports::{Platform, StoreError};
+use crate::registration;
 
 /// How often a node that reads the store looks whether it still should.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Pause before another reader is tried while the last one is still trusted.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause before another reader is tried.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Pause before another reader is tried when none is trusted any more.
-const LOST_PAUSE: Duration = Duration::from_millis(1_500);
+/// For how long a node reads the store itself before it tries readers again.
+const ALONE_TIME: Duration = Duration::from_millis(5_000);
+/// Readers of the own region that are tried in turn, and of others.
+const TRIED_READERS: [usize; 2] = [3, 2];
+/// First pause of a node that starts after the store gave no answer; it doubles.
+const FIRST_START_PAUSE: Duration = Duration::from_millis(100);
+/// Longest of these pauses. All nodes may be starting.
+const LONGEST_START_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// What the node does about the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
+    /// Nothing: it starts.
+    Starting,
     /// It reads the store itself.
     Reading,
-    /// It follows a reader.
+    /// It follows a reader, or looks for one.
     Following,
 }
 
@@ -43,27 +55,35 @@
 pub(crate) struct Sources {
     mode: watch::Sender<Mode>,
     answers: Mutex<LastAnswers>,
+    /// Rises with each answer about the configuration.
+    answered: watch::Sender<u64>,
 }
 
 impl Default for Sources {
     fn default() -> Self {
         Self {
-            mode: watch::channel(Mode::Reading).0,
+            mode: watch::channel(Mode::Starting).0,
             answers: Mutex::default(),
+            answered: watch::channel(0).0,
         }
     }
 }
 
 impl Sources {
-    /// Whether a reader is followed.
+    /// Whether a reader is followed or looked for.
     pub fn is_following(&self) -> bool {
         *self.mode.borrow() == Mode::Following
     }
 
-    /// Waits while a reader is followed; `true` if it had to wait, so that all
-    /// is to be read anew.
+    /// Whether the store is read.
+    pub fn is_reading(&self) -> bool {
+        *self.mode.borrow() == Mode::Reading
+    }
+
+    /// Waits until the store is read; `true` if it had to wait, so that all is to
+    /// be read anew.
     pub async fn wait_until_reading(&self) -> bool {
-        if !self.is_following() {
+        if self.is_reading() {
             return false;
         }
         // The sender lives as long as this.
@@ -78,6 +98,7 @@
     /// The store answered a question about the configuration.
     pub fn configuration_answered(&self) {
         lock(&self.answers).configuration = Some(Instant::now());
+        self.answered.send_modify(|count| *count += 1);
     }
 
     /// The store answered a question about instances.
@@ -85,9 +106,18 @@
         lock(&self.answers).instances = Some(Instant::now());
     }
 
+    /// Waits until the store answers the next question about the configuration,
+    /// but no longer than `limit`.
+    pub async fn wait_for_store(&self, limit: Duration) {
+        let mut answered = self.answered.subscribe();
+        answered.mark_unchanged();
+        // Time passing is as good a reason to go on.
+        let _ = timeout(limit, answered.changed()).await;
+    }
+
     /// Age of the older of both last answers, for a node that reads the store.
     pub fn age(&self) -> Option<Duration> {
-        if self.is_following() {
+        if !self.is_reading() {
             return None;
         }
         let answers = lock(&self.answers);
@@ -100,41 +130,189 @@
         self.mode.send_replace(Mode::Following);
     }
 
-    fn read(&self) {
-        self.mode.send_replace(Mode::Reading);
+    /// The store is read from now on.
+    fn read(&self, reason: ReadReason) {
+        if self.mode.send_replace(Mode::Reading) != Mode::Reading {
+            Event::info("store_read")
+                .field("reason", format_args!("{reason:?}"))
+                .log();
+        }
     }
 }
 
+/// Why a node reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadReason {
+    /// It is one of the fleet's readers, or every node reads.
+    Chosen,
+    /// It finds no reader that has an answer from the store, and the store
+    /// answers it.
+    NoReaderTrusted,
+}
+
 /// Chooses the source as the fleet changes and readers are lost. Runs until the
 /// process ends.
-///
-/// What a reader told last stays good for as long as it is trusted, so a node
-/// that changes to another reader within that time does not read the store in
-/// between: in a large fleet all of them would at once.
 pub(crate) async fn choose<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let mut trusted_until = Instant::now();
+    let mut follower = Follower::new();
     loop {
-        let source = gateway.fleet.source(&gateway.settings.node);
-        let reader = match &source {
-            FleetSource::Store => None,
-            FleetSource::Readers(readers) => readers.choose(&mut rand::rng()).copied(),
-        };
-        let (Some(reader), Some(key)) = (reader, gateway.fleet.key()) else {
-            gateway.sources.read();
-            sleep(LOOK_INTERVAL).await;
-            continue;
+        match gateway.source() {
+            FleetSource::Unknown => join(&gateway).await,
+            FleetSource::Store => {
+                read_for_others(&gateway).await;
+                follower = Follower::new();
+            }
+            FleetSource::Readers(readers) => {
+                gateway.fleet.give_up_reading();
+                follower.step(&gateway, &readers).await;
+            }
+        }
+    }
+}
+
+/// Finds out who reads the store, and takes it up if nobody does.
+async fn join<P: Platform>(gateway: &Gateway<P>) {
+    look_until_answered(gateway).await;
+    if gateway.source() != FleetSource::Unknown {
+        return;
+    }
+    sleep(claim_delay(rand::random())).await;
+    look_until_answered(gateway).await;
+    if gateway.source() == FleetSource::Unknown {
+        gateway.fleet.take_up_reading(fleet::own_node(gateway));
+    }
+}
+
+async fn look_until_answered<P: Platform>(gateway: &Gateway<P>) {
+    let mut pause = FIRST_START_PAUSE;
+    while let Err(error) = registration::look(gateway).await {
+        log_look(gateway, error);
+        sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+        pause = (pause * 2).min(LONGEST_START_PAUSE);
+    }
+}
+
+fn log_look<P: Platform>(gateway: &Gateway<P>, error: StoreError) {
+    gateway.metrics.store_failures.add();
+    Event::info("look_failed").field("error", error).log();
+}
+
+/// Reads the store as one of the fleet's readers, for as long as the node is one.
+async fn read_for_others<P: Platform>(gateway: &Gateway<P>) {
+    gateway.fleet.take_up_reading(fleet::own_node(gateway));
+    // Whoever replaces a primary asks those who are listed.
+    if !gateway.sources.is_reading()
+        && let Err(error) = registration::enlist(gateway).await
+    {
+        log_look(gateway, error);
+        sleep(RECONNECT_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+        return;
+    }
+    gateway.sources.read(ReadReason::Chosen);
+    sleep(LOOK_INTERVAL).await;
+}
+
+/// A node that follows readers, or looks for one.
+///
+/// What a reader told last stays good for as long as it is trusted, so a node
+/// that changes to another reader within that time does not ask the store.
+struct Follower {
+    search: Search,
+    trusted_until: Instant,
+    /// Readers that are tried in turn.
+    order: Vec<SocketAddr>,
+}
+
+impl Follower {
+    fn new() -> Self {
+        Self {
+            search: Search::default(),
+            trusted_until: Instant::now(),
+            order: Vec::new(),
+        }
+    }
+
+    fn situation<P: Platform>(&self, gateway: &Gateway<P>) -> Situation {
+        Situation {
+            now: Instant::now(),
+            trusted_until: self.trusted_until,
+            readers: self.order.len(),
+            can_serve: gateway.beliefs.can_serve(),
+            freshness: gateway.freshness,
+        }
+    }
+
+    async fn step<P: Platform>(&mut self, gateway: &Arc<Gateway<P>>, readers: &ReaderAddresses) {
+        if self.search.failed_readers() == 0 || self.order.is_empty() {
+            self.order = order(readers);
+        }
+        let situation = self.situation(gateway);
+        if situation.now >= self.trusted_until && !gateway.sources.is_reading() {
+            gateway.beliefs.directory_disturbed();
+        }
+        match self.search.next(&situation) {
+            Step::Follow => self.follow(gateway, Patience::UntilStale).await,
+            Step::Stay(until) => self.follow(gateway, Patience::Until(until)).await,
+            Step::Look => self.look(gateway).await,
+            Step::Read => self.read_alone(gateway).await,
+        }
+    }
+
+    async fn follow<P: Platform>(&mut self, gateway: &Arc<Gateway<P>>, patience: Patience) {
+        let next = self.search.failed_readers() % self.order.len().max(1);
+        let (Some(reader), Some(key)) = (self.order.get(next).copied(), gateway.fleet.key()) else {
+            // The fleet has changed since it was looked at.
+            sleep(RECONNECT_PAUSE).await;
+            return;
         };
-        let why = feed::follow(&gateway, reader, &key, &mut trusted_until).await;
+        let trusted_before = self.trusted_until;
+        let lost = feed::follow(gateway, reader, &key, patience, &mut self.trusted_until).await;
+        let was_trusted = self.trusted_until != trusted_before;
         Event::info("reader_lost")
             .field("reader", reader)
-            .field("reason", format_args!("{why:?}"))
+            .field("reason", format_args!("{lost:?}"))
+            .field("was_trusted", was_trusted)
             .log();
-        let pause = RECONNECT_PAUSE.mul_f64(rand::random_range(0.5..1.5));
-        if Instant::now() + pause >= trusted_until {
-            gateway.sources.read();
-            sleep(LOST_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+        if was_trusted {
+            self.search = Search::default();
         } else {
-            sleep(pause).await;
+            let situation = self.situation(gateway);
+            self.search.reader_failed(&situation, rand::random());
+        }
+        sleep(RECONNECT_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+
+    async fn look<P: Platform>(&mut self, gateway: &Gateway<P>) {
+        let looked = registration::look(gateway).await;
+        match looked {
+            // Other readers may be listed now.
+            Ok(()) => self.order.clear(),
+            Err(error) => log_look(gateway, error),
+        }
+        let situation = self.situation(gateway);
+        self.search
+            .looked(looked.is_ok(), &situation, rand::random());
+    }
+
+    async fn read_alone<P: Platform>(&mut self, gateway: &Gateway<P>) {
+        if let Err(error) = registration::enlist(gateway).await {
+            log_look(gateway, error);
         }
+        gateway.sources.read(ReadReason::NoReaderTrusted);
+        sleep(ALONE_TIME.mul_f64(rand::random_range(0.8..1.2))).await;
+        self.search = Search::default();
     }
 }
+
+/// The readers that are tried in turn: some near ones, then some far ones.
+fn order(readers: &ReaderAddresses) -> Vec<SocketAddr> {
+    let [near, far] = TRIED_READERS;
+    let some = |addresses: &[SocketAddr], most: usize| {
+        let mut some = addresses.to_vec();
+        some.shuffle(&mut rand::rng());
+        some.truncate(most);
+        some
+    };
+    let mut order = some(&readers.near, near);
+    order.extend(some(&readers.far, far));
+    order
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -0,0 +1,80 @@
+//! Calls to the platform's store: each is bounded, and counted by its reason.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::metrics::Counter;
+use crate::ports::StoreError;
+
+/// How long the store may take for a call that it need not hold.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Why the store is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallReason {
+    /// A node that starts, or has lost its readers, looks at the fleet.
+    Look,
+    /// The key between nodes is made.
+    Key,
+    /// A row is written.
+    Register,
+    /// A reader reads the fleet.
+    Fleet,
+    /// The configuration is read or followed.
+    Configuration,
+    /// Instances are read or followed.
+    Instances,
+    /// A lease is read or written.
+    Lease,
+    /// All nodes are listed before a primary is replaced.
+    List,
+    /// A row is removed.
+    Remove,
+}
+
+/// All reasons and how metrics name them.
+const REASONS: [(CallReason, &str); 9] = [
+    (CallReason::Look, "look"),
+    (CallReason::Key, "key"),
+    (CallReason::Register, "register"),
+    (CallReason::Fleet, "fleet"),
+    (CallReason::Configuration, "configuration"),
+    (CallReason::Instances, "instances"),
+    (CallReason::Lease, "lease"),
+    (CallReason::List, "list"),
+    (CallReason::Remove, "remove"),
+];
+
+/// Counts calls to the store by reason.
+#[derive(Debug, Default)]
+pub struct StoreCalls {
+    counters: [Counter; REASONS.len()],
+}
+
+impl StoreCalls {
+    /// Counts a call.
+    pub fn count(&self, reason: CallReason) {
+        // Reasons are declared in the order of the table.
+        self.counters[reason as usize].add();
+    }
+
+    /// Each reason and the calls made for it.
+    pub fn totals(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let counters = self.counters.iter();
+        REASONS
+            .iter()
+            .zip(counters)
+            .map(|((_, name), counter)| (*name, counter.get()))
+    }
+}
+
+/// Makes a call that must be answered within `limit`.
+pub(crate) async fn bounded<T>(
+    call: impl Future<Output = Result<T, StoreError>>,
+    limit: Duration,
+) -> Result<T, StoreError> {
+    timeout(limit, call)
+        .await
+        .unwrap_or(Err(StoreError::NoAnswer))
+}
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -36,7 +36,7 @@
 pub struct FeedFleet {
     /// Nodes in all.
     pub size: usize,
-    /// Nodes of the region that read the store.
+    /// Nodes that read the store for others, of all regions.
     pub readers: Vec<FeedNode>,
     /// The nodes of the fleet.
     pub nodes: Vec<FeedNode>,
@@ -81,6 +81,8 @@
     Subscribe,
     /// A follower lives; its reader renews its registration.
     Renewal(FeedNode),
+    /// A follower ends in good order; nobody needs to wait for its answers.
+    Leaving,
     /// A node asks to be connected to an instance over this stream.
     Relay(InstanceId),
     /// From here on the stream leads to the instance.
@@ -212,6 +214,8 @@
     Relayed,
     #[n(10)]
     Forward,
+    #[n(11)]
+    Leaving,
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -245,6 +249,7 @@
         FeedMessage::Subscribe => WireMessage::Subscribe,
         FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
         FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
+        FeedMessage::Leaving => WireMessage::Leaving,
         FeedMessage::Relayed => WireMessage::Relayed,
         FeedMessage::Forward => WireMessage::Forward,
         FeedMessage::EvidenceQuestion(question) => WireMessage::EvidenceQuestion(
@@ -332,6 +337,7 @@
         WireMessage::Subscribe => FeedMessage::Subscribe,
         WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
+        WireMessage::Leaving => FeedMessage::Leaving,
         WireMessage::Relayed => FeedMessage::Relayed,
         WireMessage::Forward => FeedMessage::Forward,
         WireMessage::EvidenceQuestion(number, service, max_age) => {
