Look again soon at a store that is away, and try readers in turn meanwhile

The store turned away 70% of the nodes, all readers of a follower's round among them. Its look had failed as well; it stayed with a reader that had lost the store, and its next look was due up to twelve seconds later, though the store served it again after four.

Ruled out: the reader's own pauses (at most 0.8 s), the trust in a reader (it had ended).

The pause between two looks is half to nine tenths of the trust in a reader, and does not grow. Meanwhile the node goes through all readers of the fleet, and stays 1.5 s with every third one. Also: on the very first start of a fleet a node spares its first look.

--- a/crates/linkhold-core/src/service/following.rs
+++ b/crates/linkhold-core/src/service/following.rs
@@ -5,13 +5,17 @@
 //! moment soon after its trust has ended, it looks at the store once: all nodes
 //! lose their readers together when the store fails. If the store answers it and still no reader
 //! is of use, the node reads the store itself for a while. If the store does not
-//! answer either, the node stays with a reader until that finds the store back.
+//! answer either, the node stays with readers in turn until one finds the store
+//! back, and looks again from time to time: the store may be away for some nodes
+//! only.
 //!
 //! # Invariant
 //!
 //! A node whose readers are all of no use while the store answers it reads the
 //! store within twice [`Freshness::search`], the time of two tries of a reader
-//! and of one call, after its trust has ended: within the bound on changes.
+//! and of one call, after its trust has ended: within the bound on changes. If
+//! the store did not answer it then, the node reads within its trust and twice
+//! [`Freshness::search`] after the store does.
 
 use std::time::{Duration, Instant};
 
@@ -30,9 +34,17 @@
     Read,
 }
 
-/// Shortest and longest pause between two looks at a store that does not
-/// answer; it doubles.
-const LOOK_PAUSES: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(16)];
+/// Shortest and longest pause between two looks at a store that does not answer,
+/// in percent of the trust in a reader: the store may be away for some nodes
+/// only, and this one must find out soon that it is not any more.
+const LOOK_PAUSE_PERCENTS: [u32; 2] = [50, 90];
+/// After the first round, of so many readers in turn one is stayed with.
+const STAY_EVERY: usize = 3;
+/// How long a node stays with a reader that has lost the store before it tries
+/// others: some may not have lost it.
+const STAY_TIME: Duration = Duration::from_millis(1_500);
+/// The same while it waits for a reader to find out that the store is back.
+const CONFIRMATION_STAY: Duration = Duration::from_millis(300);
 /// Part of its time to search that a node takes if it cannot serve yet.
 const STARTING_PART: u32 = 4;
 
@@ -53,7 +65,6 @@
     failed: usize,
     looked: Looked,
     look_at: Option<Instant>,
-    look_pause: Option<Duration>,
 }
 
 /// What the node knows when it decides.
@@ -63,7 +74,7 @@
     pub now: Instant,
     /// Until when what the last reader told may be used.
     pub trusted_until: Instant,
-    /// Readers that are tried in turn.
+    /// Readers that are tried in a first round.
     pub readers: usize,
     /// Whether callers are served meanwhile.
     pub can_serve: bool,
@@ -104,10 +115,10 @@
             self.looked = Looked::Answered { confirmed_at };
             return;
         }
-        let [shortest, longest] = LOOK_PAUSES;
-        let pause = self.look_pause.unwrap_or(shortest);
-        self.look_pause = Some((pause * 2).min(longest));
-        self.look_at = Some(situation.now + pause.mul_f64(0.5 + draw));
+        let [shortest, longest] = LOOK_PAUSE_PERCENTS;
+        let trust = situation.freshness.trust;
+        let spread = (trust * (longest - shortest) / 100).mul_f64(draw);
+        self.look_at = Some(situation.now + trust * shortest / 100 + spread);
         self.looked = Looked::Unanswered;
     }
 
@@ -118,12 +129,14 @@
             return if now >= confirmed_at {
                 Step::Read
             } else {
-                Step::Stay(confirmed_at)
+                Step::Stay(confirmed_at.min(now + CONFIRMATION_STAY))
             };
         }
+        let further = self.failed.checked_sub(situation.readers);
+        let stays = further.is_some_and(|further| further % STAY_EVERY == 0);
         match self.look_at {
             Some(look_at) if now >= look_at => Step::Look,
-            Some(look_at) if self.failed >= situation.readers => Step::Stay(look_at),
+            Some(look_at) if stays => Step::Stay(look_at.min(now + STAY_TIME)),
             Some(_) | None => Step::Follow,
         }
     }
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -20,4 +20,7 @@
     pub change_bound: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Whether the whole fleet starts for the first time: nobody can have
+    /// registered before.
+    pub is_first_start: bool,
 }
--- a/crates/linkhold-gateway/src/sources.rs
+++ b/crates/linkhold-gateway/src/sources.rs
@@ -26,8 +26,8 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// For how long a node reads the store itself before it tries readers again.
 const ALONE_TIME: Duration = Duration::from_millis(5_000);
-/// Readers of the own region that are tried in turn, and of others.
-const TRIED_READERS: [usize; 2] = [3, 2];
+/// Readers of the own region that are tried in a first round, and of others.
+const FIRST_ROUND: [usize; 2] = [3, 2];
 /// First pause of a node that starts after the store gave no answer; it doubles.
 const FIRST_START_PAUSE: Duration = Duration::from_millis(100);
 /// Longest of these pauses. All nodes may be starting.
@@ -171,9 +171,12 @@
 
 /// Finds out who reads the store, and takes it up if nobody does.
 async fn join<P: Platform>(gateway: &Gateway<P>) {
-    look_until_answered(gateway).await;
-    if gateway.source() != FleetSource::Unknown {
-        return;
+    let starts_with_all = gateway.settings.is_first_start && gateway.fleet.size() == 0;
+    if !starts_with_all {
+        look_until_answered(gateway).await;
+        if gateway.source() != FleetSource::Unknown {
+            return;
+        }
     }
     sleep(claim_delay(rand::random())).await;
     look_until_answered(gateway).await;
@@ -235,7 +238,7 @@
         Situation {
             now: Instant::now(),
             trusted_until: self.trusted_until,
-            readers: self.order.len(),
+            readers: self.order.len().min(FIRST_ROUND.iter().sum()),
             can_serve: gateway.beliefs.can_serve(),
             freshness: gateway.freshness,
         }
@@ -303,16 +306,22 @@
     }
 }
 
-/// The readers that are tried in turn: some near ones, then some far ones.
+/// Readers in the order in which they are tried: some near ones, some far ones,
+/// then the others.
 fn order(readers: &ReaderAddresses) -> Vec<SocketAddr> {
-    let [near, far] = TRIED_READERS;
-    let some = |addresses: &[SocketAddr], most: usize| {
-        let mut some = addresses.to_vec();
-        some.shuffle(&mut rand::rng());
-        some.truncate(most);
-        some
-    };
-    let mut order = some(&readers.near, near);
-    order.extend(some(&readers.far, far));
-    order
+    let [near, far] = FIRST_ROUND;
+    let (mut first, mut rest) = shuffled(&readers.near, near);
+    let (first_far, rest_far) = shuffled(&readers.far, far);
+    first.extend(first_far);
+    rest.extend(rest_far);
+    first.extend(rest);
+    first
+}
+
+/// The first `most` addresses in a random order, and the others.
+fn shuffled(addresses: &[SocketAddr], most: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let mut shuffled = addresses.to_vec();
+    shuffled.shuffle(&mut rand::rng());
+    let rest = shuffled.split_off(most.min(shuffled.len()));
+    (shuffled, rest)
 }
