Know the fleet whole after all its nodes were stopped for seconds

Cause, found by reading: a reader's row counts as one for 7 s, and a fleet without such a row was taken for one that starts. After a loss of power of eight seconds everywhere each node would have waited, claimed, and taken the fleet for as small as those it had met, though the rows of all were there.

Whether a fleet is known whole is told by rows that still count as nodes (13 s). Readers are then filled up from the nodes that are listed.

--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::places::Places;
 use crate::ports::Platform;
-use crate::registry::{Member, Registry};
+use crate::registry::{Member, Registration, Registry};
 
 /// What is known of the fleet.
 #[derive(Default)]
@@ -341,7 +341,8 @@
         view.key = Some(key.clone());
     }
     // This node read for others before it was started again.
-    let reads_since = registry.members.get(own_name).and_then(|it| it.reads_since);
+    let own = registry.members.get(own_name);
+    let reads_since = own.and_then(Member::still_reads_since);
     view.reads_since = view.reads_since.or(reads_since);
     drop(view);
     gateway.followers.restore(&registry.own_followers);
@@ -349,7 +350,7 @@
 
 fn own_member<P: Platform>(gateway: &Gateway<P>, own: FeedNode) -> Member {
     Member {
-        registration: crate::registry::Registration {
+        registration: Registration {
             node: own,
             age: Duration::ZERO,
         },
@@ -397,7 +398,7 @@
     ReaderCandidate {
         zone: &node.zone,
         name: &node.name,
-        reads_since: member.reads_since,
+        reads_since: member.still_reads_since(),
         may_start: may_fill && node.address.is_some(),
     }
 }
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -29,7 +29,7 @@
 mod pools;
 pub mod ports;
 mod registration;
-mod registry;
+pub mod registry;
 mod relay;
 mod session;
 pub mod settings;
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -17,14 +17,14 @@
 use crate::ports::{StoreError, StoredRow, StoredRows};
 
 /// Row of the key between nodes. No zone's rows sort before it.
-pub(crate) const PEER_KEY_ROW: &str = "!key";
+pub const PEER_KEY_ROW: &str = "!key";
 /// Followers in a row, at the most: rows hold 64 KiB, an entry takes up to 120
 /// bytes. A reader has 30 followers, and lists former ones for some seconds.
 const MOST_FOLLOWERS: usize = 400;
 
 /// A node that registers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Registration {
+pub struct Registration {
     /// The node.
     pub node: FeedNode,
     /// How long ago it was known to live.
@@ -77,12 +77,12 @@
 }
 
 /// Key of a node's row: zones first, so that a zone's rows lie together.
-pub(crate) fn row_key(zone: &str, name: &str) -> String {
+pub fn row_key(zone: &str, name: &str) -> String {
     format!("{zone}/{name}")
 }
 
 /// A row to be written.
-pub(crate) struct NewRow {
+pub struct NewRow {
     /// Its key.
     pub key: String,
     /// Its value.
@@ -91,7 +91,7 @@
 
 /// The row of a node that reads the store, with those that follow it, written at
 /// `now` on the store's clock.
-pub(crate) fn encode_row(
+pub fn encode_row(
     own: FeedNode,
     reads_since: Option<u64>,
     mut followers: Vec<Registration>,
@@ -123,10 +123,10 @@
 
 /// A node as the rows tell of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Member {
+pub struct Member {
     /// The node, and how long ago it was known to live.
     pub registration: Registration,
-    /// When it took up reading for others, if it does.
+    /// When it took up reading for others, if it did so last.
     pub reads_since: Option<u64>,
 }
 
@@ -135,11 +135,17 @@
     pub fn is_present(&self) -> bool {
         self.registration.age < ROW_EXPIRY
     }
+
+    /// When it took up reading for others, if it still does.
+    pub fn still_reads_since(&self) -> Option<u64> {
+        self.reads_since
+            .filter(|_| self.registration.age < READER_EXPIRY)
+    }
 }
 
 /// All rows of the table, decoded.
 #[derive(Clone, Default)]
-pub(crate) struct Registry {
+pub struct Registry {
     /// The store's clock, in milliseconds.
     pub now: u64,
     /// The key between nodes, once a node has made it.
@@ -186,9 +192,7 @@
             }
             self.insert(registration, None);
         }
-        let registration = row.registration(self.now);
-        let reads = registration.age < READER_EXPIRY;
-        self.insert(registration, row.reads_since.filter(|_| reads));
+        self.insert(row.registration(self.now), row.reads_since);
     }
 
     /// Takes in what one row tells of a node; a later sign of life counts more.
@@ -211,9 +215,10 @@
     }
 
     /// Whether the fleet has had a reader for so long that all nodes that started
-    /// together are listed.
+    /// together are listed. It may not read any more: all nodes may have been
+    /// stopped at once.
     pub fn is_settled(&self) -> bool {
-        let since = self.members.values().filter_map(|it| it.reads_since);
+        let since = self.present().filter_map(|it| it.reads_since);
         let settling = u64::try_from(SETTLING_TIME.as_millis()).unwrap_or(u64::MAX);
         since.min().is_some_and(|since| since + settling < self.now)
     }
