Let a node without ports for others look before it registers

Cause, found by reading the diff: a node that no other can reach reads the store at once and never looked at it, so that it did not know the store's clock and could not write its row; it never became ready.

Registering looks first where the clock is not known.

--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -281,50 +281,61 @@
     registry: &Registry,
     reading: Reading,
 ) -> bool {
-    let own_name = &gateway.settings.node;
-    let own = own_node(gateway);
     remember_registry(gateway, registry);
-    let mut present: BTreeMap<&str, Member> = registry
-        .present()
-        .map(|member| (member.registration.node.name.as_str(), member.clone()))
-        .collect();
-    let live = gateway.followers.live();
-    for registration in &live {
-        let member = Member {
-            registration: registration.clone(),
-            reads_since: None,
-        };
-        present.entry(&registration.node.name).or_insert(member);
-    }
-    if reading == Reading::Yes {
-        let own_member = own_member(gateway, own);
-        present.insert(own_name, own_member);
-    }
-    let members: Vec<&Member> = present.values().collect();
+    let members = present_members(gateway, registry, reading);
+    let members: Vec<&Member> = members.values().collect();
     let is_settled = registry.is_settled();
     let may_fill = is_settled || reading == Reading::Yes;
     let readers = regional_readers(&gateway.settings.places, &members, may_fill);
     let duty_nodes = duty_nodes(&members, &readers);
-    let mut nodes: BTreeMap<&str, FeedNode> = present
+    let listed = members
         .iter()
-        .map(|(name, member)| (*name, member.registration.node.clone()))
+        .map(|member| member.registration.node.clone());
+    let kept = kept_nodes(&gateway.fleet);
+    let is_settled = is_settled || !kept.is_empty();
+    // Of a node that is listed and kept, what is listed counts.
+    let nodes: BTreeMap<String, FeedNode> = kept
+        .into_iter()
+        .chain(listed)
+        .map(|node| (node.name.clone(), node))
         .collect();
-    let known = known_nodes(&gateway.fleet);
-    for node in &known {
-        nodes.entry(&node.name).or_insert_with(|| node.clone());
-    }
     let fleet = FeedFleet {
         size: nodes.len(),
         readers: readers.into_values().flatten().collect(),
         nodes: nodes.into_values().collect(),
     };
-    let has_changed = adopt_fleet(gateway, fleet, is_settled || !known.is_empty());
+    let has_changed = adopt_fleet(gateway, fleet, is_settled);
     lock(&gateway.fleet.view).duty_nodes = duty_nodes;
     has_changed
 }
 
+/// Nodes that count by name: those that are listed, this node's followers that
+/// its row does not list yet, and the node itself if it reads the store.
+fn present_members<P: Platform>(
+    gateway: &Gateway<P>,
+    registry: &Registry,
+    reading: Reading,
+) -> BTreeMap<String, Member> {
+    let mut present: BTreeMap<String, Member> = registry
+        .present()
+        .map(|member| (member.registration.node.name.clone(), member.clone()))
+        .collect();
+    for registration in gateway.followers.live() {
+        let name = registration.node.name.clone();
+        present.entry(name).or_insert(Member {
+            registration,
+            reads_since: None,
+        });
+    }
+    if reading == Reading::Yes {
+        let own = own_member(gateway);
+        present.insert(own.registration.node.name.clone(), own);
+    }
+    present
+}
+
 /// Nodes that stay in the view though they may not be listed.
-fn known_nodes(fleet: &Fleet) -> Vec<FeedNode> {
+fn kept_nodes(fleet: &Fleet) -> Vec<FeedNode> {
     let mut view = lock(&fleet.view);
     if !view.keeps_unlisted(Instant::now()) {
         return Vec::new();
@@ -348,10 +359,10 @@
     gateway.followers.restore(&registry.own_followers);
 }
 
-fn own_member<P: Platform>(gateway: &Gateway<P>, own: FeedNode) -> Member {
+fn own_member<P: Platform>(gateway: &Gateway<P>) -> Member {
     Member {
         registration: Registration {
-            node: own,
+            node: own_node(gateway),
             age: Duration::ZERO,
         },
         reads_since: gateway.fleet.reads_since(),
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -82,7 +82,8 @@
     }
 }
 
-fn log_failure<P: Platform>(gateway: &Gateway<P>, error: StoreError) {
+/// Logs that the row could not be written or the fleet not be read.
+pub(crate) fn log_failure<P: Platform>(gateway: &Gateway<P>, error: StoreError) {
     gateway.metrics.store_failures.add();
     Event::info("registration_failed")
         .field("error", error)
@@ -128,6 +129,9 @@
 
 /// Writes this node's row, which may be its first.
 pub(crate) async fn enlist<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
+    if gateway.fleet.store_time().is_none() {
+        look(gateway).await?;
+    }
     if gateway.fleet.key().is_none() {
         let key = shared_key(gateway).await?;
         gateway.fleet.set_key(key);
@@ -138,7 +142,7 @@
 /// Writes the row of this node and of those that follow it.
 async fn write_row<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     // The clock is known from the first look.
-    let now = gateway.fleet.store_time().ok_or(StoreError::Refused)?;
+    let now = gateway.fleet.store_time().ok_or(StoreError::NoAnswer)?;
     let list = gateway.followers.list();
     let reads_since = gateway.fleet.reads_since();
     let own = fleet::own_node(gateway);
--- a/crates/linkhold-gateway/src/sources.rs
+++ b/crates/linkhold-gateway/src/sources.rs
@@ -188,13 +188,13 @@
 async fn look_until_answered<P: Platform>(gateway: &Gateway<P>) {
     let mut pause = FIRST_START_PAUSE;
     while let Err(error) = registration::look(gateway).await {
-        log_look(gateway, error);
+        log_look_failure(gateway, error);
         sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
         pause = (pause * 2).min(LONGEST_START_PAUSE);
     }
 }
 
-fn log_look<P: Platform>(gateway: &Gateway<P>, error: StoreError) {
+fn log_look_failure<P: Platform>(gateway: &Gateway<P>, error: StoreError) {
     gateway.metrics.store_failures.add();
     Event::info("look_failed").field("error", error).log();
 }
@@ -206,7 +206,7 @@
     if !gateway.sources.is_reading()
         && let Err(error) = registration::enlist(gateway).await
     {
-        log_look(gateway, error);
+        registration::log_failure(gateway, error);
         sleep(RECONNECT_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
         return;
     }
@@ -289,7 +289,7 @@
         match looked {
             // Other readers may be listed now.
             Ok(()) => self.order.clear(),
-            Err(error) => log_look(gateway, error),
+            Err(error) => log_look_failure(gateway, error),
         }
         let situation = self.situation(gateway);
         self.search
@@ -298,7 +298,7 @@
 
     async fn read_alone<P: Platform>(&mut self, gateway: &Gateway<P>) {
         if let Err(error) = registration::enlist(gateway).await {
-            log_look(gateway, error);
+            registration::log_failure(gateway, error);
         }
         gateway.sources.read(ReadReason::NoReaderTrusted);
         sleep(ALONE_TIME.mul_f64(rand::random_range(0.8..1.2))).await;
