Count store calls beside the other counters; drop a state that decided nothing

Cause, found by reading the whole change: metrics.rs and store_call.rs imported each other since calls are counted by reason; following::Search told "not looked yet" from "looked in vain", and nothing asked which; three public functions of the feed's frames had no comment.

Change: StoreCalls stands in metrics.rs, the search keeps the one moment that decides. No behaviour changes, no test was touched; the properties of the search pass unchanged.

--- a/crates/linkhold-core/src/service/following.rs
+++ b/crates/linkhold-core/src/service/following.rs
@@ -3,11 +3,11 @@
 //!
 //! The node tries some readers in turn. If none of them is of use by a random
 //! moment soon after its trust has ended, it looks at the store once: all nodes
-//! lose their readers together when the store fails. If the store answers it and still no reader
-//! is of use, the node reads the store itself for a while. If the store does not
-//! answer either, the node stays with readers in turn until one finds the store
-//! back, and looks again from time to time: the store may be away for some nodes
-//! only.
+//! lose their readers together when the store fails. If the store answers it and
+//! still no reader is of use, the node reads the store itself for a while. If the
+//! store does not answer either, the node stays with readers in turn until one
+//! finds the store back, and looks again from time to time: the store may be away
+//! for some nodes only.
 //!
 //! # Invariant
 //!
@@ -48,23 +48,15 @@
 /// Part of its time to search that a node takes if it cannot serve yet.
 const STARTING_PART: u32 = 4;
 
-/// What the store said at the last look.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Looked {
-    #[default]
-    NotYet,
-    /// It answered; readers have until then to find that out.
-    Answered { confirmed_at: Instant },
-    /// It did not answer.
-    Unanswered,
-}
-
 /// A search for a reader. Begins anew whenever a reader was trusted.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Search {
     failed: usize,
-    looked: Looked,
+    /// When the store is looked at, from the first reader that failed on.
     look_at: Option<Instant>,
+    /// Until when readers have time to find out what a look found: the store
+    /// answers.
+    confirmed_at: Option<Instant>,
 }
 
 /// What the node knows when it decides.
@@ -111,21 +103,19 @@
     /// The store answered a look, or did not; `draw` spreads the next one.
     pub fn looked(&mut self, has_answered: bool, situation: &Situation, draw: f64) {
         if has_answered {
-            let confirmed_at = situation.now + situation.time_to_search();
-            self.looked = Looked::Answered { confirmed_at };
+            self.confirmed_at = Some(situation.now + situation.time_to_search());
             return;
         }
         let [shortest, longest] = LOOK_PAUSE_PERCENTS;
         let trust = situation.freshness.trust;
         let spread = (trust * (longest - shortest) / 100).mul_f64(draw);
         self.look_at = Some(situation.now + trust * shortest / 100 + spread);
-        self.looked = Looked::Unanswered;
     }
 
     /// What to do next.
     pub fn next(&self, situation: &Situation) -> Step {
         let now = situation.now;
-        if let Looked::Answered { confirmed_at } = self.looked {
+        if let Some(confirmed_at) = self.confirmed_at {
             return if now >= confirmed_at {
                 Step::Read
             } else {
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -34,11 +34,14 @@
 }
 
 impl FeedFrames {
+    /// The configuration; encoded anew when its version has changed.
     pub fn configuration(&self, configuration: &Configuration, key: &PeerKey) -> Arc<[u8]> {
         let message = || FeedMessage::Configuration(configuration.clone());
         cached(&self.configuration, configuration.version, key, message)
     }
 
+    /// All instances; encoded anew when their list or the configuration has
+    /// changed, which `revision` counts.
     pub fn instances(&self, revision: u64, beliefs: &Beliefs, key: &PeerKey) -> Arc<[u8]> {
         let message = || {
             // Read first: what is listed may be newer than that, never older.
@@ -51,6 +54,8 @@
         cached(&self.instances, revision, key, message)
     }
 
+    /// The fleet, if all its nodes are known. The same frame as before unless it
+    /// has changed.
     pub fn fleet(&self, fleet: &Fleet, key: &PeerKey) -> Option<Arc<[u8]>> {
         let mut known = lock(&self.fleet);
         if let Some(known) = &*known
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use hdrhistogram::Histogram;
 
 use crate::beliefs::lock;
-use crate::store_call::StoreCalls;
+use crate::store_call::{CallReason, REASONS};
 
 /// Longest time the histogram tells apart, in microseconds.
 const LONGEST_MICROSECONDS: u64 = 60_000_000;
@@ -31,6 +31,29 @@
     }
 }
 
+/// Counts calls to the store by reason.
+#[derive(Debug, Default)]
+pub struct StoreCalls {
+    counters: [Counter; REASONS.len()],
+}
+
+impl StoreCalls {
+    /// Counts a call.
+    pub fn count(&self, reason: CallReason) {
+        // Reasons are declared in the order of the table.
+        self.counters[reason as usize].add();
+    }
+
+    /// Each reason and the calls made for it.
+    pub fn totals(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let counters = self.counters.iter();
+        REASONS
+            .iter()
+            .zip(counters)
+            .map(|((_, name), counter)| (*name, counter.get()))
+    }
+}
+
 /// Times of statements.
 #[derive(Debug)]
 pub struct Latencies(Mutex<Histogram<u64>>);
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -1,10 +1,10 @@
-//! Calls to the platform's store: each is bounded, and counted by its reason.
+//! Calls to the platform's store: each is bounded, and counted by its reason
+//! ([`crate::metrics::StoreCalls`]).
 
 use std::time::Duration;
 
 use tokio::time::timeout;
 
-use crate::metrics::Counter;
 use crate::ports::StoreError;
 
 /// How long the store may take for a call that it need not hold.
@@ -33,8 +33,8 @@
     Remove,
 }
 
-/// All reasons and how metrics name them.
-const REASONS: [(CallReason, &str); 9] = [
+/// All reasons, in the order of their declaration, and how metrics name them.
+pub(crate) const REASONS: [(CallReason, &str); 9] = [
     (CallReason::Look, "look"),
     (CallReason::Key, "key"),
     (CallReason::Register, "register"),
@@ -46,29 +46,6 @@
     (CallReason::Remove, "remove"),
 ];
 
-/// Counts calls to the store by reason.
-#[derive(Debug, Default)]
-pub struct StoreCalls {
-    counters: [Counter; REASONS.len()],
-}
-
-impl StoreCalls {
-    /// Counts a call.
-    pub fn count(&self, reason: CallReason) {
-        // Reasons are declared in the order of the table.
-        self.counters[reason as usize].add();
-    }
-
-    /// Each reason and the calls made for it.
-    pub fn totals(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        let counters = self.counters.iter();
-        REASONS
-            .iter()
-            .zip(counters)
-            .map(|((_, name), counter)| (*name, counter.get()))
-    }
-}
-
 /// Makes a call that must be answered within `limit`.
 pub(crate) async fn bounded<T>(
     call: impl Future<Output = Result<T, StoreError>>,
