--- a/crates/linkhold-core/src/lib.rs
+++ b/crates/linkhold-core/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod service;
 pub mod table;
 pub mod table_spread;
+pub mod tenancy;
 pub mod token;
--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -30,6 +30,8 @@
     KeyCancelled,
     /// The database is not in the table.
     UnknownDatabase,
+    /// The caller's credential is not, or no longer, known.
+    UnknownCredential,
     /// The node has not learnt the configuration yet.
     NotConfigured,
     /// The transaction was ended before its commit was sent.
@@ -67,6 +69,7 @@
             Self::Cancelled => "57014",
             Self::KeyCancelled => "LH021",
             Self::UnknownDatabase => "3D000",
+            Self::UnknownCredential => "28000",
             Self::NotConfigured => "LH007",
             Self::TransactionAborted => "40000",
         }
@@ -84,6 +87,7 @@
             Self::Cancelled => "cancelled",
             Self::KeyCancelled => "key_cancelled",
             Self::UnknownDatabase => "unknown_database",
+            Self::UnknownCredential => "unknown_credential",
             Self::NotConfigured => "not_configured",
             Self::TransactionAborted => "transaction_aborted",
         }
@@ -96,7 +100,7 @@
             Self::NoPrimary | Self::NoMajority => 50,
             Self::NoFreshInstance | Self::BackendUnavailable | Self::NotConfigured => 100,
             Self::Stopping | Self::Cancelled | Self::KeyCancelled | Self::TransactionAborted => 0,
-            Self::UnknownDatabase => 1_000,
+            Self::UnknownDatabase | Self::UnknownCredential => 1_000,
         };
         Duration::from_millis(milliseconds)
     }
--- a/crates/linkhold-core/src/service/configuration.rs
+++ b/crates/linkhold-core/src/service/configuration.rs
@@ -1,10 +1,13 @@
-//! The configuration in force: which database is served by which service, and
-//! what its statements may expect.
+//! The configuration in force: which database is served by which service, what
+//! its statements may expect, and who may ask.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::outcome::NotRun;
+use crate::tenancy::{ConnectionHolder, Credential, Tenancy};
+
 /// Name of a service, a group of instances with one primary.
 pub type ServiceName = Arc<str>;
 
@@ -32,6 +35,8 @@
     pub latency_objective: Duration,
     /// Rank in queues; 0 is the most urgent.
     pub priority: u8,
+    /// Callers need no credential.
+    pub is_public: bool,
 }
 
 /// Limits of one service.
@@ -44,7 +49,7 @@
 }
 
 /// One version of the configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Version; rises with every change, in uneven steps.
     pub version: u64,
@@ -54,6 +59,17 @@
     pub services: HashMap<ServiceName, ServiceLimits>,
     /// How long a transaction may stay idle; `None` is without end.
     pub transaction_idle_timeout: Option<Duration>,
+    /// The tenants; `None` where callers are not told apart.
+    pub tenancy: Option<Tenancy>,
+}
+
+/// What a caller may do now.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// The route of its database.
+    pub route: Arc<Route>,
+    /// Whose connections carry its statements.
+    pub holder: ConnectionHolder,
 }
 
 impl Configuration {
@@ -62,6 +78,36 @@
         self.routes.get(database)
     }
 
+    /// Whether a caller may use a database, and as whom.
+    pub fn admit(
+        &self,
+        database: &str,
+        credential: Option<&Credential>,
+    ) -> Result<Admitted, NotRun> {
+        let route = self.route(database).ok_or(NotRun::UnknownDatabase)?;
+        let holder = self.holder(route, credential)?;
+        Ok(Admitted {
+            route: route.clone(),
+            holder,
+        })
+    }
+
+    /// Whose connections carry the statements of a caller on a route.
+    pub fn holder(
+        &self,
+        route: &Route,
+        credential: Option<&Credential>,
+    ) -> Result<ConnectionHolder, NotRun> {
+        let Some(tenancy) = &self.tenancy else {
+            return Ok(ConnectionHolder::NoTenant);
+        };
+        match credential.and_then(|it| tenancy.tenant_of(it)) {
+            Some(tenant) => Ok(ConnectionHolder::Tenant(tenant.clone())),
+            None if route.is_public => Ok(ConnectionHolder::NoTenant),
+            None => Err(NotRun::UnknownCredential),
+        }
+    }
+
     /// Whether this version may replace `current`: versions never go back.
     pub fn supersedes(&self, current: Option<&Configuration>) -> bool {
         current.is_none_or(|current| self.version > current.version)
--- a/crates/linkhold-core/src/service/owners.rs
+++ b/crates/linkhold-core/src/service/owners.rs
@@ -18,6 +18,7 @@
 
 use crate::membership::NodeId;
 use crate::rendezvous;
+use crate::tenancy::TenantName;
 
 use super::instance::InstanceId;
 
@@ -41,6 +42,12 @@
     rendezvous::owners(&duty, owners.iter().copied(), owners.len())
 }
 
+/// The order in which all nodes ask the owners of an instance for connections of
+/// a tenant.
+pub fn tenant_preference(tenant: &TenantName, owners: &[NodeId]) -> Vec<NodeId> {
+    rendezvous::owners(tenant, owners.iter().copied(), owners.len())
+}
+
 /// Connections that each of `owners` nodes may hold.
 pub fn share(limit: usize, owners: usize) -> usize {
     (limit * OWNED_PERCENT / 100 / owners.max(1)).max(1)
--- /dev/null
+++ b/crates/linkhold-core/src/tenancy/mod.rs
@@ -0,0 +1,9 @@
+//! Tenants: who asks, by which secret, and how much each may ask.
+//!
+//! No I/O and no clock: the shell tells what time it is.
+
+pub mod credential;
+pub mod tenant;
+
+pub use credential::Credential;
+pub use tenant::{ConnectionHolder, RateLimit, Tenancy, TenancyFinding, Tenant, TenantName};
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{SessionState, SessionValues, TransactionStatus};
+use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use tokio::time::{sleep_until, timeout_at};
 
@@ -99,12 +100,21 @@
     Refused(BackendErrorKind),
 }
 
+/// For whom a statement is run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Principal<'a> {
+    /// Whose connection it needs.
+    pub holder: &'a ConnectionHolder,
+    /// Values of the session.
+    pub values: &'a SessionValues,
+}
+
 /// Runs `work` on `instance`: on a connection of this node's own or, where few
 /// nodes own the connections, on one of theirs.
 pub(crate) async fn run<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     instance: &Arc<Instance>,
-    session: &SessionState,
+    principal: Principal<'_>,
     work: &Work,
     frame: Frame,
     bounds: Bounds,
@@ -113,22 +123,21 @@
     gateway
         .beliefs
         .observe(&instance.id, |health| health.begin_trial(now));
-    if let Some(owners) = gateway.pools.owners_of(instance, &gateway.beliefs)
-        && !owners.includes_self
-    {
-        let asked = forward::run(gateway, &owners, instance, session, work, frame, bounds).await;
-        if let Some(attempt) = asked {
+    if let Some(owners) = gateway.pools.owners_of(instance, &gateway.beliefs) {
+        let asked = owners.before_self(principal.holder);
+        let attempt = forward::run(gateway, &asked, instance, principal, work, frame, bounds).await;
+        if let Some(attempt) = attempt {
             return attempt;
         }
     }
-    run_here(gateway, instance, &session.values, work, frame, bounds).await
+    run_here(gateway, instance, principal, work, frame, bounds).await
 }
 
 /// Runs `work` on a connection of this node's own.
 pub(crate) async fn run_here<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     instance: &Arc<Instance>,
-    values: &SessionValues,
+    principal: Principal<'_>,
     work: &Work,
     frame: Frame,
     bounds: Bounds,
@@ -142,7 +151,13 @@
         return Attempt::NotRun(NotRunCause::NoConnection);
     };
     let checkout = pool
-        .checkout(gateway, values, bounds.urgency, bounds.connection_by.into())
+        .checkout(
+            gateway,
+            principal.holder,
+            principal.values,
+            bounds.urgency,
+            bounds.connection_by.into(),
+        )
         .await;
     let lease = match checkout {
         Ok(lease) => lease,
@@ -153,7 +168,15 @@
             });
         }
     };
-    run_on_own(gateway, lease, values, work, frame, bounds.answer_by).await
+    run_on_own(
+        gateway,
+        lease,
+        principal.values,
+        work,
+        frame,
+        bounds.answer_by,
+    )
+    .await
 }
 
 /// Runs `work` in the transaction of a connection that is held.
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -13,6 +13,7 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::session::SessionValues;
+use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::timeout_at;
 
 use crate::beliefs::lock;
@@ -129,7 +130,13 @@
         priority: 0,
     };
     let checkout = pool
-        .checkout(gateway, &SessionValues::new(), urgency, deadline)
+        .checkout(
+            gateway,
+            &ConnectionHolder::NoTenant,
+            &SessionValues::new(),
+            urgency,
+            deadline,
+        )
         .await;
     let Ok(mut lease) = checkout else {
         return;
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -37,7 +37,7 @@
 use linkhold_events::Event;
 use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement};
 
-use crate::attempt::{Answer, Attempt, Bounds, Held, InFlight, NotRunCause};
+use crate::attempt::{Answer, Attempt, Bounds, Held, InFlight, NotRunCause, Principal};
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
@@ -92,7 +92,7 @@
     }
 
     /// The first owner that is not passed over and not silent.
-    fn choose(&self, owners: &InstanceOwners) -> Option<SocketAddr> {
+    fn choose(&self, owners: &[SocketAddr]) -> Option<SocketAddr> {
         let now = Instant::now();
         let passed_over = lock(&self.passed_over_until);
         let links = lock(&self.links);
@@ -101,7 +101,6 @@
             link.is_some_and(|link| link.state() == LinkState::Silent)
         };
         owners
-            .others
             .iter()
             .filter(|owner| !is_silent(owner))
             .find(|owner| passed_over.get(owner).is_none_or(|until| now >= *until))
@@ -137,13 +136,13 @@
     }
 }
 
-/// Has an owner run a statement that stands alone or opens a transaction;
+/// Has one of `owners` run a statement that stands alone or opens a transaction;
 /// `None` if no owner takes it, in which case nothing of it ran.
 pub(crate) async fn run<P: Platform>(
     gateway: &Arc<Gateway<P>>,
-    owners: &InstanceOwners,
+    owners: &[SocketAddr],
     instance: &Arc<Instance>,
-    session: &SessionState,
+    principal: Principal<'_>,
     work: &Work,
     frame: Frame,
     bounds: Bounds,
@@ -158,13 +157,14 @@
             number: rand::random(),
             lent: None,
             instance: instance.id.0.to_string(),
-            values: translate::values(&session.values),
+            values: translate::values(principal.values),
             work: translate::work(work),
             frame: translate::frame(frame),
             is_read: bounds.urgency.is_read,
             priority: bounds.urgency.priority,
             connection_within_ms: milliseconds_until(bounds.connection_by),
             answer_within_ms: milliseconds_until(bounds.answer_by),
+            tenant: principal.holder.tenant().map(ToString::to_string),
         };
         gateway.metrics.forwarded.add();
         let call = Call {
@@ -202,6 +202,8 @@
         priority: 0,
         connection_within_ms: 0,
         answer_within_ms: milliseconds_until(answer_by),
+        // The lent connection is its tenant's already.
+        tenant: None,
     };
     let call = Call {
         gateway,
@@ -340,7 +342,7 @@
     service: &ServiceName,
     moment: Instant,
 ) -> Option<Sample> {
-    let owner = gateway.forwarding.choose(owners)?;
+    let owner = gateway.forwarding.choose(&owners.others)?;
     let link = gateway.forwarding.link(gateway, owner)?;
     let asked_at = Instant::now();
     let max_age = asked_at.saturating_duration_since(moment);
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -7,6 +7,7 @@
 
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::session::TransactionStatus;
+use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use linkhold_peer::{
     EvidenceQuestion, ForwardFrame, ForwardMessage, ForwardOutcome, ForwardStatement, PeerKey,
@@ -20,7 +21,7 @@
 
 use super::link::read_forward;
 use super::{session_values, translate};
-use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause};
+use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause, Principal};
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
 use crate::feed::framed;
@@ -202,9 +203,12 @@
     };
     let frame = translate::frame_from(statement.frame);
     let work = translate::work_from(&statement.work);
-    let values = session_values(statement);
+    let principal = Principal {
+        holder: &holder(statement),
+        values: &session_values(statement),
+    };
     let opens = matches!(frame, Frame::Opening { .. });
-    let attempt = attempt::run_here(gateway, &instance, &values, &work, frame, bounds).await;
+    let attempt = attempt::run_here(gateway, &instance, principal, &work, frame, bounds).await;
     match attempt {
         Attempt::Answered(answer) if opens => lent.keep(statement.number, answer),
         Attempt::Answered(answer) => {
@@ -220,6 +224,14 @@
     }
 }
 
+/// Whose connection a statement needs.
+fn holder(statement: &ForwardStatement) -> ConnectionHolder {
+    match &statement.tenant {
+        Some(tenant) => ConnectionHolder::Tenant(tenant.as_str().into()),
+        None => ConnectionHolder::NoTenant,
+    }
+}
+
 /// Whether this node takes statements for an instance: as an owner, or since all
 /// nodes hold connections.
 fn owns<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> bool {
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -7,6 +7,7 @@
 use linkhold_core::membership::NodeId;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::owners;
+use linkhold_core::tenancy::{ConnectionHolder, TenantName};
 use linkhold_peer::FeedNode;
 
 use crate::beliefs::lock;
@@ -19,8 +20,34 @@
     pub count: usize,
     /// This node is one.
     pub includes_self: bool,
-    /// The others, in the order in which this node asks them.
+    /// The others, in the order in which this node asks them for what is no
+    /// tenant's.
     pub others: Vec<SocketAddr>,
+    /// All of them, and where they are; `None` is this node.
+    members: Vec<(NodeId, Option<SocketAddr>)>,
+}
+
+impl InstanceOwners {
+    /// Owners whom this node asks for a connection of a holder before it uses one
+    /// of its own. All nodes ask the owners in the same order for a tenant, so
+    /// that its few connections are in one place.
+    pub fn before_self(&self, holder: &ConnectionHolder) -> Vec<SocketAddr> {
+        match holder {
+            ConnectionHolder::NoTenant if self.includes_self => Vec::new(),
+            ConnectionHolder::NoTenant => self.others.clone(),
+            ConnectionHolder::Tenant(tenant) => self.in_order_of(tenant),
+        }
+    }
+
+    fn in_order_of(&self, tenant: &TenantName) -> Vec<SocketAddr> {
+        let ids: Vec<NodeId> = self.members.iter().map(|(id, _)| *id).collect();
+        let order = owners::tenant_preference(tenant, &ids);
+        let address = |id: &NodeId| {
+            let member = self.members.iter().find(|(member, _)| member == id);
+            member.and_then(|(_, address)| *address)
+        };
+        order.iter().map_while(address).collect()
+    }
 }
 
 #[derive(Default)]
@@ -116,6 +143,7 @@
             count: chosen.len(),
             includes_self: chosen.contains(&self.own),
             others: order.iter().filter_map(address).collect(),
+            members: chosen.iter().map(|id| (*id, address(id))).collect(),
         }
     }
 }
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -5,7 +5,12 @@
 //! * At most `limit` connections are open or being opened at a time.
 //! * A connection has one user from checkout to release. It goes back only
 //!   after every reply was read; one whose state is in doubt is closed.
-//! * Waiters are served by urgency, then in the order of their arrival.
+//! * A connection has one holder from its start to its end: it is handed only to
+//!   those who ask for a connection of that holder.
+//! * Waiters of one holder are served by urgency, then in the order of their
+//!   arrival. Where only connections of other holders are idle, the one that has
+//!   been idle longest is closed to make room. A holder with waiters keeps its
+//!   connections from other holders for [`OTHERS_PATIENCE`] at most.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,6 +21,7 @@
 use linkhold_core::service::connection_share::Share;
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{ConnectionState, SessionValues};
+use linkhold_core::tenancy::ConnectionHolder;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -28,6 +34,11 @@
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long others wait for a place while a holder's connections go from one of
+/// its waiters to the next: three times what a new connection costs an instance,
+/// so that a place changes hands only where that is less than the wait.
+const OTHERS_PATIENCE: Duration = Duration::from_millis(40);
+
 /// Why no connection was had. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckoutError {
@@ -41,6 +52,8 @@
 pub struct Pooled<C> {
     /// The connection.
     pub connection: C,
+    /// Whose statements it carries.
+    holder: ConnectionHolder,
     /// Values and prepared statements on it.
     pub state: ConnectionState,
     /// A transaction of the last user is still to be rolled back.
@@ -60,19 +73,85 @@
 /// What a waiter gets.
 enum Grant<C> {
     Connection(Box<Pooled<C>>),
+    /// A place for a new connection, which the waiter has opened.
+    Place,
     /// A connection that was being opened could not be made.
     Failed(ConnectError),
 }
 
 type WaiterKey = (Urgency, u64);
 
+/// Who waits for a connection.
+struct Waiter<C> {
+    holder: ConnectionHolder,
+    since: Instant,
+    /// A connection is being opened, or was, because of it.
+    has_opened: bool,
+    sender: oneshot::Sender<Grant<C>>,
+}
+
 struct PoolState<C> {
+    /// In the order in which they were given back.
     idle: Vec<Pooled<C>>,
     open: usize,
-    waiters: BTreeMap<WaiterKey, oneshot::Sender<Grant<C>>>,
+    waiters: BTreeMap<WaiterKey, Waiter<C>>,
     next_waiter: u64,
 }
 
+impl<C> PoolState<C> {
+    /// Takes a place for a new connection if there is room, or makes room by
+    /// closing the idle one that was given back first.
+    fn reserve(&mut self, limit: usize) -> bool {
+        if self.open < limit {
+            self.open += 1;
+            return true;
+        }
+        if self.open > limit || self.idle.is_empty() {
+            return false;
+        }
+        self.idle.remove(0);
+        true
+    }
+
+    /// Gives free places to those who wait for a connection of their holder and
+    /// have none opened yet.
+    fn offer_places(&mut self, limit: usize) {
+        while let Some(key) = self.first_unserved(|_| true) {
+            if !self.reserve(limit) {
+                return;
+            }
+            let waiter = self.waiters.remove(&key);
+            let taken = waiter.is_some_and(|it| it.sender.send(Grant::Place).is_ok());
+            if !taken {
+                self.open -= 1;
+            }
+        }
+    }
+
+    /// The first waiter that has no connection opened for it and fits.
+    fn first_unserved(&self, fits: impl Fn(&Waiter<C>) -> bool) -> Option<WaiterKey> {
+        let mut waiters = self.waiters.iter();
+        let found = waiters.find(|(_, waiter)| !waiter.has_opened && fits(waiter));
+        found.map(|(key, _)| *key)
+    }
+
+    /// Whether somebody has waited long for a place while another holder keeps
+    /// its connections.
+    fn is_due_to_others(&self, holder: &ConnectionHolder) -> bool {
+        let is_due = |waiter: &Waiter<C>| {
+            waiter.holder != *holder && waiter.since.elapsed() > OTHERS_PATIENCE
+        };
+        self.first_unserved(is_due).is_some()
+    }
+
+    /// The first waiter for a connection of a holder.
+    fn first_waiter_of(&self, holder: &ConnectionHolder) -> Option<WaiterKey> {
+        let mut waiters = self.waiters.iter();
+        let found = waiters.find(|(_, waiter)| waiter.holder == *holder);
+        found.map(|(key, _)| *key)
+    }
+}
+
 /// The pool of one instance.
 pub struct Pool<C> {
     instance: Arc<Instance>,
@@ -109,41 +188,56 @@
         self.opened.load(Ordering::Relaxed)
     }
 
-    /// Takes a connection, preferably one that has `values`; waits until
-    /// `deadline` for one. A connection that is being opened goes on being
+    /// Takes a connection of a holder, preferably one that has `values`; waits
+    /// until `deadline` for one. A connection that is being opened goes on being
     /// opened when nobody waits for it any more.
     pub async fn checkout<P: Platform<Connection = C>>(
         self: &Arc<Self>,
         gateway: &Arc<Gateway<P>>,
+        holder: &ConnectionHolder,
         values: &SessionValues,
         urgency: Urgency,
         deadline: Instant,
     ) -> Result<Lease<C>, CheckoutError> {
-        if let Some(pooled) = self.take_idle(values) {
+        if let Some(pooled) = self.take_idle(holder, values) {
             return Ok(Lease::new(self.clone(), pooled));
         }
-        if self.try_reserve() {
-            let pool = self.clone();
-            tokio::spawn(pool.open(gateway.clone()));
-        }
-        let (receiver, key) = self.enqueue(urgency);
-        let mut waiting = Waiting {
-            pool: self,
-            key,
-            receiver,
-        };
-        match tokio::time::timeout_at(deadline, &mut waiting.receiver).await {
-            Ok(Ok(Grant::Connection(pooled))) => Ok(Lease::new(self.clone(), *pooled)),
-            Ok(Ok(Grant::Failed(error))) => Err(CheckoutError::Connect(error)),
-            Ok(Err(_)) | Err(_) => Err(CheckoutError::Exhausted),
+        let key = self.next_key(urgency);
+        let since = Instant::now();
+        let mut has_place = self.try_reserve();
+        loop {
+            if has_place {
+                tokio::spawn(self.clone().open(gateway.clone(), holder.clone()));
+            }
+            let (sender, receiver) = oneshot::channel();
+            let waiter = Waiter {
+                holder: holder.clone(),
+                since,
+                has_opened: has_place,
+                sender,
+            };
+            let mut waiting = Waiting::start(self, key, waiter, receiver);
+            match tokio::time::timeout_at(deadline, &mut waiting.receiver).await {
+                Ok(Ok(Grant::Connection(pooled))) => return Ok(Lease::new(self.clone(), *pooled)),
+                Ok(Ok(Grant::Place)) => has_place = true,
+                Ok(Ok(Grant::Failed(error))) => return Err(CheckoutError::Connect(error)),
+                Ok(Err(_)) | Err(_) => return Err(CheckoutError::Exhausted),
+            }
         }
     }
 
-    fn take_idle(&self, values: &SessionValues) -> Option<Pooled<C>> {
+    fn next_key(&self, urgency: Urgency) -> WaiterKey {
+        let mut state = lock(&self.state);
+        let key = (urgency, state.next_waiter);
+        state.next_waiter += 1;
+        key
+    }
+
+    fn take_idle(&self, holder: &ConnectionHolder, values: &SessionValues) -> Option<Pooled<C>> {
         let mut state = lock(&self.state);
         loop {
-            let index = best_idle(&state.idle, values)?;
-            let mut pooled = state.idle.swap_remove(index);
+            let index = best_idle(&state.idle, holder, values)?;
+            let mut pooled = state.idle.remove(index);
             if pooled.connection.is_open() && pooled.may_be_reused() {
                 return Some(pooled);
             }
@@ -152,26 +246,16 @@
     }
 
     fn try_reserve(&self) -> bool {
-        let mut state = lock(&self.state);
-        let has_room = state.open < self.limit();
-        if has_room {
-            state.open += 1;
-        }
-        has_room
-    }
-
-    fn enqueue(&self, urgency: Urgency) -> (oneshot::Receiver<Grant<C>>, WaiterKey) {
-        let (sender, receiver) = oneshot::channel();
-        let mut state = lock(&self.state);
-        let key = (urgency, state.next_waiter);
-        state.next_waiter += 1;
-        state.waiters.insert(key, sender);
-        (receiver, key)
+        lock(&self.state).reserve(self.limit())
     }
 
     /// Opens a connection on a place that is reserved and hands it on.
-    async fn open<P: Platform<Connection = C>>(self: Arc<Self>, gateway: Arc<Gateway<P>>) {
-        let connecting = relay::connect(&gateway, &self.instance);
+    async fn open<P: Platform<Connection = C>>(
+        self: Arc<Self>,
+        gateway: Arc<Gateway<P>>,
+        holder: ConnectionHolder,
+    ) {
+        let connecting = relay::connect(&gateway, &self.instance, &holder);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .unwrap_or(Err(ConnectError::Unreachable));
@@ -181,6 +265,7 @@
                 let reuse_until = Instant::now() + relay::LONGEST_REUSE;
                 self.put_back(Pooled {
                     connection: connected.connection,
+                    holder,
                     reuse_until: connected.is_relayed.then_some(reuse_until),
                     state: ConnectionState::default(),
                     needs_rollback: false,
@@ -189,44 +274,71 @@
             }
             Err(error) => {
                 gateway.connect_failed(&self.instance, error);
-                self.fail_waiters(error);
+                self.fail_waiters(&holder, error);
             }
         }
     }
 
     /// A connection could not be made: whoever waits is told, since the next
-    /// try would end alike.
-    fn fail_waiters(&self, error: ConnectError) {
+    /// try would end alike. Where the instance has none left, others may still
+    /// get one that stands.
+    fn fail_waiters(&self, holder: &ConnectionHolder, error: ConnectError) {
+        let concerns_all = match error {
+            ConnectError::Unreachable | ConnectError::WrongInstance => true,
+            ConnectError::Rejected | ConnectError::Closed => false,
+        };
         let mut state = lock(&self.state);
         state.open -= 1;
-        while let Some((_, waiter)) = state.waiters.pop_first() {
+        let concerned: Vec<WaiterKey> = state
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| concerns_all || waiter.holder == *holder)
+            .map(|(key, _)| *key)
+            .collect();
+        for waiter in concerned.iter().filter_map(|key| state.waiters.remove(key)) {
             // A waiter that has left needs no answer.
-            let _ = waiter.send(Grant::Failed(error));
+            let _ = waiter.sender.send(Grant::Failed(error));
         }
+        state.offer_places(self.limit());
     }
 
     fn put_back(&self, mut pooled: Pooled<C>) {
         pooled.given_back_at = Instant::now();
         let mut state = lock(&self.state);
-        if state.open > self.limit() || !pooled.may_be_reused() {
+        let limit = self.limit();
+        let is_needed_elsewhere = state.is_due_to_others(&pooled.holder);
+        if state.open > limit || is_needed_elsewhere || !pooled.may_be_reused() {
             state.open -= 1;
+            state.offer_places(limit);
             return;
         }
+        let holder = pooled.holder.clone();
         let mut grant = Grant::Connection(Box::new(pooled));
-        while let Some((_, waiter)) = state.waiters.pop_first() {
-            match waiter.send(grant) {
+        while let Some(key) = state.first_waiter_of(&holder) {
+            let Some(waiter) = state.waiters.remove(&key) else {
+                break;
+            };
+            match waiter.sender.send(grant) {
                 Ok(()) => return,
                 Err(refused) => grant = refused,
             }
         }
         if let Grant::Connection(pooled) = grant {
             state.idle.push(*pooled);
+            state.offer_places(limit);
         }
     }
 
     /// A connection in use was closed.
     fn closed(&self) {
-        lock(&self.state).open -= 1;
+        let mut state = lock(&self.state);
+        state.open -= 1;
+        state.offer_places(self.limit());
+    }
+
+    /// A place that was given to a waiter which has left.
+    fn return_place(&self) {
+        self.closed();
     }
 
     /// Closes connections that are not in use.
@@ -279,21 +391,44 @@
     receiver: oneshot::Receiver<Grant<C>>,
 }
 
+impl<'a, C: BackendConnection> Waiting<'a, C> {
+    fn start(
+        pool: &'a Pool<C>,
+        key: WaiterKey,
+        waiter: Waiter<C>,
+        receiver: oneshot::Receiver<Grant<C>>,
+    ) -> Self {
+        lock(&pool.state).waiters.insert(key, waiter);
+        Self {
+            pool,
+            key,
+            receiver,
+        }
+    }
+}
+
 impl<C: BackendConnection> Drop for Waiting<'_, C> {
     fn drop(&mut self) {
         lock(&self.pool.state).waiters.remove(&self.key);
         self.receiver.close();
         match self.receiver.try_recv() {
             Ok(Grant::Connection(pooled)) => self.pool.put_back(*pooled),
+            Ok(Grant::Place) => self.pool.return_place(),
             Ok(Grant::Failed(_)) | Err(_) => {}
         }
     }
 }
 
-fn best_idle<C>(idle: &[Pooled<C>], values: &SessionValues) -> Option<usize> {
+/// The connection of a holder that was given back last, preferably one that has
+/// `values`.
+fn best_idle<C>(
+    idle: &[Pooled<C>],
+    holder: &ConnectionHolder,
+    values: &SessionValues,
+) -> Option<usize> {
     idle.iter()
-        .rposition(|pooled| pooled.state.values == *values)
-        .or_else(|| idle.len().checked_sub(1))
+        .rposition(|pooled| pooled.holder == *holder && pooled.state.values == *values)
+        .or_else(|| idle.iter().rposition(|pooled| pooled.holder == *holder))
 }
 
 /// A connection in use. Dropped without [`Lease::release`], it is closed.
--- a/crates/linkhold-gateway/src/ports/backend.rs
+++ b/crates/linkhold-gateway/src/ports/backend.rs
@@ -7,6 +7,7 @@
 use linkhold_core::service::failover::InstanceStatus;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::session::{Prepared, TransactionStatus};
+use linkhold_core::tenancy::ConnectionHolder;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -166,16 +167,19 @@
 pub trait BackendConnector: Send + Sync + 'static {
     /// What it opens.
     type Connection: BackendConnection;
-    /// Connects to an instance and makes sure that it is the one meant.
+    /// Connects to an instance and makes sure that it is the one meant. The
+    /// instance is told whose connection it is, which cannot change later.
     fn connect(
         &self,
         instance: &Instance,
+        holder: &ConnectionHolder,
     ) -> impl Future<Output = Result<Self::Connection, ConnectError>> + Send;
     /// The same over a stream that leads to the instance's address.
     fn connect_over(
         &self,
         stream: TcpStream,
         instance: &Instance,
+        holder: &ConnectionHolder,
     ) -> impl Future<Output = Result<Self::Connection, ConnectError>> + Send;
 }
 
--- a/crates/linkhold-gateway/src/ports/caller.rs
+++ b/crates/linkhold-gateway/src/ports/caller.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use linkhold_core::outcome::Failure;
 use linkhold_core::service::session::{Access, Prepared, TransactionStatus};
+use linkhold_core::tenancy::Credential;
 use thiserror::Error;
 
 use super::BackendReply;
@@ -69,8 +70,8 @@
 pub struct Startup {
     /// The database asked for.
     pub database: String,
-    /// Who asks.
-    pub user: String,
+    /// By what the caller is known; `None` if it gave nothing.
+    pub credential: Option<Credential>,
 }
 
 /// Why a statement was refused for what it is.
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use linkhold_peer::{FeedMessage, PeerKey, Reachability};
 use rand::seq::IndexedRandom;
@@ -150,15 +151,16 @@
 pub(crate) async fn connect<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Instance,
+    holder: &ConnectionHolder,
 ) -> Result<Connected<<P as BackendConnector>::Connection>, ConnectError> {
     let Some(peer) = gateway.relays.peer(&instance.id) else {
-        let connection = gateway.platform.connect(instance).await?;
+        let connection = gateway.platform.connect(instance, holder).await?;
         return Ok(Connected {
             connection,
             is_relayed: false,
         });
     };
-    let connected = connect_through(gateway, instance, peer).await;
+    let connected = connect_through(gateway, instance, holder, peer).await;
     match &connected {
         Ok(_) => gateway.relays.connected(&instance.id),
         Err(error) => {
@@ -179,6 +181,7 @@
 async fn connect_through<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Instance,
+    holder: &ConnectionHolder,
     peer: SocketAddr,
 ) -> Result<<P as BackendConnector>::Connection, ConnectError> {
     let key = gateway.fleet.key().ok_or(ConnectError::Unreachable)?;
@@ -187,7 +190,10 @@
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         .map_err(|_| ConnectError::Unreachable)?;
-    gateway.platform.connect_over(stream, instance).await
+    gateway
+        .platform
+        .connect_over(stream, instance, holder)
+        .await
 }
 
 async fn ask_for_relay(peer: SocketAddr, id: &InstanceId, key: &PeerKey) -> io::Result<TcpStream> {
--- a/crates/linkhold-gateway/src/session/mod.rs
+++ b/crates/linkhold-gateway/src/session/mod.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use linkhold_core::outcome::{Failure, NotRun};
-use linkhold_core::service::configuration::Route;
+use linkhold_core::service::configuration::Admitted;
 use linkhold_core::service::session::{SessionState, TransactionStatus};
 use linkhold_events::Event;
 use tokio::sync::watch;
@@ -30,7 +30,7 @@
     None,
     /// Announced by the caller; nothing was sent to an instance yet.
     Announced {
-        route: Arc<Route>,
+        admitted: Admitted,
         read_only: bool,
         received_at: Instant,
     },
@@ -107,7 +107,7 @@
 impl<P: Platform, C: CallerConnection> Session<P, C> {
     async fn run(mut self) {
         self.wait_for_configuration().await;
-        if let Err(failure) = self.admit() {
+        if let Err(failure) = self.admitted() {
             self.log_refusal(&Bytes::from_static(b"-"), failure, self.marks.opened_at);
             let _ = self.caller.refuse(failure).await;
             return;
@@ -118,7 +118,7 @@
         if let Err(error) = self.converse().await {
             Event::info("session_broken")
                 .field("database", &self.startup.database)
-                .field("user", &self.startup.user)
+                .field("tenant", self.tenant())
                 .field("error", error)
                 .log();
         }
@@ -143,14 +143,22 @@
         }
     }
 
-    fn admit(&self) -> Result<(), Failure> {
-        match self.gateway.beliefs.configuration() {
-            None => Err(Failure::NotRun(NotRun::NotConfigured)),
-            Some(configuration) => match configuration.route(&self.startup.database) {
-                Some(_) => Ok(()),
-                None => Err(Failure::NotRun(NotRun::UnknownDatabase)),
-            },
-        }
+    /// What the caller may do by the configuration in force.
+    fn admitted(&self) -> Result<Admitted, Failure> {
+        let configuration = self.gateway.beliefs.configuration();
+        let configuration = configuration.ok_or(Failure::NotRun(NotRun::NotConfigured))?;
+        configuration
+            .admit(&self.startup.database, self.startup.credential.as_ref())
+            .map_err(Failure::NotRun)
+    }
+
+    /// The tenant that the caller is known as now, for log lines.
+    fn tenant(&self) -> String {
+        let configuration = self.gateway.beliefs.configuration();
+        let tenancy = configuration.as_ref().and_then(|it| it.tenancy.as_ref());
+        let credential = self.startup.credential.as_ref();
+        let tenant = tenancy.and_then(|it| it.tenant_of(credential?));
+        tenant.map_or("none".to_owned(), ToString::to_string)
     }
 
     async fn converse(&mut self) -> Result<(), CallerError> {
@@ -215,7 +223,7 @@
             },
             Stage::ClosingAll => {
                 if !matches!(self.transaction, Transaction::None) {
-                    log_aborted(&self.startup.database, &self.startup.user, "node_stops");
+                    log_aborted(&self.startup.database, &self.tenant(), "node_stops");
                 }
                 Closing::Now
             }
@@ -223,7 +231,7 @@
     }
 
     fn end_transaction(&mut self, reason: &'static str) {
-        log_aborted(&self.startup.database, &self.startup.user, reason);
+        log_aborted(&self.startup.database, &self.tenant(), reason);
         self.gateway.metrics.transactions_aborted.add();
         let ended = std::mem::replace(&mut self.transaction, Transaction::EndedUnseen);
         if let Transaction::Open(open) = ended {
@@ -275,7 +283,7 @@
         Event::warn("request_failed")
             .field("request", String::from_utf8_lossy(request))
             .field("database", &self.startup.database)
-            .field("user", &self.startup.user)
+            .field("tenant", self.tenant())
             .field("outcome", failure)
             .field("service", service)
             .field(
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -1,10 +1,9 @@
 //! What a session does with each statement.
 
-use std::sync::Arc;
 use std::time::Instant;
 
 use linkhold_core::outcome::{Failure, NotRun};
-use linkhold_core::service::configuration::Route;
+use linkhold_core::service::configuration::Admitted;
 use linkhold_core::service::session::{Access, TransactionStatus};
 
 use super::{Session, Transaction};
@@ -108,10 +107,10 @@
         if !matches!(self.transaction, Transaction::None) {
             return self.reject(Rejection::Malformed);
         }
-        match self.route() {
-            Ok(route) => {
+        match self.admitted() {
+            Ok(admitted) => {
                 self.transaction = Transaction::Announced {
-                    route,
+                    admitted,
                     read_only,
                     received_at,
                 };
@@ -121,27 +120,15 @@
         }
     }
 
-    fn route(&self) -> Result<Arc<Route>, Failure> {
-        let configuration = self
-            .gateway
-            .beliefs
-            .configuration()
-            .ok_or(Failure::NotRun(NotRun::NotConfigured))?;
-        configuration
-            .route(&self.startup.database)
-            .cloned()
-            .ok_or(Failure::NotRun(NotRun::UnknownDatabase))
-    }
-
     async fn run_work(&mut self, work: Work, received_at: Instant) -> CallerReply {
         let result = match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::Open(open) => self.run_inside(open, &work, received_at).await,
             Transaction::Announced {
-                route,
+                admitted,
                 read_only,
                 received_at: begun_at,
             } => {
-                self.run_first(route, read_only, begun_at, &work, received_at)
+                self.run_first(admitted, read_only, begun_at, &work, received_at)
                     .await
             }
             _ => self.run_alone(&work, received_at).await,
@@ -181,9 +168,10 @@
         work: &Work,
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
-        let route = self.route()?;
+        let Admitted { route, holder } = self.admitted()?;
         let unit = Unit {
             route: &route,
+            holder: &holder,
             session: &self.state,
             received_at,
         };
@@ -202,7 +190,7 @@
     /// Runs the first statement of a transaction, which opens it.
     async fn run_first(
         &mut self,
-        route: Arc<Route>,
+        admitted: Admitted,
         read_only: bool,
         begun_at: Instant,
         work: &Work,
@@ -212,7 +200,8 @@
         // Freshness counts from the transaction's start, time limits from its
         // first statement: the caller may have paused in between.
         let unit = Unit {
-            route: &route,
+            route: &admitted.route,
+            holder: &admitted.holder,
             session: &self.state,
             received_at: received_at.max(begun_at),
         };
@@ -223,11 +212,26 @@
         };
         let answer = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await?;
         let reply = answer.reply.clone();
-        let open = OpenTransaction::new(route, answer.held, work.access());
+        let open = OpenTransaction::new(admitted, answer.held, work.access());
         self.keep_open(open, &reply);
         Ok(reply)
     }
 
+    /// Rolls a transaction back whose caller is no longer known as the tenant that
+    /// opened it.
+    fn still_admitted(&self, open: OpenTransaction<P>) -> Result<OpenTransaction<P>, Failure> {
+        let configuration = self.gateway.beliefs.configuration();
+        let credential = self.startup.credential.as_ref();
+        let holder = configuration.map(|it| it.holder(&open.admitted.route, credential));
+        match holder {
+            Some(Ok(holder)) if holder == open.admitted.holder => Ok(open),
+            _ => {
+                open.abandon();
+                Err(Failure::NotRun(NotRun::UnknownCredential))
+            }
+        }
+    }
+
     async fn run_inside(
         &mut self,
         open: OpenTransaction<P>,
@@ -235,6 +239,7 @@
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
         self.transaction = Transaction::Failed;
+        let open = self.still_admitted(open)?;
         let (open, reply) = open
             .run(&self.gateway, &self.state, work, received_at)
             .await?;
@@ -258,9 +263,11 @@
         let result = match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::Open(open) => self.commit_open(open, &work, received_at).await,
             Transaction::Announced {
-                route, read_only, ..
+                admitted,
+                read_only,
+                ..
             } => {
-                self.commit_empty(route, read_only, &work, received_at)
+                self.commit_empty(admitted, read_only, &work, received_at)
                     .await
             }
             _ => return CallerReply::Rejected(Rejection::Malformed),
@@ -280,8 +287,9 @@
         work: &Work,
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
-        let service = open.route.service.clone();
-        let answer_by = received_at + open.route.statement_timeout;
+        let open = self.still_admitted(open)?;
+        let service = open.admitted.route.service.clone();
+        let answer_by = received_at + open.admitted.route.statement_timeout;
         let committed = open
             .commit(&self.gateway, &self.state, work, answer_by)
             .await?;
@@ -294,13 +302,14 @@
     /// A transaction without statements: its commit still needs an instance.
     async fn commit_empty(
         &mut self,
-        route: Arc<Route>,
+        admitted: Admitted,
         read_only: bool,
         work: &Work,
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
         let unit = Unit {
-            route: &route,
+            route: &admitted.route,
+            holder: &admitted.holder,
             session: &self.state,
             received_at,
         };
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -19,9 +19,10 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::session::{Access, SessionState};
 use linkhold_core::service::waiting;
+use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::{sleep, timeout_at};
 
-use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
+use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause, Principal};
 use crate::batch::{Frame, Work};
 use crate::evidence_probe;
 use crate::gate::Urgency;
@@ -46,6 +47,8 @@
 /// A statement, its session and its limits.
 pub(crate) struct Unit<'a> {
     pub route: &'a Arc<Route>,
+    /// Whose connection it needs.
+    pub holder: &'a ConnectionHolder,
     pub session: &'a SessionState,
     pub received_at: Instant,
 }
@@ -56,6 +59,14 @@
         self.received_at + waiting::patience(self.route.latency_objective)
     }
 
+    /// For whom it runs.
+    pub fn principal(&self) -> Principal<'_> {
+        Principal {
+            holder: self.holder,
+            values: &self.session.values,
+        }
+    }
+
     /// Until when it must be answered.
     pub fn answer_by(&self) -> Instant {
         self.received_at + self.route.statement_timeout
@@ -116,7 +127,7 @@
             connection_by: unit.wait_until(),
             answer_by: unit.answer_by(),
         };
-        let attempt = attempt::run(gateway, &primary, unit.session, work, frame, bounds).await;
+        let attempt = attempt::run(gateway, &primary, unit.principal(), work, frame, bounds).await;
         match attempt {
             Attempt::Answered(answer) => {
                 note_primary_answer(gateway, &primary, &answer, work, opening);
@@ -237,7 +248,7 @@
         };
         let bounds = read_bounds(gateway, unit, &instance, is_last, now);
         let frame = read_frame(opening, fence);
-        let attempt = attempt::run(gateway, &instance, unit.session, work, frame, bounds).await;
+        let attempt = attempt::run(gateway, &instance, unit.principal(), work, frame, bounds).await;
         match attempt {
             Attempt::Answered(answer) => {
                 gateway
--- a/crates/linkhold-gateway/src/survey.rs
+++ b/crates/linkhold-gateway/src/survey.rs
@@ -9,6 +9,7 @@
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::failover::InstanceStatus;
 use linkhold_core::service::instance::Instance;
+use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::Reachability;
 use tokio::time::timeout;
 
@@ -88,7 +89,10 @@
     commands: &[Command],
 ) -> Result<Vec<BackendReply>, ConnectError> {
     let exchange = async {
-        let mut connection = gateway.platform.connect(instance).await?;
+        let mut connection = gateway
+            .platform
+            .connect(instance, &ConnectionHolder::NoTenant)
+            .await?;
         connection
             .exchange(commands)
             .await
--- a/crates/linkhold-gateway/src/transaction.rs
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -14,7 +14,7 @@
 
 use linkhold_core::outcome::{Failure, NotRun, Unknown};
 use linkhold_core::position::Position;
-use linkhold_core::service::configuration::Route;
+use linkhold_core::service::configuration::Admitted;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::session::{Access, SessionState};
 use linkhold_events::Event;
@@ -31,7 +31,8 @@
 
 /// A transaction on a connection.
 pub(crate) struct OpenTransaction<P: Platform> {
-    pub route: Arc<Route>,
+    /// What its caller could do when it was opened.
+    pub admitted: Admitted,
     held: Held<P>,
     wrote: bool,
 }
@@ -45,9 +46,9 @@
 
 impl<P: Platform> OpenTransaction<P> {
     /// Takes over the connection on which the first statement was answered.
-    pub fn new(route: Arc<Route>, held: Held<P>, access: Access) -> Self {
+    pub fn new(admitted: Admitted, held: Held<P>, access: Access) -> Self {
         Self {
-            route,
+            admitted,
             held,
             wrote: access == Access::Write,
         }
@@ -62,7 +63,7 @@
         received_at: Instant,
     ) -> Result<(Self, BackendReply), Failure> {
         self.wrote |= work.access() == Access::Write;
-        let answer_by = received_at + self.route.statement_timeout;
+        let answer_by = received_at + self.admitted.route.statement_timeout;
         let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
         match attempt {
             Attempt::Answered(Answer { reply, held, .. }) => {
@@ -86,7 +87,7 @@
         work: &Work,
         answer_by: Instant,
     ) -> Result<Committed, Failure> {
-        let service = self.route.service.clone();
+        let service = self.admitted.route.service.clone();
         let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
         let answer = match attempt {
             Attempt::Answered(answer) => answer,
@@ -144,10 +145,10 @@
 }
 
 /// Logs why a transaction ended before its commit.
-pub(crate) fn log_aborted(database: &str, user: &str, reason: &'static str) {
+pub(crate) fn log_aborted(database: &str, tenant: &str, reason: &'static str) {
     Event::info("transaction_aborted")
         .field("database", database)
-        .field("user", user)
+        .field("tenant", tenant)
         .field("reason", reason)
         .log();
 }
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -13,6 +13,9 @@
     Configuration, Consistency, Route, ServiceLimits, ServiceName,
 };
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
+use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
+use minicbor::bytes::ByteArray;
 use minicbor::{Decode, Encode};
 
 use crate::{PeerError, PeerKey};
@@ -75,7 +78,7 @@
 }
 
 /// A message of a feed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum FeedMessage {
     /// A follower asks to be told everything from now on.
     Subscribe,
@@ -122,6 +125,8 @@
     objective_ms: u64,
     #[n(6)]
     priority: u8,
+    #[n(7)]
+    is_public: bool,
 }
 
 #[derive(Encode, Decode)]
@@ -144,6 +149,26 @@
     services: Vec<WireService>,
     #[n(3)]
     idle_ms: Option<u64>,
+    #[n(4)]
+    tenants: Option<Vec<WireTenant>>,
+}
+
+#[derive(Encode, Decode)]
+struct WireTenant {
+    #[n(0)]
+    name: String,
+    #[n(1)]
+    credentials: Vec<ByteArray<CREDENTIAL_BYTES>>,
+    #[n(2)]
+    limit: Option<WireRateLimit>,
+}
+
+#[derive(Encode, Decode)]
+struct WireRateLimit {
+    #[n(0)]
+    rate_per_second: f64,
+    #[n(1)]
+    burst: f64,
 }
 
 #[derive(Encode, Decode)]
@@ -299,9 +324,42 @@
         routes: routes.collect(),
         services: services.collect(),
         idle_ms: configuration.transaction_idle_timeout.map(milliseconds),
+        tenants: configuration
+            .tenancy
+            .as_ref()
+            .map(|tenancy| tenancy.tenants().map(tenant_to_wire).collect()),
     }
 }
 
+fn tenant_to_wire(tenant: &Tenant) -> WireTenant {
+    let digests = tenant.credentials.iter().map(Credential::digest);
+    WireTenant {
+        name: tenant.name.to_string(),
+        credentials: digests.map(ByteArray::from).collect(),
+        limit: tenant.limit.map(|limit| WireRateLimit {
+            rate_per_second: limit.rate_per_second,
+            burst: limit.burst,
+        }),
+    }
+}
+
+fn tenancy_from_wire(wire: Vec<WireTenant>) -> Tenancy {
+    let tenants = wire.into_iter().map(|tenant| Tenant {
+        name: tenant.name.into(),
+        credentials: tenant
+            .credentials
+            .into_iter()
+            .map(|digest| Credential::from_digest(digest.into()))
+            .collect(),
+        limit: tenant.limit.map(|limit| RateLimit {
+            rate_per_second: limit.rate_per_second,
+            burst: limit.burst,
+        }),
+    });
+    // What is wrong with them was told by the node that read them.
+    Tenancy::new(tenants).0
+}
+
 fn route_to_wire(database: &str, route: &Route) -> WireRoute {
     let (consistency, staleness) = match route.consistency {
         Consistency::Latest => (LATEST, Duration::ZERO),
@@ -316,6 +374,7 @@
         timeout_ms: milliseconds(route.statement_timeout),
         objective_ms: milliseconds(route.latency_objective),
         priority: route.priority,
+        is_public: route.is_public,
     }
 }
 
@@ -390,6 +449,7 @@
         routes: routes?,
         services: services.collect(),
         transaction_idle_timeout: wire.idle_ms.map(Duration::from_millis),
+        tenancy: wire.tenants.map(tenancy_from_wire),
     })
 }
 
@@ -407,6 +467,7 @@
         statement_timeout: Duration::from_millis(wire.timeout_ms),
         latency_objective: Duration::from_millis(wire.objective_ms),
         priority: wire.priority,
+        is_public: wire.is_public,
     };
     Some((wire.database.into(), Arc::new(route)))
 }
--- a/crates/linkhold-peer/src/forward.rs
+++ b/crates/linkhold-peer/src/forward.rs
@@ -128,6 +128,9 @@
     /// How long its answer may take, in milliseconds.
     #[n(9)]
     pub answer_within_ms: u64,
+    /// The tenant whose connection it needs; `None` for no tenant's.
+    #[n(10)]
+    pub tenant: Option<String>,
 }
 
 /// What an instance's error means.
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -7,6 +7,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError,
     PeerKey, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, decode_feed,
@@ -18,6 +19,23 @@
     PeerKey::new(*b"a key that both sides have")
 }
 
+fn tenancy() -> Tenancy {
+    let limited = Tenant {
+        name: "press".into(),
+        credentials: vec![Credential::of_secret(b"one"), Credential::of_secret(b"two")],
+        limit: Some(RateLimit {
+            rate_per_second: 6.5,
+            burst: 12.0,
+        }),
+    };
+    let unlimited = Tenant {
+        name: "radio".into(),
+        credentials: vec![Credential::of_secret(b"three")],
+        limit: None,
+    };
+    Tenancy::new([limited, unlimited]).0
+}
+
 fn configuration() -> Configuration {
     let route = Route {
         service: "ledger".into(),
@@ -25,6 +43,7 @@
         statement_timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(400),
         priority: 2,
+        is_public: true,
     };
     let limits = ServiceLimits {
         max_connections: 36,
@@ -35,6 +54,7 @@
         routes: HashMap::from([("portal".into(), Arc::new(route))]),
         services: HashMap::from([("ledger".into(), limits)]),
         transaction_idle_timeout: Some(Duration::from_secs(3)),
+        tenancy: Some(tenancy()),
     }
 }
 
--- a/crates/linkhold-peer/tests/forward.rs
+++ b/crates/linkhold-peer/tests/forward.rs
@@ -30,6 +30,7 @@
         priority: 2,
         connection_within_ms: 180,
         answer_within_ms: 800,
+        tenant: Some("press".to_owned()),
     })
 }
 
