Grant budgets of operations to tenants' nodes: first form

Change: a coordinator a tenant, chosen by rendezvous hashing, grants budgets that lapse; more than half of what is owed needs a claim in the store.

--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -32,6 +32,13 @@
     UnknownDatabase,
     /// The caller's credential is not, or no longer, known.
     UnknownCredential,
+    /// The tenant has used up what it may ask for now.
+    OverQuota {
+        /// When it may ask again.
+        retry_after: Duration,
+    },
+    /// Nobody was reached who tells whether the tenant may ask for more.
+    NoBudget,
     /// The node has not learnt the configuration yet.
     NotConfigured,
     /// The transaction was ended before its commit was sent.
@@ -70,6 +77,8 @@
             Self::KeyCancelled => "LH021",
             Self::UnknownDatabase => "3D000",
             Self::UnknownCredential => "28000",
+            Self::OverQuota { .. } => "53400",
+            Self::NoBudget => "LH008",
             Self::NotConfigured => "LH007",
             Self::TransactionAborted => "40000",
         }
@@ -88,6 +97,8 @@
             Self::KeyCancelled => "key_cancelled",
             Self::UnknownDatabase => "unknown_database",
             Self::UnknownCredential => "unknown_credential",
+            Self::OverQuota { .. } => "over_quota",
+            Self::NoBudget => "no_budget",
             Self::NotConfigured => "not_configured",
             Self::TransactionAborted => "transaction_aborted",
         }
@@ -96,9 +107,13 @@
     /// Shortest time after which trying again makes sense, before jitter.
     pub fn retry_after(self) -> Duration {
         let milliseconds = match self {
+            Self::OverQuota { retry_after } => return retry_after,
             Self::Overloaded => 20,
             Self::NoPrimary | Self::NoMajority => 50,
-            Self::NoFreshInstance | Self::BackendUnavailable | Self::NotConfigured => 100,
+            Self::NoFreshInstance
+            | Self::BackendUnavailable
+            | Self::NotConfigured
+            | Self::NoBudget => 100,
             Self::Stopping | Self::Cancelled | Self::KeyCancelled | Self::TransactionAborted => 0,
             Self::UnknownDatabase | Self::UnknownCredential => 1_000,
         };
--- /dev/null
+++ b/crates/linkhold-core/src/tenancy/rate.rs
@@ -0,0 +1,106 @@
+//! What a tenant's limit lets through in a sliding window.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::tenant::RateLimit;
+
+/// How limits are counted, as operators set it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRules {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Part of the limit by which a window may exceed it.
+    pub overshoot: f64,
+    /// Operations by which a window may exceed it besides.
+    pub slack: f64,
+}
+
+/// What a limit comes to in one window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WindowLimit {
+    /// Operations that a tenant is owed.
+    pub owed: f64,
+    /// Operations that may never be exceeded, whatever goes wrong.
+    pub most: f64,
+}
+
+impl QuotaRules {
+    /// What a limit comes to.
+    pub fn window_limit(&self, limit: RateLimit) -> WindowLimit {
+        let owed = limit.rate_per_second * self.window.as_secs_f64() + limit.burst;
+        WindowLimit {
+            owed,
+            most: owed * (1.0 + self.overshoot) + self.slack,
+        }
+    }
+}
+
+/// Counts things that count until a moment of their own.
+#[derive(Clone, Debug, Default)]
+pub struct ExpiringCount {
+    /// In no order of their moments, which differ by less than the longest life.
+    entries: VecDeque<(Instant, u64)>,
+    total: u64,
+}
+
+impl ExpiringCount {
+    /// Counts `amount` until a moment.
+    pub fn add(&mut self, until: Instant, amount: u64) {
+        if amount == 0 {
+            return;
+        }
+        self.total += amount;
+        match self.entries.back_mut() {
+            Some((last, count)) if *last == until => *count += amount,
+            _ => self.entries.push_back((until, amount)),
+        }
+    }
+
+    /// What counts now.
+    pub fn total(&mut self, now: Instant) -> u64 {
+        let total = &mut self.total;
+        self.entries.retain(|(until, amount)| {
+            let counts = now < *until;
+            if !counts {
+                *total -= amount;
+            }
+            counts
+        });
+        self.total
+    }
+
+    /// When `amount` less will count than now, or nothing at all.
+    pub fn freed_at(&self, amount: u64) -> Option<Instant> {
+        let mut moments: Vec<(Instant, u64)> = self.entries.iter().copied().collect();
+        moments.sort_unstable();
+        let mut freed = 0;
+        for (until, count) in &moments {
+            freed += count;
+            if freed >= amount {
+                return Some(*until);
+            }
+        }
+        moments.last().map(|(until, _)| *until)
+    }
+
+    /// Takes `amount` of what expires first; whether there was so much.
+    pub fn take(&mut self, now: Instant, amount: u64) -> bool {
+        if self.total(now) < amount {
+            return false;
+        }
+        let mut left = amount;
+        while left > 0 {
+            let first = self.entries.iter_mut().min_by_key(|(until, _)| *until);
+            let Some((_, count)) = first else {
+                return false;
+            };
+            let taken = left.min(*count);
+            *count -= taken;
+            left -= taken;
+            self.total -= taken;
+            self.entries.retain(|(_, count)| *count > 0);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/admission/quotas.rs
@@ -0,0 +1,214 @@
+//! A node's side of tenants' budgets: spends them, asks for new ones.
+//!
+//! # Invariants
+//!
+//! * No operation of a limited tenant runs without one of its budget's.
+//! * One question a tenant is under way at a time; what comes meanwhile waits for
+//!   its answer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::outcome::NotRun;
+use linkhold_core::tenancy::budget::{Grant, HeldBudget, Spending};
+use linkhold_core::tenancy::{ConnectionHolder, TenantName};
+use linkhold_events::Event;
+use linkhold_peer::BudgetMessage;
+use tokio::sync::{Mutex as TurnMutex, oneshot};
+use tokio::time::{sleep, timeout, timeout_at};
+
+use crate::beliefs::lock;
+
+use super::coordinator::{self, Coordination};
+use super::{BudgetWorld, Coordinator};
+
+/// A question is asked once more after this: datagrams may be lost. Nodes of
+/// different regions are up to 40 ms away, there and back.
+const REPEAT_AFTER: Duration = Duration::from_millis(100);
+/// How long a coordinator may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(260);
+/// How long a coordinator that gave no answer is passed over.
+const PASS_OVER: Duration = Duration::from_millis(1_000);
+/// Pause before the fleet is looked at again while it is not known.
+const FLEET_PAUSE: Duration = Duration::from_millis(40);
+
+/// One tenant's budget here.
+#[derive(Default)]
+struct HeldTenant {
+    budget: Mutex<HeldBudget>,
+    /// Held by whoever asks for more.
+    turn: TurnMutex<()>,
+}
+
+/// What a node keeps of budgets.
+pub(crate) struct Quotas {
+    /// Tells this life of the node from others in claims.
+    life: u64,
+    held: Mutex<HashMap<TenantName, Arc<HeldTenant>>>,
+    asked: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
+    unreached_until: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Budgets that this node grants from.
+    pub(super) coordination: Coordination,
+}
+
+impl Default for Quotas {
+    fn default() -> Self {
+        Self {
+            life: rand::random(),
+            held: Mutex::default(),
+            asked: Mutex::default(),
+            unreached_until: Mutex::default(),
+            coordination: Coordination::default(),
+        }
+    }
+}
+
+impl Quotas {
+    /// This life of the node.
+    pub(super) fn life(&self) -> u64 {
+        self.life
+    }
+
+    fn held(&self, tenant: &TenantName) -> Arc<HeldTenant> {
+        lock(&self.held).entry(tenant.clone()).or_default().clone()
+    }
+
+    /// An answer came.
+    pub fn answered(&self, number: u64, grant: Grant) {
+        if let Some(sender) = lock(&self.asked).remove(&number) {
+            // Whoever asked may have stopped waiting.
+            let _ = sender.send(grant);
+        }
+    }
+
+    fn is_reached(&self, node: Coordinator) -> bool {
+        let Coordinator::Peer(address) = node else {
+            return true;
+        };
+        let unreached = lock(&self.unreached_until);
+        unreached
+            .get(&address)
+            .is_none_or(|until| Instant::now() >= *until)
+    }
+
+    fn pass_over(&self, address: SocketAddr) {
+        let until = Instant::now() + PASS_OVER;
+        lock(&self.unreached_until).insert(address, until);
+    }
+}
+
+/// Waits until a holder may have one more operation run, until `deadline` at the
+/// longest.
+pub(crate) async fn admit<W: BudgetWorld>(
+    world: &Arc<W>,
+    holder: &ConnectionHolder,
+    deadline: Instant,
+) -> Result<(), NotRun> {
+    let is_limited = |tenant: &&TenantName| world.limit(tenant).is_some();
+    let limited = holder.tenant().filter(is_limited);
+    let (Some(tenant), Some(_)) = (limited, world.quota_rules()) else {
+        return Ok(());
+    };
+    let admitted = spend(world, tenant, deadline).await;
+    if admitted.is_err() {
+        world.count_refusal();
+    }
+    admitted
+}
+
+async fn spend<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &TenantName,
+    deadline: Instant,
+) -> Result<(), NotRun> {
+    let held = world.quotas().held(tenant);
+    loop {
+        if let Some(decided) = try_spend(&held) {
+            return decided;
+        }
+        let Ok(_turn) = timeout_at(deadline.into(), held.turn.lock()).await else {
+            return Err(NotRun::NoBudget);
+        };
+        // Somebody else may have brought a budget, or a refusal.
+        if let Some(decided) = try_spend(&held) {
+            return decided;
+        }
+        let asked_at = Instant::now();
+        let wanted = lock(&held.budget).need(asked_at);
+        let grant = ask(world, tenant, wanted, deadline).await?;
+        lock(&held.budget).granted(asked_at, grant);
+    }
+}
+
+fn try_spend(held: &HeldTenant) -> Option<Result<(), NotRun>> {
+    match lock(&held.budget).spend(Instant::now()) {
+        Spending::Granted => Some(Ok(())),
+        Spending::Refused(retry_after) => Some(Err(NotRun::OverQuota { retry_after })),
+        Spending::Ask => None,
+    }
+}
+
+/// Asks the first coordinator that answers.
+async fn ask<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &TenantName,
+    wanted: u64,
+    deadline: Instant,
+) -> Result<Grant, NotRun> {
+    loop {
+        let coordinators = world.coordinators(tenant);
+        for node in coordinators {
+            if !world.quotas().is_reached(node) {
+                continue;
+            }
+            if let Some(grant) = ask_node(world, node, tenant, wanted, deadline).await {
+                return Ok(grant);
+            }
+        }
+        if Instant::now() + FLEET_PAUSE >= deadline {
+            return Err(NotRun::NoBudget);
+        }
+        sleep(FLEET_PAUSE).await;
+    }
+}
+
+async fn ask_node<W: BudgetWorld>(
+    world: &Arc<W>,
+    node: Coordinator,
+    tenant: &TenantName,
+    wanted: u64,
+    deadline: Instant,
+) -> Option<Grant> {
+    let address = match node {
+        Coordinator::Itself => return Some(coordinator::grant(world, tenant, wanted)),
+        Coordinator::Peer(address) => address,
+    };
+    let (sender, mut receiver) = oneshot::channel();
+    let number = rand::random();
+    lock(&world.quotas().asked).insert(number, sender);
+    let question = BudgetMessage::Question {
+        number,
+        tenant: tenant.to_string(),
+        wanted,
+    };
+    world.count_question();
+    world.send(address, question.clone()).await;
+    let mut answer = timeout(REPEAT_AFTER, &mut receiver).await;
+    if answer.is_err() && Instant::now() < deadline {
+        world.send(address, question).await;
+        answer = timeout(ANSWER_TIMEOUT - REPEAT_AFTER, &mut receiver).await;
+    }
+    lock(&world.quotas().asked).remove(&number);
+    let grant = answer.ok().and_then(Result::ok);
+    if grant.is_none() {
+        world.quotas().pass_over(address);
+        Event::info("budget_coordinator_unreached")
+            .field("tenant", tenant)
+            .field("node", address)
+            .field("for_ms", PASS_OVER.as_millis())
+            .log();
+    }
+    grant
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/admission/world.rs
@@ -0,0 +1,68 @@
+//! What the admission of tenants needs of the node around it.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::tenancy::{QuotaRules, RateLimit};
+use linkhold_peer::BudgetMessage;
+
+use crate::ports::{StoreError, StoredRows, WriteResult};
+
+use super::Quotas;
+
+/// A node that may coordinate a tenant's budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Coordinator {
+    /// This node.
+    Itself,
+    /// Another one.
+    Peer(SocketAddr),
+}
+
+/// The fleet, the store and the network, as the admission of tenants sees them.
+pub(crate) trait BudgetWorld: Send + Sync + 'static {
+    /// What is kept of budgets.
+    fn quotas(&self) -> &Quotas;
+    /// How limits are counted.
+    fn quota_rules(&self) -> Option<QuotaRules>;
+    /// A tenant's limit by the configuration in force.
+    fn limit(&self, tenant: &str) -> Option<RateLimit>;
+    /// The first nodes in the order in which they coordinate a tenant's budget;
+    /// none while the fleet is not known whole.
+    fn coordinators(&self, tenant: &str) -> Vec<Coordinator>;
+    /// How long ago the store was last heard of the fleet, by this node or by the
+    /// reader that it follows.
+    fn view_age(&self) -> Duration;
+    /// Whether the node is being stopped.
+    fn is_leaving(&self) -> bool;
+    /// From when on no node takes the fleet for one without this node.
+    fn settled_at(&self) -> Instant;
+    /// This node's name, for claims.
+    fn node(&self) -> &str;
+    /// Sends a datagram to a node; it may be lost.
+    fn send(&self, to: SocketAddr, message: BudgetMessage) -> impl Future<Output = ()> + Send;
+    /// Whether all nodes that the store lists now are in this node's view.
+    fn knows_all_listed(&self) -> impl Future<Output = Result<bool, StoreError>> + Send;
+    /// All claims, or one tenant's.
+    fn read_claims(
+        &self,
+        tenant: Option<&str>,
+    ) -> impl Future<Output = Result<StoredRows, StoreError>> + Send;
+    /// Writes a claim if its row still has this version; 0: not there.
+    fn write_claim(
+        &self,
+        tenant: &str,
+        value: Vec<u8>,
+        expected: u64,
+    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
+    /// An operation was refused as over the quota, or for want of a coordinator.
+    fn count_refusal(&self);
+    /// A question was sent to another node.
+    fn count_question(&self);
+    /// Runs a task beside the caller.
+    fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
+        tokio::spawn(task);
+    }
+}
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -41,6 +41,7 @@
     places: Places,
     drain: Duration,
     configuration: Mutex<Option<Arc<Configuration>>>,
+    directory_read_at: Mutex<Option<Instant>>,
     instances: Mutex<InstanceBeliefs>,
     directory_cursor: Mutex<Cursor>,
     changes: watch::Sender<u64>,
@@ -55,6 +56,7 @@
             places,
             drain,
             configuration: Mutex::default(),
+            directory_read_at: Mutex::default(),
             instances: Mutex::default(),
             directory_cursor: Mutex::default(),
             changes: watch::channel(0).0,
@@ -183,7 +185,15 @@
 
     /// The directory was read, by this node or the reader it follows.
     pub fn directory_read(&self) {
-        lock(&self.instances).directory.read(Instant::now());
+        let now = Instant::now();
+        lock(&self.instances).directory.read(now);
+        *lock(&self.directory_read_at) = Some(now);
+    }
+
+    /// How long ago the directory was read last; without end if never.
+    pub fn directory_age(&self) -> Duration {
+        let read_at = *lock(&self.directory_read_at);
+        read_at.map_or(Duration::MAX, |at| at.elapsed())
     }
 
     /// Forgets instances that are gone for good; returns them.
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -16,6 +16,7 @@
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
 
+use crate::admission::Coordinator;
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::places::Places;
@@ -52,8 +53,14 @@
     read_at: Option<Instant>,
     /// Until when nodes that are not listed stay in the view.
     keep_until: Option<Instant>,
+    /// Whether a former life of this node was listed when it first looked.
+    was_listed_at_start: Option<bool>,
 }
 
+/// Nodes that are asked for a tenant's budget, one after the other: with a tenth
+/// of the fleet lost, one in a thousand tenants finds none.
+const MOST_COORDINATORS: usize = 3;
+
 /// A reader that has not read the fleet for so long had lost the store.
 const READING_GAP: Duration = Duration::from_millis(6_000);
 /// How long nodes that are not listed stay in the view after such a gap: their
@@ -212,6 +219,18 @@
         lock(&self.view).key = Some(key);
     }
 
+    /// Whether a former life of this node counted when this one began.
+    pub fn was_listed_at_start(&self) -> bool {
+        lock(&self.view).was_listed_at_start.unwrap_or(false)
+    }
+
+    /// Takes in whether the node is listed as it looks at the fleet.
+    pub fn looked(&self, is_listed: bool) {
+        lock(&self.view)
+            .was_listed_at_start
+            .get_or_insert(is_listed);
+    }
+
     /// When this node took up reading for others.
     pub fn reads_since(&self) -> Option<u64> {
         lock(&self.view).reads_since
@@ -244,6 +263,27 @@
         rendezvous::owners(duty, nodes, 1) == [NodeId::of_name(own_name)]
     }
 
+    /// The first nodes in the order in which they coordinate a tenant's budget;
+    /// none while not all are known.
+    pub fn coordinators(&self, own_name: &str, tenant: &str) -> Vec<Coordinator> {
+        let view = lock(&self.view);
+        let knows_all = view.is_settled && view.size > 0 && view.size == view.nodes.len();
+        if !knows_all {
+            return Vec::new();
+        }
+        let ids = view.nodes.keys().map(|name| NodeId::of_name(name));
+        let order = rendezvous::owners(tenant, ids, MOST_COORDINATORS);
+        let coordinator = |id: &NodeId| {
+            let mut nodes = view.nodes.values();
+            let node = nodes.find(|node| NodeId::of_name(&node.name) == *id)?;
+            if node.name == own_name {
+                return Some(Coordinator::Itself);
+            }
+            node.address.map(Coordinator::Peer)
+        };
+        order.iter().filter_map(coordinator).collect()
+    }
+
     /// This node's place in the order in which nodes take up a duty, among
     /// those it knows.
     pub fn rank(&self, own_name: &str, duty: &str) -> usize {
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use linkhold_core::service::readers::{self, Freshness};
 use tokio::sync::Notify;
 
+use crate::admission::Quotas;
 use crate::beliefs::{Beliefs, lock};
 use crate::evidence_probe::Questions;
 use crate::feed::FeedFrames;
@@ -54,7 +55,10 @@
     pub(crate) sources: Sources,
     pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
+    pub(crate) quotas: Quotas,
     leaving: AtomicBool,
+    /// When this life of the node began.
+    pub(crate) started_at: Instant,
 }
 
 /// Services whose primary needs looking after.
@@ -104,7 +108,9 @@
             sources: Sources::default(),
             feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
+            quotas: Quotas::default(),
             leaving: AtomicBool::new(false),
+            started_at: Instant::now(),
         })
     }
 
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -5,9 +5,11 @@
 //! for one platform. What is decided (freshness, placement, outcomes, shares
 //! of connections, failover) is decided by `linkhold-core`, without I/O.
 
+mod admission;
 mod attempt;
 mod batch;
 pub mod beliefs;
+mod budget_world;
 mod evidence_probe;
 mod failover;
 mod feed;
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -107,6 +107,13 @@
     pub run_for_others: Counter,
     /// Orders to promote.
     pub promotions: Counter,
+    /// Operations refused since their tenant has used up what it may ask for, or
+    /// nobody told whether it has.
+    pub over_quota: Counter,
+    /// Questions to other nodes for budgets of tenants.
+    pub budget_questions: Counter,
+    /// Such questions of other nodes, answered.
+    pub budget_answers: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
     /// Calls to the store by reason.
@@ -136,6 +143,9 @@
             ("forwarded_total", &self.forwarded),
             ("run_for_others_total", &self.run_for_others),
             ("promotions_total", &self.promotions),
+            ("operations_over_quota_total", &self.over_quota),
+            ("budget_questions_total", &self.budget_questions),
+            ("budget_answers_total", &self.budget_answers),
             ("store_failures_total", &self.store_failures),
         ];
         let mut text = String::new();
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -15,17 +15,20 @@
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::withholding::RECENT_FAILURE;
+use linkhold_core::tenancy::budget::Grant;
 use linkhold_events::Event;
 use linkhold_peer::{
-    MAX_DATAGRAM, PeerKey, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage,
-    decode_reachability, encode_reachability,
+    BudgetMessage, Datagram, MAX_DATAGRAM, PeerKey, QuestionPurpose, QuestionSubject, Reachability,
+    ReachabilityMessage, decode_datagram, encode_budget, encode_reachability,
 };
 use rand::seq::SliceRandom;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::admission;
 use crate::beliefs::lock;
+use crate::budget_world::milliseconds;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 use crate::registration;
@@ -58,6 +61,14 @@
 }
 
 impl Peers {
+    /// Sends a datagram to a node. A lost one counts as not sent.
+    pub async fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        let socket = lock(&self.socket).clone();
+        if let Some(socket) = socket {
+            let _ = socket.send_to(datagram, to).await;
+        }
+    }
+
     /// Where other nodes reach this one; `None` until it listens.
     pub fn address(&self) -> Option<SocketAddr> {
         lock(&self.socket).as_ref()?.local_addr().ok()
@@ -113,12 +124,15 @@
         let Some(key) = gateway.fleet.key() else {
             continue;
         };
-        match decode_reachability(&buffer[..length], &key) {
-            Ok(ReachabilityMessage::Question {
+        match decode_datagram(&buffer[..length], &key) {
+            Ok(Datagram::Budget(message)) => {
+                take_budget_message(gateway, socket, from, message, &key).await;
+            }
+            Ok(Datagram::Reachability(ReachabilityMessage::Question {
                 number,
                 subject,
                 purpose,
-            }) => {
+            })) => {
                 let asker = Asker {
                     socket: socket.clone(),
                     key,
@@ -127,7 +141,7 @@
                 };
                 tokio::spawn(answer(gateway.clone(), asker, subject, purpose));
             }
-            Ok(ReachabilityMessage::Answer { number, found }) => {
+            Ok(Datagram::Reachability(ReachabilityMessage::Answer { number, found })) => {
                 if let Some(sender) = lock(&gateway.peers.waiting).get(&number) {
                     // Whoever asked may have stopped waiting.
                     let _ = sender.send((from, found));
@@ -141,6 +155,47 @@
     }
 }
 
+/// Grants a budget, or takes in one that was granted.
+async fn take_budget_message<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    message: BudgetMessage,
+    key: &PeerKey,
+) {
+    match message {
+        BudgetMessage::Question {
+            number,
+            tenant,
+            wanted,
+        } => {
+            let grant = admission::grant(gateway, &tenant.into(), wanted);
+            gateway.metrics.budget_answers.add();
+            let answer = BudgetMessage::Answer {
+                number,
+                amount: grant.amount,
+                lapse_ms: milliseconds(grant.lapse),
+                retry_after_ms: milliseconds(grant.retry_after),
+            };
+            // A lost answer is asked for again.
+            let _ = socket.send_to(&encode_budget(&answer, key), from).await;
+        }
+        BudgetMessage::Answer {
+            number,
+            amount,
+            lapse_ms,
+            retry_after_ms,
+        } => {
+            let grant = Grant {
+                amount,
+                lapse: Duration::from_millis(lapse_ms),
+                retry_after: Duration::from_millis(retry_after_ms),
+            };
+            gateway.quotas.answered(number, grant);
+        }
+    }
+}
+
 /// Who asked a question, and where the answer goes.
 struct Asker {
     socket: Arc<UdpSocket>,
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -3,10 +3,13 @@
 use std::time::Instant;
 
 use linkhold_core::outcome::{Failure, NotRun};
-use linkhold_core::service::configuration::Admitted;
+use linkhold_core::service::configuration::{Admitted, Route};
 use linkhold_core::service::session::{Access, TransactionStatus};
+use linkhold_core::service::waiting;
+use linkhold_core::tenancy::ConnectionHolder;
 
 use super::{Session, Transaction};
+use crate::admission;
 use crate::batch::Work;
 use crate::ports::{
     BackendReply, CallerConnection, CallerReply, CallerRequest, Platform, Rejection, Statement,
@@ -169,6 +172,7 @@
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
         let Admitted { route, holder } = self.admitted()?;
+        self.take_from_budget(&route, &holder, received_at).await?;
         let unit = Unit {
             route: &route,
             holder: &holder,
@@ -199,6 +203,8 @@
         self.transaction = Transaction::Failed;
         // Freshness counts from the transaction's start, time limits from its
         // first statement: the caller may have paused in between.
+        self.take_from_budget(&admitted.route, &admitted.holder, received_at)
+            .await?;
         let unit = Unit {
             route: &admitted.route,
             holder: &admitted.holder,
@@ -217,6 +223,20 @@
         Ok(reply)
     }
 
+    /// Takes one operation from the tenant's budget. What waits for one is told in
+    /// time to come back.
+    async fn take_from_budget(
+        &self,
+        route: &Route,
+        holder: &ConnectionHolder,
+        received_at: Instant,
+    ) -> Result<(), Failure> {
+        let deadline = received_at + waiting::patience(route.latency_objective);
+        admission::admit(&self.gateway, holder, deadline)
+            .await
+            .map_err(Failure::NotRun)
+    }
+
     /// Rolls a transaction back whose caller is no longer known as the tenant that
     /// opened it.
     fn still_admitted(&self, open: OpenTransaction<P>) -> Result<OpenTransaction<P>, Failure> {
@@ -307,6 +327,8 @@
         work: &Work,
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
+        self.take_from_budget(&admitted.route, &admitted.holder, received_at)
+            .await?;
         let unit = Unit {
             route: &admitted.route,
             holder: &admitted.holder,
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use linkhold_core::tenancy::QuotaRules;
+
 use crate::places::Places;
 
 /// Settings of the engine. Times are as the platform bounds them.
@@ -23,4 +25,6 @@
     /// Whether the whole fleet starts for the first time: nobody can have
     /// registered before.
     pub is_first_start: bool,
+    /// How limits of tenants are counted; `None` where they are not.
+    pub quota: Option<QuotaRules>,
 }
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -31,10 +31,12 @@
     List,
     /// A row is removed.
     Remove,
+    /// Claims of tenants' coordinators are read or written.
+    Claim,
 }
 
 /// All reasons, in the order of their declaration, and how metrics name them.
-pub(crate) const REASONS: [(CallReason, &str); 9] = [
+pub(crate) const REASONS: [(CallReason, &str); 10] = [
     (CallReason::Look, "look"),
     (CallReason::Key, "key"),
     (CallReason::Register, "register"),
@@ -44,6 +46,7 @@
     (CallReason::Lease, "lease"),
     (CallReason::List, "list"),
     (CallReason::Remove, "remove"),
+    (CallReason::Claim, "claim"),
 ];
 
 /// Makes a call that must be answered within `limit`.
--- /dev/null
+++ b/crates/linkhold-peer/src/datagram.rs
@@ -0,0 +1,67 @@
+//! Datagrams between nodes: questions about primaries, and budgets of tenants.
+//!
+//! Both kinds come to one socket; variants of [`BudgetMessage`] are numbered
+//! apart from those of [`ReachabilityMessage`].
+
+use minicbor::{Decode, Encode};
+
+use crate::{MAX_DATAGRAM, PeerError, PeerKey, ReachabilityMessage};
+
+/// A message between a node and a tenant's coordinator.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum BudgetMessage {
+    /// A node asks for operations.
+    #[n(10)]
+    Question {
+        /// Told back in the answer.
+        #[n(0)]
+        number: u64,
+        /// The tenant.
+        #[n(1)]
+        tenant: String,
+        /// Operations that are wanted.
+        #[n(2)]
+        wanted: u64,
+    },
+    /// The coordinator's answer.
+    #[n(11)]
+    Answer {
+        /// The question's number.
+        #[n(0)]
+        number: u64,
+        /// Operations that are granted.
+        #[n(1)]
+        amount: u64,
+        /// How long they may be spent, in milliseconds.
+        #[n(2)]
+        lapse_ms: u64,
+        /// When to ask again if there was none, in milliseconds.
+        #[n(3)]
+        retry_after_ms: u64,
+    },
+}
+
+/// What one datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Datagram {
+    /// About the reachability of an instance.
+    Reachability(ReachabilityMessage),
+    /// About a tenant's budget.
+    Budget(BudgetMessage),
+}
+
+/// Encodes a message about a budget for one datagram.
+pub fn encode_budget(message: &BudgetMessage, key: &PeerKey) -> Vec<u8> {
+    let body = minicbor::to_vec(message).expect("encoding to a vector does not fail");
+    key.seal(&body)
+}
+
+/// Decodes a datagram.
+pub fn decode_datagram(bytes: &[u8], key: &PeerKey) -> Result<Datagram, PeerError> {
+    let body = key.open(bytes, MAX_DATAGRAM)?;
+    if let Ok(message) = minicbor::decode(body) {
+        return Ok(Datagram::Reachability(message));
+    }
+    let message = minicbor::decode(body).map_err(|_| PeerError::Malformed)?;
+    Ok(Datagram::Budget(message))
+}
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a stranger on the network cannot change a view. Membership messages
 //! fit one datagram; table messages are framed on a stream by a length.
 
+mod datagram;
 mod feed;
 mod forward;
 mod membership;
@@ -15,6 +16,7 @@
 use sha2::Sha256;
 use thiserror::Error;
 
+pub use datagram::{BudgetMessage, Datagram, decode_datagram, encode_budget};
 pub use feed::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode,
     MAX_FEED_MESSAGE, decode_feed, encode_feed,
@@ -32,7 +34,7 @@
 pub use table::{TableMessage, decode_table, encode_table};
 
 /// Version of the format; a node drops messages of another version.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Longest datagram, which fits one Ethernet frame with IP and UDP headers.
 pub const MAX_DATAGRAM: usize = 1_400;
 /// Longest table message, in bytes.
