Grant tenants' budgets from a token bucket that a successor starts anew

Change: a coordinator fills a token bucket at the tenant's rate; a successor starts with an eighth of the reserve and needs to know nothing, so no claims are kept. A node asked in place of another grants from the reserve until the others give it no answer either; one that has joined tells those after it.

--- a/crates/linkhold-core/src/tenancy/budget.rs
+++ b/crates/linkhold-core/src/tenancy/budget.rs
@@ -1,336 +1,165 @@
 //! Budgets of operations: a tenant's coordinator grants them, nodes spend them.
 //!
-//! All nodes choose a tenant's coordinator alike ([`crate::rendezvous`]). A node
-//! that has no budget asks it for one; a budget lapses after a short while,
-//! whether it was spent or not.
+//! All nodes choose a tenant's coordinator alike ([`crate::rendezvous`]) and ask
+//! it before an operation. It grants from a token bucket, which fills at the
+//! tenant's rate; a grant lapses after [`LAPSE`], spent or not.
 //!
-//! # Invariant
+//! # Invariants
 //!
-//! What is spent in a window is never more than [`WindowLimit::most`], as long as
-//! no more than two nodes take themselves for a tenant's first within
-//! [`VIEW_SETTLE`]:
+//! * One coordinator after another, each starting anew without any knowledge,
+//!   lets no window have more than [`WindowLimit::most`]: what a bucket fills in a
+//!   window and a lapse, and what it holds at most, come to less than that by half
+//!   of the reserve (`most` less what is owed), and a new bucket starts with an
+//!   eighth of the reserve. So a successor needs to know nothing and waits for
+//!   nothing; two in one window are covered.
+//! * A node that is asked in place of another which still lives grants from what
+//!   is left of the reserve alone. It grants at the tenant's rate only after the
+//!   nodes before it gave no answer to itself either.
+//! * A node that was first and learns that another is now sends those who ask it
+//!   there ([`BudgetAnswer::Elsewhere`] in the shell).
 //!
-//! * The coordinator counts what it grants from the grant until a window after
-//!   its lapse, so whatever of it is spent in a window is counted in all of it.
-//! * Without a claim the first node grants half of what is owed, so that two that
-//!   both believe they are first, or two lives of one, grant no more than that.
-//! * A claim is a row in the platform's store that names its holder; it holds for
-//!   [`CLAIM_LIFE`] unless it is renewed. A [`ClaimExtent::Whole`] one is taken
-//!   only by who is first in the fleet as the store lists it at that moment. With
-//!   it a coordinator grants all that is owed, once the claim that it replaced
-//!   has lapsed, and whoever was first before it has learnt that it is no longer
-//!   ([`VIEW_SETTLE`]), with all their budgets.
-//! * Who has not heard from the store for [`VIEW_TRUST`] no longer takes itself
-//!   for first.
-//! * Who finds another's whole claim, or has not read the claims, grants from the
-//!   reserve, which is [`WindowLimit::most`] less what is owed, until nothing that
-//!   was granted under that claim counts.
-//! * A node that is asked since others before it were not reached grants a part of
-//!   the reserve that halves with its rank and, once it has taken a claim of
-//!   [`ClaimExtent::Half`], half of what is owed.
+//! # What can exceed the limit
+//!
+//! Two coordinators that both live, each reached by a part of the fleet and not by
+//! each other, grant the rate twice for as long as that lasts.
 
 use std::time::{Duration, Instant};
 
 use super::rate::{ExpiringCount, WindowLimit};
-
-/// Life of a budget while a tenant uses little of what it is owed: long enough
-/// that a busy node asks seldom.
-pub const LONG_LAPSE: Duration = Duration::from_millis(1_500);
-/// Life of a budget otherwise. A window and this must hold no more than the
-/// overshoot allows: at an overshoot of 10% and a window of 5 s, half a second.
-pub const SHORT_LAPSE: Duration = Duration::from_millis(300);
-/// Part of what is owed, in use, up to which budgets live long.
-const LITTLE_USE: f64 = 0.25;
-/// Part of what is owed that is granted without a claim.
-const UNCLAIMED_PART: f64 = 0.5;
-/// Part of what is owed, in use, from which a claim is worth its calls.
-const CLAIM_FROM: f64 = 0.35;
-/// Life of a claim from before it was written, unless renewed.
-pub const CLAIM_LIFE: Duration = Duration::from_millis(4_000);
-/// Age at which a claim that is still needed is renewed.
-pub const CLAIM_RENEWAL: Duration = Duration::from_millis(1_500);
-/// How long a view of the fleet may be without news from the store for its node to
-/// act on being first: longer than most outages of the store, in which the fleet
-/// cannot change either.
-pub const VIEW_TRUST: Duration = Duration::from_millis(8_000);
-/// Time in which every node has learnt who is first now, or distrusts its view:
-/// [`VIEW_TRUST`], and as much for the way of the news through readers.
-pub const VIEW_SETTLE: Duration = Duration::from_millis(16_000);
+use super::tenant::RateLimit;
+
+/// Life of a grant: long enough for the answer's way between regions and a
+/// caller's turn, short enough that an overshoot of 10% of five seconds covers
+/// what it adds to a window.
+pub const LAPSE: Duration = Duration::from_millis(300);
+/// Parts of the reserve: what a bucket may hold beyond the burst, what a new one
+/// starts with, and what nodes grant in place of a live one in a window.
+const HELD_PART: f64 = 0.5;
+const START_PART: f64 = 0.125;
+const STAND_IN_PART: f64 = 0.25;
+/// How long a node without news from the store takes itself for first: less than
+/// the time after which others take it for gone.
+pub const VIEW_TRUST: Duration = Duration::from_millis(11_000);
+/// How long a node that was told of another first sends its askers there.
+pub const ELSEWHERE_FOR: Duration = Duration::from_millis(3_000);
 /// Shortest time after which a refused caller is told to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 /// Longest time after which a refused caller is told to come back.
 const LONGEST_RETRY: Duration = Duration::from_millis(2_000);
 
-/// What a coordinator may take itself for.
+/// As what a node grants a tenant's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// First in its view of the fleet.
-    First,
-    /// Asked since so many before it were not reached.
-    Deputy(u32),
-}
-
-/// How much a claim lets its holder grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimExtent {
-    /// Half of what is owed.
-    Half,
-    /// All of it.
-    Whole,
-}
-
-/// What is known of others' claims.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OthersClaims {
-    /// The store was not read since this coordinator began.
-    Unknown,
-    /// From this moment on nothing counts that was granted under a whole claim of
-    /// another, or of a former life.
-    OverAt(Instant),
-}
-
-/// A claim of another, or of a former life, as the store tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OthersClaim {
-    /// How much it lets its holder grant.
-    pub extent: ClaimExtent,
-    /// How long ago it was written.
-    pub age: Duration,
-}
-
-impl OthersClaim {
-    /// Whether it still holds.
-    pub fn holds(&self) -> bool {
-        self.age < CLAIM_LIFE
-    }
-
-    /// How long what was granted under it may still count.
-    fn over_in(&self, terms: &GrantTerms) -> Duration {
-        (CLAIM_LIFE + terms.claim_aftermath()).saturating_sub(self.age)
-    }
-}
-
-/// A claim of this coordinator's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct OwnClaim {
-    extent: ClaimExtent,
-    holds_until: Instant,
-    /// From when on nothing counts that was granted under the claim that it
-    /// replaced.
-    alone_from: Instant,
-}
-
-/// A grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// Operations.
-    pub amount: u64,
-    /// How long they may be spent.
-    pub lapse: Duration,
-    /// When to ask again if there was none.
-    pub retry_after: Duration,
+    /// It is the tenant's coordinator.
+    Coordinator,
+    /// It was asked in place of a node that may live.
+    StandIn,
 }
 
 impl Standing {
-    /// The standing of a node at `rank` in its view of the fleet, of which the
-    /// store was last heard `view_age` ago. `None`: it is not among the first.
-    pub fn of_rank(rank: Option<usize>, view_age: Duration, is_leaving: bool) -> Self {
+    /// The standing of a node at `rank` in its view of the fleet (`None`: not among
+    /// the first ones), of which the store was last heard `view_age` ago.
+    /// `others_lost` tells whether the nodes before it gave it no answer.
+    pub fn of_rank(rank: Option<usize>, view_age: Duration, others_lost: bool) -> Self {
         match rank {
-            Some(0) if view_age < VIEW_TRUST && !is_leaving => Self::First,
-            Some(rank) if rank > 0 => Self::Deputy(u32::try_from(rank).unwrap_or(FAR_RANK)),
-            Some(_) | None => Self::Deputy(FAR_RANK),
+            Some(0) if view_age < VIEW_TRUST => Self::Coordinator,
+            Some(rank) if rank > 0 && others_lost && view_age < VIEW_TRUST => Self::Coordinator,
+            Some(_) | None => Self::StandIn,
         }
     }
 }
 
-/// Rank of a node that is not among the first, or does not know.
-const FAR_RANK: u32 = 8;
-
-/// What decides a grant besides the budget itself.
+/// What decides a grant besides the bucket itself.
 #[derive(Clone, Copy, Debug)]
 pub struct GrantTerms {
-    /// The tenant's limit.
-    pub limit: WindowLimit,
-    /// Length of the sliding window.
+    /// What the tenant may ask.
+    pub limit: RateLimit,
+    /// What that comes to in a window.
+    pub in_window: WindowLimit,
+    /// Length of the window.
     pub window: Duration,
-    /// What the coordinator takes itself for.
+    /// As what the node grants.
     pub standing: Standing,
-    /// From when on nobody else takes itself for first because this node was not
-    /// in the fleet yet.
-    pub settled_at: Instant,
 }
 
 impl GrantTerms {
-    /// Operations that may be exceeded in no case, less those that are owed.
+    /// Operations that no window may exceed, less those that are owed.
     fn reserve(&self) -> f64 {
-        self.limit.most - self.limit.owed
+        self.in_window.most - self.in_window.owed
     }
 
-    /// How long after its lapse a claim's last budgets may count.
-    fn claim_aftermath(&self) -> Duration {
-        LONG_LAPSE + self.window
+    /// What the bucket holds at most. A grant may be spent up to [`LAPSE`] later,
+    /// so a window may have what filled in as much more time.
+    fn capacity(&self) -> f64 {
+        let held = match self.standing {
+            Standing::Coordinator => {
+                let lapse = self.limit.rate_per_second * LAPSE.as_secs_f64();
+                self.limit.burst + self.reserve() * HELD_PART - lapse
+            }
+            Standing::StandIn => self.reserve() * STAND_IN_PART,
+        };
+        held.max(1.0)
     }
+
+    /// Operations that fill in a second.
+    fn fill_rate(&self) -> f64 {
+        match self.standing {
+            Standing::Coordinator => self.limit.rate_per_second,
+            Standing::StandIn => self.reserve() * STAND_IN_PART / self.window.as_secs_f64() / 2.0,
+        }
+    }
+}
+
+/// A grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Operations.
+    pub amount: u64,
+    /// When to ask again if there was none.
+    pub retry_after: Duration,
 }
 
 /// A tenant's budget at its coordinator.
 #[derive(Clone, Debug)]
 pub struct CoordinatedBudget {
-    granted: ExpiringCount,
-    others: OthersClaims,
-    own: Option<OwnClaim>,
-    /// When this node was last asked while it was not first.
-    displaced_at: Option<Instant>,
+    level: f64,
+    filled_at: Instant,
 }
 
-impl Default for CoordinatedBudget {
-    fn default() -> Self {
+impl CoordinatedBudget {
+    /// A new bucket.
+    pub fn new(now: Instant, terms: &GrantTerms) -> Self {
         Self {
-            granted: ExpiringCount::default(),
-            others: OthersClaims::Unknown,
-            own: None,
-            displaced_at: None,
+            level: (terms.reserve() * START_PART).min(terms.capacity()),
+            filled_at: now,
         }
     }
-}
 
-impl CoordinatedBudget {
     /// Grants up to `wanted` operations.
     pub fn grant(&mut self, now: Instant, wanted: u64, terms: &GrantTerms) -> Grant {
-        if terms.standing != Standing::First {
-            self.not_first(now);
-        }
-        let used = self.granted.total(now);
-        let most = self.most(now, terms);
-        let left = (most.floor() as u64).saturating_sub(used);
-        let amount = wanted.min(left);
-        let in_use = (used + amount) as f64;
-        let lapse = if in_use <= terms.limit.owed * LITTLE_USE {
-            LONG_LAPSE
-        } else {
-            SHORT_LAPSE
-        };
-        self.granted.add(now + lapse + terms.window, amount);
+        self.fill(now, terms);
+        let amount = wanted.min(self.level.floor() as u64);
+        self.level -= amount as f64;
         Grant {
             amount,
-            lapse,
-            retry_after: self.retry_after(now),
-        }
-    }
-
-    /// Operations that may count at a time.
-    fn most(&self, now: Instant, terms: &GrantTerms) -> f64 {
-        let owed = terms.limit.owed;
-        let claimed = self.own.filter(|own| now < own.holds_until);
-        let is_over = matches!(self.others, OthersClaims::OverAt(moment) if now >= moment);
-        match (terms.standing, claimed) {
-            (Standing::First, Some(own))
-                if own.extent == ClaimExtent::Whole && now >= own.alone_from =>
-            {
-                owed
-            }
-            (Standing::First, _) if is_over => owed * UNCLAIMED_PART,
-            (Standing::Deputy(_), Some(_)) if is_over => owed * UNCLAIMED_PART,
-            (Standing::First, _) => terms.reserve() / 2.0,
-            (Standing::Deputy(rank), _) => terms.reserve() / 2_f64.powi(rank.min(30) as i32 + 1),
+            retry_after: self.retry_after(terms),
         }
     }
 
-    fn retry_after(&self, now: Instant) -> Duration {
-        let freed_at = self.granted.freed_at(1);
-        let wait = freed_at.map_or(LEAST_RETRY, |at| at.saturating_duration_since(now));
-        wait.clamp(LEAST_RETRY, LONGEST_RETRY)
-    }
-
-    /// This node is not first: whoever is may grant and claim meanwhile.
-    fn not_first(&mut self, now: Instant) {
-        self.displaced_at = Some(now);
-        if self.own.is_some_and(|own| own.extent == ClaimExtent::Whole) {
-            self.own = None;
-        }
-        if self.own.is_none() {
-            self.others = OthersClaims::Unknown;
-        }
+    fn fill(&mut self, now: Instant, terms: &GrantTerms) {
+        let passed = now.saturating_duration_since(self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        let filled = self.level + passed.as_secs_f64() * terms.fill_rate();
+        self.level = filled.min(terms.capacity());
     }
 
-    /// Whether the claims have to be read.
-    pub fn needs_reading(&self, standing: Standing) -> bool {
-        standing == Standing::First && self.others == OthersClaims::Unknown
+    /// When there will be an operation again.
+    fn retry_after(&self, terms: &GrantTerms) -> Duration {
+        let missing = (1.0 - self.level).max(0.0);
+        let wait = Duration::try_from_secs_f64(missing / terms.fill_rate());
+        wait.unwrap_or(LONGEST_RETRY)
+            .clamp(LEAST_RETRY, LONGEST_RETRY)
     }
-
-    /// The claims were read after this coordinator began; `found` is another's, or
-    /// a former life's, for this tenant.
-    pub fn claims_read(&mut self, now: Instant, found: Option<OthersClaim>, terms: &GrantTerms) {
-        if self.others == OthersClaims::Unknown {
-            self.others = OthersClaims::OverAt(now + whole_over_in(found, terms));
-        }
-    }
-
-    /// The claim that is to be taken or renewed now.
-    pub fn wanted_claim(&mut self, now: Instant, terms: &GrantTerms) -> Option<ClaimExtent> {
-        let in_use = self.granted.total(now) as f64;
-        let is_fresh = |own: &OwnClaim| now + CLAIM_LIFE < own.holds_until + CLAIM_RENEWAL;
-        let extent = match terms.standing {
-            Standing::First if in_use >= terms.limit.owed * CLAIM_FROM => ClaimExtent::Whole,
-            Standing::Deputy(_) if in_use > 0.0 => ClaimExtent::Half,
-            Standing::First | Standing::Deputy(_) => return None,
-        };
-        let has_it = self
-            .own
-            .as_ref()
-            .is_some_and(|own| own.extent == extent && is_fresh(own));
-        (!has_it).then_some(extent)
-    }
-
-    /// A claim was written in calls that began at `asked_at`. `replaced` is the
-    /// claim of another, or of a former life, that it took the place of.
-    pub fn claimed(
-        &mut self,
-        asked_at: Instant,
-        extent: ClaimExtent,
-        replaced: Option<OthersClaim>,
-        terms: &GrantTerms,
-    ) {
-        let alone_from = match (self.own, replaced) {
-            (_, Some(others)) => asked_at + others.over_in(terms),
-            (Some(own), None) if own.extent == extent => own.alone_from,
-            (_, None) => asked_at,
-        };
-        let alone_from = alone_from.max(self.settled_at(terms) + terms.claim_aftermath());
-        let whole_over = asked_at + whole_over_in(replaced, terms);
-        self.others = match self.others {
-            OthersClaims::OverAt(moment) => OthersClaims::OverAt(moment.max(whole_over)),
-            OthersClaims::Unknown => OthersClaims::OverAt(whole_over),
-        };
-        self.own = Some(OwnClaim {
-            extent,
-            holds_until: asked_at + CLAIM_LIFE,
-            alone_from,
-        });
-    }
-
-    /// From when on nobody else takes itself for first.
-    fn settled_at(&self, terms: &GrantTerms) -> Instant {
-        let displaced = self.displaced_at.map(|at| at + VIEW_SETTLE);
-        displaced.map_or(terms.settled_at, |at| at.max(terms.settled_at))
-    }
-
-    /// Another holds the claim now: this coordinator's own is lost.
-    pub fn claim_lost(&mut self) {
-        self.own = None;
-        self.others = OthersClaims::Unknown;
-    }
-
-    /// Operations that count now.
-    pub fn in_use(&mut self, now: Instant) -> u64 {
-        self.granted.total(now)
-    }
-}
-
-/// How long what was granted under a whole claim of another may still count.
-fn whole_over_in(claim: Option<OthersClaim>, terms: &GrantTerms) -> Duration {
-    claim
-        .filter(|claim| claim.extent == ClaimExtent::Whole)
-        .map_or(Duration::ZERO, |claim| claim.over_in(terms))
 }
 
 /// How far back a node looks to tell what it will need.
@@ -369,15 +198,18 @@
         }
     }
 
-    /// Operations to ask for: one, and as many as were spent lately.
-    pub fn need(&mut self, now: Instant) -> u64 {
-        self.spent.total(now) + 1
+    /// Operations to ask for where `waiting` wait: these, and as many as will
+    /// surely come while the grant lasts, by what was spent lately.
+    pub fn need(&mut self, now: Instant, waiting: u64) -> u64 {
+        let recent = self.spent.total(now) as f64;
+        let coming = recent * LAPSE.as_secs_f64() / NEED_WINDOW.as_secs_f64();
+        waiting.max(1) + coming.floor() as u64
     }
 
     /// A budget was granted in answer to a question that was sent at `asked_at`.
     /// Its life counts from there, since the coordinator counts from later.
     pub fn granted(&mut self, asked_at: Instant, grant: Grant) {
-        self.tokens.add(asked_at + grant.lapse, grant.amount);
+        self.tokens.add(asked_at + LAPSE, grant.amount);
         self.refused_until = (grant.amount == 0).then(|| asked_at + grant.retry_after);
     }
 }
--- a/crates/linkhold-core/src/tenancy/rate.rs
+++ b/crates/linkhold-core/src/tenancy/rate.rs
@@ -70,20 +70,6 @@
         self.total
     }
 
-    /// When `amount` less will count than now, or nothing at all.
-    pub fn freed_at(&self, amount: u64) -> Option<Instant> {
-        let mut moments: Vec<(Instant, u64)> = self.entries.iter().copied().collect();
-        moments.sort_unstable();
-        let mut freed = 0;
-        for (until, count) in &moments {
-            freed += count;
-            if freed >= amount {
-                return Some(*until);
-            }
-        }
-        moments.last().map(|(until, _)| *until)
-    }
-
     /// Takes `amount` of what expires first; whether there was so much.
     pub fn take(&mut self, now: Instant, amount: u64) -> bool {
         if self.total(now) < amount {
--- a/crates/linkhold-gateway/src/admission/coordinator.rs
+++ b/crates/linkhold-gateway/src/admission/coordinator.rs
@@ -1,95 +1,200 @@
 //! A coordinator's side: grants tenants' budgets.
 
 use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use linkhold_core::tenancy::TenantName;
-use linkhold_core::tenancy::budget::{CoordinatedBudget, Grant, GrantTerms, Standing};
+use linkhold_core::tenancy::budget::{
+    CoordinatedBudget, ELSEWHERE_FOR, Grant, GrantTerms, Standing,
+};
 use linkhold_events::Event;
 
 use crate::beliefs::lock;
 
-use super::{BudgetWorld, Coordinator, claims};
+use super::{BudgetWorld, Coordinator, quotas};
 
 /// When to ask again where the coordinator does not know the tenant yet.
 const UNKNOWN_TENANT_RETRY: Duration = Duration::from_millis(150);
+/// How often a node looks whether those before it live, while it is asked in
+/// their place, and tells those after it that it is first, while it is new.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a node stays first in others' eyes after it has joined: they learn the
+/// fleet from their readers in this time.
+const JOINING_TIME: Duration = Duration::from_millis(16_000);
 
-/// A tenant's budget at this node, and what is under way for it.
-pub(super) struct Coordinated {
-    pub budget: CoordinatedBudget,
-    pub standing: Standing,
-    pub is_claiming: bool,
+/// A coordinator's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BudgetAnswer {
+    /// What it grants.
+    Granted(Grant),
+    /// Another node is the tenant's coordinator now.
+    Elsewhere(SocketAddr),
+}
+
+/// A tenant's budget at this node.
+struct Coordinated {
+    budget: CoordinatedBudget,
+    standing: Standing,
+    /// When it was last looked whether those before this node live.
+    looked_at: Option<Instant>,
+    /// They gave no answer.
+    others_lost: bool,
+}
+
+/// Another node that is a tenant's coordinator.
+#[derive(Clone, Copy)]
+struct Successor {
+    address: SocketAddr,
+    until: Instant,
 }
 
 /// Budgets that this node grants from.
 #[derive(Default)]
 pub(super) struct Coordination {
-    pub budgets: Mutex<HashMap<TenantName, Coordinated>>,
-    pub is_reading_claims: AtomicBool,
+    budgets: Mutex<HashMap<TenantName, Coordinated>>,
+    successors: Mutex<HashMap<TenantName, Successor>>,
 }
 
-/// Grants a budget. Never waits.
-pub(crate) fn grant<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName, wanted: u64) -> Grant {
-    let Some(terms) = terms(world, tenant) else {
-        return Grant {
-            amount: 0,
-            lapse: Duration::ZERO,
-            retry_after: UNKNOWN_TENANT_RETRY,
-        };
-    };
-    let now = Instant::now();
-    let (grant, wanted_claim, needs_reading) = {
-        let mut budgets = lock(&world.quotas().coordination.budgets);
-        let entry = budgets
-            .entry(tenant.clone())
-            .or_insert_with(|| Coordinated {
-                budget: CoordinatedBudget::default(),
-                standing: terms.standing,
-                is_claiming: false,
-            });
-        note_standing(entry, tenant, terms.standing);
-        let grant = entry.budget.grant(now, wanted, &terms);
-        let wanted_claim = entry
-            .budget
-            .wanted_claim(now, &terms)
-            .filter(|_| !entry.is_claiming);
-        entry.is_claiming |= wanted_claim.is_some();
-        let needs_reading = entry.budget.needs_reading(terms.standing);
-        (grant, wanted_claim, needs_reading)
-    };
-    if needs_reading {
-        claims::read_in_background(world);
+/// Grants a budget, or tells who does. Never waits.
+pub(crate) fn answer<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &TenantName,
+    wanted: u64,
+) -> BudgetAnswer {
+    if let Some(address) = successor(world, tenant) {
+        return BudgetAnswer::Elsewhere(address);
     }
-    if let Some(extent) = wanted_claim {
-        claims::take_in_background(world, tenant, extent);
-    }
-    grant
+    BudgetAnswer::Granted(grant(world, tenant, wanted))
+}
+
+fn successor<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName) -> Option<SocketAddr> {
+    let now = Instant::now();
+    let successors = lock(&world.quotas().coordination.successors);
+    let successor = successors.get(tenant).filter(|it| now < it.until)?;
+    Some(successor.address)
 }
 
-fn note_standing(entry: &mut Coordinated, tenant: &TenantName, standing: Standing) {
-    if entry.standing != standing {
-        entry.standing = standing;
-        Event::info("budget_standing_changed")
+/// Another node tells that it is a tenant's coordinator.
+pub(crate) fn displaced<W: BudgetWorld>(world: &Arc<W>, tenant: TenantName, by: SocketAddr) {
+    let successor = Successor {
+        address: by,
+        until: Instant::now() + ELSEWHERE_FOR,
+    };
+    let known = lock(&world.quotas().coordination.successors).insert(tenant.clone(), successor);
+    if known.is_none_or(|known| known.address != by) {
+        Event::info("budget_coordinator_displaced")
             .field("tenant", tenant)
-            .field("standing", format_args!("{standing:?}"))
+            .field("by", by)
             .log();
     }
 }
 
-/// What decides grants to a tenant now; `None` if it has no limit.
-pub(super) fn terms<W: BudgetWorld>(world: &Arc<W>, tenant: &str) -> Option<GrantTerms> {
-    let rules = world.quota_rules()?;
-    let limit = world.limit(tenant)?;
+/// Grants a budget as whatever this node takes itself for.
+pub(super) fn grant<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName, wanted: u64) -> Grant {
     let coordinators = world.coordinators(tenant);
     let rank = coordinators
         .iter()
         .position(|node| *node == Coordinator::Itself);
+    let now = Instant::now();
+    let mut budgets = lock(&world.quotas().coordination.budgets);
+    let others_lost = budgets.get(tenant).is_some_and(|it| it.others_lost);
+    let Some(terms) = terms(world, tenant, rank, others_lost) else {
+        return Grant {
+            amount: 0,
+            retry_after: UNKNOWN_TENANT_RETRY,
+        };
+    };
+    let entry = budgets
+        .entry(tenant.clone())
+        .or_insert_with(|| Coordinated {
+            budget: CoordinatedBudget::new(now, &terms),
+            standing: terms.standing,
+            looked_at: None,
+            others_lost: false,
+        });
+    if entry.standing != terms.standing {
+        entry.budget = CoordinatedBudget::new(now, &terms);
+        entry.standing = terms.standing;
+        log_standing(tenant, terms.standing, rank);
+    }
+    let grant = entry.budget.grant(now, wanted, &terms);
+    let is_due = entry.looked_at.is_none_or(|at| now >= at + LOOK_INTERVAL);
+    if is_due {
+        entry.looked_at = Some(now);
+        drop(budgets);
+        look_around(world, tenant, rank, &coordinators);
+    }
+    grant
+}
+
+fn terms<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &str,
+    rank: Option<usize>,
+    others_lost: bool,
+) -> Option<GrantTerms> {
+    let rules = world.quota_rules()?;
+    let limit = world.limit(tenant)?;
     Some(GrantTerms {
-        limit: rules.window_limit(limit),
+        limit,
+        in_window: rules.window_limit(limit),
         window: rules.window,
-        standing: Standing::of_rank(rank, world.view_age(), world.is_leaving()),
-        settled_at: world.settled_at(),
+        standing: Standing::of_rank(rank, world.view_age(), others_lost),
     })
 }
+
+fn log_standing(tenant: &TenantName, standing: Standing, rank: Option<usize>) {
+    Event::info("budget_standing_changed")
+        .field("tenant", tenant)
+        .field("standing", format_args!("{standing:?}"))
+        .field("rank", format_args!("{rank:?}"))
+        .log();
+}
+
+/// Looks whether those before this node live, or tells those after it that it has
+/// joined before them.
+fn look_around<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &TenantName,
+    rank: Option<usize>,
+    coordinators: &[Coordinator],
+) {
+    match rank {
+        Some(0) if world.life_time() < JOINING_TIME => {
+            let after: Vec<SocketAddr> = peers(&coordinators[1..]);
+            let teller = world.clone();
+            let tenant = tenant.clone();
+            world.spawn(async move { quotas::tell_displaced(&teller, &tenant, &after).await });
+        }
+        Some(rank) if rank > 0 => {
+            let before: Vec<SocketAddr> = peers(&coordinators[..rank]);
+            let looker = world.clone();
+            let tenant = tenant.clone();
+            world.spawn(async move { look_before(&looker, &tenant, &before).await });
+        }
+        Some(_) | None => {}
+    }
+}
+
+fn peers(nodes: &[Coordinator]) -> Vec<SocketAddr> {
+    let address = |node: &Coordinator| match node {
+        Coordinator::Itself => None,
+        Coordinator::Peer(address) => Some(*address),
+    };
+    nodes.iter().filter_map(address).collect()
+}
+
+async fn look_before<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName, before: &[SocketAddr]) {
+    let mut others_lost = true;
+    for address in before {
+        let deadline = Instant::now() + quotas::ANSWER_TIMEOUT;
+        let answer = quotas::question(world, *address, tenant, 0, deadline).await;
+        others_lost &= answer.is_none();
+    }
+    let mut budgets = lock(&world.quotas().coordination.budgets);
+    if let Some(entry) = budgets.get_mut(tenant) {
+        entry.others_lost = others_lost;
+    }
+}
--- a/crates/linkhold-gateway/src/admission/quotas.rs
+++ b/crates/linkhold-gateway/src/admission/quotas.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,14 +22,14 @@
 
 use crate::beliefs::lock;
 
-use super::coordinator::{self, Coordination};
+use super::coordinator::{self, BudgetAnswer, Coordination};
 use super::{BudgetWorld, Coordinator};
 
 /// A question is asked once more after this: datagrams may be lost. Nodes of
 /// different regions are up to 40 ms away, there and back.
 const REPEAT_AFTER: Duration = Duration::from_millis(100);
 /// How long a coordinator may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(260);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(260);
 /// How long a coordinator that gave no answer is passed over.
 const PASS_OVER: Duration = Duration::from_millis(1_000);
 /// Pause before the fleet is looked at again while it is not known.
@@ -38,48 +39,32 @@
 #[derive(Default)]
 struct HeldTenant {
     budget: Mutex<HeldBudget>,
+    /// Operations that wait for a budget.
+    waiting: AtomicU64,
     /// Held by whoever asks for more.
     turn: TurnMutex<()>,
 }
 
 /// What a node keeps of budgets.
+#[derive(Default)]
 pub(crate) struct Quotas {
-    /// Tells this life of the node from others in claims.
-    life: u64,
     held: Mutex<HashMap<TenantName, Arc<HeldTenant>>>,
-    asked: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
+    asked: Mutex<HashMap<u64, oneshot::Sender<BudgetAnswer>>>,
     unreached_until: Mutex<HashMap<SocketAddr, Instant>>,
     /// Budgets that this node grants from.
     pub(super) coordination: Coordination,
 }
 
-impl Default for Quotas {
-    fn default() -> Self {
-        Self {
-            life: rand::random(),
-            held: Mutex::default(),
-            asked: Mutex::default(),
-            unreached_until: Mutex::default(),
-            coordination: Coordination::default(),
-        }
-    }
-}
-
 impl Quotas {
-    /// This life of the node.
-    pub(super) fn life(&self) -> u64 {
-        self.life
-    }
-
     fn held(&self, tenant: &TenantName) -> Arc<HeldTenant> {
         lock(&self.held).entry(tenant.clone()).or_default().clone()
     }
 
     /// An answer came.
-    pub fn answered(&self, number: u64, grant: Grant) {
+    pub fn answered(&self, number: u64, answer: BudgetAnswer) {
         if let Some(sender) = lock(&self.asked).remove(&number) {
             // Whoever asked may have stopped waiting.
-            let _ = sender.send(grant);
+            let _ = sender.send(answer);
         }
     }
 
@@ -124,19 +109,32 @@
     deadline: Instant,
 ) -> Result<(), NotRun> {
     let held = world.quotas().held(tenant);
+    if let Some(decided) = try_spend(&held) {
+        return decided;
+    }
+    held.waiting.fetch_add(1, Ordering::Relaxed);
+    let decided = wait_for_budget(world, &held, tenant, deadline).await;
+    held.waiting.fetch_sub(1, Ordering::Relaxed);
+    decided
+}
+
+async fn wait_for_budget<W: BudgetWorld>(
+    world: &Arc<W>,
+    held: &HeldTenant,
+    tenant: &TenantName,
+    deadline: Instant,
+) -> Result<(), NotRun> {
+    let Ok(_turn) = timeout_at(deadline.into(), held.turn.lock()).await else {
+        return Err(NotRun::NoBudget);
+    };
     loop {
-        if let Some(decided) = try_spend(&held) {
-            return decided;
-        }
-        let Ok(_turn) = timeout_at(deadline.into(), held.turn.lock()).await else {
-            return Err(NotRun::NoBudget);
-        };
         // Somebody else may have brought a budget, or a refusal.
-        if let Some(decided) = try_spend(&held) {
+        if let Some(decided) = try_spend(held) {
             return decided;
         }
         let asked_at = Instant::now();
-        let wanted = lock(&held.budget).need(asked_at);
+        let waiting = held.waiting.load(Ordering::Relaxed);
+        let wanted = lock(&held.budget).need(asked_at, waiting);
         let grant = ask(world, tenant, wanted, deadline).await?;
         lock(&held.budget).granted(asked_at, grant);
     }
@@ -182,9 +180,32 @@
     deadline: Instant,
 ) -> Option<Grant> {
     let address = match node {
-        Coordinator::Itself => return Some(coordinator::grant(world, tenant, wanted)),
+        Coordinator::Itself => match coordinator::answer(world, tenant, wanted) {
+            BudgetAnswer::Granted(grant) => return Some(grant),
+            BudgetAnswer::Elsewhere(address) => address,
+        },
         Coordinator::Peer(address) => address,
     };
+    let answer = question(world, address, tenant, wanted, deadline).await?;
+    let elsewhere = match answer {
+        BudgetAnswer::Granted(grant) => return Some(grant),
+        BudgetAnswer::Elsewhere(address) => address,
+    };
+    match question(world, elsewhere, tenant, wanted, deadline).await? {
+        BudgetAnswer::Granted(grant) => Some(grant),
+        BudgetAnswer::Elsewhere(_) => None,
+    }
+}
+
+/// Asks a node once, and once more if no answer comes. One that gives none is
+/// passed over for a while.
+pub(super) async fn question<W: BudgetWorld>(
+    world: &Arc<W>,
+    address: SocketAddr,
+    tenant: &TenantName,
+    wanted: u64,
+    deadline: Instant,
+) -> Option<BudgetAnswer> {
     let (sender, mut receiver) = oneshot::channel();
     let number = rand::random();
     lock(&world.quotas().asked).insert(number, sender);
@@ -201,8 +222,8 @@
         answer = timeout(ANSWER_TIMEOUT - REPEAT_AFTER, &mut receiver).await;
     }
     lock(&world.quotas().asked).remove(&number);
-    let grant = answer.ok().and_then(Result::ok);
-    if grant.is_none() {
+    let answer = answer.ok().and_then(Result::ok);
+    if answer.is_none() {
         world.quotas().pass_over(address);
         Event::info("budget_coordinator_unreached")
             .field("tenant", tenant)
@@ -210,5 +231,17 @@
             .field("for_ms", PASS_OVER.as_millis())
             .log();
     }
-    grant
+    answer
+}
+
+/// Tells nodes that this one is a tenant's coordinator now.
+pub(super) async fn tell_displaced<W: BudgetWorld>(
+    world: &Arc<W>,
+    tenant: &TenantName,
+    nodes: &[SocketAddr],
+) {
+    for node in nodes {
+        let tenant = tenant.to_string();
+        world.send(*node, BudgetMessage::Displaced { tenant }).await;
+    }
 }
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -53,8 +53,6 @@
     read_at: Option<Instant>,
     /// Until when nodes that are not listed stay in the view.
     keep_until: Option<Instant>,
-    /// Whether a former life of this node was listed when it first looked.
-    was_listed_at_start: Option<bool>,
 }
 
 /// Nodes that are asked for a tenant's budget, one after the other: with a tenth
@@ -219,18 +217,6 @@
         lock(&self.view).key = Some(key);
     }
 
-    /// Whether a former life of this node counted when this one began.
-    pub fn was_listed_at_start(&self) -> bool {
-        lock(&self.view).was_listed_at_start.unwrap_or(false)
-    }
-
-    /// Takes in whether the node is listed as it looks at the fleet.
-    pub fn looked(&self, is_listed: bool) {
-        lock(&self.view)
-            .was_listed_at_start
-            .get_or_insert(is_listed);
-    }
-
     /// When this node took up reading for others.
     pub fn reads_since(&self) -> Option<u64> {
         lock(&self.view).reads_since
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::admission;
+use crate::admission::{self, BudgetAnswer};
 use crate::beliefs::lock;
 use crate::budget_world::milliseconds;
 use crate::gateway::Gateway;
@@ -155,7 +155,7 @@
     }
 }
 
-/// Grants a budget, or takes in one that was granted.
+/// Answers a question for a budget, or takes in what another node says of one.
 async fn take_budget_message<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     socket: &UdpSocket,
@@ -169,33 +169,51 @@
             tenant,
             wanted,
         } => {
-            let grant = admission::grant(gateway, &tenant.into(), wanted);
+            let answer = admission::answer(gateway, &tenant.into(), wanted);
             gateway.metrics.budget_answers.add();
-            let answer = BudgetMessage::Answer {
-                number,
-                amount: grant.amount,
-                lapse_ms: milliseconds(grant.lapse),
-                retry_after_ms: milliseconds(grant.retry_after),
-            };
+            let message = budget_message(number, answer);
             // A lost answer is asked for again.
-            let _ = socket.send_to(&encode_budget(&answer, key), from).await;
+            let _ = socket.send_to(&encode_budget(&message, key), from).await;
         }
         BudgetMessage::Answer {
             number,
             amount,
-            lapse_ms,
             retry_after_ms,
         } => {
             let grant = Grant {
                 amount,
-                lapse: Duration::from_millis(lapse_ms),
                 retry_after: Duration::from_millis(retry_after_ms),
             };
-            gateway.quotas.answered(number, grant);
+            gateway
+                .quotas
+                .answered(number, BudgetAnswer::Granted(grant));
+        }
+        BudgetMessage::Elsewhere { number, address } => {
+            if let Ok(address) = address.parse() {
+                let answer = BudgetAnswer::Elsewhere(address);
+                gateway.quotas.answered(number, answer);
+            }
+        }
+        BudgetMessage::Displaced { tenant } => {
+            admission::displaced(gateway, tenant.into(), from);
         }
     }
 }
 
+fn budget_message(number: u64, answer: BudgetAnswer) -> BudgetMessage {
+    match answer {
+        BudgetAnswer::Granted(grant) => BudgetMessage::Answer {
+            number,
+            amount: grant.amount,
+            retry_after_ms: milliseconds(grant.retry_after),
+        },
+        BudgetAnswer::Elsewhere(address) => BudgetMessage::Elsewhere {
+            number,
+            address: address.to_string(),
+        },
+    }
+}
+
 /// Who asked a question, and where the answer goes.
 struct Asker {
     socket: Arc<UdpSocket>,
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -110,8 +110,6 @@
     Nodes,
     /// Failover leases by service.
     Leases,
-    /// Claims of coordinators of budgets, by tenant.
-    BudgetClaims,
 }
 
 /// Small rows that outlive every node, with conditional writes.
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -173,11 +173,6 @@
 /// Looks at the fleet without being a part of it yet.
 pub(crate) async fn look<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     let registry = read_registry(gateway, CallReason::Look).await?;
-    let own = &gateway.settings.node;
-    let is_listed = registry
-        .present()
-        .any(|member| member.registration.node.name == *own);
-    gateway.fleet.looked(is_listed);
     fleet::adopt_registry(gateway, &registry, Reading::No);
     Ok(())
 }
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -31,12 +31,10 @@
     List,
     /// A row is removed.
     Remove,
-    /// Claims of tenants' coordinators are read or written.
-    Claim,
 }
 
 /// All reasons, in the order of their declaration, and how metrics name them.
-pub(crate) const REASONS: [(CallReason, &str); 10] = [
+pub(crate) const REASONS: [(CallReason, &str); 9] = [
     (CallReason::Look, "look"),
     (CallReason::Key, "key"),
     (CallReason::Register, "register"),
@@ -46,7 +44,6 @@
     (CallReason::Lease, "lease"),
     (CallReason::List, "list"),
     (CallReason::Remove, "remove"),
-    (CallReason::Claim, "claim"),
 ];
 
 /// Makes a call that must be answered within `limit`.
--- a/crates/linkhold-peer/src/datagram.rs
+++ b/crates/linkhold-peer/src/datagram.rs
@@ -32,13 +32,27 @@
         /// Operations that are granted.
         #[n(1)]
         amount: u64,
-        /// How long they may be spent, in milliseconds.
-        #[n(2)]
-        lapse_ms: u64,
         /// When to ask again if there was none, in milliseconds.
-        #[n(3)]
+        #[n(2)]
         retry_after_ms: u64,
     },
+    /// Another node is the tenant's coordinator.
+    #[n(12)]
+    Elsewhere {
+        /// The question's number.
+        #[n(0)]
+        number: u64,
+        /// Where it is reached.
+        #[n(1)]
+        address: String,
+    },
+    /// The sender is the tenant's coordinator now.
+    #[n(13)]
+    Displaced {
+        /// The tenant.
+        #[n(0)]
+        tenant: String,
+    },
 }
 
 /// What one datagram holds.
