Let a starting coordinator grant at once, and give back what did not run

Change: a node's own reading of the fleet counts as news of the store; a refusal that proves that nothing ran is given back with the next question; a coordinator that is silent is given up after 160 ms instead of 260, before callers' patience ends.

--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether a back end may have begun to run the request before it was undone.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::TransactionAborted)
+    }
+
     /// Shortest time after which trying again makes sense, before jitter.
     pub fn retry_after(self) -> Duration {
         let milliseconds = match self {
--- a/crates/linkhold-core/src/tenancy/budget.rs
+++ b/crates/linkhold-core/src/tenancy/budget.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Operations that were granted and certainly did not run.
+    pub fn give_back(&mut self, amount: u64, terms: &GrantTerms) {
+        self.level = (self.level + amount as f64).min(terms.capacity());
+    }
+
     fn fill(&mut self, now: Instant, terms: &GrantTerms) {
         let passed = now.saturating_duration_since(self.filled_at);
         self.filled_at = self.filled_at.max(now);
@@ -182,6 +187,8 @@
     tokens: ExpiringCount,
     /// What was spent lately.
     spent: ExpiringCount,
+    /// Spent on operations that did not run, and not told to the coordinator yet.
+    unused: u64,
     refused_until: Option<Instant>,
 }
 
@@ -206,6 +213,17 @@
         waiting.max(1) + coming.floor() as u64
     }
 
+    /// An operation did certainly not run. It is not spent anew here: its life may
+    /// be over.
+    pub fn not_run(&mut self) {
+        self.unused += 1;
+    }
+
+    /// Takes what is to be given back to the coordinator.
+    pub fn take_unused(&mut self) -> u64 {
+        std::mem::take(&mut self.unused)
+    }
+
     /// A budget was granted in answer to a question that was sent at `asked_at`.
     /// Its life counts from there, since the coordinator counts from later.
     pub fn granted(&mut self, asked_at: Instant, grant: Grant) {
--- a/crates/linkhold-core/tests/tenancy_budget.rs
+++ b/crates/linkhold-core/tests/tenancy_budget.rs
@@ -217,6 +217,26 @@
     assert_eq!(granted.amount, 1);
 }
 
+#[test]
+fn what_did_not_run_can_be_granted_again_and_no_more() {
+    let mut model = Model::new(4.0, 4.0);
+    model.now += Duration::from_secs(60);
+    let full = model
+        .coordinator
+        .grant(model.now, 1_000, &model.terms)
+        .amount;
+    model.coordinator.give_back(3, &model.terms);
+    let again = model.coordinator.grant(model.now, 1_000, &model.terms);
+    assert_eq!(again.amount, 3);
+    model.coordinator.give_back(10_000, &model.terms);
+    let most = model.coordinator.grant(model.now, 10_000, &model.terms);
+    assert_eq!(most.amount, full);
+    let mut held = HeldBudget::default();
+    held.not_run();
+    held.not_run();
+    assert_eq!((held.take_unused(), held.take_unused()), (2, 0));
+}
+
 #[test]
 fn a_node_grants_the_rate_only_as_first_or_after_the_others_are_lost() {
     let soon = Duration::from_millis(10);
--- a/crates/linkhold-gateway/src/admission/coordinator.rs
+++ b/crates/linkhold-gateway/src/admission/coordinator.rs
@@ -13,7 +13,8 @@
 
 use crate::beliefs::lock;
 
-use super::{BudgetWorld, Coordinator, quotas};
+use super::quotas::{self, BudgetRequest};
+use super::{BudgetWorld, Coordinator};
 
 /// When to ask again where the coordinator does not know the tenant yet.
 const UNKNOWN_TENANT_RETRY: Duration = Duration::from_millis(150);
@@ -58,15 +59,11 @@
 }
 
 /// Grants a budget, or tells who does. Never waits.
-pub(crate) fn answer<W: BudgetWorld>(
-    world: &Arc<W>,
-    tenant: &TenantName,
-    wanted: u64,
-) -> BudgetAnswer {
-    if let Some(address) = successor(world, tenant) {
+pub(crate) fn answer<W: BudgetWorld>(world: &Arc<W>, request: BudgetRequest<'_>) -> BudgetAnswer {
+    if let Some(address) = successor(world, request.tenant) {
         return BudgetAnswer::Elsewhere(address);
     }
-    BudgetAnswer::Granted(grant(world, tenant, wanted))
+    BudgetAnswer::Granted(grant(world, request))
 }
 
 fn successor<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName) -> Option<SocketAddr> {
@@ -92,7 +89,8 @@
 }
 
 /// Grants a budget as whatever this node takes itself for.
-pub(super) fn grant<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName, wanted: u64) -> Grant {
+fn grant<W: BudgetWorld>(world: &Arc<W>, request: BudgetRequest<'_>) -> Grant {
+    let tenant = request.tenant;
     let coordinators = world.coordinators(tenant);
     let rank = coordinators
         .iter()
@@ -119,7 +117,8 @@
         entry.standing = terms.standing;
         log_standing(tenant, terms.standing, rank);
     }
-    let grant = entry.budget.grant(now, wanted, &terms);
+    entry.budget.give_back(request.unused, &terms);
+    let grant = entry.budget.grant(now, request.wanted, &terms);
     let is_due = entry.looked_at.is_none_or(|at| now >= at + LOOK_INTERVAL);
     if is_due {
         entry.looked_at = Some(now);
@@ -190,7 +189,12 @@
     let mut others_lost = true;
     for address in before {
         let deadline = Instant::now() + quotas::ANSWER_TIMEOUT;
-        let answer = quotas::question(world, *address, tenant, 0, deadline).await;
+        let request = BudgetRequest {
+            tenant,
+            wanted: 0,
+            unused: 0,
+        };
+        let answer = quotas::question(world, *address, request, deadline).await;
         others_lost &= answer.is_none();
     }
     let mut budgets = lock(&world.quotas().coordination.budgets);
--- a/crates/linkhold-gateway/src/admission/mod.rs
+++ b/crates/linkhold-gateway/src/admission/mod.rs
@@ -12,5 +12,5 @@
 mod world;
 
 pub(crate) use coordinator::{BudgetAnswer, answer, displaced};
-pub(crate) use quotas::{Quotas, admit};
+pub(crate) use quotas::{BudgetRequest, Quotas, admit, not_run};
 pub(crate) use world::{BudgetWorld, Coordinator};
--- a/crates/linkhold-gateway/src/admission/quotas.rs
+++ b/crates/linkhold-gateway/src/admission/quotas.rs
@@ -27,9 +27,9 @@
 
 /// A question is asked once more after this: datagrams may be lost. Nodes of
 /// different regions are up to 40 ms away, there and back.
-const REPEAT_AFTER: Duration = Duration::from_millis(100);
+const REPEAT_AFTER: Duration = Duration::from_millis(70);
 /// How long a coordinator may take to answer.
-pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(260);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(160);
 /// How long a coordinator that gave no answer is passed over.
 const PASS_OVER: Duration = Duration::from_millis(1_000);
 /// Pause before the fleet is looked at again while it is not known.
@@ -45,6 +45,17 @@
     turn: TurnMutex<()>,
 }
 
+/// What a coordinator is asked.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BudgetRequest<'a> {
+    /// The tenant.
+    pub tenant: &'a TenantName,
+    /// Operations that are wanted.
+    pub wanted: u64,
+    /// Operations of earlier grants that certainly did not run.
+    pub unused: u64,
+}
+
 /// What a node keeps of budgets.
 #[derive(Default)]
 pub(crate) struct Quotas {
@@ -84,6 +95,16 @@
     }
 }
 
+/// An operation that was admitted did certainly not run.
+pub(crate) fn not_run<W: BudgetWorld>(world: &Arc<W>, holder: &ConnectionHolder) {
+    if let Some(tenant) = holder.tenant() {
+        let held = lock(&world.quotas().held).get(tenant).cloned();
+        if let Some(held) = held {
+            lock(&held.budget).not_run();
+        }
+    }
+}
+
 /// Waits until a holder may have one more operation run, until `deadline` at the
 /// longest.
 pub(crate) async fn admit<W: BudgetWorld>(
@@ -134,8 +155,15 @@
         }
         let asked_at = Instant::now();
         let waiting = held.waiting.load(Ordering::Relaxed);
-        let wanted = lock(&held.budget).need(asked_at, waiting);
-        let grant = ask(world, tenant, wanted, deadline).await?;
+        let request = {
+            let mut budget = lock(&held.budget);
+            BudgetRequest {
+                tenant,
+                wanted: budget.need(asked_at, waiting),
+                unused: budget.take_unused(),
+            }
+        };
+        let grant = ask(world, request, deadline).await?;
         lock(&held.budget).granted(asked_at, grant);
     }
 }
@@ -151,17 +179,16 @@
 /// Asks the first coordinator that answers.
 async fn ask<W: BudgetWorld>(
     world: &Arc<W>,
-    tenant: &TenantName,
-    wanted: u64,
+    request: BudgetRequest<'_>,
     deadline: Instant,
 ) -> Result<Grant, NotRun> {
     loop {
-        let coordinators = world.coordinators(tenant);
+        let coordinators = world.coordinators(request.tenant);
         for node in coordinators {
             if !world.quotas().is_reached(node) {
                 continue;
             }
-            if let Some(grant) = ask_node(world, node, tenant, wanted, deadline).await {
+            if let Some(grant) = ask_node(world, node, request, deadline).await {
                 return Ok(grant);
             }
         }
@@ -175,23 +202,22 @@
 async fn ask_node<W: BudgetWorld>(
     world: &Arc<W>,
     node: Coordinator,
-    tenant: &TenantName,
-    wanted: u64,
+    request: BudgetRequest<'_>,
     deadline: Instant,
 ) -> Option<Grant> {
     let address = match node {
-        Coordinator::Itself => match coordinator::answer(world, tenant, wanted) {
+        Coordinator::Itself => match coordinator::answer(world, request) {
             BudgetAnswer::Granted(grant) => return Some(grant),
             BudgetAnswer::Elsewhere(address) => address,
         },
         Coordinator::Peer(address) => address,
     };
-    let answer = question(world, address, tenant, wanted, deadline).await?;
+    let answer = question(world, address, request, deadline).await?;
     let elsewhere = match answer {
         BudgetAnswer::Granted(grant) => return Some(grant),
         BudgetAnswer::Elsewhere(address) => address,
     };
-    match question(world, elsewhere, tenant, wanted, deadline).await? {
+    match question(world, elsewhere, request, deadline).await? {
         BudgetAnswer::Granted(grant) => Some(grant),
         BudgetAnswer::Elsewhere(_) => None,
     }
@@ -202,23 +228,24 @@
 pub(super) async fn question<W: BudgetWorld>(
     world: &Arc<W>,
     address: SocketAddr,
-    tenant: &TenantName,
-    wanted: u64,
+    request: BudgetRequest<'_>,
     deadline: Instant,
 ) -> Option<BudgetAnswer> {
     let (sender, mut receiver) = oneshot::channel();
     let number = rand::random();
     lock(&world.quotas().asked).insert(number, sender);
-    let question = BudgetMessage::Question {
+    let question = |unused| BudgetMessage::Question {
         number,
-        tenant: tenant.to_string(),
-        wanted,
+        tenant: request.tenant.to_string(),
+        wanted: request.wanted,
+        unused,
     };
     world.count_question();
-    world.send(address, question.clone()).await;
+    world.send(address, question(request.unused)).await;
     let mut answer = timeout(REPEAT_AFTER, &mut receiver).await;
     if answer.is_err() && Instant::now() < deadline {
-        world.send(address, question).await;
+        // What is given back counts once, even if the first question arrived.
+        world.send(address, question(0)).await;
         answer = timeout(ANSWER_TIMEOUT - REPEAT_AFTER, &mut receiver).await;
     }
     lock(&world.quotas().asked).remove(&number);
@@ -226,7 +253,7 @@
     if answer.is_none() {
         world.quotas().pass_over(address);
         Event::info("budget_coordinator_unreached")
-            .field("tenant", tenant)
+            .field("tenant", request.tenant)
             .field("node", address)
             .field("for_ms", PASS_OVER.as_millis())
             .log();
--- a/crates/linkhold-gateway/src/budget_world.rs
+++ b/crates/linkhold-gateway/src/budget_world.rs
@@ -33,7 +33,9 @@
     }
 
     fn view_age(&self) -> Duration {
-        self.beliefs.directory_age()
+        // A node that has just started has read the fleet and follows nobody yet.
+        let own_reading = self.fleet.reading_age();
+        self.beliefs.directory_age().min(own_reading)
     }
 
     fn life_time(&self) -> Duration {
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -196,6 +196,12 @@
         }
     }
 
+    /// How long ago this node itself read the fleet last; without end if never.
+    pub fn reading_age(&self) -> Duration {
+        let read_at = lock(&self.view).read_at;
+        read_at.map_or(Duration::MAX, |at| at.elapsed())
+    }
+
     /// Whether few nodes of the fleet read the store, as far as is known.
     pub fn has_readers(&self) -> bool {
         readers::has_readers(self.size())
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::admission::{self, BudgetAnswer};
+use crate::admission::{self, BudgetAnswer, BudgetRequest};
 use crate::beliefs::lock;
 use crate::budget_world::milliseconds;
 use crate::gateway::Gateway;
@@ -168,8 +168,14 @@
             number,
             tenant,
             wanted,
+            unused,
         } => {
-            let answer = admission::answer(gateway, &tenant.into(), wanted);
+            let request = BudgetRequest {
+                tenant: &tenant.into(),
+                wanted,
+                unused,
+            };
+            let answer = admission::answer(gateway, request);
             gateway.metrics.budget_answers.add();
             let message = budget_message(number, answer);
             // A lost answer is asked for again.
@@ -188,12 +194,16 @@
                 .quotas
                 .answered(number, BudgetAnswer::Granted(grant));
         }
-        BudgetMessage::Elsewhere { number, address } => {
-            if let Ok(address) = address.parse() {
+        BudgetMessage::Elsewhere { number, address } => match address.parse() {
+            Ok(address) => {
                 let answer = BudgetAnswer::Elsewhere(address);
                 gateway.quotas.answered(number, answer);
             }
-        }
+            Err(error) => Event::warn("peer_message_refused")
+                .field("from", from)
+                .field("error", error)
+                .log(),
+        },
         BudgetMessage::Displaced { tenant } => {
             admission::displaced(gateway, tenant.into(), from);
         }
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -10,6 +10,7 @@
 
 use super::{Session, Transaction};
 use crate::admission;
+use crate::attempt::Answer;
 use crate::batch::Work;
 use crate::ports::{
     BackendReply, CallerConnection, CallerReply, CallerRequest, Platform, Rejection, Statement,
@@ -180,7 +181,8 @@
             received_at,
         };
         let opening = Opening::Alone;
-        let answer = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await?;
+        let ran = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await;
+        let answer = self.settle_budget(&holder, ran)?;
         let reply = finish_alone(answer);
         if work.access() == Access::Write
             && is_success(&reply)
@@ -216,7 +218,8 @@
         } else {
             Opening::Transaction
         };
-        let answer = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await?;
+        let ran = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await;
+        let answer = self.settle_budget(&admitted.holder, ran)?;
         let reply = answer.reply.clone();
         let open = OpenTransaction::new(admitted, answer.held, work.access());
         self.keep_open(open, &reply);
@@ -237,6 +240,19 @@
             .map_err(Failure::NotRun)
     }
 
+    /// Gives an operation back to the tenant's budget if it certainly did not run.
+    fn settle_budget(
+        &self,
+        holder: &ConnectionHolder,
+        ran: Result<Answer<P>, Failure>,
+    ) -> Result<Answer<P>, Failure> {
+        let did_not_run = matches!(&ran, Err(Failure::NotRun(reason)) if !reason.may_have_run());
+        if did_not_run {
+            admission::not_run(&self.gateway, holder);
+        }
+        ran
+    }
+
     /// Rolls a transaction back whose caller is no longer known as the tenant that
     /// opened it.
     fn still_admitted(&self, open: OpenTransaction<P>) -> Result<OpenTransaction<P>, Failure> {
@@ -340,7 +356,8 @@
         } else {
             Opening::Transaction
         };
-        let answer = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await?;
+        let ran = statement::run(&self.gateway, &unit, &mut self.marks, work, opening).await;
+        let answer = self.settle_budget(&admitted.holder, ran)?;
         Ok(finish_alone(answer))
     }
 
--- a/crates/linkhold-peer/src/datagram.rs
+++ b/crates/linkhold-peer/src/datagram.rs
@@ -22,6 +22,9 @@
         /// Operations that are wanted.
         #[n(2)]
         wanted: u64,
+        /// Operations of earlier grants that certainly did not run.
+        #[n(3)]
+        unused: u64,
     },
     /// The coordinator's answer.
     #[n(11)]
