Take an instance that has no connection left for busy, not for lost

Cause: a connection that an instance refused for want of room was told as unreachable.

Change: such a refusal is TooManyConnections, like one of a statement.

--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -15,8 +15,8 @@
 use crate::gateway::Gateway;
 use crate::pool::{CheckoutError, Lease};
 use crate::ports::{
-    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, Command, ExchangeError,
-    Platform,
+    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, Command, ConnectError,
+    ExchangeError, Platform,
 };
 
 /// Silence after which an instance is looked at, at the least.
@@ -161,12 +161,7 @@
         .await;
     let lease = match checkout {
         Ok(lease) => lease,
-        Err(error) => {
-            return Attempt::NotRun(match error {
-                CheckoutError::Exhausted => NotRunCause::NoConnection,
-                CheckoutError::Connect(_) => NotRunCause::Unreachable,
-            });
-        }
+        Err(error) => return Attempt::NotRun(checkout_failure(gateway, instance, error)),
     };
     run_on_own(
         gateway,
@@ -179,6 +174,26 @@
     .await
 }
 
+/// Why no connection was had. An instance that has none left lives: nobody is to
+/// look whether it is lost, which would take yet more of its connections.
+fn checkout_failure<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    error: CheckoutError,
+) -> NotRunCause {
+    let is_full = match error {
+        CheckoutError::Exhausted => return NotRunCause::NoConnection,
+        CheckoutError::Connect(ConnectError::Rejected) => true,
+        CheckoutError::Connect(ConnectError::Closed) => gateway.answered_lately(instance),
+        CheckoutError::Connect(ConnectError::Unreachable | ConnectError::WrongInstance) => false,
+    };
+    if is_full {
+        NotRunCause::Refused(BackendErrorKind::TooManyConnections)
+    } else {
+        NotRunCause::Unreachable
+    }
+}
+
 /// Runs `work` in the transaction of a connection that is held.
 pub(crate) async fn run_on<P: Platform>(
     gateway: &Arc<Gateway<P>>,
