--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -4,19 +4,25 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
-use linkhold_peer::{FeedInstances, FeedMessage, PeerKey};
+use linkhold_peer::{FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
-use super::{read_message, write_message};
+use super::{read_length, write_message};
 use crate::fleet::{self, FleetSource};
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
 
+/// Longest time without a byte of a message that has begun: a reader's link may be
+/// shared by the first words to many followers.
+const STALL_TIME: Duration = Duration::from_millis(400);
+
 /// Why a reader is no longer followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Lost {
@@ -134,11 +140,9 @@
     ) -> Lost {
         let mut silent_at = first_word_until;
         loop {
-            let reading = timeout_at(silent_at.into(), read_message(stream, key));
-            let message = match reading.await {
-                Ok(Ok(message)) => message,
-                Ok(Err(_)) => return Lost::Broken,
-                Err(_) => return Lost::Stale,
+            let message = match self.next_message(stream, silent_at, key).await {
+                Ok(message) => message,
+                Err(lost) => return lost,
             };
             let next = match message {
                 FeedMessage::Beat { age } => self.vouched(age),
@@ -148,6 +152,8 @@
                 }
                 message => {
                     self.told.push(message);
+                    // What vouches for it comes right after.
+                    silent_at = silent_at.max(Instant::now() + STALL_TIME);
                     continue;
                 }
             };
@@ -158,6 +164,34 @@
         }
     }
 
+    /// The next message, of which something must have come by `silent_at`; the rest
+    /// may take longer as long as it keeps coming.
+    async fn next_message(
+        &self,
+        stream: &mut OwnedReadHalf,
+        silent_at: Instant,
+        key: &PeerKey,
+    ) -> Result<FeedMessage, Lost> {
+        let length = match timeout_at(silent_at.into(), read_length(stream, MAX_FEED_MESSAGE)).await
+        {
+            Ok(Ok(length)) => length,
+            Ok(Err(_)) => return Err(Lost::Broken),
+            Err(_) => return Err(Lost::Stale),
+        };
+        let most = Instant::now() + self.gateway.freshness.trust;
+        let mut body = BytesMut::with_capacity(length);
+        while body.len() < length {
+            let stalls_at = silent_at.max(Instant::now() + STALL_TIME).min(most);
+            let mut rest = (&mut *stream).take((length - body.len()) as u64);
+            match timeout_at(stalls_at.into(), rest.read_buf(&mut body)).await {
+                Ok(Ok(0) | Err(_)) => return Err(Lost::Broken),
+                Ok(Ok(_)) => {}
+                Err(_) => return Err(Lost::Stale),
+            }
+        }
+        decode_feed(&body, key).map_err(|_| Lost::Broken)
+    }
+
     /// The reader vouches for what it told before; until when it may be silent.
     fn vouched(&mut self, age: Duration) -> Result<Instant, Lost> {
         let now = Instant::now();
--- a/crates/linkhold-gateway/src/feed/mod.rs
+++ b/crates/linkhold-gateway/src/feed/mod.rs
@@ -65,16 +65,25 @@
     decode_feed(&body, key).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
 }
 
-/// Reads a message of at most `most` bytes as it is on the stream, without its
-/// length.
-pub(crate) async fn read_body<S: AsyncRead + Unpin>(
+/// Reads the length of a message of at most `most` bytes.
+pub(crate) async fn read_length<S: AsyncRead + Unpin>(
     stream: &mut S,
     most: usize,
-) -> io::Result<Vec<u8>> {
+) -> io::Result<usize> {
     let length = stream.read_u32().await? as usize;
     if length > most {
         return Err(io::ErrorKind::InvalidData.into());
     }
+    Ok(length)
+}
+
+/// Reads a message of at most `most` bytes as it is on the stream, without its
+/// length.
+pub(crate) async fn read_body<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    most: usize,
+) -> io::Result<Vec<u8>> {
+    let length = read_length(stream, most).await?;
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
     Ok(body)
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
-use crate::store_call::{CALL_TIMEOUT, CallReason, bounded};
+use crate::store_call::{BODY_TIMEOUT, CALL_TIMEOUT, CallReason, bounded};
 
 /// First pause after a failure; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -88,9 +88,12 @@
             Some(from) => {
                 let wait = gateway.store_wait();
                 let call = gateway.platform.follow_configuration(from, wait);
-                bounded(call, wait + CALL_TIMEOUT).await
+                bounded(call, wait + CALL_TIMEOUT + BODY_TIMEOUT).await
+            }
+            None => {
+                let call = gateway.platform.read_configuration();
+                bounded(call, CALL_TIMEOUT + BODY_TIMEOUT).await
             }
-            None => bounded(gateway.platform.read_configuration(), CALL_TIMEOUT).await,
         };
         match answer {
             Ok((configuration, next)) => {
@@ -139,7 +142,8 @@
 }
 
 async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
-    let (listed, next) = bounded(gateway.platform.read_instances(), CALL_TIMEOUT).await?;
+    let call = gateway.platform.read_instances();
+    let (listed, next) = bounded(call, CALL_TIMEOUT + BODY_TIMEOUT).await?;
     gateway.sources.instances_answered();
     gateway
         .beliefs
@@ -153,7 +157,7 @@
 ) -> Result<Cursor, StoreError> {
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
-    let (changes, next) = bounded(call, wait + CALL_TIMEOUT).await?;
+    let (changes, next) = bounded(call, wait + CALL_TIMEOUT + BODY_TIMEOUT).await?;
     gateway.sources.instances_answered();
     let has_changes = !changes.is_empty();
     for change in changes {
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -7,8 +7,13 @@
 
 use crate::ports::StoreError;
 
-/// How long the store may take for a call that it need not hold.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long the store may take for a call that it need not hold, until the
+/// beginning of its answer.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long the rest of an answer may take beyond that, as long as it arrives: two
+/// megabytes, the configuration of a fleet of hundreds of services, over a link of
+/// 10 Mbit/s that others use as well.
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_millis(3_200);
 
 /// Why the store is called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -18,6 +18,7 @@
 use minicbor::bytes::ByteArray;
 use minicbor::{Decode, Encode};
 
+use crate::packing::{pack, unpack};
 use crate::{PeerError, PeerKey};
 
 /// Longest message, in bytes.
@@ -255,13 +256,13 @@
 pub fn encode_feed(message: &FeedMessage, key: &PeerKey) -> Vec<u8> {
     let wire = to_wire(message);
     let body = minicbor::to_vec(&wire).expect("encoding to a vector does not fail");
-    key.seal(&body)
+    key.seal(&pack(&body))
 }
 
 /// Decodes a message.
 pub fn decode_feed(bytes: &[u8], key: &PeerKey) -> Result<FeedMessage, PeerError> {
-    let body = key.open(bytes, MAX_FEED_MESSAGE)?;
-    let wire: WireMessage = minicbor::decode(body).map_err(|_| PeerError::Malformed)?;
+    let body = unpack(key.open(bytes, MAX_FEED_MESSAGE)?, MAX_FEED_MESSAGE)?;
+    let wire: WireMessage = minicbor::decode(&body).map_err(|_| PeerError::Malformed)?;
     from_wire(wire).ok_or(PeerError::Malformed)
 }
 
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod forward;
 mod membership;
+mod packing;
 mod reachability;
 mod table;
 
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -154,3 +154,18 @@
         prop_assert!(decode_feed(&bytes, &key()).is_err());
     }
 }
+
+#[test]
+fn a_long_configuration_is_packed_and_comes_back_whole() {
+    let mut long = configuration();
+    let (_, route) = long.routes.iter().next().unwrap();
+    let route = route.clone();
+    for number in 0..2_000 {
+        let database: Arc<str> = format!("database-{number}").into();
+        long.routes.insert(database, route.clone());
+    }
+    let message = FeedMessage::Configuration(long);
+    let bytes = encode_feed(&message, &key());
+    assert!(bytes.len() < 30_000, "{}", bytes.len());
+    assert_eq!(decode_feed(&bytes, &key()), Ok(message));
+}
