Tell followers what changes among instances, not all of them each time

Cause: each announcement of an instance sent the whole list to each follower: at 300 machines and some 600 databases the busiest node sent 2.6 MB a second.

Change: a reader tells all instances once a stream, then what is new, changed or gone since the follower's last revision; frames are shared by followers of the same revision.

--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -1,13 +1,17 @@
 //! A follower's side of the feed.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
-use linkhold_peer::{FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed};
+use linkhold_peer::{
+    FeedInstanceChanges, FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed,
+};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -86,6 +90,7 @@
         patience,
         trusted_until,
         told: Vec::new(),
+        instances: ToldInstances::default(),
     };
     let lost = tokio::select! {
         lost = listener.listen(&mut reading, first_word_until, key) => lost,
@@ -128,6 +133,48 @@
     trusted_until: &'a mut Instant,
     /// What was told and not vouched for yet.
     told: Vec<FeedMessage>,
+    /// All instances as they were told.
+    instances: ToldInstances,
+}
+
+/// All instances as a reader tells them: once whole, then what changes.
+#[derive(Default)]
+struct ToldInstances {
+    cursor: u64,
+    instances: HashMap<InstanceId, (Instance, bool)>,
+    /// They were not taken in since the last change.
+    is_news: bool,
+}
+
+impl ToldInstances {
+    fn replace(&mut self, known: FeedInstances) {
+        self.instances.clear();
+        self.apply(FeedInstanceChanges {
+            cursor: known.cursor,
+            changed: known.instances,
+            gone: Vec::new(),
+        });
+    }
+
+    fn apply(&mut self, changes: FeedInstanceChanges) {
+        self.cursor = changes.cursor;
+        self.is_news = true;
+        for (instance, is_listed) in changes.changed {
+            self.instances
+                .insert(instance.id.clone(), (instance, is_listed));
+        }
+        for id in changes.gone {
+            self.instances.remove(&id);
+        }
+    }
+
+    /// All of them, if something has changed.
+    fn take_news(&mut self) -> Option<FeedInstances> {
+        std::mem::take(&mut self.is_news).then(|| FeedInstances {
+            cursor: self.cursor,
+            instances: self.instances.values().cloned().collect(),
+        })
+    }
 }
 
 impl<P: Platform> Listener<'_, P> {
@@ -151,7 +198,7 @@
                     continue;
                 }
                 message => {
-                    self.told.push(message);
+                    self.take(message);
                     // What vouches for it comes right after.
                     silent_at = silent_at.max(Instant::now() + STALL_TIME);
                     continue;
@@ -164,6 +211,15 @@
         }
     }
 
+    /// Keeps what is told until it is vouched for.
+    fn take(&mut self, message: FeedMessage) {
+        match message {
+            FeedMessage::Instances(known) => self.instances.replace(known),
+            FeedMessage::InstanceChanges(changes) => self.instances.apply(changes),
+            message => self.told.push(message),
+        }
+    }
+
     /// The next message, of which something must have come by `silent_at`; the rest
     /// may take longer as long as it keeps coming.
     async fn next_message(
@@ -205,6 +261,9 @@
         for message in self.told.drain(..) {
             adopt(self.gateway, message);
         }
+        if let Some(known) = self.instances.take_news() {
+            adopt_instances(self.gateway, known);
+        }
         self.gateway.beliefs.directory_read();
         let silent_at = now + (freshness.trust - age);
         *self.trusted_until = silent_at;
@@ -223,12 +282,14 @@
         FeedMessage::Configuration(configuration) => {
             gateway.beliefs.adopt_configuration(configuration);
         }
-        FeedMessage::Instances(known) => adopt_instances(gateway, known),
         FeedMessage::Fleet(fleet) => {
             fleet::adopt_fleet(gateway, fleet, true);
         }
-        // A beat vouches only; a follower has no use for the others.
+        // A beat vouches only, instances are kept apart; a follower has no use for
+        // the others.
         FeedMessage::Beat { .. }
+        | FeedMessage::Instances(_)
+        | FeedMessage::InstanceChanges(_)
         | FeedMessage::Subscribe
         | FeedMessage::Renewal(_)
         | FeedMessage::Leaving
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -1,10 +1,12 @@
 //! Messages that are the same for all followers, encoded once.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::Configuration;
-use linkhold_peer::{FeedInstances, FeedMessage, PeerKey};
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_peer::{FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
 
 use super::frame;
 use crate::beliefs::{Beliefs, lock};
@@ -23,7 +25,7 @@
 #[derive(Default)]
 pub(crate) struct FeedFrames {
     configuration: Mutex<Option<VersionedFrame>>,
-    instances: Mutex<Option<VersionedFrame>>,
+    instances: Mutex<InstanceFrames>,
     fleet: Mutex<Option<FleetFrame>>,
 }
 
@@ -40,18 +42,21 @@
         cached(&self.configuration, configuration.version, key, message)
     }
 
-    /// All instances; encoded anew when their list or the configuration has
-    /// changed, which `revision` counts.
-    pub fn instances(&self, revision: u64, beliefs: &Beliefs, key: &PeerKey) -> Arc<[u8]> {
-        let message = || {
-            // Read first: what is listed may be newer than that, never older.
-            let cursor = beliefs.directory_cursor().0;
-            FeedMessage::Instances(FeedInstances {
-                cursor,
-                instances: beliefs.all_instances(),
-            })
-        };
-        cached(&self.instances, revision, key, message)
+    /// The instances as of a revision, which counts changes of their list and of
+    /// the configuration, for a follower that was told `told`: what has changed
+    /// since, or all of them. `None` if nothing has.
+    pub fn instances(
+        &self,
+        revision: u64,
+        told: Option<&Arc<InstanceSnapshot>>,
+        beliefs: &Beliefs,
+        key: &PeerKey,
+    ) -> (Arc<InstanceSnapshot>, Option<Arc<[u8]>>) {
+        let mut frames = lock(&self.instances);
+        frames.refresh(revision, beliefs);
+        let present = frames.present.clone();
+        let frame = frames.frame_since(told, key);
+        (present, frame)
     }
 
     /// The fleet, if all its nodes are known. The same frame as before unless it
@@ -74,6 +79,96 @@
     }
 }
 
+/// All instances as a reader knew them at one time.
+#[derive(Default)]
+pub(crate) struct InstanceSnapshot {
+    revision: u64,
+    cursor: u64,
+    instances: HashMap<InstanceId, (Instance, bool)>,
+}
+
+impl InstanceSnapshot {
+    fn take(revision: u64, beliefs: &Beliefs) -> Self {
+        // Read first: what is listed may be newer than that, never older.
+        let cursor = beliefs.directory_cursor().0;
+        let instances = beliefs.all_instances().into_iter();
+        Self {
+            revision,
+            cursor,
+            instances: instances
+                .map(|(instance, is_listed)| (instance.id.clone(), (instance, is_listed)))
+                .collect(),
+        }
+    }
+
+    fn whole(&self) -> FeedMessage {
+        FeedMessage::Instances(FeedInstances {
+            cursor: self.cursor,
+            instances: self.instances.values().cloned().collect(),
+        })
+    }
+
+    fn changes_since(&self, before: &Self) -> FeedInstanceChanges {
+        let is_new = |(id, entry): &(&InstanceId, &(Instance, bool))| {
+            before.instances.get(*id) != Some(*entry)
+        };
+        let changed = self.instances.iter().filter(is_new);
+        let is_gone = |id: &&InstanceId| !self.instances.contains_key(*id);
+        let gone = before.instances.keys().filter(is_gone);
+        FeedInstanceChanges {
+            cursor: self.cursor,
+            changed: changed.map(|(_, entry)| entry.clone()).collect(),
+            gone: gone.cloned().collect(),
+        }
+    }
+}
+
+/// The present instances, and frames that tell them.
+#[derive(Default)]
+struct InstanceFrames {
+    present: Arc<InstanceSnapshot>,
+    /// `present` was taken, at any revision.
+    is_taken: bool,
+    whole: Option<Arc<[u8]>>,
+    /// Changes since an older revision; `None` if there are none.
+    since: HashMap<u64, Option<Arc<[u8]>>>,
+}
+
+impl InstanceFrames {
+    fn refresh(&mut self, revision: u64, beliefs: &Beliefs) {
+        if self.is_taken && self.present.revision == revision {
+            return;
+        }
+        self.present = Arc::new(InstanceSnapshot::take(revision, beliefs));
+        self.is_taken = true;
+        self.whole = None;
+        self.since.clear();
+    }
+
+    fn frame_since(
+        &mut self,
+        told: Option<&Arc<InstanceSnapshot>>,
+        key: &PeerKey,
+    ) -> Option<Arc<[u8]>> {
+        let present = self.present.clone();
+        let Some(told) = told else {
+            let whole = self
+                .whole
+                .get_or_insert_with(|| frame(&present.whole(), key));
+            return Some(whole.clone());
+        };
+        let encode = || {
+            let changes = present.changes_since(told);
+            let is_news = !changes.changed.is_empty() || !changes.gone.is_empty();
+            is_news.then(|| frame(&FeedMessage::InstanceChanges(changes), key))
+        };
+        self.since
+            .entry(told.revision)
+            .or_insert_with(encode)
+            .clone()
+    }
+}
+
 fn cached(
     slot: &Mutex<Option<VersionedFrame>>,
     version: u64,
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::frames::FLEET_INTERVAL;
+use super::frames::{FLEET_INTERVAL, InstanceSnapshot};
 use super::{read_message, write_frame, write_message};
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
@@ -36,6 +36,7 @@
 #[derive(Default)]
 struct Told {
     version: u64,
+    instances: Option<Arc<InstanceSnapshot>>,
     revision: Option<u64>,
     fleet_at: Option<Instant>,
     fleet: Option<Arc<[u8]>>,
@@ -222,7 +223,10 @@
     let revision = gateway.beliefs.lists_revision();
     if told.revision != Some(revision) {
         told.revision = Some(revision);
-        news.push(frames.instances(revision, &gateway.beliefs, key));
+        let (present, frame) =
+            frames.instances(revision, told.instances.as_ref(), &gateway.beliefs, key);
+        told.instances = Some(present);
+        news.extend(frame);
     }
     if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL)
         && let Some(frame) = frames.fleet(&gateway.fleet, key)
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -55,6 +55,18 @@
     pub instances: Vec<(Instance, bool)>,
 }
 
+/// What has changed among the instances since a reader told them last on the same
+/// stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedInstanceChanges {
+    /// The store's count of changes up to which they were read.
+    pub cursor: u64,
+    /// Instances that are new or have changed, and whether they are listed.
+    pub changed: Vec<(Instance, bool)>,
+    /// Instances that are no longer known.
+    pub gone: Vec<InstanceId>,
+}
+
 /// A follower asks how far a service's log had come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvidenceQuestion {
@@ -101,6 +113,8 @@
     Configuration(Configuration),
     /// All instances as of a place in the store's changes.
     Instances(FeedInstances),
+    /// What has changed among them since.
+    InstanceChanges(FeedInstanceChanges),
     /// The nodes of the fleet and the region's readers.
     Fleet(FeedFleet),
     /// The reader lives; its last answer from the store is this old.
@@ -242,6 +256,8 @@
     Forward,
     #[n(11)]
     Leaving,
+    #[n(12)]
+    InstanceChanges(#[n(0)] u64, #[n(1)] Vec<WireInstance>, #[n(2)] Vec<String>),
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -292,12 +308,13 @@
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
         FeedMessage::Instances(known) => {
-            let wire = known
-                .instances
-                .iter()
-                .map(|(instance, is_listed)| instance_to_wire(instance, *is_listed));
-            WireMessage::Instances(known.cursor, wire.collect())
+            WireMessage::Instances(known.cursor, instances_to_wire(&known.instances))
         }
+        FeedMessage::InstanceChanges(changes) => WireMessage::InstanceChanges(
+            changes.cursor,
+            instances_to_wire(&changes.changed),
+            changes.gone.iter().map(ToString::to_string).collect(),
+        ),
         FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
             size: fleet.size as u64,
             readers: fleet.readers.iter().map(node_to_wire).collect(),
@@ -379,6 +396,13 @@
     }
 }
 
+fn instances_to_wire(instances: &[(Instance, bool)]) -> Vec<WireInstance> {
+    let instances = instances.iter();
+    instances
+        .map(|(instance, is_listed)| instance_to_wire(instance, *is_listed))
+        .collect()
+}
+
 fn instance_to_wire(instance: &Instance, is_listed: bool) -> WireInstance {
     WireInstance {
         id: instance.id.to_string(),
@@ -417,11 +441,16 @@
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
-        WireMessage::Instances(cursor, wire) => {
-            let instances: Option<Vec<_>> = wire.into_iter().map(instance_from_wire).collect();
-            FeedMessage::Instances(FeedInstances {
+        WireMessage::Instances(cursor, wire) => FeedMessage::Instances(FeedInstances {
+            cursor,
+            instances: instances_from_wire(wire)?,
+        }),
+        WireMessage::InstanceChanges(cursor, changed, gone) => {
+            let gone = gone.into_iter().map(|id| InstanceId(id.into()));
+            FeedMessage::InstanceChanges(FeedInstanceChanges {
                 cursor,
-                instances: instances?,
+                changed: instances_from_wire(changed)?,
+                gone: gone.collect(),
             })
         }
         WireMessage::Fleet(wire) => FeedMessage::Fleet(FeedFleet {
@@ -473,6 +502,10 @@
     Some((wire.database.into(), Arc::new(route)))
 }
 
+fn instances_from_wire(wire: Vec<WireInstance>) -> Option<Vec<(Instance, bool)>> {
+    wire.into_iter().map(instance_from_wire).collect()
+}
+
 fn instance_from_wire(wire: WireInstance) -> Option<(Instance, bool)> {
     let instance = Instance {
         id: InstanceId(wire.id.into()),
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use datagram::{BudgetMessage, Datagram, decode_datagram, encode_budget};
 pub use feed::{
-    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode,
-    MAX_FEED_MESSAGE, decode_feed, encode_feed,
+    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstanceChanges, FeedInstances, FeedMessage,
+    FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed,
 };
 pub use forward::{
     ForwardErrorKind, ForwardFrame, ForwardMessage, ForwardOutcome, ForwardPosition, ForwardReply,
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -9,9 +9,9 @@
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
-    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstances, FeedMessage, FeedNode, PeerError,
-    PeerKey, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, decode_feed,
-    decode_reachability, encode_feed, encode_reachability,
+    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstanceChanges, FeedInstances, FeedMessage,
+    FeedNode, PeerError, PeerKey, QuestionPurpose, QuestionSubject, Reachability,
+    ReachabilityMessage, decode_feed, decode_reachability, encode_feed, encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -78,6 +78,11 @@
         FeedMessage::Renewal(node.clone()),
         FeedMessage::Relay(InstanceId("i-1".into())),
         FeedMessage::Relayed,
+        FeedMessage::InstanceChanges(FeedInstanceChanges {
+            cursor: 9,
+            changed: vec![(instance.clone(), false)],
+            gone: vec![InstanceId("two".into())],
+        }),
         FeedMessage::EvidenceQuestion(EvidenceQuestion {
             number: 3,
             service: "ledger".into(),
