Ask whether anybody knows another primary before a lost one is replaced

Change: before a lost primary is replaced, every node is also asked whether it reaches whichever primary it believes in, at the same time as whether it reaches the lost one.

--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -113,10 +113,7 @@
 /// a primary, and none acknowledges anything of it while that is done. Returns
 /// when they were asked, or `None` if one does not agree; whoever reaches it
 /// then serves this node's connections.
-pub(super) async fn confirm_lost<P: Platform>(
-    gateway: &Gateway<P>,
-    instance: &Instance,
-) -> Option<Instant> {
+async fn confirm_lost<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Option<Instant> {
     let Some(audience) = Audience::everyone(gateway).await else {
         log_withheld(&instance.service, "fleet_not_known");
         return None;
@@ -138,6 +135,21 @@
     None
 }
 
+/// Makes sure that a primary is lost to all, and that nobody knows another one: it
+/// may have been replaced already, unseen by this node. Returns the time of the
+/// first question, or `None` if it may not be replaced.
+pub(super) async fn confirm_not_replaced<P: Platform>(
+    gateway: &Gateway<P>,
+    primary: &Instance,
+) -> Option<Instant> {
+    let asked_at = Instant::now();
+    let (lost, nobody_believes) = tokio::join!(
+        confirm_lost(gateway, primary),
+        confirm_nobody_believes(gateway, &primary.service),
+    );
+    lost.and(nobody_believes).map(|_| asked_at)
+}
+
 /// Makes sure that there is no primary for others: what is not listed may be
 /// there until the directory has settled, no node may believe in a primary that
 /// it reaches (the entry of one that is cut from the directory is gone), and every
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -12,7 +12,7 @@
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout, timeout_at};
 
-use super::diagnosis::{confirm_lost, confirm_none_leads};
+use super::diagnosis::{confirm_none_leads, confirm_not_replaced};
 use super::lease::claim;
 use super::{Trouble, is_still_subject};
 use crate::gateway::Gateway;
@@ -89,7 +89,7 @@
 ) -> Option<Instant> {
     match (trouble, &situation.old) {
         (Trouble::Leaving, _) => Some(Instant::now()),
-        (Trouble::Lost, Some(primary)) => confirm_lost(gateway, primary).await,
+        (Trouble::Lost, Some(primary)) => confirm_not_replaced(gateway, primary).await,
         // What was lost is no longer believed in: the others decide.
         (Trouble::Lost, None) | (Trouble::Unknown, _) => {
             confirm_none_leads(gateway, service, situation).await
