Call one piece where this work had written a second, and drop what nothing used

Found by reading the whole change once more; behaviour stays as it is.

- One `milliseconds` (linkhold-peer) in place of seven spellings of it, two of them new.
- The tenant of a forwarded statement is translated beside values and work.
- One READ_TIMEOUT in place of the same sum of two constants in five places.
- The reader's present instances are an Option, not a default and a flag.
- Budgets take one operation at a time: the general count was never asked for.
- Gone: a trait method that only called tokio::spawn, a second name for Pool::closed, Tenancy::len and is_empty, Display and Ord of ConnectionHolder.

--- a/crates/linkhold-core/src/tenancy/budget.rs
+++ b/crates/linkhold-core/src/tenancy/budget.rs
@@ -195,7 +195,7 @@
 impl HeldBudget {
     /// Spends one operation if there is one.
     pub fn spend(&mut self, now: Instant) -> Spending {
-        if self.tokens.take(now, 1) {
+        if self.tokens.take_one(now) {
             self.spent.add(now + NEED_WINDOW, 1);
             return Spending::Granted;
         }
--- a/crates/linkhold-core/src/tenancy/rate.rs
+++ b/crates/linkhold-core/src/tenancy/rate.rs
@@ -1,6 +1,5 @@
 //! What a tenant's limit lets through in a sliding window.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use super::tenant::RateLimit;
@@ -40,7 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ExpiringCount {
     /// In no order of their moments, which differ by less than the longest life.
-    entries: VecDeque<(Instant, u64)>,
+    entries: Vec<(Instant, u64)>,
     total: u64,
 }
 
@@ -51,9 +50,9 @@
             return;
         }
         self.total += amount;
-        match self.entries.back_mut() {
+        match self.entries.last_mut() {
             Some((last, count)) if *last == until => *count += amount,
-            _ => self.entries.push_back((until, amount)),
+            _ => self.entries.push((until, amount)),
         }
     }
 
@@ -70,23 +69,18 @@
         self.total
     }
 
-    /// Takes `amount` of what expires first; whether there was so much.
-    pub fn take(&mut self, now: Instant, amount: u64) -> bool {
-        if self.total(now) < amount {
+    /// Takes one of what expires first; whether there was one.
+    pub fn take_one(&mut self, now: Instant) -> bool {
+        if self.total(now) == 0 {
             return false;
         }
-        let mut left = amount;
-        while left > 0 {
-            let first = self.entries.iter_mut().min_by_key(|(until, _)| *until);
-            let Some((_, count)) = first else {
-                return false;
-            };
-            let taken = left.min(*count);
-            *count -= taken;
-            left -= taken;
-            self.total -= taken;
-            self.entries.retain(|(_, count)| *count > 0);
-        }
+        let first = self.entries.iter_mut().min_by_key(|(until, _)| *until);
+        let Some((_, count)) = first else {
+            return false;
+        };
+        *count -= 1;
+        self.total -= 1;
+        self.entries.retain(|(_, count)| *count > 0);
         true
     }
 }
--- a/crates/linkhold-core/src/tenancy/tenant.rs
+++ b/crates/linkhold-core/src/tenancy/tenant.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
-use std::fmt;
 use std::sync::Arc;
 
 use thiserror::Error;
@@ -118,21 +117,11 @@
     pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
         self.tenants.values()
     }
-
-    /// How many tenants there are.
-    pub fn len(&self) -> usize {
-        self.tenants.len()
-    }
-
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.tenants.is_empty()
-    }
 }
 
 /// Whose statements a connection to an instance carries, from its start to its
 /// end.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConnectionHolder {
     /// No tenant's: statements of the node's own, of callers that need not be
     /// known, and of all callers where the configuration names no tenants.
@@ -150,9 +139,3 @@
         }
     }
 }
-
-impl fmt::Display for ConnectionHolder {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(self.tenant().map_or("none", |name| name))
-    }
-}
--- a/crates/linkhold-gateway/src/admission/coordinator.rs
+++ b/crates/linkhold-gateway/src/admission/coordinator.rs
@@ -165,13 +165,13 @@
             let after: Vec<SocketAddr> = peers(&coordinators[1..]);
             let teller = world.clone();
             let tenant = tenant.clone();
-            world.spawn(async move { quotas::tell_displaced(&teller, &tenant, &after).await });
+            tokio::spawn(async move { quotas::tell_displaced(&teller, &tenant, &after).await });
         }
         Some(rank) if rank > 0 => {
             let before: Vec<SocketAddr> = peers(&coordinators[..rank]);
             let looker = world.clone();
             let tenant = tenant.clone();
-            world.spawn(async move { look_before(&looker, &tenant, &before).await });
+            tokio::spawn(async move { look_before(&looker, &tenant, &before).await });
         }
         Some(_) | None => {}
     }
--- a/crates/linkhold-gateway/src/admission/world.rs
+++ b/crates/linkhold-gateway/src/admission/world.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use linkhold_core::tenancy::{QuotaRules, RateLimit};
@@ -41,8 +40,4 @@
     fn count_refusal(&self);
     /// A question was sent to another node.
     fn count_question(&self);
-    /// Runs a task beside the caller.
-    fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
-        tokio::spawn(task);
-    }
 }
--- a/crates/linkhold-gateway/src/budget_world.rs
+++ b/crates/linkhold-gateway/src/budget_world.rs
@@ -56,8 +56,3 @@
         self.metrics.budget_questions.add();
     }
 }
-
-/// Milliseconds of a duration, for messages.
-pub(crate) fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -53,9 +53,8 @@
         key: &PeerKey,
     ) -> (Arc<InstanceSnapshot>, Option<Arc<[u8]>>) {
         let mut frames = lock(&self.instances);
-        frames.refresh(revision, beliefs);
-        let present = frames.present.clone();
-        let frame = frames.frame_since(told, key);
+        let present = frames.refresh(revision, beliefs);
+        let frame = frames.frame_since(told, &present, key);
         (present, frame)
     }
 
@@ -80,7 +79,6 @@
 }
 
 /// All instances as a reader knew them at one time.
-#[derive(Default)]
 pub(crate) struct InstanceSnapshot {
     revision: u64,
     cursor: u64,
@@ -126,31 +124,32 @@
 /// The present instances, and frames that tell them.
 #[derive(Default)]
 struct InstanceFrames {
-    present: Arc<InstanceSnapshot>,
-    /// `present` was taken, at any revision.
-    is_taken: bool,
+    present: Option<Arc<InstanceSnapshot>>,
     whole: Option<Arc<[u8]>>,
     /// Changes since an older revision; `None` if there are none.
     since: HashMap<u64, Option<Arc<[u8]>>>,
 }
 
 impl InstanceFrames {
-    fn refresh(&mut self, revision: u64, beliefs: &Beliefs) {
-        if self.is_taken && self.present.revision == revision {
-            return;
+    fn refresh(&mut self, revision: u64, beliefs: &Beliefs) -> Arc<InstanceSnapshot> {
+        if let Some(present) = &self.present
+            && present.revision == revision
+        {
+            return present.clone();
         }
-        self.present = Arc::new(InstanceSnapshot::take(revision, beliefs));
-        self.is_taken = true;
+        let present = Arc::new(InstanceSnapshot::take(revision, beliefs));
+        self.present = Some(present.clone());
         self.whole = None;
         self.since.clear();
+        present
     }
 
     fn frame_since(
         &mut self,
         told: Option<&Arc<InstanceSnapshot>>,
+        present: &InstanceSnapshot,
         key: &PeerKey,
     ) -> Option<Arc<[u8]>> {
-        let present = self.present.clone();
         let Some(told) = told else {
             let whole = self
                 .whole
--- a/crates/linkhold-gateway/src/forward/link.rs
+++ b/crates/linkhold-gateway/src/forward/link.rs
@@ -9,7 +9,7 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_peer::{
     EvidenceAnswer, FeedMessage, ForwardMessage, ForwardOutcome, ForwardStatement,
-    MAX_FORWARD_MESSAGE, PeerKey, decode_forward, encode_forward,
+    MAX_FORWARD_MESSAGE, PeerKey, decode_forward, encode_forward, milliseconds,
 };
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -197,7 +197,7 @@
         self.tell(ForwardMessage::EvidenceQuestion {
             number,
             service: service.to_string(),
-            max_age_ms: u64::try_from(max_age.as_millis()).unwrap_or(u64::MAX),
+            max_age_ms: milliseconds(max_age),
         });
         let answer = timeout(within, receiver).await;
         lock(&self.shared).questions.remove(&number);
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -35,7 +35,7 @@
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{Access, SessionState, SessionValues};
 use linkhold_events::Event;
-use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement};
+use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement, milliseconds};
 
 use crate::attempt::{Answer, Attempt, Bounds, Held, InFlight, NotRunCause, Principal};
 use crate::batch::{Frame, Work};
@@ -164,7 +164,7 @@
             priority: bounds.urgency.priority,
             connection_within_ms: milliseconds_until(bounds.connection_by),
             answer_within_ms: milliseconds_until(bounds.answer_by),
-            tenant: principal.holder.tenant().map(ToString::to_string),
+            tenant: translate::tenant(principal.holder),
         };
         gateway.metrics.forwarded.add();
         let call = Call {
@@ -357,8 +357,7 @@
 
 /// Whole milliseconds left until a moment, rounded down.
 fn milliseconds_until(moment: Instant) -> u64 {
-    let left = moment.saturating_duration_since(Instant::now());
-    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    milliseconds(moment.saturating_duration_since(Instant::now()))
 }
 
 /// Values of a session as they were handed over.
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -7,11 +7,10 @@
 
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::session::TransactionStatus;
-use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use linkhold_peer::{
     EvidenceQuestion, ForwardFrame, ForwardMessage, ForwardOutcome, ForwardStatement, PeerKey,
-    encode_forward,
+    encode_forward, milliseconds,
 };
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -145,7 +144,7 @@
                 // Whoever asked may be gone.
                 let _ = outbox.send(ForwardMessage::EvidenceAnswer {
                     number,
-                    age_ms: u64::try_from(answer.age.as_millis()).unwrap_or(u64::MAX),
+                    age_ms: milliseconds(answer.age),
                     position: answer.position.map(translate::position),
                 });
             });
@@ -204,7 +203,7 @@
     let frame = translate::frame_from(statement.frame);
     let work = translate::work_from(&statement.work);
     let principal = Principal {
-        holder: &holder(statement),
+        holder: &translate::holder_from(statement.tenant.as_deref()),
         values: &session_values(statement),
     };
     let opens = matches!(frame, Frame::Opening { .. });
@@ -224,14 +223,6 @@
     }
 }
 
-/// Whose connection a statement needs.
-fn holder(statement: &ForwardStatement) -> ConnectionHolder {
-    match &statement.tenant {
-        Some(tenant) => ConnectionHolder::Tenant(tenant.as_str().into()),
-        None => ConnectionHolder::NoTenant,
-    }
-}
-
 /// Whether this node takes statements for an instance: as an owner, or since all
 /// nodes hold connections.
 fn owns<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> bool {
--- a/crates/linkhold-gateway/src/forward/translate.rs
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::session::{Access, Prepared, SessionValues, TransactionStatus};
+use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::{
     ForwardErrorKind, ForwardFrame, ForwardPosition, ForwardReply, ForwardResult, ForwardStatus,
     ForwardWork,
@@ -24,6 +25,18 @@
     if writes { Access::Write } else { Access::Read }
 }
 
+/// The tenant whose connection is needed; `None` for no tenant's.
+pub(super) fn tenant(holder: &ConnectionHolder) -> Option<String> {
+    holder.tenant().map(ToString::to_string)
+}
+
+pub(super) fn holder_from(tenant: Option<&str>) -> ConnectionHolder {
+    match tenant {
+        Some(tenant) => ConnectionHolder::Tenant(tenant.into()),
+        None => ConnectionHolder::NoTenant,
+    }
+}
+
 pub(super) fn values(values: &SessionValues) -> Vec<(ByteVec, ByteVec)> {
     let pairs = values.iter();
     pairs
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
-use crate::store_call::{BODY_TIMEOUT, CALL_TIMEOUT, CallReason, bounded};
+use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
 /// First pause after a failure; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -88,11 +88,11 @@
             Some(from) => {
                 let wait = gateway.store_wait();
                 let call = gateway.platform.follow_configuration(from, wait);
-                bounded(call, wait + CALL_TIMEOUT + BODY_TIMEOUT).await
+                bounded(call, wait + READ_TIMEOUT).await
             }
             None => {
                 let call = gateway.platform.read_configuration();
-                bounded(call, CALL_TIMEOUT + BODY_TIMEOUT).await
+                bounded(call, READ_TIMEOUT).await
             }
         };
         match answer {
@@ -143,7 +143,7 @@
 
 async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
     let call = gateway.platform.read_instances();
-    let (listed, next) = bounded(call, CALL_TIMEOUT + BODY_TIMEOUT).await?;
+    let (listed, next) = bounded(call, READ_TIMEOUT).await?;
     gateway.sources.instances_answered();
     gateway
         .beliefs
@@ -157,7 +157,7 @@
 ) -> Result<Cursor, StoreError> {
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
-    let (changes, next) = bounded(call, wait + CALL_TIMEOUT + BODY_TIMEOUT).await?;
+    let (changes, next) = bounded(call, wait + READ_TIMEOUT).await?;
     gateway.sources.instances_answered();
     let has_changes = !changes.is_empty();
     for change in changes {
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -19,7 +19,7 @@
 use linkhold_events::Event;
 use linkhold_peer::{
     BudgetMessage, Datagram, MAX_DATAGRAM, PeerKey, QuestionPurpose, QuestionSubject, Reachability,
-    ReachabilityMessage, decode_datagram, encode_budget, encode_reachability,
+    ReachabilityMessage, decode_datagram, encode_budget, encode_reachability, milliseconds,
 };
 use rand::seq::SliceRandom;
 use tokio::net::{TcpListener, UdpSocket};
@@ -28,7 +28,6 @@
 
 use crate::admission::{self, BudgetAnswer, BudgetRequest};
 use crate::beliefs::lock;
-use crate::budget_world::milliseconds;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 use crate::registration;
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -329,18 +329,13 @@
         }
     }
 
-    /// A connection in use was closed.
+    /// A connection in use was closed, or a place for one not taken.
     fn closed(&self) {
         let mut state = lock(&self.state);
         state.open -= 1;
         state.offer_places(self.limit());
     }
 
-    /// A place that was given to a waiter which has left.
-    fn return_place(&self) {
-        self.closed();
-    }
-
     /// Closes connections that are not in use.
     pub fn close_idle(&self) {
         let mut state = lock(&self.state);
@@ -413,7 +408,7 @@
         self.receiver.close();
         match self.receiver.try_recv() {
             Ok(Grant::Connection(pooled)) => self.pool.put_back(*pooled),
-            Ok(Grant::Place) => self.pool.return_place(),
+            Ok(Grant::Place) => self.pool.closed(),
             Ok(Grant::Failed(_)) | Err(_) => {}
         }
     }
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
 use crate::registry::{self, PEER_KEY_ROW, Registry};
-use crate::store_call::{BODY_TIMEOUT, CALL_TIMEOUT, CallReason, bounded};
+use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, bounded};
 
 /// Pause before registering is tried again after a failure, at the least.
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
@@ -162,7 +162,7 @@
 ) -> Result<Registry, StoreError> {
     let limit = match reason {
         CallReason::List => LIST_TIMEOUT,
-        _ => CALL_TIMEOUT + BODY_TIMEOUT,
+        _ => READ_TIMEOUT,
     };
     let call = gateway.platform.read_rows(FleetTable::Nodes, RowRange::All);
     gateway.metrics.store_calls.count(reason);
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -11,7 +11,7 @@
 
 use linkhold_core::service::readers::{READER_EXPIRY, ROW_EXPIRY, SETTLING_TIME};
 use linkhold_events::Event;
-use linkhold_peer::{FeedNode, PeerKey};
+use linkhold_peer::{FeedNode, PeerKey, milliseconds};
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{StoreError, StoredRow, StoredRows};
@@ -52,7 +52,7 @@
 
 impl NodeRow {
     fn new(registration: &Registration, now: u64) -> Self {
-        let age = u64::try_from(registration.age.as_millis()).unwrap_or(u64::MAX);
+        let age = milliseconds(registration.age);
         let node = &registration.node;
         Self {
             name: node.name.clone(),
@@ -219,7 +219,7 @@
     /// stopped at once.
     pub fn is_settled(&self) -> bool {
         let since = self.present().filter_map(|it| it.reads_since);
-        let settling = u64::try_from(SETTLING_TIME.as_millis()).unwrap_or(u64::MAX);
+        let settling = milliseconds(SETTLING_TIME);
         since.min().is_some_and(|since| since + settling < self.now)
     }
 }
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -10,10 +10,10 @@
 /// How long the store may take for a call that it need not hold, until the
 /// beginning of its answer.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long the rest of an answer may take beyond that, as long as it arrives: two
-/// megabytes, the configuration of a fleet of hundreds of services, over a link of
-/// 10 Mbit/s that others use as well.
-pub(crate) const BODY_TIMEOUT: Duration = Duration::from_millis(3_200);
+/// How long a whole answer may take, as long as it arrives: [`CALL_TIMEOUT`], and
+/// 3.2 s for two megabytes, the configuration of a fleet of hundreds of services,
+/// over a link of 10 Mbit/s that others use as well.
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// Why the store is called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -19,7 +19,7 @@
 use minicbor::{Decode, Encode};
 
 use crate::packing::{pack, unpack};
-use crate::{PeerError, PeerKey};
+use crate::{PeerError, PeerKey, milliseconds};
 
 /// Longest message, in bytes.
 pub const MAX_FEED_MESSAGE: usize = 8 * 1024 * 1024;
@@ -282,10 +282,6 @@
     from_wire(wire).ok_or(PeerError::Malformed)
 }
 
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn to_wire(message: &FeedMessage) -> WireMessage {
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -13,6 +13,8 @@
 mod reachability;
 mod table;
 
+use std::time::Duration;
+
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use thiserror::Error;
@@ -42,6 +44,11 @@
 pub const MAX_TABLE_MESSAGE: usize = 64 * 1024 * 1024;
 const MAC_LENGTH: usize = 16;
 
+/// Whole milliseconds of a duration, as messages and rows tell it, rounded down.
+pub fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Why a message was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum PeerError {
