--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -55,6 +55,9 @@
     let half = started + grace / 2;
     let end = started + grace.saturating_sub(EXIT_MARGIN);
     while Instant::now() < end {
+        // A session that was accepted just before sessions were refused is counted
+        // only at the look after that.
+        let refused_before = *stage.borrow() >= Stage::Refusing;
         sleep(LOOK_INTERVAL).await;
         let now = Instant::now();
         if now >= half {
@@ -62,9 +65,8 @@
         } else if now >= started + ROUTING_DELAY {
             stage.send_replace(Stage::Refusing);
         }
-        let refuses = *stage.borrow() >= Stage::Refusing;
         let served = gateway.relays.serving() + gateway.forwarding.lent();
-        if refuses && open_sessions(&gateway) == 0 && served == 0 {
+        if refused_before && open_sessions(&gateway) == 0 && served == 0 {
             break;
         }
     }
--- a/crates/linkhold-gateway/src/session/mod.rs
+++ b/crates/linkhold-gateway/src/session/mod.rs
@@ -210,22 +210,20 @@
     /// When the node's stop ends this session, as things stand.
     fn closing(&mut self) -> Closing {
         let stage = *self.stage.borrow_and_update();
+        let is_in_transaction = !matches!(self.transaction, Transaction::None);
         match stage {
             Stage::Serving => Closing::No,
-            Stage::ClosingIdle | Stage::Refusing
-                if !matches!(self.transaction, Transaction::None) =>
-            {
-                Closing::No
+            Stage::ClosingAll if is_in_transaction => {
+                log_aborted(&self.startup.database, &self.tenant(), "node_stops");
+                Closing::Now
             }
-            Stage::ClosingIdle | Stage::Refusing => match self.activity.may_close_at() {
-                Some(at) if at > Instant::now() => Closing::At(at),
-                _ => Closing::Now,
-            },
-            Stage::ClosingAll => {
-                if !matches!(self.transaction, Transaction::None) {
-                    log_aborted(&self.startup.database, &self.tenant(), "node_stops");
+            Stage::ClosingIdle | Stage::Refusing if is_in_transaction => Closing::No,
+            // A caller that is about to ask something is let finish at any stage.
+            Stage::ClosingIdle | Stage::Refusing | Stage::ClosingAll => {
+                match self.activity.may_close_at() {
+                    Some(at) if at > Instant::now() => Closing::At(at),
+                    _ => Closing::Now,
                 }
-                Closing::Now
             }
         }
     }
