--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -39,6 +39,14 @@
     },
     /// Nobody was reached who tells whether the tenant may ask for more.
     NoBudget,
+    /// The route and the tenant allow no region in common.
+    NoSharedRegion,
+    /// No instance stands in a region in which it may run.
+    NoInstanceInRegion,
+    /// Only the primary could run it, which stands in another region.
+    PrimaryOutsideRegion,
+    /// What could run it stands in zones that are evacuated.
+    Evacuated,
     /// The node has not learnt the configuration yet.
     NotConfigured,
     /// The transaction was ended before its commit was sent.
@@ -79,6 +87,10 @@
             Self::UnknownCredential => "28000",
             Self::OverQuota { .. } => "53400",
             Self::NoBudget => "LH008",
+            Self::NoSharedRegion => "LH009",
+            Self::NoInstanceInRegion => "LH010",
+            Self::PrimaryOutsideRegion => "LH011",
+            Self::Evacuated => "LH012",
             Self::NotConfigured => "LH007",
             Self::TransactionAborted => "40000",
         }
@@ -99,6 +111,10 @@
             Self::UnknownCredential => "unknown_credential",
             Self::OverQuota { .. } => "over_quota",
             Self::NoBudget => "no_budget",
+            Self::NoSharedRegion => "no_shared_region",
+            Self::NoInstanceInRegion => "no_instance_in_region",
+            Self::PrimaryOutsideRegion => "primary_outside_region",
+            Self::Evacuated => "evacuated",
             Self::NotConfigured => "not_configured",
             Self::TransactionAborted => "transaction_aborted",
         }
@@ -120,7 +136,9 @@
             | Self::NotConfigured
             | Self::NoBudget => 100,
             Self::Stopping | Self::Cancelled | Self::KeyCancelled | Self::TransactionAborted => 0,
-            Self::UnknownDatabase | Self::UnknownCredential => 1_000,
+            // An instance or a switch-over may come within seconds.
+            Self::NoInstanceInRegion | Self::PrimaryOutsideRegion | Self::Evacuated => 500,
+            Self::UnknownDatabase | Self::UnknownCredential | Self::NoSharedRegion => 1_000,
         };
         Duration::from_millis(milliseconds)
     }
--- a/crates/linkhold-core/src/service/configuration.rs
+++ b/crates/linkhold-core/src/service/configuration.rs
@@ -8,9 +8,14 @@
 use crate::outcome::NotRun;
 use crate::tenancy::{ConnectionHolder, Credential, Tenancy};
 
+use super::regions::AllowedRegions;
+
 /// Name of a service, a group of instances with one primary.
 pub type ServiceName = Arc<str>;
 
+/// Name of a database, by which callers ask for it.
+pub type DatabaseName = Arc<str>;
+
 /// How fresh the reads of a route must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Consistency {
@@ -37,6 +42,8 @@
     pub priority: u8,
     /// Callers need no credential.
     pub is_public: bool,
+    /// Regions in which its requests may be run.
+    pub regions: AllowedRegions,
 }
 
 /// Limits of one service.
@@ -54,7 +61,7 @@
     /// Version; rises with every change, in uneven steps.
     pub version: u64,
     /// Routes by the name of the database.
-    pub routes: HashMap<Arc<str>, Arc<Route>>,
+    pub routes: HashMap<DatabaseName, Arc<Route>>,
     /// Services by name.
     pub services: HashMap<ServiceName, ServiceLimits>,
     /// How long a transaction may stay idle; `None` is without end.
@@ -70,6 +77,8 @@
     pub route: Arc<Route>,
     /// Whose connections carry its statements.
     pub holder: ConnectionHolder,
+    /// Regions in which they may be run, and seen by other nodes.
+    pub regions: AllowedRegions,
 }
 
 impl Configuration {
@@ -86,12 +95,26 @@
     ) -> Result<Admitted, NotRun> {
         let route = self.route(database).ok_or(NotRun::UnknownDatabase)?;
         let holder = self.holder(route, credential)?;
+        let regions = self.regions(route, &holder);
+        if regions.is_empty() {
+            return Err(NotRun::NoSharedRegion);
+        }
         Ok(Admitted {
             route: route.clone(),
             holder,
+            regions,
         })
     }
 
+    /// Regions that both a route and the tenant of a holder allow.
+    pub fn regions(&self, route: &Route, holder: &ConnectionHolder) -> AllowedRegions {
+        let tenancy = self.tenancy.as_ref();
+        match (tenancy, holder.tenant()) {
+            (Some(tenancy), Some(tenant)) => route.regions.shared_with(&tenancy.regions(tenant)),
+            _ => route.regions.clone(),
+        }
+    }
+
     /// Whose connections carry the statements of a caller on a route.
     pub fn holder(
         &self,
--- /dev/null
+++ b/crates/linkhold-core/src/service/evacuation.rs
@@ -0,0 +1,145 @@
+//! Zones that the operator has evacuated: nothing is sent to their instances.
+//!
+//! # Invariants
+//!
+//! * What is known never goes back: an older place in the store's changes changes
+//!   nothing ([`Evacuations::replace`], [`Evacuations::apply`]).
+//! * An evacuation was acknowledged after the last moment as of which this node
+//!   knew that there was none. Open work ends within [`OPEN_WORK_PERCENT`] of the
+//!   bound from that moment, however late the node learnt.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Name of a zone.
+pub type ZoneName = Arc<str>;
+
+/// Part of the bound on evacuations in which open work may go on, in percent. The
+/// rest is for statements that are on their way to an instance.
+pub const OPEN_WORK_PERCENT: u32 = 40;
+
+/// A zone that is evacuated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// When this node learnt of it.
+    pub learnt_at: Instant,
+    /// Until when what is open there may go on.
+    pub open_work_until: Instant,
+}
+
+/// What an evacuation allows at a zone's instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneState {
+    /// Everything: it is not evacuated.
+    InService,
+    /// What is open, and the primary until another leads.
+    Emptying,
+    /// Nothing.
+    Closed,
+}
+
+/// A change of one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationChange {
+    /// It is evacuated.
+    Evacuated(ZoneName),
+    /// The evacuation is taken back.
+    TakenBack(ZoneName),
+}
+
+/// All zones that are evacuated, as far as a node knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    /// Place in the store's changes up to which they are known.
+    as_of: u64,
+    /// The last moment as of which they were vouched for.
+    vouched_at: Option<Instant>,
+    zones: BTreeMap<ZoneName, Evacuation>,
+}
+
+impl Evacuations {
+    /// Takes in all evacuated zones as of a place in the store's changes; what has
+    /// changed.
+    pub fn replace(
+        &mut self,
+        as_of: u64,
+        zones: impl IntoIterator<Item = ZoneName>,
+        bound: Duration,
+        now: Instant,
+    ) -> Vec<EvacuationChange> {
+        if as_of < self.as_of {
+            return Vec::new();
+        }
+        let listed: Vec<ZoneName> = zones.into_iter().collect();
+        let known = self.zones.keys();
+        let withdrawn = known
+            .filter(|zone| !listed.contains(zone))
+            .cloned()
+            .map(EvacuationChange::TakenBack);
+        let mut changes: Vec<EvacuationChange> = withdrawn.collect();
+        changes.extend(listed.into_iter().map(EvacuationChange::Evacuated));
+        self.apply(as_of, changes, bound, now)
+    }
+
+    /// Takes in changes up to a place in the store's changes; those that are news.
+    pub fn apply(
+        &mut self,
+        as_of: u64,
+        changes: impl IntoIterator<Item = EvacuationChange>,
+        bound: Duration,
+        now: Instant,
+    ) -> Vec<EvacuationChange> {
+        if as_of < self.as_of {
+            return Vec::new();
+        }
+        self.as_of = as_of;
+        let is_news = |change: &EvacuationChange| match change {
+            EvacuationChange::Evacuated(zone) => self.evacuate(zone, bound, now),
+            EvacuationChange::TakenBack(zone) => self.zones.remove(zone).is_some(),
+        };
+        changes.into_iter().filter(is_news).collect()
+    }
+
+    fn evacuate(&mut self, zone: &ZoneName, bound: Duration, now: Instant) -> bool {
+        if self.zones.contains_key(zone) {
+            return false;
+        }
+        let open_work = bound * OPEN_WORK_PERCENT / 100;
+        let evacuation = Evacuation {
+            learnt_at: now,
+            open_work_until: self.vouched_at.map_or(now, |at| at + open_work),
+        };
+        self.zones.insert(zone.clone(), evacuation);
+        true
+    }
+
+    /// What is known was true at a moment.
+    pub fn vouched(&mut self, moment: Instant) {
+        self.vouched_at = self.vouched_at.max(Some(moment));
+    }
+
+    /// What is allowed at a zone's instances.
+    pub fn state(&self, zone: &str, now: Instant) -> ZoneState {
+        match self.zones.get(zone) {
+            None => ZoneState::InService,
+            Some(evacuation) if now < evacuation.open_work_until => ZoneState::Emptying,
+            Some(_) => ZoneState::Closed,
+        }
+    }
+
+    /// The zones that are evacuated.
+    pub fn zones(&self) -> impl Iterator<Item = (&ZoneName, &Evacuation)> {
+        self.zones.iter()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// Place in the store's changes up to which they are known.
+    pub fn as_of(&self) -> u64 {
+        self.as_of
+    }
+}
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -187,6 +187,8 @@
     pub status: InstanceStatus,
     /// It is leaving, so it is taken only if no other is left.
     pub is_leaving: bool,
+    /// It stands where a primary of its service should.
+    pub is_well_placed: bool,
 }
 
 /// Whether a candidate may be promoted at all: one whose log ends in an older
@@ -195,8 +197,9 @@
     newest_evidence.is_none_or(|newest| candidate.received.term >= newest.term)
 }
 
-/// The instance to promote: the one that has received most; among equals one
-/// that stays, then the lowest identity, so that all nodes choose alike. With
+/// The instance to promote: the one that has received most, since commits are not
+/// traded for a place; among equals one that is well placed, then one that stays,
+/// then the lowest identity, so that all nodes choose alike. With
 /// `synchronous` replicas nothing may come before what was received; without,
 /// an instance that leaves is passed over while another is there.
 pub fn choose_successor(candidates: &[Successor], synchronous: usize) -> Option<&Successor> {
@@ -208,9 +211,10 @@
         .max_by(|first, second| rank(first).cmp(&rank(second)))
 }
 
-fn rank(candidate: &Successor) -> (Position, bool, std::cmp::Reverse<&InstanceId>) {
+fn rank(candidate: &Successor) -> (Position, bool, bool, std::cmp::Reverse<&InstanceId>) {
     (
         candidate.status.received,
+        candidate.is_well_placed,
         !candidate.is_leaving,
         std::cmp::Reverse(&candidate.status.id),
     )
--- a/crates/linkhold-core/src/tenancy/tenant.rs
+++ b/crates/linkhold-core/src/tenancy/tenant.rs
@@ -6,6 +6,8 @@
 
 use thiserror::Error;
 
+use crate::service::regions::AllowedRegions;
+
 use super::credential::Credential;
 
 /// Name of a tenant.
@@ -32,6 +34,8 @@
     pub credentials: Vec<Credential>,
     /// How much it may ask; `None` is without limit.
     pub limit: Option<RateLimit>,
+    /// Regions in which its requests may be run.
+    pub regions: AllowedRegions,
 }
 
 /// What is wrong with the tenants of a configuration. Secrets are not named.
@@ -113,6 +117,12 @@
         self.tenants.get(tenant)?.limit
     }
 
+    /// Regions in which a tenant's requests may be run.
+    pub fn regions(&self, tenant: &str) -> AllowedRegions {
+        let tenant = self.tenants.get(tenant);
+        tenant.map(|it| it.regions.clone()).unwrap_or_default()
+    }
+
     /// All tenants, in no order.
     pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
         self.tenants.values()
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -23,6 +23,7 @@
             received,
         },
         is_leaving,
+        is_well_placed: true,
     }
 }
 
@@ -173,3 +174,21 @@
         drain
     ));
 }
+
+/// Commits are not traded for a place: who has received more goes first; among
+/// equals one that is well placed, whichever identity it has.
+#[test]
+fn a_well_placed_successor_goes_first_among_equals_alone() {
+    let at = |index| Position {
+        term: Term(3),
+        index,
+    };
+    let mut misplaced = candidate("a", at(8), false);
+    misplaced.is_well_placed = false;
+    let equal = [misplaced.clone(), candidate("b", at(8), false)];
+    let chosen = choose_successor(&equal, 0).unwrap();
+    assert_eq!(chosen.status.id, id("b"));
+    let behind = [misplaced, candidate("b", at(7), false)];
+    let chosen = choose_successor(&behind, 0).unwrap();
+    assert_eq!(chosen.status.id, id("a"));
+}
--- a/crates/linkhold-core/tests/tenancy.rs
+++ b/crates/linkhold-core/tests/tenancy.rs
@@ -6,6 +6,7 @@
 
 use linkhold_core::outcome::NotRun;
 use linkhold_core::service::configuration::{Configuration, Consistency, Route};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::{
     ConnectionHolder, Credential, Tenancy, TenancyFinding, Tenant, TenantName,
 };
@@ -18,6 +19,7 @@
             .map(|secret| Credential::of_secret(secret.as_bytes()))
             .collect(),
         limit: None,
+        regions: AllowedRegions::Everywhere,
     }
 }
 
@@ -29,6 +31,7 @@
         latency_objective: Duration::from_millis(400),
         priority: 1,
         is_public,
+        regions: AllowedRegions::Everywhere,
     })
 }
 
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::eligibility::{Engagement, Ineligible};
 use linkhold_core::service::instance::Instance;
-use linkhold_core::service::session::{SessionState, SessionValues, TransactionStatus};
+use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::session::{SessionValues, TransactionStatus};
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use tokio::time::{sleep_until, timeout_at};
@@ -36,6 +38,30 @@
 }
 
 impl<P: Platform> Held<P> {
+    /// The instance it leads to.
+    pub fn instance(&self) -> &Arc<Instance> {
+        match self {
+            Self::Own(lease) => lease.instance(),
+            Self::Lent(lent) => lent.instance(),
+        }
+    }
+
+    /// Whether neither its instance nor a node on the way to it stands outside the
+    /// allowed regions.
+    pub fn is_within(&self, gateway: &Gateway<P>, regions: &AllowedRegions) -> bool {
+        let permits_zone = |zone: &str| regions.permits(&gateway.settings.places.region(zone));
+        match self {
+            Self::Own(lease) => lease.is_within(regions) && permits_zone(&lease.instance().zone),
+            Self::Lent(lent) => {
+                let owner = gateway
+                    .fleet
+                    .region_of(lent.owner(), &gateway.settings.places);
+                let sees = owner.is_some_and(|region| regions.permits(&region));
+                (!regions.is_bound() || sees) && permits_zone(&lent.instance().zone)
+            }
+        }
+    }
+
     /// Gives the connection back. What is still open on it in `status` is rolled
     /// back before its next use.
     pub fn finish(self, status: TransactionStatus) {
@@ -98,6 +124,8 @@
     Unreachable,
     /// The instance refused it.
     Refused(BackendErrorKind),
+    /// It may not be sent to the instance.
+    Ineligible(Ineligible),
 }
 
 /// For whom a statement is run.
@@ -107,6 +135,8 @@
     pub holder: &'a ConnectionHolder,
     /// Values of the session.
     pub values: &'a SessionValues,
+    /// Regions in which it may be run, and seen by other nodes.
+    pub regions: &'a AllowedRegions,
 }
 
 /// Runs `work` on `instance`: on a connection of this node's own or, where few
@@ -124,7 +154,7 @@
         .beliefs
         .observe(&instance.id, |health| health.begin_trial(now));
     if let Some(owners) = gateway.pools.owners_of(instance, &gateway.beliefs) {
-        let asked = owners.before_self(principal.holder);
+        let asked = owners.permitted(&principal);
         let attempt = forward::run(gateway, &asked, instance, principal, work, frame, bounds).await;
         if let Some(attempt) = attempt {
             return attempt;
@@ -142,6 +172,9 @@
     frame: Frame,
     bounds: Bounds,
 ) -> Attempt<P> {
+    if gateway.relays.bars(&instance.id, principal.regions) {
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
     let entered = pool
         .gate()
@@ -153,8 +186,7 @@
     let checkout = pool
         .checkout(
             gateway,
-            principal.holder,
-            principal.values,
+            principal,
             bounds.urgency,
             bounds.connection_by.into(),
         )
@@ -163,15 +195,7 @@
         Ok(lease) => lease,
         Err(error) => return Attempt::NotRun(checkout_failure(gateway, instance, error)),
     };
-    run_on_own(
-        gateway,
-        lease,
-        principal.values,
-        work,
-        frame,
-        bounds.answer_by,
-    )
-    .await
+    run_on_own(gateway, lease, principal, work, frame, bounds.answer_by).await
 }
 
 /// Why no connection was had. An instance that has none left lives: nobody is to
@@ -198,7 +222,7 @@
 pub(crate) async fn run_on<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     held: Held<P>,
-    session: &SessionState,
+    principal: Principal<'_>,
     work: &Work,
     answer_by: Instant,
 ) -> Attempt<P> {
@@ -206,17 +230,19 @@
     match held {
         Held::Own(lease) => {
             let _pass = lease.gate().enter_at_once();
-            run_on_own(gateway, lease, &session.values, work, frame, answer_by).await
+            run_on_own(gateway, lease, principal, work, frame, answer_by).await
         }
-        Held::Lent(lent) => forward::run_on(gateway, lent, session, work, answer_by).await,
+        Held::Lent(lent) => forward::run_on(gateway, lent, principal, work, answer_by).await,
     }
 }
 
-/// Runs `work` on a connection of this node's own that is held.
+/// Runs `work` on a connection of this node's own that is held. Whatever a caller
+/// asks is sent to an instance here and nowhere else, so this is where it is looked
+/// once more whether it may be.
 pub(crate) async fn run_on_own<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     mut lease: Lease<ConnectionOf<P>>,
-    values: &SessionValues,
+    principal: Principal<'_>,
     work: &Work,
     frame: Frame,
     answer_by: Instant,
@@ -225,7 +251,10 @@
         // The connection is closed, which undoes what is open on it.
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
-    let batch = batch::build(lease.pooled(), values, work, frame);
+    if let Err(reason) = may_send(gateway, &lease, principal) {
+        return ineligible(work, &lease, reason);
+    }
+    let batch = batch::build(lease.pooled(), principal.values, work, frame);
     let begin = if batch.setup.is_empty() {
         None
     } else {
@@ -237,6 +266,10 @@
             Err(attempt) => return attempt,
         }
     };
+    // Preparing the connection may have taken its time.
+    if let Err(reason) = may_send(gateway, &lease, principal) {
+        return ineligible(work, &lease, reason);
+    }
     let sent_at = Instant::now();
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
         Conversation::Silent => {
@@ -271,6 +304,35 @@
     }
 }
 
+/// Whether a statement may be sent on a connection, as things stand now.
+fn may_send<P: Platform>(
+    gateway: &Gateway<P>,
+    lease: &Lease<ConnectionOf<P>>,
+    principal: Principal<'_>,
+) -> Result<(), Ineligible> {
+    if !lease.is_within(principal.regions) {
+        return Err(Ineligible::OutsideRegions);
+    }
+    let beliefs = &gateway.beliefs;
+    beliefs.eligibility(lease.instance(), principal.regions, Engagement::Bound)
+}
+
+/// A statement that may not be sent. The connection is closed, which undoes what
+/// is open on it.
+fn ineligible<P: Platform>(
+    work: &Work,
+    lease: &Lease<ConnectionOf<P>>,
+    reason: Ineligible,
+) -> Attempt<P> {
+    Event::info("statement_ineligible")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &lease.instance().id)
+        .field("zone", &lease.instance().zone)
+        .field("reason", reason)
+        .log();
+    Attempt::NotRun(NotRunCause::Ineligible(reason))
+}
+
 /// Whether nothing that comes on a connection may be acknowledged. What comes
 /// through a peer is withheld by the peer.
 fn is_withheld<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -9,16 +9,20 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::{Configuration, ServiceLimits, ServiceName};
 use linkhold_core::service::directory::{Directory, PrimaryChange, PrimarySource};
+use linkhold_core::service::eligibility::{self, Engagement, Ineligible, Standing};
+use linkhold_core::service::evacuation::{EvacuationChange, Evacuations, ZoneName, ZoneState};
 use linkhold_core::service::evidence::{EvidenceLog, Sample};
 use linkhold_core::service::health::InstanceHealth;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::placement::{self, Candidate, Distance};
+use linkhold_core::service::regions::{self, AllowedRegions};
 use linkhold_core::service::withholding::{WITHHOLDING, Withholdings};
 use linkhold_events::Event;
 use tokio::sync::watch;
 
 use crate::places::Places;
 use crate::ports::Cursor;
+use crate::settings::GatewaySettings;
 
 /// Part of the drain time in which a leaving instance may get new work, in
 /// percent.
@@ -31,6 +35,7 @@
     health: HashMap<InstanceId, InstanceHealth>,
     evidence: HashMap<ServiceName, EvidenceLog>,
     withholdings: Withholdings,
+    evacuations: Evacuations,
     /// Entries whose absence counted when that was looked at last.
     absent: usize,
 }
@@ -40,7 +45,11 @@
 pub struct Beliefs {
     places: Places,
     drain: Duration,
+    /// How soon nothing may be sent to an evacuated zone any more.
+    evacuation_bound: Duration,
     configuration: Mutex<Option<Arc<Configuration>>>,
+    /// Where the primaries of services should stand that are bound to regions.
+    primary_regions: Mutex<Arc<HashMap<ServiceName, AllowedRegions>>>,
     directory_read_at: Mutex<Option<Instant>>,
     instances: Mutex<InstanceBeliefs>,
     directory_cursor: Mutex<Cursor>,
@@ -51,11 +60,13 @@
 
 impl Beliefs {
     /// Nothing is known.
-    pub fn new(places: Places, drain: Duration) -> Self {
+    pub fn new(settings: &GatewaySettings) -> Self {
         Self {
-            places,
-            drain,
+            places: settings.places.clone(),
+            drain: settings.drain,
+            evacuation_bound: settings.evacuation_bound,
             configuration: Mutex::default(),
+            primary_regions: Mutex::default(),
             directory_read_at: Mutex::default(),
             instances: Mutex::default(),
             directory_cursor: Mutex::default(),
@@ -101,6 +112,7 @@
             .field("routes", configuration.routes.len())
             .field("services", configuration.services.len())
             .log();
+        *lock(&self.primary_regions) = Arc::new(bound_primaries(&configuration));
         *current = Some(Arc::new(configuration));
         drop(current);
         self.lists_changed();
@@ -239,6 +251,150 @@
         lock(&self.instances).directory.primary(service).cloned()
     }
 
+    /// Takes in all zones that are evacuated as of a place in the store's changes.
+    pub fn replace_evacuations(&self, zones: Vec<ZoneName>, as_of: Cursor, now: Instant) {
+        let bound = self.evacuation_bound;
+        let changes = lock(&self.instances)
+            .evacuations
+            .replace(as_of.0, zones, bound, now);
+        self.after_evacuations(&changes, as_of);
+    }
+
+    /// Takes in what has changed among them up to a place in the store's changes.
+    pub fn change_evacuations(&self, changes: Vec<EvacuationChange>, as_of: Cursor, now: Instant) {
+        let bound = self.evacuation_bound;
+        let changes = lock(&self.instances)
+            .evacuations
+            .apply(as_of.0, changes, bound, now);
+        self.after_evacuations(&changes, as_of);
+    }
+
+    fn after_evacuations(&self, changes: &[EvacuationChange], as_of: Cursor) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            self.log_evacuation(change, as_of);
+        }
+        self.lists_changed();
+    }
+
+    fn log_evacuation(&self, change: &EvacuationChange, as_of: Cursor) {
+        let (event, zone) = match change {
+            EvacuationChange::Evacuated(zone) => (Event::warn("zone_evacuated"), zone),
+            EvacuationChange::TakenBack(zone) => (Event::info("evacuation_taken_back"), zone),
+        };
+        event
+            .field("zone", zone)
+            .field("is_known", self.places.regions.contains_key(zone))
+            .field("instances", self.instances_in(zone))
+            .field("as_of", as_of.0)
+            .log();
+    }
+
+    fn instances_in(&self, zone: &str) -> usize {
+        let instances = lock(&self.instances).directory.all(Instant::now());
+        let stand_there = instances.iter().filter(|(it, _)| &*it.zone == zone);
+        stand_there.count()
+    }
+
+    /// What is known of evacuations was true at a moment.
+    pub fn evacuations_vouched(&self, moment: Instant) {
+        lock(&self.instances).evacuations.vouched(moment);
+    }
+
+    /// The zones that are evacuated, and the place in the store's changes up to
+    /// which they are known.
+    pub fn evacuations(&self) -> (Vec<ZoneName>, Cursor) {
+        let instances = lock(&self.instances);
+        let zones = instances.evacuations.zones().map(|(zone, _)| zone.clone());
+        (zones.collect(), Cursor(instances.evacuations.as_of()))
+    }
+
+    /// Whether a statement may be sent to an instance.
+    pub fn eligibility(
+        &self,
+        instance: &Instance,
+        regions: &AllowedRegions,
+        engagement: Engagement,
+    ) -> Result<(), Ineligible> {
+        let instances = lock(&self.instances);
+        self.eligibility_in(&instances, instance, regions, engagement)
+    }
+
+    fn eligibility_in(
+        &self,
+        instances: &InstanceBeliefs,
+        instance: &Instance,
+        regions: &AllowedRegions,
+        engagement: Engagement,
+    ) -> Result<(), Ineligible> {
+        let evacuations = &instances.evacuations;
+        let zone = if evacuations.is_empty() {
+            ZoneState::InService
+        } else {
+            evacuations.state(&instance.zone, Instant::now())
+        };
+        let standing = Standing {
+            is_in_regions: !regions.is_bound()
+                || regions.permits(&self.places.region(&instance.zone)),
+            zone,
+        };
+        eligibility::check(standing, engagement)
+    }
+
+    /// Why no instance of a service may run a request of these regions at all, nor
+    /// will before something changes; `None` if one may, or none is known.
+    pub fn barrier(&self, service: &str, regions: &AllowedRegions) -> Option<Ineligible> {
+        let instances = lock(&self.instances);
+        if !regions.is_bound() && instances.evacuations.is_empty() {
+            return None;
+        }
+        let mut barrier = None;
+        for instance in instances.directory.instances(service) {
+            match self.eligibility_in(&instances, instance, regions, Engagement::Free) {
+                Ok(()) => return None,
+                // One that is evacuated stands in the regions: that is what is told.
+                Err(Ineligible::Evacuated) => barrier = Some(Ineligible::Evacuated),
+                Err(Ineligible::OutsideRegions) => {
+                    barrier.get_or_insert(Ineligible::OutsideRegions);
+                }
+            }
+        }
+        barrier
+    }
+
+    /// Where the primary of a service should stand.
+    pub fn primary_regions(&self, service: &str) -> AllowedRegions {
+        let bound = lock(&self.primary_regions).clone();
+        bound.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Whether an instance stands where a primary of its service should.
+    pub fn is_well_placed(&self, instance: &Instance) -> bool {
+        let regions = self.primary_regions(&instance.service);
+        self.eligibility(instance, &regions, Engagement::Free)
+            .is_ok()
+    }
+
+    /// Whether the primary of a service stands where it should not, and another
+    /// instance, which stays, where it should.
+    pub fn is_primary_misplaced(&self, service: &str) -> bool {
+        let Some(primary) = self.primary(service) else {
+            return false;
+        };
+        !self.is_well_placed(&primary) && self.has_place_for_primary(service)
+    }
+
+    /// Whether an instance that stays stands where the primary should.
+    pub fn has_place_for_primary(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let instances = self.instances(service);
+        instances
+            .iter()
+            .any(|instance| self.is_well_placed(instance) && !self.is_leaving(&instance.id, now))
+    }
+
     /// The believed primary, unless it failed a moment ago or is being
     /// replaced.
     pub fn usable_primary(&self, service: &str, now: Instant) -> Option<Arc<Instance>> {
@@ -310,15 +466,21 @@
         service: &str,
         required: Position,
         excluded: &[InstanceId],
+        regions: &AllowedRegions,
         now: Instant,
     ) -> Option<(Arc<Instance>, bool)> {
         let primary = self.primary(service);
         let instances = lock(&self.instances);
+        let may_run = |instance: &Instance| {
+            self.eligibility_in(&instances, instance, regions, Engagement::Free)
+                .is_ok()
+        };
         let unknown = InstanceHealth::default();
         let candidates = instances
             .directory
             .instances(service)
             .filter(|instance| !self.has_left(&instances.directory, &instance.id, now))
+            .filter(|instance| may_run(instance))
             .map(|instance| Candidate {
                 is_primary: primary.as_ref().is_some_and(|it| it.id == instance.id),
                 instance,
@@ -408,6 +570,16 @@
     }
 }
 
+/// Where the primaries of services should stand that are bound to regions.
+fn bound_primaries(configuration: &Configuration) -> HashMap<ServiceName, AllowedRegions> {
+    let services = configuration.services.keys();
+    let regions = services.map(|service| {
+        let regions = regions::primary_regions(configuration, service);
+        (service.clone(), regions)
+    });
+    regions.filter(|(_, regions)| regions.is_bound()).collect()
+}
+
 fn log_primary(change: &PrimaryChange) {
     Event::info("primary_changed")
         .field("service", &change.service)
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -12,10 +12,12 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::SessionValues;
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::timeout_at;
 
+use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::forward;
 use crate::gate::Urgency;
@@ -132,8 +134,12 @@
     let checkout = pool
         .checkout(
             gateway,
-            &ConnectionHolder::NoTenant,
-            &SessionValues::new(),
+            // It carries nothing of a request.
+            Principal {
+                holder: &ConnectionHolder::NoTenant,
+                values: &SessionValues::new(),
+                regions: &AllowedRegions::Everywhere,
+            },
             urgency,
             deadline,
         )
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -15,6 +15,7 @@
 use crate::gateway::Gateway;
 use crate::peers::{self, Audience};
 use crate::ports::Platform;
+use crate::relay::RelayPeer;
 use crate::survey;
 
 /// What is wrong with the primary; `None` if nothing is, or if it cannot be
@@ -42,8 +43,11 @@
         Reachability::Reached => {
             gateway.relays.forget(&primary.id);
             gateway.instance_answered(&primary.id, Duration::ZERO, None);
-            let leaves = gateway.beliefs.is_leaving(&primary.id, Instant::now());
-            leaves.then_some(Trouble::Leaving)
+            if gateway.beliefs.is_leaving(&primary.id, Instant::now()) {
+                return Some(Trouble::Leaving);
+            }
+            let misplaced = gateway.beliefs.is_primary_misplaced(service);
+            misplaced.then_some(Trouble::Misplaced)
         }
         Reachability::NotPrimary => {
             gateway.beliefs.deny_primary(&primary.id);
@@ -80,7 +84,18 @@
             .field("peers", peers.len())
             .log();
     }
-    gateway.relays.learn(&primary.id, peers);
+    let places = &gateway.settings.places;
+    let relay_peer = |address: SocketAddr| RelayPeer {
+        address,
+        // One that has joined unseen may stand anywhere: no bound permits the empty
+        // name.
+        region: gateway.fleet.region_of(address, places).unwrap_or_default(),
+    };
+    let relay_peers = peers.into_iter().map(relay_peer).collect();
+    let instance_region = places.region(&primary.zone);
+    gateway
+        .relays
+        .learn(&primary.id, &instance_region, relay_peers);
     gateway.instance_answered(&primary.id, Duration::ZERO, None);
 }
 
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -7,6 +7,7 @@
 
 mod diagnosis;
 mod lease;
+mod misplaced;
 mod promotion;
 
 use std::collections::HashSet;
@@ -23,6 +24,7 @@
 use crate::relay;
 
 use diagnosis::diagnose;
+use misplaced::MisplacedPrimaries;
 use promotion::replace;
 
 pub(crate) use lease::hold_leases_ready;
@@ -42,6 +44,7 @@
 /// Runs until the process ends.
 pub(crate) async fn watch_primaries<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut busy: HashSet<ServiceName> = HashSet::new();
+    let mut misplaced = MisplacedPrimaries::default();
     let (finished, mut finishes) = mpsc::unbounded_channel();
     loop {
         tokio::select! {
@@ -54,6 +57,7 @@
         relay::try_direct_ways(&gateway);
         let mut services = gateway.attention.take();
         services.extend(services_with_leaving_primary(&gateway));
+        services.extend(misplaced.due(&gateway));
         for service in services {
             if !busy.insert(service.clone()) {
                 continue;
@@ -88,6 +92,8 @@
     Lost,
     /// It is leaving and still serves.
     Leaving,
+    /// It serves, and stands where a primary of its service should not.
+    Misplaced,
 }
 
 /// Looks at a service's primary and replaces it if that is needed.
@@ -103,6 +109,10 @@
         };
         sleep(rank_delay(gateway, service)).await;
         replace(gateway, service, trouble, subject.as_ref()).await;
+        if trouble == Trouble::Misplaced {
+            // It serves all the while: the next try comes when it is due.
+            return;
+        }
         if !needs_care(gateway, service) {
             return;
         }
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -27,6 +27,8 @@
 const LEAD_QUESTION_INTERVAL: Duration = Duration::from_millis(400);
 /// How long replicas may take to receive what a primary that stepped down had.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+/// The same where the old primary stays: nothing it had is to be undone.
+const MISPLACED_CATCH_UP_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Pause between questions whether they have.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
 
@@ -56,7 +58,7 @@
             .confirm_primary(&primary.id, PrimarySource::Asked);
         return;
     }
-    let Some(successor) = successor(gateway, service, &situation) else {
+    let Some(successor) = successor(gateway, service, trouble, &situation) else {
         return;
     };
     let Some(lease) = claim(gateway, service, &successor.status.id).await else {
@@ -69,8 +71,8 @@
         return;
     }
     let mut chosen = successor.status;
-    if trouble == Trouble::Leaving {
-        match hand_over(gateway, &situation, &chosen).await {
+    if matches!(trouble, Trouble::Leaving | Trouble::Misplaced) {
+        match hand_over(gateway, &situation, &chosen, trouble).await {
             Some(caught_up) => chosen = caught_up,
             None => return,
         }
@@ -88,7 +90,7 @@
     situation: &Situation,
 ) -> Option<Instant> {
     match (trouble, &situation.old) {
-        (Trouble::Leaving, _) => Some(Instant::now()),
+        (Trouble::Leaving | Trouble::Misplaced, _) => Some(Instant::now()),
         (Trouble::Lost, Some(primary)) => confirm_not_replaced(gateway, primary).await,
         // What was lost is no longer believed in: the others decide.
         (Trouble::Lost, None) | (Trouble::Unknown, _) => {
@@ -125,6 +127,7 @@
 fn successor<P: Platform>(
     gateway: &Gateway<P>,
     service: &str,
+    trouble: Trouble,
     situation: &Situation,
 ) -> Option<Successor> {
     let now = Instant::now();
@@ -141,7 +144,10 @@
         .map(|status| Successor {
             status: status.clone(),
             is_leaving: gateway.beliefs.is_leaving(&status.id, now),
+            is_well_placed: is_well_placed(gateway, &status.id),
         })
+        // A primary that serves is replaced only by one that is to stay.
+        .filter(|it| trouble != Trouble::Misplaced || it.is_well_placed && !it.is_leaving)
         .collect();
     let chosen = failover::choose_successor(&candidates, synchronous);
     if chosen.is_none() || situation.statuses.len() < required {
@@ -157,19 +163,28 @@
     chosen.cloned()
 }
 
-/// Ends the term of a primary that leaves and waits until the successor has
+fn is_well_placed<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) -> bool {
+    let instance = gateway.beliefs.instance(id);
+    instance.is_some_and(|instance| gateway.beliefs.is_well_placed(&instance))
+}
+
+/// Ends the term of a primary that leaves, or is misplaced, and waits until the successor has
 /// everything that it had, so that no commit is rolled back. `None` if that is
 /// not possible yet.
 async fn hand_over<P: Platform>(
     gateway: &Gateway<P>,
     situation: &Situation,
     successor: &InstanceStatus,
+    trouble: Trouble,
 ) -> Option<InstanceStatus> {
     let old = situation.old.as_ref()?;
     let instance = gateway.beliefs.instance(&successor.id)?;
     let present = survey::status(gateway, old).await?;
-    let now = Instant::now();
-    let leaving_for = gateway.beliefs.leaving_for(&old.id, now)?;
+    // One that is misplaced does not end by itself: it waits for its successor.
+    let leaving_for = match trouble {
+        Trouble::Leaving => gateway.beliefs.leaving_for(&old.id, Instant::now())?,
+        Trouble::Unknown | Trouble::Lost | Trouble::Misplaced => Duration::ZERO,
+    };
     let drain = gateway.settings.drain;
     if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
         Event::info("hand_over_postponed")
@@ -182,7 +197,11 @@
     let term = Term(successor.term.max(present.term).0 + 1);
     let last = survey::step_down(gateway, old, term).await?;
     gateway.beliefs.deny_primary(&old.id);
-    let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+    let limit = match trouble {
+        Trouble::Misplaced => MISPLACED_CATCH_UP_TIMEOUT,
+        Trouble::Unknown | Trouble::Lost | Trouble::Leaving => CATCH_UP_TIMEOUT,
+    };
+    let deadline = Instant::now() + limit;
     let mut latest = successor.clone();
     while latest.received < last.received && Instant::now() < deadline {
         sleep(CATCH_UP_PAUSE).await;
@@ -195,7 +214,10 @@
         .field("successor", &successor.id)
         .field("successor_position", latest.received)
         .log();
-    Some(latest)
+    // The old one lives and keeps what the successor lacks: whoever has received
+    // most leads next, which may be the old one again.
+    let undoes = trouble == Trouble::Misplaced && latest.received < last.received;
+    (!undoes).then_some(latest)
 }
 
 async fn order<P: Platform>(
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
 use linkhold_core::service::readers::{self, ReaderCandidate, Source};
+use linkhold_core::service::regions::RegionName;
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
 
@@ -132,6 +133,14 @@
             .collect()
     }
 
+    /// The region of the node at an address; `None` if it is not known.
+    pub fn region_of(&self, address: SocketAddr, places: &Places) -> Option<RegionName> {
+        let view = lock(&self.view);
+        let mut nodes = view.nodes.values();
+        let node = nodes.find(|node| node.address == Some(address))?;
+        Some(places.region(&node.zone))
+    }
+
     /// Other nodes' addresses; `None` unless all nodes are known.
     pub fn all_peers(&self, own_name: &str) -> Option<Vec<SocketAddr>> {
         let view = lock(&self.view);
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -33,7 +33,7 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::Instance;
-use linkhold_core::service::session::{Access, SessionState, SessionValues};
+use linkhold_core::service::session::{Access, SessionValues};
 use linkhold_events::Event;
 use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement, milliseconds};
 
@@ -41,7 +41,7 @@
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
-use crate::owners::InstanceOwners;
+use crate::owners::{InstanceOwners, PermittedOwners};
 use crate::ports::{BackendErrorKind, Platform};
 
 use link::{CallFailure, Link, LinkState};
@@ -118,6 +118,16 @@
 }
 
 impl LentConnection {
+    /// The instance it leads to.
+    pub fn instance(&self) -> &Arc<Instance> {
+        &self.instance
+    }
+
+    /// The node that holds it.
+    pub fn owner(&self) -> SocketAddr {
+        self.link.owner()
+    }
+
     /// Gives it back; what is open on it is rolled back.
     pub fn release(mut self) {
         self.give_back(false);
@@ -140,7 +150,7 @@
 /// `None` if no owner takes it, in which case nothing of it ran.
 pub(crate) async fn run<P: Platform>(
     gateway: &Arc<Gateway<P>>,
-    owners: &[SocketAddr],
+    owners: &PermittedOwners,
     instance: &Arc<Instance>,
     principal: Principal<'_>,
     work: &Work,
@@ -151,7 +161,7 @@
         if Instant::now() >= bounds.answer_by {
             return Some(Attempt::NotRun(NotRunCause::NoConnection));
         }
-        let owner = gateway.forwarding.choose(owners)?;
+        let owner = gateway.forwarding.choose(owners.addresses())?;
         let link = gateway.forwarding.link(gateway, owner)?;
         let statement = ForwardStatement {
             number: rand::random(),
@@ -165,6 +175,7 @@
             connection_within_ms: milliseconds_until(bounds.connection_by),
             answer_within_ms: milliseconds_until(bounds.answer_by),
             tenant: translate::tenant(principal.holder),
+            regions: translate::regions(principal.regions),
         };
         gateway.metrics.forwarded.add();
         let call = Call {
@@ -186,7 +197,7 @@
 pub(crate) async fn run_on<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     mut lent: LentConnection,
-    session: &SessionState,
+    principal: Principal<'_>,
     work: &Work,
     answer_by: Instant,
 ) -> Attempt<P> {
@@ -195,7 +206,7 @@
         number: rand::random(),
         lent: opened_by,
         instance: lent.instance.id.0.to_string(),
-        values: translate::values(&session.values),
+        values: translate::values(principal.values),
         work: translate::work(work),
         frame: translate::frame(Frame::Bare { fence: None }),
         is_read: false,
@@ -204,6 +215,7 @@
         answer_within_ms: milliseconds_until(answer_by),
         // The lent connection is its tenant's already.
         tenant: None,
+        regions: translate::regions(principal.regions),
     };
     let call = Call {
         gateway,
@@ -322,6 +334,10 @@
                 gateway.note_refusal(self.instance, kind);
                 Attempt::NotRun(NotRunCause::Refused(kind))
             }
+            ForwardOutcome::Ineligible(reason) => {
+                let reason = translate::ineligible_from(reason);
+                Attempt::NotRun(NotRunCause::Ineligible(reason))
+            }
             ForwardOutcome::Lost => {
                 gateway.connection_lost(self.instance);
                 Attempt::Lost
@@ -342,7 +358,7 @@
     service: &ServiceName,
     moment: Instant,
 ) -> Option<Sample> {
-    let owner = gateway.forwarding.choose(&owners.others)?;
+    let owner = gateway.forwarding.choose(&owners.others())?;
     let link = gateway.forwarding.link(gateway, owner)?;
     let asked_at = Instant::now();
     let max_age = asked_at.saturating_duration_since(moment);
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -205,6 +205,7 @@
     let principal = Principal {
         holder: &translate::holder_from(statement.tenant.as_deref()),
         values: &session_values(statement),
+        regions: &translate::regions_from(&statement.regions),
     };
     let opens = matches!(frame, Frame::Opening { .. });
     let attempt = attempt::run_here(gateway, &instance, principal, &work, frame, bounds).await;
@@ -243,9 +244,13 @@
     let answer_by = Instant::now() + Duration::from_millis(statement.answer_within_ms);
     let frame = Frame::Bare { fence: None };
     let work: Work = translate::work_from(&statement.work);
-    let values = session_values(statement);
+    let principal = Principal {
+        holder: &lease.holder().clone(),
+        values: &session_values(statement),
+        regions: &translate::regions_from(&statement.regions),
+    };
     let _pass = lease.gate().enter_at_once();
-    let attempt = attempt::run_on_own(gateway, lease, &values, &work, frame, answer_by).await;
+    let attempt = attempt::run_on_own(gateway, lease, principal, &work, frame, answer_by).await;
     match attempt {
         Attempt::Answered(answer) => lent.keep(opened_by, answer),
         failed => failure(failed),
@@ -272,6 +277,9 @@
         Attempt::NotRun(NotRunCause::Refused(kind)) => {
             ForwardOutcome::Refused(translate::error(kind))
         }
+        Attempt::NotRun(NotRunCause::Ineligible(reason)) => {
+            ForwardOutcome::Ineligible(translate::ineligible(reason))
+        }
         Attempt::Lost | Attempt::Answered(_) => ForwardOutcome::Lost,
         Attempt::TimedOut => ForwardOutcome::TimedOut,
     }
--- a/crates/linkhold-gateway/src/forward/translate.rs
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -2,11 +2,13 @@
 
 use bytes::Bytes;
 use linkhold_core::position::{Position, Term};
+use linkhold_core::service::eligibility::Ineligible;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::{Access, Prepared, SessionValues, TransactionStatus};
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::{
-    ForwardErrorKind, ForwardFrame, ForwardPosition, ForwardReply, ForwardResult, ForwardStatus,
-    ForwardWork,
+    ForwardErrorKind, ForwardFrame, ForwardIneligible, ForwardPosition, ForwardReply,
+    ForwardResult, ForwardStatus, ForwardWork,
 };
 use minicbor::bytes::ByteVec;
 
@@ -37,6 +39,30 @@
     }
 }
 
+/// The names of allowed regions; none is everywhere. What allows no region at all
+/// is refused before it is handed to anybody.
+pub(super) fn regions(regions: &AllowedRegions) -> Vec<String> {
+    regions.names().map(ToString::to_string).collect()
+}
+
+pub(super) fn regions_from(names: &[String]) -> AllowedRegions {
+    AllowedRegions::listed(names.iter().map(String::as_str))
+}
+
+pub(super) fn ineligible(reason: Ineligible) -> ForwardIneligible {
+    match reason {
+        Ineligible::OutsideRegions => ForwardIneligible::OutsideRegions,
+        Ineligible::Evacuated => ForwardIneligible::Evacuated,
+    }
+}
+
+pub(super) fn ineligible_from(reason: ForwardIneligible) -> Ineligible {
+    match reason {
+        ForwardIneligible::OutsideRegions => Ineligible::OutsideRegions,
+        ForwardIneligible::Evacuated => Ineligible::Evacuated,
+    }
+}
+
 pub(super) fn values(values: &SessionValues) -> Vec<(ByteVec, ByteVec)> {
     let pairs = values.iter();
     pairs
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -92,9 +92,9 @@
     pub fn new(platform: Arc<P>, settings: GatewaySettings) -> Arc<Self> {
         Arc::new(Self {
             platform,
-            beliefs: Beliefs::new(settings.places.clone(), settings.drain),
+            beliefs: Beliefs::new(&settings),
             pools: Pools::new(&settings),
-            freshness: Freshness::for_bound(settings.change_bound),
+            freshness: Freshness::for_bound(settings.change_bound.min(settings.evacuation_bound)),
             settings,
             metrics: Metrics::default(),
             attention: Attention::default(),
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -7,9 +7,11 @@
 use linkhold_core::membership::NodeId;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::owners;
+use linkhold_core::service::regions::RegionName;
 use linkhold_core::tenancy::{ConnectionHolder, TenantName};
 use linkhold_peer::FeedNode;
 
+use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::places::Places;
 
@@ -20,36 +22,67 @@
     pub count: usize,
     /// This node is one.
     pub includes_self: bool,
-    /// The others, in the order in which this node asks them for what is no
+    /// All of them, in the order in which this node asks them for what is no
     /// tenant's.
-    pub others: Vec<SocketAddr>,
-    /// All of them, and where they are; `None` is this node.
-    members: Vec<(NodeId, Option<SocketAddr>)>,
+    members: Vec<Owner>,
+}
+
+/// An owner, and where it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Owner {
+    id: NodeId,
+    /// `None` is this node.
+    address: Option<SocketAddr>,
+    region: RegionName,
+}
+
+/// Owners that may be handed a statement, in the order in which they are asked.
+/// Nothing else makes one, so no statement is handed to a node of a region that
+/// its request does not allow.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PermittedOwners(Vec<SocketAddr>);
+
+impl PermittedOwners {
+    /// Their addresses.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.0
+    }
 }
 
 impl InstanceOwners {
-    /// Owners whom this node asks for a connection of a holder before it uses one
-    /// of its own. All nodes ask the owners in the same order for a tenant, so
-    /// that its few connections are in one place.
-    pub fn before_self(&self, holder: &ConnectionHolder) -> Vec<SocketAddr> {
-        match holder {
+    /// Owners whom this node asks to run a statement before it uses a connection of
+    /// its own. All nodes ask the owners in the same order for a tenant, so that
+    /// its few connections are in one place.
+    pub fn permitted(&self, principal: &Principal<'_>) -> PermittedOwners {
+        let may_see =
+            |owner: &&Owner| owner.address.is_none() || principal.regions.permits(&owner.region);
+        let permitted: Vec<&Owner> = self.members.iter().filter(may_see).collect();
+        let asked = match principal.holder {
             ConnectionHolder::NoTenant if self.includes_self => Vec::new(),
-            ConnectionHolder::NoTenant => self.others.clone(),
-            ConnectionHolder::Tenant(tenant) => self.in_order_of(tenant),
-        }
+            ConnectionHolder::NoTenant => permitted.iter().filter_map(|it| it.address).collect(),
+            ConnectionHolder::Tenant(tenant) => in_order_of(tenant, &permitted),
+        };
+        PermittedOwners(asked)
     }
 
-    fn in_order_of(&self, tenant: &TenantName) -> Vec<SocketAddr> {
-        let ids: Vec<NodeId> = self.members.iter().map(|(id, _)| *id).collect();
-        let order = owners::tenant_preference(tenant, &ids);
-        let address = |id: &NodeId| {
-            let member = self.members.iter().find(|(member, _)| member == id);
-            member.and_then(|(_, address)| *address)
-        };
-        order.iter().map_while(address).collect()
+    /// The other owners, for questions that carry nothing of a request.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let addresses = self.members.iter().map(|owner| owner.address);
+        addresses.flatten().collect()
     }
 }
 
+/// Owners that come before this node in a tenant's order.
+fn in_order_of(tenant: &TenantName, owners: &[&Owner]) -> Vec<SocketAddr> {
+    let ids: Vec<NodeId> = owners.iter().map(|owner| owner.id).collect();
+    let order = owners::tenant_preference(tenant, &ids);
+    let address = |id: &NodeId| {
+        let owner = owners.iter().find(|owner| owner.id == *id);
+        owner.and_then(|owner| owner.address)
+    };
+    order.iter().map_while(address).collect()
+}
+
 #[derive(Default)]
 struct State {
     nodes: Vec<Known>,
@@ -134,16 +167,19 @@
             in_region
         };
         let chosen = owners::choose(&instance.id, nearby.iter().map(|node| node.id));
-        let order = owners::preference(self.own, &chosen);
-        let address = |id: &NodeId| {
+        let owner = |id: &NodeId| {
             let node = nearby.iter().find(|node| node.id == *id)?;
-            (node.id != self.own).then_some(node.address)
+            Some(Owner {
+                id: node.id,
+                address: (node.id != self.own).then_some(node.address),
+                region: self.places.region(&node.zone),
+            })
         };
+        let order = owners::preference(self.own, &chosen);
         InstanceOwners {
             count: chosen.len(),
             includes_self: chosen.contains(&self.own),
-            others: order.iter().filter_map(address).collect(),
-            members: chosen.iter().map(|id| (*id, address(id))).collect(),
+            members: order.iter().filter_map(owner).collect(),
         }
     }
 }
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -20,11 +20,13 @@
 use linkhold_core::service::concurrency::ConcurrencyLimit;
 use linkhold_core::service::connection_share::Share;
 use linkhold_core::service::instance::Instance;
-use linkhold_core::service::session::{ConnectionState, SessionValues};
+use linkhold_core::service::regions::{AllowedRegions, RegionName};
+use linkhold_core::service::session::ConnectionState;
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::gate::{Gate, Urgency};
 use crate::gateway::Gateway;
@@ -58,15 +60,34 @@
     pub state: ConnectionState,
     /// A transaction of the last user is still to be rolled back.
     pub needs_rollback: bool,
-    /// Until when it may be used again, if not for as long as it stands.
-    reuse_until: Option<Instant>,
+    /// Through which region it is relayed, and until when it may be used again;
+    /// `None` if it goes straight to the instance.
+    relayed: Option<Relayed>,
     /// When it was given back last.
     given_back_at: Instant,
 }
 
+/// What a relayed connection is bound by.
+struct Relayed {
+    region: RegionName,
+    reuse_until: Instant,
+}
+
 impl<C> Pooled<C> {
     fn may_be_reused(&self) -> bool {
-        self.reuse_until.is_none_or(|until| Instant::now() < until)
+        let relayed = self.relayed.as_ref();
+        relayed.is_none_or(|relayed| Instant::now() < relayed.reuse_until)
+    }
+
+    /// Whether no node on its way stands outside the regions.
+    fn is_within(&self, regions: &AllowedRegions) -> bool {
+        let relayed = self.relayed.as_ref();
+        relayed.is_none_or(|relayed| regions.permits(&relayed.region))
+    }
+
+    /// Whether it may carry a principal's statements.
+    fn suits(&self, holder: &ConnectionHolder, regions: &AllowedRegions) -> bool {
+        self.holder == *holder && self.is_within(regions)
     }
 }
 
@@ -84,6 +105,7 @@
 /// Who waits for a connection.
 struct Waiter<C> {
     holder: ConnectionHolder,
+    regions: AllowedRegions,
     since: Instant,
     /// A connection is being opened, or was, because of it.
     has_opened: bool,
@@ -144,10 +166,10 @@
         self.first_unserved(is_due).is_some()
     }
 
-    /// The first waiter for a connection of a holder.
-    fn first_waiter_of(&self, holder: &ConnectionHolder) -> Option<WaiterKey> {
+    /// The first waiter for whom a connection is.
+    fn first_waiter_for(&self, pooled: &Pooled<C>) -> Option<WaiterKey> {
         let mut waiters = self.waiters.iter();
-        let found = waiters.find(|(_, waiter)| waiter.holder == *holder);
+        let found = waiters.find(|(_, waiter)| pooled.suits(&waiter.holder, &waiter.regions));
         found.map(|(key, _)| *key)
     }
 }
@@ -188,18 +210,17 @@
         self.opened.load(Ordering::Relaxed)
     }
 
-    /// Takes a connection of a holder, preferably one that has `values`; waits
+    /// Takes a connection for a principal, preferably one that has its values; waits
     /// until `deadline` for one. A connection that is being opened goes on being
     /// opened when nobody waits for it any more.
-    pub async fn checkout<P: Platform<Connection = C>>(
+    pub(crate) async fn checkout<P: Platform<Connection = C>>(
         self: &Arc<Self>,
         gateway: &Arc<Gateway<P>>,
-        holder: &ConnectionHolder,
-        values: &SessionValues,
+        principal: Principal<'_>,
         urgency: Urgency,
         deadline: Instant,
     ) -> Result<Lease<C>, CheckoutError> {
-        if let Some(pooled) = self.take_idle(holder, values) {
+        if let Some(pooled) = self.take_idle(principal) {
             return Ok(Lease::new(self.clone(), pooled));
         }
         let key = self.next_key(urgency);
@@ -207,11 +228,14 @@
         let mut has_place = self.try_reserve();
         loop {
             if has_place {
-                tokio::spawn(self.clone().open(gateway.clone(), holder.clone()));
+                let holder = principal.holder.clone();
+                let regions = principal.regions.clone();
+                tokio::spawn(self.clone().open(gateway.clone(), holder, regions));
             }
             let (sender, receiver) = oneshot::channel();
             let waiter = Waiter {
-                holder: holder.clone(),
+                holder: principal.holder.clone(),
+                regions: principal.regions.clone(),
                 since,
                 has_opened: has_place,
                 sender,
@@ -233,10 +257,10 @@
         key
     }
 
-    fn take_idle(&self, holder: &ConnectionHolder, values: &SessionValues) -> Option<Pooled<C>> {
+    fn take_idle(&self, principal: Principal<'_>) -> Option<Pooled<C>> {
         let mut state = lock(&self.state);
         loop {
-            let index = best_idle(&state.idle, holder, values)?;
+            let index = best_idle(&state.idle, principal)?;
             let mut pooled = state.idle.remove(index);
             if pooled.connection.is_open() && pooled.may_be_reused() {
                 return Some(pooled);
@@ -254,19 +278,23 @@
         self: Arc<Self>,
         gateway: Arc<Gateway<P>>,
         holder: ConnectionHolder,
+        regions: AllowedRegions,
     ) {
-        let connecting = relay::connect(&gateway, &self.instance, &holder);
+        let connecting = relay::connect(&gateway, &self.instance, &holder, &regions);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .unwrap_or(Err(ConnectError::Unreachable));
         match connected {
             Ok(connected) => {
                 self.opened.fetch_add(1, Ordering::Relaxed);
-                let reuse_until = Instant::now() + relay::LONGEST_REUSE;
+                let relayed = connected.relayed_through.map(|region| Relayed {
+                    region,
+                    reuse_until: Instant::now() + relay::LONGEST_REUSE,
+                });
                 self.put_back(Pooled {
                     connection: connected.connection,
                     holder,
-                    reuse_until: connected.is_relayed.then_some(reuse_until),
+                    relayed,
                     state: ConnectionState::default(),
                     needs_rollback: false,
                     given_back_at: Instant::now(),
@@ -312,21 +340,19 @@
             state.offer_places(limit);
             return;
         }
-        let holder = pooled.holder.clone();
-        let mut grant = Grant::Connection(Box::new(pooled));
-        while let Some(key) = state.first_waiter_of(&holder) {
+        let mut pooled = Box::new(pooled);
+        while let Some(key) = state.first_waiter_for(&pooled) {
             let Some(waiter) = state.waiters.remove(&key) else {
                 break;
             };
-            match waiter.sender.send(grant) {
+            match waiter.sender.send(Grant::Connection(pooled)) {
                 Ok(()) => return,
-                Err(refused) => grant = refused,
+                Err(Grant::Connection(refused)) => pooled = refused,
+                Err(Grant::Place | Grant::Failed(_)) => return,
             }
         }
-        if let Grant::Connection(pooled) = grant {
-            state.idle.push(*pooled);
-            state.offer_places(limit);
-        }
+        state.idle.push(*pooled);
+        state.offer_places(limit);
     }
 
     /// A connection in use was closed, or a place for one not taken.
@@ -414,16 +440,13 @@
     }
 }
 
-/// The connection of a holder that was given back last, preferably one that has
-/// `values`.
-fn best_idle<C>(
-    idle: &[Pooled<C>],
-    holder: &ConnectionHolder,
-    values: &SessionValues,
-) -> Option<usize> {
+/// The connection for a principal that was given back last, preferably one that
+/// has its values.
+fn best_idle<C>(idle: &[Pooled<C>], principal: Principal<'_>) -> Option<usize> {
+    let suits = |pooled: &Pooled<C>| pooled.suits(principal.holder, principal.regions);
     idle.iter()
-        .rposition(|pooled| pooled.holder == *holder && pooled.state.values == *values)
-        .or_else(|| idle.iter().rposition(|pooled| pooled.holder == *holder))
+        .rposition(|pooled| suits(pooled) && pooled.state.values == *principal.values)
+        .or_else(|| idle.iter().rposition(suits))
 }
 
 /// A connection in use. Dropped without [`Lease::release`], it is closed.
@@ -450,6 +473,22 @@
         &self.pool.instance
     }
 
+    /// Whose statements it carries.
+    pub fn holder(&self) -> &ConnectionHolder {
+        &self.present().holder
+    }
+
+    /// Whether no node on its way stands outside the regions.
+    pub fn is_within(&self, regions: &AllowedRegions) -> bool {
+        self.present().is_within(regions)
+    }
+
+    fn present(&self) -> &Pooled<C> {
+        self.pooled
+            .as_ref()
+            .expect("a lease has its connection until it is released")
+    }
+
     /// The connection. Present until release or drop.
     pub fn pooled(&mut self) -> &mut Pooled<C> {
         self.pooled
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -13,6 +13,8 @@
 //!   [`LONGEST_REUSE`], so that a peer that stops loses it between requests.
 //! * A peer relays to instances of its own directory only, for nodes that hold
 //!   the key between nodes, and starts nothing while it is leaving.
+//! * A connection for requests that may not leave some regions is relayed by a
+//!   peer of these alone.
 //! * A peer that agrees to the replacement of a primary breaks what it relays to
 //!   it: those whom it serves need not agree.
 
@@ -24,6 +26,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::regions::{AllowedRegions, RegionName};
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_events::Event;
 use linkhold_peer::{FeedMessage, PeerKey, Reachability};
@@ -56,11 +59,20 @@
 
 /// Peers through which an instance is reached.
 struct Path {
-    peers: Vec<SocketAddr>,
+    peers: Vec<RelayPeer>,
     until: Instant,
     direct_tried_at: Instant,
 }
 
+/// A peer that relays, and its region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RelayPeer {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Where it stands; empty if that is not known.
+    pub region: RegionName,
+}
+
 /// What a node relays, and for which instances it needs that.
 #[derive(Default)]
 pub(crate) struct Relays {
@@ -70,7 +82,10 @@
 
 impl Relays {
     /// Peers reach an instance that this node does not.
-    pub fn learn(&self, id: &InstanceId, mut peers: Vec<SocketAddr>) {
+    /// Those of the instance's own region come first, since every request that may
+    /// run there may pass through them.
+    pub fn learn(&self, id: &InstanceId, instance_region: &str, mut peers: Vec<RelayPeer>) {
+        peers.sort_by_key(|peer| &*peer.region != instance_region);
         peers.truncate(MOST_PEERS);
         let now = Instant::now();
         let path = Path {
@@ -88,7 +103,9 @@
 
     /// Whether connections to an instance are relayed.
     pub fn is_relayed(&self, id: &InstanceId) -> bool {
-        self.peer(id).is_some()
+        let paths = lock(&self.paths);
+        let path = paths.get(id);
+        path.is_some_and(|path| Instant::now() < path.until)
     }
 
     /// Connections that are relayed for other nodes.
@@ -96,13 +113,20 @@
         self.serving.load(Ordering::Relaxed)
     }
 
-    fn peer(&self, id: &InstanceId) -> Option<SocketAddr> {
+    /// One of the peers in the allowed regions; `None` if there is none.
+    fn peer(&self, id: &InstanceId, regions: &AllowedRegions) -> Option<RelayPeer> {
         let paths = lock(&self.paths);
         let path = paths.get(id)?;
-        if Instant::now() >= path.until {
-            return None;
-        }
-        path.peers.choose(&mut rand::rng()).copied()
+        let peers = path.peers.iter();
+        let permitted: Vec<&RelayPeer> =
+            peers.filter(|peer| regions.permits(&peer.region)).collect();
+        permitted.choose(&mut rand::rng()).copied().cloned()
+    }
+
+    /// Whether an instance is reached through peers of which none may see a request
+    /// of these regions.
+    pub fn bars(&self, id: &InstanceId, regions: &AllowedRegions) -> bool {
+        self.is_relayed(id) && self.peer(id, regions).is_none()
     }
 
     fn connected(&self, id: &InstanceId) {
@@ -116,7 +140,7 @@
         let Some(path) = paths.get_mut(id) else {
             return;
         };
-        path.peers.retain(|other| *other != peer);
+        path.peers.retain(|other| other.address != peer);
         if path.peers.is_empty() {
             paths.remove(id);
         }
@@ -142,39 +166,42 @@
 pub(crate) struct Connected<C> {
     /// The connection.
     pub connection: C,
-    /// Whether it goes through a peer.
-    pub is_relayed: bool,
+    /// The region of the peer through which it goes, if it does.
+    pub relayed_through: Option<RegionName>,
 }
 
-/// Connects to an instance: directly, or through a peer where this node does
-/// not reach it.
+/// Connects to an instance: directly, or through a peer in the allowed regions
+/// where this node does not reach it.
 pub(crate) async fn connect<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Instance,
     holder: &ConnectionHolder,
+    regions: &AllowedRegions,
 ) -> Result<Connected<<P as BackendConnector>::Connection>, ConnectError> {
-    let Some(peer) = gateway.relays.peer(&instance.id) else {
+    if !gateway.relays.is_relayed(&instance.id) {
         let connection = gateway.platform.connect(instance, holder).await?;
         return Ok(Connected {
             connection,
-            is_relayed: false,
+            relayed_through: None,
         });
-    };
-    let connected = connect_through(gateway, instance, holder, peer).await;
+    }
+    let peer = gateway.relays.peer(&instance.id, regions);
+    let peer = peer.ok_or(ConnectError::Unreachable)?;
+    let connected = connect_through(gateway, instance, holder, peer.address).await;
     match &connected {
         Ok(_) => gateway.relays.connected(&instance.id),
         Err(error) => {
             Event::info("relay_failed")
                 .field("instance", &instance.id)
-                .field("peer", peer)
+                .field("peer", peer.address)
                 .field("error", error)
                 .log();
-            gateway.relays.failed(&instance.id, peer);
+            gateway.relays.failed(&instance.id, peer.address);
         }
     }
     Ok(Connected {
         connection: connected?,
-        is_relayed: true,
+        relayed_through: Some(peer.region),
     })
 }
 
--- a/crates/linkhold-gateway/src/session/mod.rs
+++ b/crates/linkhold-gateway/src/session/mod.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use linkhold_core::outcome::{Failure, NotRun};
 use linkhold_core::service::configuration::Admitted;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::{SessionState, TransactionStatus};
 use linkhold_events::Event;
 use tokio::sync::watch;
@@ -161,6 +162,17 @@
         tenant.map_or("none".to_owned(), ToString::to_string)
     }
 
+    /// The regions in which the caller's requests may be run now, for log lines.
+    fn regions(&self) -> AllowedRegions {
+        let configuration = self.gateway.beliefs.configuration();
+        let regions = configuration.and_then(|configuration| {
+            let route = configuration.route(&self.startup.database)?;
+            let holder = configuration.holder(route, self.startup.credential.as_ref());
+            Some(configuration.regions(route, &holder.ok()?))
+        });
+        regions.unwrap_or_default()
+    }
+
     async fn converse(&mut self) -> Result<(), CallerError> {
         loop {
             match self.wait().await {
@@ -288,6 +300,7 @@
                 "configuration",
                 configuration.as_ref().map_or(0, |it| it.version),
             )
+            .field("regions", self.regions())
             .field("primary", primary.as_ref().map_or("none", |it| &it.id.0))
             .field("evidence_age_ms", evidence_age)
             .field("took_ms", received_at.elapsed().as_millis())
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -4,6 +4,7 @@
 
 use linkhold_core::outcome::{Failure, NotRun};
 use linkhold_core::service::configuration::{Admitted, Route};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::{Access, TransactionStatus};
 use linkhold_core::service::waiting;
 use linkhold_core::tenancy::ConnectionHolder;
@@ -172,11 +173,16 @@
         work: &Work,
         received_at: Instant,
     ) -> Result<BackendReply, Failure> {
-        let Admitted { route, holder } = self.admitted()?;
+        let Admitted {
+            route,
+            holder,
+            regions,
+        } = self.admitted()?;
         self.take_from_budget(&route, &holder, received_at).await?;
         let unit = Unit {
             route: &route,
             holder: &holder,
+            regions: &regions,
             session: &self.state,
             received_at,
         };
@@ -210,6 +216,7 @@
         let unit = Unit {
             route: &admitted.route,
             holder: &admitted.holder,
+            regions: &admitted.regions,
             session: &self.state,
             received_at: received_at.max(begun_at),
         };
@@ -254,20 +261,40 @@
     }
 
     /// Rolls a transaction back whose caller is no longer known as the tenant that
-    /// opened it.
-    fn still_admitted(&self, open: OpenTransaction<P>) -> Result<OpenTransaction<P>, Failure> {
-        let configuration = self.gateway.beliefs.configuration();
-        let credential = self.startup.credential.as_ref();
-        let holder = configuration.map(|it| it.holder(&open.admitted.route, credential));
-        match holder {
-            Some(Ok(holder)) if holder == open.admitted.holder => Ok(open),
-            _ => {
+    /// opened it, or whose instance it may no longer use.
+    fn still_admitted(&self, mut open: OpenTransaction<P>) -> Result<OpenTransaction<P>, Failure> {
+        match self.present_admission(&open) {
+            Ok(regions) if open.is_within(&self.gateway, &regions) => {
+                open.admitted.regions = regions;
+                Ok(open)
+            }
+            Ok(regions) => {
+                open.log_outside(&regions);
+                open.abandon();
+                Err(Failure::NotRun(NotRun::TransactionAborted))
+            }
+            Err(reason) => {
                 open.abandon();
-                Err(Failure::NotRun(NotRun::UnknownCredential))
+                Err(Failure::NotRun(reason))
             }
         }
     }
 
+    /// In which regions an open transaction may go on by the configuration in force.
+    /// Its database may have moved to another service meanwhile: it goes on where it
+    /// is.
+    fn present_admission(&self, open: &OpenTransaction<P>) -> Result<AllowedRegions, NotRun> {
+        let configuration = self.gateway.beliefs.configuration();
+        let configuration = configuration.ok_or(NotRun::NotConfigured)?;
+        let opened = &open.admitted;
+        let holder = configuration.holder(&opened.route, self.startup.credential.as_ref())?;
+        if holder != opened.holder {
+            return Err(NotRun::UnknownCredential);
+        }
+        let route = configuration.route(&self.startup.database);
+        Ok(configuration.regions(route.unwrap_or(&opened.route), &holder))
+    }
+
     async fn run_inside(
         &mut self,
         open: OpenTransaction<P>,
@@ -348,6 +375,7 @@
         let unit = Unit {
             route: &admitted.route,
             holder: &admitted.holder,
+            regions: &admitted.regions,
             session: &self.state,
             received_at,
         };
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub drain: Duration,
     /// How soon a change of the configuration must be in force.
     pub change_bound: Duration,
+    /// How soon nothing may be sent to the instances of an evacuated zone.
+    pub evacuation_bound: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Whether the whole fleet starts for the first time: nobody can have
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -15,8 +15,10 @@
 use linkhold_core::outcome::{Failure, NotRun, Unknown};
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::{Consistency, Route};
+use linkhold_core::service::eligibility::{Engagement, Ineligible};
 use linkhold_core::service::evidence::{Sample, session_fence};
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::regions::{AllowedRegions, RegionName};
 use linkhold_core::service::session::{Access, SessionState};
 use linkhold_core::service::waiting;
 use linkhold_core::tenancy::ConnectionHolder;
@@ -49,6 +51,8 @@
     pub route: &'a Arc<Route>,
     /// Whose connection it needs.
     pub holder: &'a ConnectionHolder,
+    /// Regions in which it may be run.
+    pub regions: &'a AllowedRegions,
     pub session: &'a SessionState,
     pub received_at: Instant,
 }
@@ -64,6 +68,7 @@
         Principal {
             holder: self.holder,
             values: &self.session.values,
+            regions: self.regions,
         }
     }
 
@@ -184,8 +189,17 @@
         if now >= wait_until {
             return Err(Failure::NotRun(reason));
         }
-        if let Some(primary) = gateway.beliefs.usable_primary(&unit.route.service, now) {
-            return Ok(primary);
+        let barred = match gateway.beliefs.usable_primary(&unit.route.service, now) {
+            Some(primary) => match primary_barrier(gateway, unit, &primary) {
+                None => return Ok(primary),
+                barred => barred,
+            },
+            None => gateway.beliefs.barrier(&unit.route.service, unit.regions),
+        };
+        if let Some(barred) = barred
+            && !is_switch_over_due(gateway, unit)
+        {
+            return Err(Failure::NotRun(primary_refusal(barred)));
         }
         gateway.attention.suspect(&unit.route.service);
         // An instance that is passed over after a failure becomes usable again
@@ -195,6 +209,44 @@
     }
 }
 
+/// Why a primary may not run a statement.
+fn primary_barrier<P: Platform>(
+    gateway: &Gateway<P>,
+    unit: &Unit<'_>,
+    primary: &Instance,
+) -> Option<Ineligible> {
+    let beliefs = &gateway.beliefs;
+    beliefs
+        .eligibility(primary, unit.regions, Engagement::Bound)
+        .err()
+}
+
+/// Whether the primary is about to move to where a statement may be run.
+fn is_switch_over_due<P: Platform>(gateway: &Gateway<P>, unit: &Unit<'_>) -> bool {
+    let service = &unit.route.service;
+    let beliefs = &gateway.beliefs;
+    let wanted = beliefs.primary_regions(service);
+    let is_among = |region: &RegionName| unit.regions.permits(region);
+    let serves = !unit.regions.is_bound() || wanted.is_bound() && wanted.names().all(is_among);
+    serves && beliefs.has_place_for_primary(service)
+}
+
+/// What is told where no primary may run a statement.
+fn primary_refusal(barred: Ineligible) -> NotRun {
+    match barred {
+        Ineligible::OutsideRegions => NotRun::PrimaryOutsideRegion,
+        Ineligible::Evacuated => NotRun::Evacuated,
+    }
+}
+
+/// What is told where no instance may run a read.
+fn read_refusal(barred: Ineligible) -> NotRun {
+    match barred {
+        Ineligible::OutsideRegions => NotRun::NoInstanceInRegion,
+        Ineligible::Evacuated => NotRun::Evacuated,
+    }
+}
+
 fn note_primary_answer<P: Platform>(
     gateway: &Gateway<P>,
     primary: &Instance,
@@ -231,12 +283,15 @@
         if now >= unit.answer_by() {
             return Err(Failure::NotRun(reason));
         }
+        let service = &unit.route.service;
+        if let Some(barred) = gateway.beliefs.barrier(service, unit.regions) {
+            return Err(Failure::NotRun(read_refusal(barred)));
+        }
         let fence = read_fence(gateway, unit, marks, rounds).await?;
         let now = Instant::now();
-        let service = &unit.route.service;
         let chosen = gateway
             .beliefs
-            .choose_for_read(service, fence, &excluded, now);
+            .choose_for_read(service, fence, &excluded, unit.regions, now);
         let Some((instance, is_last)) = chosen else {
             if now + ROUND_PAUSE >= unit.wait_until() {
                 return Err(Failure::NotRun(reason));
@@ -367,6 +422,8 @@
     match cause {
         NotRunCause::NoConnection => NotRun::Overloaded,
         NotRunCause::Unreachable => NotRun::BackendUnavailable,
+        NotRunCause::Ineligible(Ineligible::OutsideRegions) => NotRun::NoInstanceInRegion,
+        NotRunCause::Ineligible(Ineligible::Evacuated) => NotRun::Evacuated,
         NotRunCause::Refused(kind) => match kind {
             BackendErrorKind::Lagging => NotRun::NoFreshInstance,
             BackendErrorKind::ReadOnly => NotRun::NoPrimary,
--- a/crates/linkhold-gateway/src/transaction.rs
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -16,11 +16,12 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::Admitted;
 use linkhold_core::service::evidence::Sample;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::{Access, SessionState};
 use linkhold_events::Event;
 use tokio::time::timeout;
 
-use crate::attempt::{self, Answer, Attempt, Held, NotRunCause};
+use crate::attempt::{self, Answer, Attempt, Held, NotRunCause, Principal};
 use crate::batch::Work;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
@@ -54,6 +55,21 @@
         }
     }
 
+    /// Whether neither its instance nor a node on the way to it stands outside the
+    /// allowed regions.
+    pub fn is_within(&self, gateway: &Gateway<P>, regions: &AllowedRegions) -> bool {
+        self.held.is_within(gateway, regions)
+    }
+
+    /// Logs that its instance, or a node on the way to it, stands outside them now.
+    pub fn log_outside(&self, regions: &AllowedRegions) {
+        Event::info("transaction_outside_regions")
+            .field("instance", &self.held.instance().id)
+            .field("zone", &self.held.instance().zone)
+            .field("regions", regions)
+            .log();
+    }
+
     /// Runs one more statement. On failure the transaction is over.
     pub async fn run(
         mut self,
@@ -64,7 +80,8 @@
     ) -> Result<(Self, BackendReply), Failure> {
         self.wrote |= work.access() == Access::Write;
         let answer_by = received_at + self.admitted.route.statement_timeout;
-        let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
+        let principal = principal(&self.admitted, session);
+        let attempt = attempt::run_on(gateway, self.held, principal, work, answer_by).await;
         match attempt {
             Attempt::Answered(Answer { reply, held, .. }) => {
                 self.held = held;
@@ -88,7 +105,8 @@
         answer_by: Instant,
     ) -> Result<Committed, Failure> {
         let service = self.admitted.route.service.clone();
-        let attempt = attempt::run_on(gateway, self.held, session, work, answer_by).await;
+        let principal = principal(&self.admitted, session);
+        let attempt = attempt::run_on(gateway, self.held, principal, work, answer_by).await;
         let answer = match attempt {
             Attempt::Answered(answer) => answer,
             Attempt::NotRun(_) => return Err(Failure::NotRun(NotRun::TransactionAborted)),
@@ -122,6 +140,14 @@
     }
 }
 
+fn principal<'a>(admitted: &'a Admitted, session: &'a SessionState) -> Principal<'a> {
+    Principal {
+        holder: &admitted.holder,
+        values: &session.values,
+        regions: &admitted.regions,
+    }
+}
+
 /// Rolls back and gives the connection back; closes it if that fails.
 pub(crate) async fn roll_back<C: BackendConnection>(mut lease: Lease<C>) {
     let exchange = lease.pooled().connection.exchange(&[Command::Rollback]);
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -13,6 +13,7 @@
     Configuration, Consistency, Route, ServiceLimits, ServiceName,
 };
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use minicbor::bytes::ByteArray;
@@ -142,6 +143,9 @@
     priority: u8,
     #[n(7)]
     is_public: bool,
+    /// Empty: everywhere.
+    #[n(8)]
+    regions: Vec<String>,
 }
 
 #[derive(Encode, Decode)]
@@ -176,6 +180,9 @@
     credentials: Vec<ByteArray<CREDENTIAL_BYTES>>,
     #[n(2)]
     limit: Option<WireRateLimit>,
+    /// Empty: everywhere.
+    #[n(3)]
+    regions: Vec<String>,
 }
 
 #[derive(Encode, Decode)]
@@ -354,11 +361,21 @@
             rate_per_second: limit.rate_per_second,
             burst: limit.burst,
         }),
+        regions: regions_to_wire(&tenant.regions),
     }
 }
 
+fn regions_to_wire(regions: &AllowedRegions) -> Vec<String> {
+    regions.names().map(ToString::to_string).collect()
+}
+
+fn regions_from_wire(names: &[String]) -> AllowedRegions {
+    AllowedRegions::listed(names.iter().map(String::as_str))
+}
+
 fn tenancy_from_wire(wire: Vec<WireTenant>) -> Tenancy {
     let tenants = wire.into_iter().map(|tenant| Tenant {
+        regions: regions_from_wire(&tenant.regions),
         name: tenant.name.into(),
         credentials: tenant
             .credentials
@@ -389,6 +406,7 @@
         objective_ms: milliseconds(route.latency_objective),
         priority: route.priority,
         is_public: route.is_public,
+        regions: regions_to_wire(&route.regions),
     }
 }
 
@@ -494,6 +512,7 @@
         latency_objective: Duration::from_millis(wire.objective_ms),
         priority: wire.priority,
         is_public: wire.is_public,
+        regions: regions_from_wire(&wire.regions),
     };
     Some((wire.database.into(), Arc::new(route)))
 }
--- a/crates/linkhold-peer/src/forward.rs
+++ b/crates/linkhold-peer/src/forward.rs
@@ -131,6 +131,9 @@
     /// The tenant whose connection it needs; `None` for no tenant's.
     #[n(10)]
     pub tenant: Option<String>,
+    /// Regions in which it may be run; empty is everywhere.
+    #[n(11)]
+    pub regions: Vec<String>,
 }
 
 /// What an instance's error means.
@@ -206,6 +209,18 @@
     pub position: Option<ForwardPosition>,
 }
 
+/// Why a statement may not be sent to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum ForwardIneligible {
+    /// The instance stands outside the request's regions.
+    #[n(0)]
+    OutsideRegions,
+    /// Its zone is evacuated.
+    #[n(1)]
+    Evacuated,
+}
+
 /// How a forwarded statement ended.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ForwardOutcome {
@@ -240,6 +255,9 @@
     /// No answer came in time.
     #[n(6)]
     TimedOut,
+    /// Certainly not run: it may not be sent to the instance.
+    #[n(7)]
+    Ineligible(#[n(0)] ForwardIneligible),
 }
 
 /// A message between a node and an owner.
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -25,9 +25,9 @@
     FeedNode, MAX_FEED_MESSAGE, decode_feed, encode_feed,
 };
 pub use forward::{
-    ForwardErrorKind, ForwardFrame, ForwardMessage, ForwardOutcome, ForwardPosition, ForwardReply,
-    ForwardResult, ForwardStatement, ForwardStatus, ForwardWork, MAX_FORWARD_MESSAGE,
-    decode_forward, encode_forward,
+    ForwardErrorKind, ForwardFrame, ForwardIneligible, ForwardMessage, ForwardOutcome,
+    ForwardPosition, ForwardReply, ForwardResult, ForwardStatement, ForwardStatus, ForwardWork,
+    MAX_FORWARD_MESSAGE, decode_forward, encode_forward,
 };
 pub use membership::{decode_message, encode_message};
 pub use reachability::{
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -7,6 +7,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstanceChanges, FeedInstances, FeedMessage,
@@ -27,11 +28,13 @@
             rate_per_second: 6.5,
             burst: 12.0,
         }),
+        regions: AllowedRegions::listed(["north", "west"]),
     };
     let unlimited = Tenant {
         name: "radio".into(),
         credentials: vec![Credential::of_secret(b"three")],
         limit: None,
+        regions: AllowedRegions::Everywhere,
     };
     Tenancy::new([limited, unlimited]).0
 }
@@ -44,6 +47,7 @@
         latency_objective: Duration::from_millis(400),
         priority: 2,
         is_public: true,
+        regions: AllowedRegions::listed(["north"]),
     };
     let limits = ServiceLimits {
         max_connections: 36,
--- a/crates/linkhold-peer/tests/forward.rs
+++ b/crates/linkhold-peer/tests/forward.rs
@@ -31,6 +31,7 @@
         connection_within_ms: 180,
         answer_within_ms: 800,
         tenant: Some("press".to_owned()),
+        regions: vec!["north".to_owned()],
     })
 }
 
