Send nothing to the instances of a zone that the operator has evacuated

Cause: nothing read the operator's rows that evacuate a zone. Change: the rows are read and followed with the configuration, and told to followers with it; a node counts from the last moment as of which it knew of none, so that what is open ends in time however late it learns; primaries are switched over as planned work; relays are broken and connections closed when the time for open work is over; refusals are told at once.

--- /dev/null
+++ b/crates/linkhold-core/tests/service_evacuation.rs
@@ -0,0 +1,153 @@
+//! Zones that are evacuated: what a node knows, and when it sends nothing.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::eligibility::{Engagement, Ineligible, Standing, check};
+use linkhold_core::service::evacuation::{
+    EvacuationChange, Evacuations, OPEN_WORK_PERCENT, ZoneName, ZoneState,
+};
+use proptest::prelude::*;
+
+const BOUND: Duration = Duration::from_millis(5_000);
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// What the store lists after each of its changes.
+fn history(changes: &[(usize, bool)]) -> Vec<BTreeSet<ZoneName>> {
+    let mut listed = BTreeSet::new();
+    let mut history = vec![listed.clone()];
+    for (zone, is_evacuated) in changes {
+        let zone = ZoneName::from(["a", "b", "c"][*zone]);
+        if *is_evacuated {
+            listed.insert(zone);
+        } else {
+            listed.remove(&zone);
+        }
+        history.push(listed.clone());
+    }
+    history
+}
+
+fn known(evacuations: &Evacuations) -> BTreeSet<ZoneName> {
+    evacuations.zones().map(|(zone, _)| zone.clone()).collect()
+}
+
+proptest! {
+    /// Whatever is told, in whatever order and how often (readers change, messages
+    /// are late or doubled), a node knows what the store listed at the latest place
+    /// that it was told of.
+    #[test]
+    fn what_is_known_never_goes_back(
+        changes in prop::collection::vec((0_usize..3, any::<bool>()), 1..20),
+        told in prop::collection::vec(0_usize..20, 1..40),
+    ) {
+        let now = Instant::now();
+        let history = history(&changes);
+        let mut evacuations = Evacuations::default();
+        let mut latest = 0;
+        for place in told {
+            let place = place % history.len();
+            evacuations.replace(place as u64, history[place].clone(), BOUND, now);
+            latest = latest.max(place);
+            prop_assert_eq!(&known(&evacuations), &history[latest]);
+        }
+    }
+
+    /// Read whole once and followed from there, it is what the store lists.
+    #[test]
+    fn following_changes_leads_to_what_is_listed(
+        changes in prop::collection::vec((0_usize..3, any::<bool>()), 1..20),
+        start in 0_usize..20,
+    ) {
+        let now = Instant::now();
+        let history = history(&changes);
+        let start = start % history.len();
+        let mut evacuations = Evacuations::default();
+        evacuations.replace(start as u64, history[start].clone(), BOUND, now);
+        for (index, (zone, is_evacuated)) in changes.iter().enumerate().skip(start) {
+            let zone = ZoneName::from(["a", "b", "c"][*zone]);
+            let change = if *is_evacuated {
+                EvacuationChange::Evacuated(zone)
+            } else {
+                EvacuationChange::TakenBack(zone)
+            };
+            evacuations.apply(index as u64 + 1, [change], BOUND, now);
+        }
+        prop_assert_eq!(known(&evacuations), history.last().unwrap().clone());
+    }
+
+    /// A node hears at any moments that nothing is evacuated, until the evacuation
+    /// is acknowledged, and learns of it at any later one, however late. Nothing is
+    /// sent from `OPEN_WORK_PERCENT` of the bound after the acknowledgement on, or
+    /// from when it learnt if that is later; nothing new is ever sent once it knows.
+    #[test]
+    fn open_work_ends_in_time_however_late_a_node_learns(
+        vouched in prop::collection::vec(0_u64..10_000, 0..10),
+        acknowledged in 10_000_u64..12_000,
+        learnt_after in 0_u64..20_000,
+        asked_after in 0_u64..20_000,
+    ) {
+        let start = Instant::now();
+        let mut evacuations = Evacuations::default();
+        for moment in vouched {
+            evacuations.vouched(start + milliseconds(moment));
+        }
+        let acknowledged_at = start + milliseconds(acknowledged);
+        let learnt_at = acknowledged_at + milliseconds(learnt_after);
+        let news = evacuations.apply(7, [EvacuationChange::Evacuated("a".into())], BOUND, learnt_at);
+        prop_assert_eq!(news.len(), 1);
+        let asked_at = learnt_at + milliseconds(asked_after);
+        let zone = evacuations.state("a", asked_at);
+        let standing = Standing { is_in_regions: true, zone };
+        prop_assert_eq!(check(standing, Engagement::Free), Err(Ineligible::Evacuated));
+        let ends_at = learnt_at.max(acknowledged_at + BOUND * OPEN_WORK_PERCENT / 100);
+        if asked_at >= ends_at {
+            prop_assert_eq!(check(standing, Engagement::Bound), Err(Ineligible::Evacuated));
+        }
+        prop_assert_eq!(evacuations.state("b", asked_at), ZoneState::InService);
+    }
+}
+
+/// The property above with its mechanism switched off: a node that is taken to
+/// have heard just now gives open work time from when it learnt.
+#[test]
+fn counting_from_when_a_node_learnt_would_be_late() {
+    let acknowledged_at = Instant::now();
+    let learnt_at = acknowledged_at + milliseconds(4_000);
+    let mut evacuations = Evacuations::default();
+    evacuations.vouched(learnt_at);
+    evacuations.apply(
+        1,
+        [EvacuationChange::Evacuated("a".into())],
+        BOUND,
+        learnt_at,
+    );
+    let late = acknowledged_at + BOUND + milliseconds(500);
+    assert_eq!(evacuations.state("a", late), ZoneState::Emptying);
+}
+
+#[test]
+fn an_evacuation_taken_back_and_set_again_counts_anew() {
+    let start = Instant::now();
+    let mut evacuations = Evacuations::default();
+    let evacuated = || [EvacuationChange::Evacuated("a".into())];
+    evacuations.vouched(start);
+    evacuations.apply(1, evacuated(), BOUND, start);
+    // Told twice, it is no news.
+    assert!(evacuations.apply(2, evacuated(), BOUND, start).is_empty());
+    let much_later = start + BOUND * 3;
+    assert_eq!(evacuations.state("a", much_later), ZoneState::Closed);
+    evacuations.apply(
+        3,
+        [EvacuationChange::TakenBack("a".into())],
+        BOUND,
+        much_later,
+    );
+    assert_eq!(evacuations.state("a", much_later), ZoneState::InService);
+    evacuations.vouched(much_later);
+    evacuations.apply(4, evacuated(), BOUND, much_later);
+    assert_eq!(evacuations.state("a", much_later), ZoneState::Emptying);
+}
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -298,6 +298,22 @@
         stand_there.count()
     }
 
+    /// Instances to which nothing is sent any more, since their zone is evacuated.
+    pub fn closed_instances(&self) -> Vec<InstanceId> {
+        let now = Instant::now();
+        let instances = lock(&self.instances);
+        if instances.evacuations.is_empty() {
+            return Vec::new();
+        }
+        let all = instances.directory.all(now).into_iter();
+        let is_closed = |instance: &Instance| {
+            instances.evacuations.state(&instance.zone, now) == ZoneState::Closed
+        };
+        all.filter(|(instance, _)| is_closed(instance))
+            .map(|(instance, _)| instance.id)
+            .collect()
+    }
+
     /// What is known of evacuations was true at a moment.
     pub fn evacuations_vouched(&self, moment: Instant) {
         lock(&self.instances).evacuations.vouched(moment);
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -265,6 +265,10 @@
             adopt_instances(self.gateway, known);
         }
         self.gateway.beliefs.directory_read();
+        // Time on the way makes this too late, by less than the bound leaves.
+        if let Some(moment) = now.checked_sub(age) {
+            self.gateway.beliefs.evacuations_vouched(moment);
+        }
         let silent_at = now + (freshness.trust - age);
         *self.trusted_until = silent_at;
         self.patience = Patience::UntilStale;
@@ -282,6 +286,11 @@
         FeedMessage::Configuration(configuration) => {
             gateway.beliefs.adopt_configuration(configuration);
         }
+        FeedMessage::Evacuations(known) => {
+            let as_of = Cursor(known.cursor);
+            let beliefs = &gateway.beliefs;
+            beliefs.replace_evacuations(known.zones, as_of, Instant::now());
+        }
         FeedMessage::Fleet(fleet) => {
             fleet::adopt_fleet(gateway, fleet, true);
         }
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::Configuration;
+use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_peer::{FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
+use linkhold_peer::{FeedEvacuations, FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
 
 use super::frame;
 use crate::beliefs::{Beliefs, lock};
@@ -26,6 +27,7 @@
 pub(crate) struct FeedFrames {
     configuration: Mutex<Option<VersionedFrame>>,
     instances: Mutex<InstanceFrames>,
+    evacuations: Mutex<Option<VersionedFrame>>,
     fleet: Mutex<Option<FleetFrame>>,
 }
 
@@ -58,6 +60,18 @@
         (present, frame)
     }
 
+    /// The zones that are evacuated as of a place in the store's changes; encoded
+    /// anew when that has moved.
+    pub fn evacuations(&self, zones: &[ZoneName], as_of: u64, key: &PeerKey) -> Arc<[u8]> {
+        let message = || {
+            FeedMessage::Evacuations(FeedEvacuations {
+                cursor: as_of,
+                zones: zones.to_vec(),
+            })
+        };
+        cached(&self.evacuations, as_of, key, message)
+    }
+
     /// The fleet, if all its nodes are known. The same frame as before unless it
     /// has changed.
     pub fn fleet(&self, fleet: &Fleet, key: &PeerKey) -> Option<Arc<[u8]>> {
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::evacuation::ZoneName;
 use linkhold_peer::{EvidenceQuestion, FeedMessage, PeerKey};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -13,7 +14,7 @@
 use super::{read_message, write_frame, write_message};
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
-use crate::ports::Platform;
+use crate::ports::{Cursor, Platform};
 use crate::shared_evidence;
 
 /// How often a reader says that it lives.
@@ -36,6 +37,7 @@
 #[derive(Default)]
 struct Told {
     version: u64,
+    evacuated: Vec<ZoneName>,
     instances: Option<Arc<InstanceSnapshot>>,
     revision: Option<u64>,
     fleet_at: Option<Instant>,
@@ -214,6 +216,13 @@
 fn news<P: Platform>(gateway: &Gateway<P>, told: &mut Told, key: &PeerKey) -> Vec<Arc<[u8]>> {
     let frames = &gateway.feed_frames;
     let mut news = Vec::new();
+    // None at all is what a follower starts with, unless another reader told it some.
+    let (evacuated, as_of) = gateway.beliefs.evacuations();
+    let has_told = told.revision.is_some();
+    if evacuated != told.evacuated || !has_told && as_of != Cursor::default() {
+        news.push(frames.evacuations(&evacuated, as_of.0, key));
+        told.evacuated = evacuated;
+    }
     if let Some(configuration) = gateway.beliefs.configuration()
         && configuration.version > told.version
     {
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// Keeps the configuration in force. Runs until the process ends.
+/// Keeps in force what the operator asks for: the configuration, and evacuations of
+/// zones. Runs until the process ends.
 pub async fn keep_configuration<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut contact = Contact::new(&gateway, "configuration");
     let mut cursor: Option<Cursor> = None;
@@ -85,24 +86,14 @@
         }
         gateway.metrics.store_calls.count(CallReason::Configuration);
         let answer = match cursor {
-            Some(from) => {
-                let wait = gateway.store_wait();
-                let call = gateway.platform.follow_configuration(from, wait);
-                bounded(call, wait + READ_TIMEOUT).await
-            }
-            None => {
-                let call = gateway.platform.read_configuration();
-                bounded(call, READ_TIMEOUT).await
-            }
+            Some(from) => follow_operator(&gateway, from).await,
+            None => read_operator(&gateway).await,
         };
         match answer {
-            Ok((configuration, next)) => {
+            Ok(next) => {
                 contact.answered();
                 gateway.sources.configuration_answered();
                 cursor = Some(next);
-                if let Some(configuration) = configuration {
-                    gateway.beliefs.adopt_configuration(configuration);
-                }
             }
             Err(error) => {
                 cursor = None;
@@ -112,6 +103,37 @@
     }
 }
 
+async fn read_operator<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
+    let asked_at = Instant::now();
+    let call = gateway.platform.read_operator();
+    let (state, next) = bounded(call, READ_TIMEOUT).await?;
+    let beliefs = &gateway.beliefs;
+    // Before the configuration, with which a node begins to serve.
+    beliefs.replace_evacuations(state.evacuated, next, Instant::now());
+    beliefs.evacuations_vouched(asked_at);
+    if let Some(configuration) = state.configuration {
+        beliefs.adopt_configuration(configuration);
+    }
+    Ok(next)
+}
+
+async fn follow_operator<P: Platform>(
+    gateway: &Gateway<P>,
+    from: Cursor,
+) -> Result<Cursor, StoreError> {
+    let asked_at = Instant::now();
+    let wait = gateway.store_wait();
+    let call = gateway.platform.follow_operator(from, wait);
+    let (changes, next) = bounded(call, wait + READ_TIMEOUT).await?;
+    let beliefs = &gateway.beliefs;
+    beliefs.change_evacuations(changes.evacuations, next, Instant::now());
+    beliefs.evacuations_vouched(asked_at);
+    if let Some(configuration) = changes.configuration {
+        beliefs.adopt_configuration(configuration);
+    }
+    Ok(next)
+}
+
 /// Keeps the list of instances. Runs until the process ends.
 pub async fn keep_instances<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut contact = Contact::new(&gateway, "instances");
@@ -183,6 +205,9 @@
         sleep(EXPIRY_INTERVAL).await;
         let drain = gateway.settings.drain;
         gateway.pools.refresh_shares(&gateway.beliefs);
+        for id in gateway.beliefs.closed_instances() {
+            gateway.pools.close_idle(&id);
+        }
         for id in gateway.beliefs.expire_instances(Instant::now(), drain) {
             gateway.pools.forget(&id);
         }
--- a/crates/linkhold-gateway/src/ports/mod.rs
+++ b/crates/linkhold-gateway/src/ports/mod.rs
@@ -17,13 +17,13 @@
     CallerConnection, CallerError, CallerReply, CallerRequest, Rejection, Startup, Statement,
 };
 pub use store::{
-    ConfigurationSource, Cursor, DirectoryChange, FleetTable, InstanceDirectory, MetadataStore,
-    RowRange, StoreError, StoredRow, StoredRows, WriteResult,
+    Cursor, DirectoryChange, FleetTable, InstanceDirectory, MetadataStore, OperatorChanges,
+    OperatorSource, OperatorState, RowRange, StoreError, StoredRow, StoredRows, WriteResult,
 };
 
 /// Everything the engine needs.
 pub trait Platform:
-    ConfigurationSource
+    OperatorSource
     + InstanceDirectory
     + MetadataStore
     + FailoverAuthority
@@ -33,7 +33,7 @@
 }
 
 impl<T> Platform for T where
-    T: ConfigurationSource
+    T: OperatorSource
         + InstanceDirectory
         + MetadataStore
         + FailoverAuthority
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use linkhold_core::service::configuration::Configuration;
+use linkhold_core::service::evacuation::{EvacuationChange, ZoneName};
 use linkhold_core::service::instance::{Instance, InstanceId};
 use thiserror::Error;
 
@@ -37,18 +38,36 @@
     Absent(InstanceId),
 }
 
-/// Where the configuration comes from.
-pub trait ConfigurationSource: Send + Sync + 'static {
-    /// The newest version, and the place from which to follow.
-    fn read_configuration(
+/// Everything that the operator asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorState {
+    /// The newest configuration, if there is one.
+    pub configuration: Option<Configuration>,
+    /// The zones that are evacuated.
+    pub evacuated: Vec<ZoneName>,
+}
+
+/// What has changed in what the operator asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorChanges {
+    /// A newer configuration, if there is one.
+    pub configuration: Option<Configuration>,
+    /// Zones that are evacuated, or no longer, in their order.
+    pub evacuations: Vec<EvacuationChange>,
+}
+
+/// Where the operator's wishes come from.
+pub trait OperatorSource: Send + Sync + 'static {
+    /// All of them, and the place from which to follow.
+    fn read_operator(
         &self,
-    ) -> impl Future<Output = Result<(Option<Configuration>, Cursor), StoreError>> + Send;
-    /// Newer versions; returns when there is one or after `wait`.
-    fn follow_configuration(
+    ) -> impl Future<Output = Result<(OperatorState, Cursor), StoreError>> + Send;
+    /// Changes; returns when there is one or after `wait`.
+    fn follow_operator(
         &self,
         from: Cursor,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Option<Configuration>, Cursor), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(OperatorChanges, Cursor), StoreError>> + Send;
 }
 
 /// Where instances announce themselves.
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::eligibility::Engagement;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::regions::{AllowedRegions, RegionName};
 use linkhold_core::tenancy::ConnectionHolder;
@@ -54,6 +55,8 @@
 /// Longest life of a connection that is relayed for another node: one whose
 /// other end has gone dark does not stand for ever.
 const LONGEST_RELAY: Duration = Duration::from_secs(30);
+/// How often it is looked whether what is relayed may go on.
+const BARRED_LOOK_INTERVAL: Duration = Duration::from_millis(200);
 /// Connections that are relayed for other nodes at a time.
 const MOST_RELAYS: usize = 64;
 
@@ -264,7 +267,7 @@
     let Some(instance) = gateway.beliefs.instance(id) else {
         return;
     };
-    if gateway.is_leaving() || gateway.beliefs.is_withheld(id) {
+    if gateway.is_leaving() || is_barred(gateway, &instance) {
         return;
     }
     let connecting = timeout(ACCEPT_TIMEOUT, TcpStream::connect(instance.address));
@@ -283,17 +286,27 @@
     // However it ends, both sides are closed.
     tokio::select! {
         _ = timeout(LONGEST_RELAY, copy_bidirectional(&mut stream, &mut onward)) => {}
-        () = until_withheld(gateway, id) => {}
+        () = until_barred(gateway, &instance) => {}
     }
 }
 
-/// Waits until this node has agreed to acknowledge nothing of an instance.
-async fn until_withheld<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) {
+/// Whether nothing may pass to an instance any more: this node has agreed to
+/// acknowledge nothing of it, or its zone is evacuated.
+fn is_barred<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> bool {
+    let beliefs = &gateway.beliefs;
+    // The regions of what passes are the asking node's to look after.
+    let everywhere = AllowedRegions::Everywhere;
+    beliefs.is_withheld(&instance.id)
+        || beliefs
+            .eligibility(instance, &everywhere, Engagement::Bound)
+            .is_err()
+}
+
+async fn until_barred<P: Platform>(gateway: &Gateway<P>, instance: &Instance) {
     let mut changes = gateway.beliefs.subscribe();
-    while !gateway.beliefs.is_withheld(id) {
-        if changes.changed().await.is_err() {
-            return;
-        }
+    while !is_barred(gateway, instance) {
+        // An evacuated zone closes as time passes.
+        let _ = timeout(BARRED_LOOK_INTERVAL, changes.changed()).await;
     }
 }
 
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -189,19 +189,22 @@
         if now >= wait_until {
             return Err(Failure::NotRun(reason));
         }
-        let barred = match gateway.beliefs.usable_primary(&unit.route.service, now) {
+        let service = &unit.route.service;
+        let barred = match gateway.beliefs.usable_primary(service, now) {
             Some(primary) => match primary_barrier(gateway, unit, &primary) {
                 None => return Ok(primary),
                 barred => barred,
             },
-            None => gateway.beliefs.barrier(&unit.route.service, unit.regions),
+            None => {
+                gateway.attention.suspect(service);
+                gateway.beliefs.barrier(service, unit.regions)
+            }
         };
         if let Some(barred) = barred
             && !is_switch_over_due(gateway, unit)
         {
             return Err(Failure::NotRun(primary_refusal(barred)));
         }
-        gateway.attention.suspect(&unit.route.service);
         // An instance that is passed over after a failure becomes usable again
         // without a change that would wake this.
         let next_look = wait_until.min(now + ROUND_PAUSE * 2);
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -12,6 +12,7 @@
 use linkhold_core::service::configuration::{
     Configuration, Consistency, Route, ServiceLimits, ServiceName,
 };
+use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
@@ -68,6 +69,15 @@
     pub gone: Vec<InstanceId>,
 }
 
+/// The zones that are evacuated, as a reader knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedEvacuations {
+    /// The store's count of changes up to which they were read.
+    pub cursor: u64,
+    /// The zones.
+    pub zones: Vec<ZoneName>,
+}
+
 /// A follower asks how far a service's log had come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvidenceQuestion {
@@ -112,6 +122,8 @@
     EvidenceAnswer(EvidenceAnswer),
     /// A version of the configuration.
     Configuration(Configuration),
+    /// The zones that are evacuated as of a place in the store's changes.
+    Evacuations(FeedEvacuations),
     /// All instances as of a place in the store's changes.
     Instances(FeedInstances),
     /// What has changed among them since.
@@ -265,6 +277,8 @@
     Leaving,
     #[n(12)]
     InstanceChanges(#[n(0)] u64, #[n(1)] Vec<WireInstance>, #[n(2)] Vec<String>),
+    #[n(13)]
+    Evacuations(#[n(0)] u64, #[n(1)] Vec<String>),
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -310,6 +324,10 @@
         FeedMessage::Configuration(configuration) => {
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
+        FeedMessage::Evacuations(known) => WireMessage::Evacuations(
+            known.cursor,
+            known.zones.iter().map(ToString::to_string).collect(),
+        ),
         FeedMessage::Instances(known) => {
             WireMessage::Instances(known.cursor, instances_to_wire(&known.instances))
         }
@@ -455,6 +473,10 @@
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
+        WireMessage::Evacuations(cursor, zones) => FeedMessage::Evacuations(FeedEvacuations {
+            cursor,
+            zones: zones.into_iter().map(ZoneName::from).collect(),
+        }),
         WireMessage::Instances(cursor, wire) => FeedMessage::Instances(FeedInstances {
             cursor,
             instances: instances_from_wire(wire)?,
