Give cold instances no more than they may get, from all nodes together

Change: owners send to instances of bound services alone, and take one for warm only by a connection that a restart would have broken; while they cannot, the first two send, half of the bound each, counted where a statement is sent. Unknown regions of a configuration are logged.

--- a/crates/linkhold-core/src/outcome.rs
+++ b/crates/linkhold-core/src/outcome.rs
@@ -47,6 +47,11 @@
     PrimaryOutsideRegion,
     /// What could run it stands in zones that are evacuated.
     Evacuated,
+    /// What could run it has just started and takes few requests for now.
+    WarmingUp {
+        /// When there will be room.
+        retry_after: Duration,
+    },
     /// The node has not learnt the configuration yet.
     NotConfigured,
     /// The transaction was ended before its commit was sent.
@@ -91,6 +96,7 @@
             Self::NoInstanceInRegion => "LH010",
             Self::PrimaryOutsideRegion => "LH011",
             Self::Evacuated => "LH012",
+            Self::WarmingUp { .. } => "LH013",
             Self::NotConfigured => "LH007",
             Self::TransactionAborted => "40000",
         }
@@ -115,6 +121,7 @@
             Self::NoInstanceInRegion => "no_instance_in_region",
             Self::PrimaryOutsideRegion => "primary_outside_region",
             Self::Evacuated => "evacuated",
+            Self::WarmingUp { .. } => "warming_up",
             Self::NotConfigured => "not_configured",
             Self::TransactionAborted => "transaction_aborted",
         }
@@ -128,7 +135,9 @@
     /// Shortest time after which trying again makes sense, before jitter.
     pub fn retry_after(self) -> Duration {
         let milliseconds = match self {
-            Self::OverQuota { retry_after } => return retry_after,
+            Self::OverQuota { retry_after } | Self::WarmingUp { retry_after } => {
+                return retry_after;
+            }
             Self::Overloaded => 20,
             Self::NoPrimary | Self::NoMajority => 50,
             Self::NoFreshInstance
--- a/crates/linkhold-core/src/service/configuration.rs
+++ b/crates/linkhold-core/src/service/configuration.rs
@@ -9,6 +9,7 @@
 use crate::tenancy::{ConnectionHolder, Credential, Tenancy};
 
 use super::regions::AllowedRegions;
+use super::warm_up::WarmUpLimit;
 
 /// Name of a service, a group of instances with one primary.
 pub type ServiceName = Arc<str>;
@@ -47,12 +48,14 @@
 }
 
 /// Limits of one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceLimits {
     /// Most connections each instance takes from all nodes together.
     pub max_connections: usize,
     /// Replicas that must hold a commit before it is answered.
     pub synchronous_replicas: usize,
+    /// What cold instances may get; `None` is anything.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 /// One version of the configuration, whole.
--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -43,6 +43,8 @@
     /// When it was found missing; `None` while it is listed.
     missing_since: Option<Instant>,
     draining: Draining,
+    /// Until when it is cold, by what it said last.
+    cold_until: Option<Instant>,
 }
 
 /// Since when an instance says that it drains.
@@ -101,10 +103,17 @@
                 known => known,
             },
         };
+        // The same entry read again tells nothing new of it.
+        let told_before = known.filter(|it| it.instance.warm_up_left == instance.warm_up_left);
+        let cold_until = match told_before {
+            Some(known) => known.cold_until,
+            None => (!instance.warm_up_left.is_zero()).then(|| now + instance.warm_up_left),
+        };
         let entry = Entry {
             instance: Arc::new(instance),
             missing_since: None,
             draining,
+            cold_until,
         };
         self.entries.insert(id.clone(), entry);
         if previous == Some(role) && self.primary_id(&service).is_some() {
@@ -233,6 +242,12 @@
         draining.max(self.absence(entry, now))
     }
 
+    /// Whether an instance is cold, by what it said last.
+    pub fn is_cold(&self, id: &InstanceId, now: Instant) -> bool {
+        let cold_until = self.entries.get(id).and_then(|entry| entry.cold_until);
+        cold_until.is_some_and(|until| now < until)
+    }
+
     /// An instance.
     pub fn instance(&self, id: &InstanceId) -> Option<&Arc<Instance>> {
         self.entries.get(id).map(|entry| &entry.instance)
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -189,6 +189,8 @@
     pub is_leaving: bool,
     /// It stands where a primary of its service should.
     pub is_well_placed: bool,
+    /// It may get any number of requests.
+    pub is_warm: bool,
 }
 
 /// Whether a candidate may be promoted at all: one whose log ends in an older
@@ -198,8 +200,8 @@
 }
 
 /// The instance to promote: the one that has received most, since commits are not
-/// traded for a place; among equals one that is well placed, then one that stays,
-/// then the lowest identity, so that all nodes choose alike. With
+/// traded for a place; among equals one that is well placed, then one that is
+/// warm, then one that stays, then the lowest identity, so that all nodes choose alike. With
 /// `synchronous` replicas nothing may come before what was received; without,
 /// an instance that leaves is passed over while another is there.
 pub fn choose_successor(candidates: &[Successor], synchronous: usize) -> Option<&Successor> {
@@ -211,10 +213,38 @@
         .max_by(|first, second| rank(first).cmp(&rank(second)))
 }
 
-fn rank(candidate: &Successor) -> (Position, bool, bool, std::cmp::Reverse<&InstanceId>) {
+/// Candidates for a planned switch-over, in which all commits are waited for: those
+/// that are close to the one that has received most, and warm if any of them is.
+pub fn candidates_to_wait_for(candidates: Vec<Successor>) -> Vec<Successor> {
+    let Some(most) = candidates.iter().map(|it| it.status.received).max() else {
+        return candidates;
+    };
+    let is_close = |it: &Successor| {
+        let received = it.status.received;
+        received.term == most.term && most.index - received.index <= SMALL_GAP
+    };
+    let is_good = |it: &Successor| is_close(it) && it.is_warm && !it.is_leaving;
+    if candidates.iter().any(is_good) {
+        candidates.into_iter().filter(is_good).collect()
+    } else {
+        candidates
+    }
+}
+
+/// What orders candidates; the highest goes first.
+type Rank<'a> = (
+    Position,
+    bool,
+    bool,
+    bool,
+    std::cmp::Reverse<&'a InstanceId>,
+);
+
+fn rank(candidate: &Successor) -> Rank<'_> {
     (
         candidate.status.received,
         candidate.is_well_placed,
+        candidate.is_warm,
         !candidate.is_leaving,
         std::cmp::Reverse(&candidate.status.id),
     )
--- a/crates/linkhold-core/src/service/instance.rs
+++ b/crates/linkhold-core/src/service/instance.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::configuration::ServiceName;
 
@@ -51,4 +52,6 @@
     pub lifecycle: Lifecycle,
     /// Role it gives itself.
     pub role: Role,
+    /// How much longer it is cold, as of when it wrote its entry.
+    pub warm_up_left: Duration,
 }
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -18,4 +18,5 @@
 pub mod regions;
 pub mod session;
 pub mod waiting;
+pub mod warm_up;
 pub mod withholding;
--- a/crates/linkhold-core/src/service/placement.rs
+++ b/crates/linkhold-core/src/service/placement.rs
@@ -41,6 +41,8 @@
     Good,
     /// It was full a moment ago.
     Strained,
+    /// It says that it has just started, and takes few requests for now.
+    Cold,
     /// It is leaving, or a pause after a failure has passed and it may be tried.
     Doubtful,
 }
@@ -56,12 +58,16 @@
     pub is_primary: bool,
     /// How far it is.
     pub distance: Distance,
+    /// It takes few requests for now.
+    pub is_cold: bool,
 }
 
 impl Candidate<'_> {
     fn standing(&self, now: Instant) -> Standing {
         if self.health.is_failing() || self.instance.lifecycle == Lifecycle::Draining {
             Standing::Doubtful
+        } else if self.is_cold {
+            Standing::Cold
         } else if self.health.is_busy(now) {
             Standing::Strained
         } else {
--- /dev/null
+++ b/crates/linkhold-core/src/service/warm_up.rs
@@ -0,0 +1,203 @@
+//! Instances that have just started and may get few requests a second from the
+//! whole fleet until they are warm.
+//!
+//! Only the owners of an instance's connections send to it. An owner knows that it
+//! is warm by a connection of its own that has stood, and answered, since the
+//! instance's entry said so: a restart would have broken it. While it does not
+//! know, and while the instance is cold, only the first [`SPENDERS`] owners in the
+//! order that all nodes share send, each within its part of the bound.
+//!
+//! # Invariants
+//!
+//! * An owner that sends without counting has a connection that was opened at
+//!   least the settling time ago, longer than a new entry takes to be seen, and that
+//!   has answered a question sent after the last doubt and within [`ANSWER_LIFE`].
+//! * What one node counts in any second is at most its part of the bound, and the
+//!   parts of all spenders together are at most the bound.
+//! * A node counts as a spender only while it has heard of the fleet lately, and
+//!   only after the others had time to learn of it ([`may_spend`]). So a node that
+//!   froze, was cut off or was started again is a spender in nobody's place.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Owners that may send to a cold instance.
+pub const SPENDERS: usize = 2;
+/// How often an owner asks on the connection by which it knows an instance warm.
+pub const QUESTION_INTERVAL: Duration = Duration::from_millis(500);
+/// How long an answer tells that the connection stands: a question may be missed.
+pub const ANSWER_LIFE: Duration = Duration::from_millis(1_300);
+/// Intervals of the instances' announcements that an entry may be old: one until
+/// the next is written, and half of one on its way.
+const SETTLING_INTERVALS: f64 = 1.5;
+/// How long the fleet may not have been heard of: less than the time after which
+/// others take a node for gone.
+const VIEW_TRUST: Duration = Duration::from_millis(6_000);
+/// How long others may take to learn of a node that was not listed before.
+const JOINING_TIME: Duration = Duration::from_millis(10_000);
+/// What a node spent in its last life counts for a second.
+const LAST_LIFE: Duration = Duration::from_millis(1_100);
+/// The bound counts in any second; the rest is for a clock that is read late.
+const WINDOW: Duration = Duration::from_millis(1_020);
+/// Part of a spender's requests that only urgent ones may use, as a divisor.
+const URGENT_PART: usize = 3;
+/// Longest time after which a refused caller is told to come back.
+const LONGEST_RETRY: Duration = Duration::from_millis(1_000);
+
+/// What a service allows its cold instances.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpLimit {
+    /// Requests a second.
+    pub per_second: f64,
+    /// How long an instance is cold after its start.
+    pub length: Duration,
+}
+
+/// How the limit is counted, as operators set it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpRules {
+    /// By what the limit is multiplied.
+    pub overshoot: f64,
+    /// Requests a second besides.
+    pub slack: f64,
+    /// How often instances write their entries.
+    pub announcement_interval: Duration,
+}
+
+impl WarmUpRules {
+    /// Requests that may reach a cold instance in any second.
+    pub fn most(&self, limit: WarmUpLimit) -> f64 {
+        limit.per_second * self.overshoot + self.slack
+    }
+
+    /// Requests that one spender may send in any second.
+    pub fn part(&self, limit: WarmUpLimit) -> usize {
+        (self.most(limit) / SPENDERS as f64).floor() as usize
+    }
+
+    /// How long a connection must have stood before it proves anything: a restart
+    /// just before it was opened would be known by then.
+    pub fn settling_time(&self) -> Duration {
+        self.announcement_interval.mul_f64(SETTLING_INTERVALS)
+    }
+}
+
+/// The connection by which an owner knows whether an instance was started again.
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    opened_at: Instant,
+    /// When the last question was sent that was answered.
+    answered_as_of: Option<Instant>,
+}
+
+/// What a node knows of an instance's warmth.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Warmth {
+    watch: Option<Watch>,
+    doubted_at: Option<Instant>,
+}
+
+impl Warmth {
+    /// A connection to watch it by was opened.
+    pub fn watched(&mut self, now: Instant) {
+        self.watch = Some(Watch {
+            opened_at: now,
+            answered_as_of: None,
+        });
+    }
+
+    /// A question that was sent at `sent_at` was answered on that connection.
+    pub fn answered(&mut self, sent_at: Instant) {
+        if let Some(watch) = &mut self.watch {
+            watch.answered_as_of = watch.answered_as_of.max(Some(sent_at));
+        }
+    }
+
+    /// That connection broke, or is no longer kept.
+    pub fn unwatched(&mut self) {
+        self.watch = None;
+    }
+
+    /// Another connection broke, or could not be made: it may have been started
+    /// again. Whether this asks for an answer that was not asked for already.
+    pub fn doubted(&mut self, now: Instant) -> bool {
+        let known = self.watch.and_then(|watch| watch.answered_as_of);
+        let was_sure = self.doubted_at.is_none_or(|at| known > Some(at));
+        self.doubted_at = Some(now);
+        was_sure
+    }
+
+    /// Whether it is certainly warm. `says_cold`: so does its entry.
+    pub fn is_warm(&self, rules: &WarmUpRules, says_cold: bool, now: Instant) -> bool {
+        let Some(watch) = self.watch else {
+            return false;
+        };
+        let Some(as_of) = watch.answered_as_of else {
+            return false;
+        };
+        !says_cold
+            && now >= watch.opened_at + rules.settling_time()
+            && now <= as_of + ANSWER_LIFE
+            && self.doubted_at.is_none_or(|at| as_of > at)
+    }
+}
+
+/// What decides whether a node may send to an instance that is not known warm.
+#[derive(Clone, Copy, Debug)]
+pub struct SpenderStanding {
+    /// Its place among the owners, in the order that all nodes share.
+    pub rank: Option<usize>,
+    /// How long ago it heard of the fleet.
+    pub view_age: Duration,
+    /// How long this life of it has lasted.
+    pub life_time: Duration,
+    /// The fleet listed it before this life.
+    pub was_listed: bool,
+}
+
+/// Whether a node may send to an instance that is not known warm.
+pub fn may_spend(standing: SpenderStanding) -> bool {
+    let joined = if standing.was_listed {
+        LAST_LIFE
+    } else {
+        JOINING_TIME
+    };
+    standing.rank.is_some_and(|rank| rank < SPENDERS)
+        && standing.view_age < VIEW_TRUST
+        && standing.life_time >= joined
+}
+
+/// What a spender has sent to an instance in the last second.
+#[derive(Clone, Debug, Default)]
+pub struct SecondCount {
+    sent: VecDeque<Instant>,
+}
+
+impl SecondCount {
+    /// Counts one request if there is room for it among `most`, or tells when there
+    /// will be. Some room is kept for urgent ones.
+    pub fn spend(&mut self, now: Instant, most: usize, is_urgent: bool) -> Result<(), Duration> {
+        while self.sent.front().is_some_and(|at| *at + WINDOW <= now) {
+            self.sent.pop_front();
+        }
+        let allowed = if is_urgent {
+            most
+        } else {
+            most - most / URGENT_PART
+        };
+        if self.sent.len() < allowed {
+            self.sent.push_back(now);
+            return Ok(());
+        }
+        // The first whose leaving makes room.
+        let leaves = self.sent.len().saturating_sub(allowed.max(1));
+        let frees_at = self.sent.get(leaves).map(|at| *at + WINDOW);
+        Err(frees_at.map_or(LONGEST_RETRY, |at| at.saturating_duration_since(now)))
+    }
+
+    /// Requests counted in the second before `now`.
+    pub fn count(&self, now: Instant) -> usize {
+        let recent = self.sent.iter().filter(|at| **at + WINDOW > now);
+        recent.count()
+    }
+}
--- a/crates/linkhold-core/tests/service_directory.rs
+++ b/crates/linkhold-core/tests/service_directory.rs
@@ -16,6 +16,7 @@
         capacity: 3,
         lifecycle,
         role,
+        warm_up_left: Duration::ZERO,
     }
 }
 
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -5,7 +5,8 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{
     ClaimDecision, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
-    choose_successor, claim, hold_ready, is_current, may_hand_over, statuses_required,
+    candidates_to_wait_for, choose_successor, claim, hold_ready, is_current, may_hand_over,
+    statuses_required,
 };
 use linkhold_core::service::instance::{InstanceId, Role};
 use proptest::prelude::*;
@@ -24,6 +25,7 @@
         },
         is_leaving,
         is_well_placed: true,
+        is_warm: true,
     }
 }
 
@@ -192,3 +194,25 @@
     let chosen = choose_successor(&behind, 0).unwrap();
     assert_eq!(chosen.status.id, id("a"));
 }
+
+/// A new instance replaces one that leaves, and has received as much: as primary it
+/// could serve next to nothing.
+#[test]
+fn a_cold_successor_is_passed_over_for_a_warm_one_that_is_close() {
+    let at = |index| Position {
+        term: Term(3),
+        index,
+    };
+    let mut cold = candidate("a", at(100), false);
+    cold.is_warm = false;
+    let chosen = |candidates: Vec<Successor>| {
+        let candidates = candidates_to_wait_for(candidates);
+        choose_successor(&candidates, 0).unwrap().status.id.clone()
+    };
+    let close = candidate("b", at(90), false);
+    let leaving = candidate("c", at(100), true);
+    let candidates = vec![cold.clone(), leaving.clone(), close];
+    assert_eq!(chosen(candidates), id("b"));
+    let behind = candidate("b", at(10), false);
+    assert_eq!(chosen(vec![cold, leaving, behind]), id("a"));
+}
--- a/crates/linkhold-core/tests/service_placement.rs
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -22,6 +22,7 @@
         capacity: 3,
         lifecycle: Lifecycle::Ready,
         role: Role::Replica,
+        warm_up_left: Duration::ZERO,
     }
 }
 
@@ -36,6 +37,7 @@
             instance,
             health,
             distance,
+            is_cold: false,
         });
     choose(candidates, REQUIRED, &[], now).map(|choice| choice.instance.id.clone())
 }
@@ -180,6 +182,7 @@
                 health,
                 is_primary,
                 distance: Distance::Zone,
+                is_cold: false,
             });
         choose(candidates, REQUIRED, &[], now).unwrap().is_last
     };
@@ -260,3 +263,25 @@
         }
     }
 }
+
+#[test]
+fn a_cold_instance_serves_only_where_no_warm_one_does() {
+    let now = Instant::now();
+    let (near, far) = (instance("near"), instance("far"));
+    let well = InstanceHealth::default();
+    let mut failing = InstanceHealth::default();
+    failing.failed(now);
+    let pick = |far_health: &InstanceHealth, now: Instant| {
+        let candidates = [(&near, &well, true), (&far, far_health, false)];
+        let candidates = candidates.map(|(instance, health, is_cold)| Candidate {
+            instance,
+            health,
+            is_primary: false,
+            distance: Distance::Zone,
+            is_cold,
+        });
+        choose(candidates.into_iter(), REQUIRED, &[], now).map(|it| it.instance.id.to_string())
+    };
+    assert_eq!(pick(&well, now).as_deref(), Some("far"));
+    assert_eq!(pick(&failing, now).as_deref(), Some("near"));
+}
--- a/crates/linkhold-core/tests/service_regions.rs
+++ b/crates/linkhold-core/tests/service_regions.rs
@@ -47,6 +47,7 @@
     let limits = ServiceLimits {
         max_connections: 10,
         synchronous_replicas: 0,
+        warm_up: None,
     };
     Configuration {
         routes: routes.collect(),
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -126,6 +126,8 @@
     Refused(BackendErrorKind),
     /// It may not be sent to the instance.
     Ineligible(Ineligible),
+    /// The instance may be cold; there is room after this time.
+    WarmingUp(Duration),
 }
 
 /// For whom a statement is run.
@@ -154,7 +156,11 @@
         .beliefs
         .observe(&instance.id, |health| health.begin_trial(now));
     if let Some(owners) = gateway.pools.owners_of(instance, &gateway.beliefs) {
-        let asked = owners.permitted(&principal);
+        let asked = if gateway.beliefs.is_cold(&instance.id) {
+            owners.permitted_spenders(&principal)
+        } else {
+            owners.permitted(&principal)
+        };
         let attempt = forward::run(gateway, &asked, instance, principal, work, frame, bounds).await;
         if let Some(attempt) = attempt {
             return attempt;
@@ -226,9 +232,10 @@
     work: &Work,
     answer_by: Instant,
 ) -> Attempt<P> {
-    let frame = Frame::Bare { fence: None };
+    let frame = Frame::Inside;
     match held {
         Held::Own(lease) => {
+            gateway.wait_for_warm_up(lease.instance(), answer_by).await;
             let _pass = lease.gate().enter_at_once();
             run_on_own(gateway, lease, principal, work, frame, answer_by).await
         }
@@ -270,6 +277,10 @@
     if let Err(reason) = may_send(gateway, &lease, principal) {
         return ineligible(work, &lease, reason);
     }
+    let is_urgent = work.may_commit() || frame == Frame::Inside;
+    if let Err(after) = gateway.admit_to_instance(lease.instance(), is_urgent) {
+        return held_off(lease, frame, after);
+    }
     let sent_at = Instant::now();
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
         Conversation::Silent => {
@@ -287,7 +298,7 @@
         Conversation::Answered(replies) => {
             let begin = match frame {
                 Frame::ProvingPrimary => Some((sent_at, replies[0].clone())),
-                Frame::Bare { .. } | Frame::Opening { .. } => begin,
+                Frame::Inside | Frame::Bare { .. } | Frame::Opening { .. } => begin,
             };
             let status = replies[replies.len() - 1].status;
             let reply = replies[batch.main].clone();
@@ -333,6 +344,25 @@
     Attempt::NotRun(NotRunCause::Ineligible(reason))
 }
 
+/// A statement that a cold instance has no room for. What is open on the
+/// connection is undone.
+fn held_off<P: Platform>(
+    mut lease: Lease<ConnectionOf<P>>,
+    frame: Frame,
+    after: Duration,
+) -> Attempt<P> {
+    match frame {
+        // Its transaction ends with the connection.
+        Frame::Inside => drop(lease),
+        Frame::Opening { .. } => {
+            lease.pooled().needs_rollback = true;
+            lease.release();
+        }
+        Frame::Bare { .. } | Frame::ProvingPrimary => lease.release(),
+    }
+    Attempt::NotRun(NotRunCause::WarmingUp(after))
+}
+
 /// Whether nothing that comes on a connection may be acknowledged. What comes
 /// through a peer is withheld by the peer.
 fn is_withheld<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
--- a/crates/linkhold-gateway/src/batch.rs
+++ b/crates/linkhold-gateway/src/batch.rs
@@ -62,7 +62,9 @@
 /// What stands around a statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Frame {
-    /// Nothing: it runs alone or in the transaction that is open.
+    /// The transaction that is open on the connection.
+    Inside,
+    /// Nothing: it runs alone.
     Bare {
         /// Position the instance must have.
         fence: Option<Position>,
@@ -113,6 +115,7 @@
         main: 0,
     };
     match frame {
+        Frame::Inside => batch.commands.push(statement(work, number, None)),
         Frame::Bare { fence } => batch.commands.push(statement(work, number, fence)),
         Frame::Opening { read_only, fence } => {
             batch.setup.push(Command::Begin { read_only, fence });
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -2,7 +2,7 @@
 //! shared by all its sessions. Locks are held for a few steps and never across
 //! a wait.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,7 @@
 use linkhold_core::service::health::InstanceHealth;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::placement::{self, Candidate, Distance};
-use linkhold_core::service::regions::{self, AllowedRegions};
+use linkhold_core::service::regions::{self, AllowedRegions, RegionName};
 use linkhold_core::service::withholding::{WITHHOLDING, Withholdings};
 use linkhold_events::Event;
 use tokio::sync::watch;
@@ -112,12 +112,31 @@
             .field("routes", configuration.routes.len())
             .field("services", configuration.services.len())
             .log();
+        self.log_unknown_regions(&configuration);
         *lock(&self.primary_regions) = Arc::new(bound_primaries(&configuration));
         *current = Some(Arc::new(configuration));
         drop(current);
         self.lists_changed();
     }
 
+    /// Logs what routes and tenants are bound to and no zone of the settings lies in.
+    fn log_unknown_regions(&self, configuration: &Configuration) {
+        let known: HashSet<&RegionName> = self.places.regions.values().collect();
+        let routes = configuration.routes.iter();
+        let of_routes = routes.map(|(database, route)| ("route", database, &route.regions));
+        let tenants = configuration.tenancy.iter().flat_map(|it| it.tenants());
+        let of_tenants = tenants.map(|tenant| ("tenant", &tenant.name, &tenant.regions));
+        for (kind, name, regions) in of_routes.chain(of_tenants) {
+            for region in regions.names().filter(|region| !known.contains(region)) {
+                Event::warn("region_unknown")
+                    .field("version", configuration.version)
+                    .field(kind, name)
+                    .field("region", region)
+                    .log();
+            }
+        }
+    }
+
     /// Limits of a service, if it is configured.
     pub fn limits(&self, service: &str) -> Option<ServiceLimits> {
         self.configuration()?.services.get(service).copied()
@@ -179,6 +198,7 @@
             .field("address", instance.address)
             .field("zone", &instance.zone)
             .field("role", format_args!("{:?}", instance.role))
+            .field("warm_up_left_ms", instance.warm_up_left.as_millis())
             .field("lifecycle", format_args!("{:?}", instance.lifecycle))
             .log();
     }
@@ -314,6 +334,18 @@
             .collect()
     }
 
+    /// Whether an instance says that it has just started.
+    pub fn is_cold(&self, id: &InstanceId) -> bool {
+        lock(&self.instances).directory.is_cold(id, Instant::now())
+    }
+
+    /// Whether nothing is sent to an instance any more, since its zone is evacuated.
+    pub fn is_closed(&self, instance: &Instance) -> bool {
+        let instances = lock(&self.instances);
+        let state = instances.evacuations.state(&instance.zone, Instant::now());
+        state == ZoneState::Closed
+    }
+
     /// What is known of evacuations was true at a moment.
     pub fn evacuations_vouched(&self, moment: Instant) {
         lock(&self.instances).evacuations.vouched(moment);
@@ -486,6 +518,7 @@
         now: Instant,
     ) -> Option<(Arc<Instance>, bool)> {
         let primary = self.primary(service);
+        let is_bound = self.limits(service).is_some_and(|it| it.warm_up.is_some());
         let instances = lock(&self.instances);
         let may_run = |instance: &Instance| {
             self.eligibility_in(&instances, instance, regions, Engagement::Free)
@@ -502,6 +535,7 @@
                 instance,
                 health: instances.health.get(&instance.id).unwrap_or(&unknown),
                 distance: self.distance(instance),
+                is_cold: is_bound && instances.directory.is_cold(&instance.id, now),
             });
         let choice = placement::choose(candidates, required, excluded, now)?;
         let instance = instances.directory.instance(&choice.instance.id)?;
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -145,10 +145,15 @@
             status: status.clone(),
             is_leaving: gateway.beliefs.is_leaving(&status.id, now),
             is_well_placed: is_well_placed(gateway, &status.id),
+            is_warm: !gateway.beliefs.is_cold(&status.id),
         })
         // A primary that serves is replaced only by one that is to stay.
         .filter(|it| trouble != Trouble::Misplaced || it.is_well_placed && !it.is_leaving)
         .collect();
+    let candidates = match trouble {
+        Trouble::Leaving | Trouble::Misplaced => failover::candidates_to_wait_for(candidates),
+        Trouble::Unknown | Trouble::Lost => candidates,
+    };
     let chosen = failover::choose_successor(&candidates, synchronous);
     if chosen.is_none() || situation.statuses.len() < required {
         Event::warn("no_successor")
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -50,6 +50,8 @@
     reads_since: Option<u64>,
     /// The store's clock and when it was read.
     store_clock: Option<(u64, Instant)>,
+    /// Whether this node was listed when it first looked.
+    was_listed: Option<bool>,
     /// When this node last read the fleet itself.
     read_at: Option<Instant>,
     /// Until when nodes that are not listed stay in the view.
@@ -143,10 +145,18 @@
 
     /// Other nodes' addresses; `None` unless all nodes are known.
     pub fn all_peers(&self, own_name: &str) -> Option<Vec<SocketAddr>> {
+        self.knows_all().then(|| self.peers(own_name))
+    }
+
+    /// Whether this node knows all nodes.
+    pub fn knows_all(&self) -> bool {
         let view = lock(&self.view);
-        let knows_all = view.is_settled && view.size > 0 && view.size == view.nodes.len();
-        drop(view);
-        knows_all.then(|| self.peers(own_name))
+        view.is_settled && view.size > 0 && view.size == view.nodes.len()
+    }
+
+    /// Whether the fleet listed this node when it first looked.
+    pub fn was_listed(&self) -> bool {
+        lock(&self.view).was_listed.unwrap_or(false)
     }
 
     /// Whether a node is in the fleet; any is taken to be as long as not all are
@@ -267,11 +277,10 @@
     /// The first nodes in the order in which they coordinate a tenant's budget;
     /// none while not all are known.
     pub fn coordinators(&self, own_name: &str, tenant: &str) -> Vec<Coordinator> {
-        let view = lock(&self.view);
-        let knows_all = view.is_settled && view.size > 0 && view.size == view.nodes.len();
-        if !knows_all {
+        if !self.knows_all() {
             return Vec::new();
         }
+        let view = lock(&self.view);
         let ids = view.nodes.keys().map(|name| NodeId::of_name(name));
         let order = rendezvous::owners(tenant, ids, MOST_COORDINATORS);
         let coordinator = |id: &NodeId| {
@@ -394,6 +403,8 @@
     }
     // This node read for others before it was started again.
     let own = registry.members.get(own_name);
+    let is_listed = own.is_some_and(Member::is_present);
+    view.was_listed.get_or_insert(is_listed);
     let reads_since = own.and_then(Member::still_reads_since);
     view.reads_since = view.reads_since.or(reads_since);
     drop(view);
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -157,11 +157,17 @@
     frame: Frame,
     bounds: Bounds,
 ) -> Option<Attempt<P>> {
+    let mut left: Vec<SocketAddr> = owners.addresses().to_vec();
+    let mut held_off: Option<Duration> = None;
     loop {
         if Instant::now() >= bounds.answer_by {
             return Some(Attempt::NotRun(NotRunCause::NoConnection));
         }
-        let owner = gateway.forwarding.choose(owners.addresses())?;
+        let Some(owner) = gateway.forwarding.choose(&left) else {
+            // None of those who may send to it has room for now.
+            let cause = NotRunCause::WarmingUp(held_off?);
+            return Some(Attempt::NotRun(cause));
+        };
         let link = gateway.forwarding.link(gateway, owner)?;
         let statement = ForwardStatement {
             number: rand::random(),
@@ -187,6 +193,11 @@
         // Nothing of these can be kept by an owner that is lost.
         let repeatable = work.access() == Access::Read || matches!(frame, Frame::Opening { .. });
         match call.run(statement, bounds.answer_by, repeatable).await {
+            // Another owner may know that the instance is warm, or have room.
+            Ended::Attempt(Attempt::NotRun(NotRunCause::WarmingUp(after))) => {
+                held_off = Some(held_off.map_or(after, |least| least.min(after)));
+                left.retain(|other| *other != owner);
+            }
             Ended::Attempt(attempt) => return Some(attempt),
             Ended::NotTaken(why) => gateway.forwarding.pass_over(owner, why),
         }
@@ -208,7 +219,7 @@
         instance: lent.instance.id.0.to_string(),
         values: translate::values(principal.values),
         work: translate::work(work),
-        frame: translate::frame(Frame::Bare { fence: None }),
+        frame: translate::frame(Frame::Inside),
         is_read: false,
         priority: 0,
         connection_within_ms: 0,
@@ -338,6 +349,10 @@
                 let reason = translate::ineligible_from(reason);
                 Attempt::NotRun(NotRunCause::Ineligible(reason))
             }
+            ForwardOutcome::WarmingUp(after_ms) => {
+                let after = Duration::from_millis(after_ms);
+                Attempt::NotRun(NotRunCause::WarmingUp(after))
+            }
             ForwardOutcome::Lost => {
                 gateway.connection_lost(self.instance);
                 Attempt::Lost
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -242,13 +242,14 @@
         return ForwardOutcome::Unreachable;
     };
     let answer_by = Instant::now() + Duration::from_millis(statement.answer_within_ms);
-    let frame = Frame::Bare { fence: None };
+    let frame = Frame::Inside;
     let work: Work = translate::work_from(&statement.work);
     let principal = Principal {
         holder: &lease.holder().clone(),
         values: &session_values(statement),
         regions: &translate::regions_from(&statement.regions),
     };
+    gateway.wait_for_warm_up(lease.instance(), answer_by).await;
     let _pass = lease.gate().enter_at_once();
     let attempt = attempt::run_on_own(gateway, lease, principal, &work, frame, answer_by).await;
     match attempt {
@@ -277,6 +278,9 @@
         Attempt::NotRun(NotRunCause::Refused(kind)) => {
             ForwardOutcome::Refused(translate::error(kind))
         }
+        Attempt::NotRun(NotRunCause::WarmingUp(after)) => {
+            ForwardOutcome::WarmingUp(milliseconds(after))
+        }
         Attempt::NotRun(NotRunCause::Ineligible(reason)) => {
             ForwardOutcome::Ineligible(translate::ineligible(reason))
         }
--- a/crates/linkhold-gateway/src/forward/translate.rs
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -144,6 +144,8 @@
 
 pub(super) fn frame(frame: Frame) -> ForwardFrame {
     match frame {
+        // The owner knows by the connection that it lent.
+        Frame::Inside => ForwardFrame::Bare { fence: None },
         Frame::Bare { fence } => ForwardFrame::Bare {
             fence: fence.map(position),
         },
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::settings::GatewaySettings;
 use crate::shared_evidence::ReaderLink;
 use crate::sources::Sources;
+use crate::warm_up::WarmUps;
 
 /// The engine.
 pub struct Gateway<P: Platform> {
@@ -56,6 +57,7 @@
     pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
     pub(crate) quotas: Quotas,
+    pub(crate) warm_ups: WarmUps,
     leaving: AtomicBool,
     /// When this life of the node began.
     pub(crate) started_at: Instant,
@@ -109,6 +111,7 @@
             feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
             quotas: Quotas::default(),
+            warm_ups: WarmUps::default(),
             leaving: AtomicBool::new(false),
             started_at: Instant::now(),
         })
@@ -164,6 +167,7 @@
         self.beliefs
             .observe(&instance.id, |health| health.failed(now));
         self.pools.close_idle(&instance.id);
+        self.warm_ups.doubted(&instance.id);
         self.metrics.instance_failures.add();
         if !was_failing {
             linkhold_events::Event::warn("instance_failed")
@@ -224,6 +228,8 @@
             ("connections_open", self.pools.open_connections() as u64),
             ("connections_opened_total", self.pools.opened() as u64),
             ("sessions_open", crate::lifecycle::open_sessions(self)),
+            ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
+            ("instances_held_off", self.warm_ups.count_cold() as u64),
         ];
         self.metrics.render(&gauges)
     }
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod store_call;
 mod survey;
 mod transaction;
+mod warm_up;
 
 use std::sync::Arc;
 
@@ -62,4 +63,5 @@
     tokio::spawn(sources::choose(gateway.clone()));
     tokio::spawn(failover::watch_primaries(gateway.clone()));
     tokio::spawn(failover::hold_leases_ready(gateway.clone()));
+    tokio::spawn(warm_up::keep_watching(gateway.clone()));
 }
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -105,6 +105,8 @@
     pub forwarded: Counter,
     /// Statements run for other nodes.
     pub run_for_others: Counter,
+    /// Statements that this node could not send, since the instance may be cold.
+    pub refused_cold: Counter,
     /// Orders to promote.
     pub promotions: Counter,
     /// Operations refused since their tenant has used up what it may ask for, or
@@ -142,6 +144,7 @@
             ("relays_served_total", &self.relays_served),
             ("forwarded_total", &self.forwarded),
             ("run_for_others_total", &self.run_for_others),
+            ("statements_held_off_cold_total", &self.refused_cold),
             ("promotions_total", &self.promotions),
             ("operations_over_quota_total", &self.over_quota),
             ("budget_questions_total", &self.budget_questions),
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -8,6 +8,7 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::owners;
 use linkhold_core::service::regions::RegionName;
+use linkhold_core::service::warm_up;
 use linkhold_core::tenancy::{ConnectionHolder, TenantName};
 use linkhold_peer::FeedNode;
 
@@ -25,6 +26,11 @@
     /// All of them, in the order in which this node asks them for what is no
     /// tenant's.
     members: Vec<Owner>,
+    /// The first of them in the order that all nodes share: they alone send to the
+    /// instance while it is cold.
+    spenders: Vec<Owner>,
+    /// This node's place in that order.
+    rank: Option<usize>,
 }
 
 /// An owner, and where it is.
@@ -65,6 +71,19 @@
         PermittedOwners(asked)
     }
 
+    /// As [`InstanceOwners::permitted`], for an instance that is cold.
+    pub fn permitted_spenders(&self, principal: &Principal<'_>) -> PermittedOwners {
+        let may_see =
+            |owner: &&Owner| owner.address.is_none() || principal.regions.permits(&owner.region);
+        let permitted = self.spenders.iter().filter(may_see);
+        PermittedOwners(permitted.map_while(|owner| owner.address).collect())
+    }
+
+    /// This node's place among the owners, in the order that all nodes share.
+    pub fn rank(&self) -> Option<usize> {
+        self.rank
+    }
+
     /// The other owners, for questions that carry nothing of a request.
     pub fn others(&self) -> Vec<SocketAddr> {
         let addresses = self.members.iter().map(|owner| owner.address);
@@ -180,6 +199,12 @@
             count: chosen.len(),
             includes_self: chosen.contains(&self.own),
             members: order.iter().filter_map(owner).collect(),
+            spenders: chosen
+                .iter()
+                .take(warm_up::SPENDERS)
+                .filter_map(owner)
+                .collect(),
+            rank: chosen.iter().position(|id| *id == self.own),
         }
     }
 }
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -57,7 +57,8 @@
         pool
     }
 
-    /// Who owns the connections to an instance; `None` if all nodes hold some.
+    /// Who owns the connections to an instance; `None` if all nodes hold some: they
+    /// are enough, and cold instances may get anything.
     pub(crate) fn owners_of(
         &self,
         instance: &Instance,
@@ -65,7 +66,10 @@
     ) -> Option<Arc<InstanceOwners>> {
         let most = most_connections(&instance.service, beliefs);
         let nodes = self.nodes.load(Ordering::Relaxed);
-        if !connection_share::is_crowded(most, nodes) {
+        // Few know whether an instance is warm.
+        let limits = beliefs.limits(&instance.service);
+        let has_warm_up = limits.is_some_and(|limits| limits.warm_up.is_some());
+        if !has_warm_up && !connection_share::is_crowded(most, nodes) {
             return None;
         }
         let owners = self.owners.of(instance);
--- a/crates/linkhold-gateway/src/settings.rs
+++ b/crates/linkhold-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use linkhold_core::service::warm_up::WarmUpRules;
 use linkhold_core::tenancy::QuotaRules;
 
 use crate::places::Places;
@@ -29,4 +30,6 @@
     pub is_first_start: bool,
     /// How limits of tenants are counted; `None` where they are not.
     pub quota: Option<QuotaRules>,
+    /// How limits of cold instances are counted.
+    pub warm_up: WarmUpRules,
 }
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -138,6 +138,16 @@
                 note_primary_answer(gateway, &primary, &answer, work, opening);
                 return Ok(answer);
             }
+            Attempt::NotRun(NotRunCause::WarmingUp(after))
+                if Instant::now() + after >= unit.wait_until() =>
+            {
+                let reason = NotRun::WarmingUp { retry_after: after };
+                return Err(Failure::NotRun(reason));
+            }
+            Attempt::NotRun(NotRunCause::WarmingUp(after)) => {
+                reason = NotRun::WarmingUp { retry_after: after };
+                sleep(after).await;
+            }
             Attempt::NotRun(cause) => {
                 reason = refusal_reason(cause);
                 retrying(gateway, work, &primary, cause);
@@ -317,6 +327,10 @@
             Attempt::NotRun(cause) => {
                 reason = refusal_reason(cause);
                 retrying(gateway, work, &instance, cause);
+                if let NotRunCause::WarmingUp(after) = cause {
+                    let beliefs = &gateway.beliefs;
+                    beliefs.observe(&instance.id, |health| health.was_busy(now, after));
+                }
             }
             Attempt::Lost | Attempt::TimedOut if opening != Opening::Alone => {
                 return Err(Failure::NotRun(NotRun::TransactionAborted));
@@ -425,6 +439,7 @@
     match cause {
         NotRunCause::NoConnection => NotRun::Overloaded,
         NotRunCause::Unreachable => NotRun::BackendUnavailable,
+        NotRunCause::WarmingUp(retry_after) => NotRun::WarmingUp { retry_after },
         NotRunCause::Ineligible(Ineligible::OutsideRegions) => NotRun::NoInstanceInRegion,
         NotRunCause::Ineligible(Ineligible::Evacuated) => NotRun::Evacuated,
         NotRunCause::Refused(kind) => match kind {
--- /dev/null
+++ b/crates/linkhold-gateway/src/warm_up/mod.rs
@@ -0,0 +1,159 @@
+//! What reaches instances that have just started, from this node.
+//!
+//! [`linkhold_core::service::warm_up`] decides; this keeps what it decides by, and
+//! [`watch`] the connections that tell whether an instance was started again.
+//! Services whose configuration names no limit cost nothing here.
+
+mod watch;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::warm_up::{self, SecondCount, SpenderStanding, WarmUpLimit, Warmth};
+use linkhold_events::Event;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::beliefs::lock;
+use crate::gateway::Gateway;
+use crate::ports::Platform;
+
+pub(crate) use watch::keep_watching;
+
+/// When to come back where this node will not be one that sends.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
+
+/// What is known of one instance.
+#[derive(Default)]
+struct Known {
+    warmth: Warmth,
+    sent: SecondCount,
+    /// Whether it was not known warm when it was looked at last.
+    is_held_off: bool,
+    /// Asks the one who watches it for a new answer.
+    doubt: Arc<Notify>,
+}
+
+/// What this node knows of the warmth of instances.
+#[derive(Default)]
+pub(crate) struct WarmUps {
+    instances: Mutex<HashMap<InstanceId, Known>>,
+}
+
+impl WarmUps {
+    fn update<T>(&self, id: &InstanceId, update: impl FnOnce(&mut Known) -> T) -> T {
+        let mut instances = lock(&self.instances);
+        update(instances.entry(id.clone()).or_default())
+    }
+
+    /// Forgets all instances but these.
+    fn retain(&self, present: &[Arc<Instance>]) {
+        let is_present = |id: &InstanceId| present.iter().any(|it| it.id == *id);
+        lock(&self.instances).retain(|id, _| is_present(id));
+    }
+
+    /// Another connection to an instance broke, or could not be made.
+    pub fn doubted(&self, id: &InstanceId) {
+        let mut instances = lock(&self.instances);
+        if let Some(known) = instances.get_mut(id)
+            && known.warmth.doubted(Instant::now())
+        {
+            known.doubt.notify_one();
+        }
+    }
+
+    /// Instances that this node has sent to and that were not known warm then.
+    pub fn count_cold(&self) -> usize {
+        let instances = lock(&self.instances);
+        instances.values().filter(|it| it.is_held_off).count()
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// What the service of an instance allows it while it is cold.
+    fn warm_up_limit(&self, instance: &Instance) -> Option<WarmUpLimit> {
+        self.beliefs.limits(&instance.service)?.warm_up
+    }
+
+    /// Counts a statement that is about to be sent to an instance, or tells when
+    /// this node may send one.
+    pub(crate) fn admit_to_instance(
+        &self,
+        instance: &Instance,
+        is_urgent: bool,
+    ) -> Result<(), Duration> {
+        let Some(limit) = self.warm_up_limit(instance) else {
+            return Ok(());
+        };
+        let rules = &self.settings.warm_up;
+        let standing = self.spender_standing(instance);
+        let now = Instant::now();
+        let says_cold = self.beliefs.is_cold(&instance.id);
+        let admitted = self.warm_ups.update(&instance.id, |known| {
+            let is_warm = known.warmth.is_warm(rules, says_cold, now);
+            note_warmth(known, instance, is_warm, says_cold);
+            if is_warm {
+                return Ok(());
+            }
+            if !warm_up::may_spend(standing) {
+                return Err(ELSEWHERE_RETRY);
+            }
+            known.sent.spend(now, rules.part(limit), is_urgent)
+        });
+        if admitted.is_err() {
+            self.metrics.refused_cold.add();
+        }
+        admitted
+    }
+
+    /// Waits until this node may send one more statement of an open transaction to
+    /// an instance, but no longer than `deadline`.
+    pub(crate) async fn wait_for_warm_up(&self, instance: &Instance, deadline: Instant) {
+        while let Some(wait) = self.warm_up_wait(instance) {
+            let now = Instant::now();
+            if now + wait >= deadline {
+                return;
+            }
+            sleep(wait).await;
+        }
+    }
+
+    fn warm_up_wait(&self, instance: &Instance) -> Option<Duration> {
+        let limit = self.warm_up_limit(instance)?;
+        let rules = &self.settings.warm_up;
+        let now = Instant::now();
+        let says_cold = self.beliefs.is_cold(&instance.id);
+        self.warm_ups.update(&instance.id, |known| {
+            if known.warmth.is_warm(rules, says_cold, now) {
+                return None;
+            }
+            // Tried on a copy: it is counted where it is sent.
+            known.sent.clone().spend(now, rules.part(limit), true).err()
+        })
+    }
+
+    fn spender_standing(&self, instance: &Instance) -> SpenderStanding {
+        let owners = self.pools.owners().of(instance);
+        SpenderStanding {
+            rank: owners.rank().filter(|_| self.fleet.knows_all()),
+            view_age: self.beliefs.directory_age(),
+            life_time: self.started_at.elapsed(),
+            was_listed: self.fleet.was_listed(),
+        }
+    }
+}
+
+/// Logs that an instance is taken for warm, or no longer.
+fn note_warmth(known: &mut Known, instance: &Instance, is_warm: bool, says_cold: bool) {
+    if std::mem::replace(&mut known.is_held_off, !is_warm) != is_warm {
+        return;
+    }
+    Event::info("instance_warmth_changed")
+        .field("instance", &instance.id)
+        .field("service", &instance.service)
+        .field("is_warm", is_warm)
+        .field("says_cold", says_cold)
+        .log();
+}
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -15,6 +15,7 @@
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::warm_up::WarmUpLimit;
 use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use minicbor::bytes::ByteArray;
@@ -168,6 +169,16 @@
     max_connections: u64,
     #[n(2)]
     synchronous_replicas: u64,
+    #[n(3)]
+    warm_up: Option<WireWarmUpLimit>,
+}
+
+#[derive(Encode, Decode)]
+struct WireWarmUpLimit {
+    #[n(0)]
+    per_second: f64,
+    #[n(1)]
+    length_ms: u64,
 }
 
 #[derive(Encode, Decode)]
@@ -223,6 +234,8 @@
     is_primary: bool,
     #[n(7)]
     is_listed: bool,
+    #[n(8)]
+    warm_up_left_ms: u64,
 }
 
 #[derive(Encode, Decode)]
@@ -357,6 +370,10 @@
             name: name.to_string(),
             max_connections: limits.max_connections as u64,
             synchronous_replicas: limits.synchronous_replicas as u64,
+            warm_up: limits.warm_up.map(|limit| WireWarmUpLimit {
+                per_second: limit.per_second,
+                length_ms: milliseconds(limit.length),
+            }),
         });
     WireConfiguration {
         version: configuration.version,
@@ -445,6 +462,7 @@
         is_draining: instance.lifecycle == Lifecycle::Draining,
         is_primary: instance.role == Role::Primary,
         is_listed,
+        warm_up_left_ms: milliseconds(instance.warm_up_left),
     }
 }
 
@@ -507,6 +525,10 @@
         let limits = ServiceLimits {
             max_connections: service.max_connections as usize,
             synchronous_replicas: service.synchronous_replicas as usize,
+            warm_up: service.warm_up.map(|limit| WarmUpLimit {
+                per_second: limit.per_second,
+                length: Duration::from_millis(limit.length_ms),
+            }),
         };
         (Arc::from(service.name), limits)
     });
@@ -560,6 +582,7 @@
         } else {
             Role::Replica
         },
+        warm_up_left: Duration::from_millis(wire.warm_up_left_ms),
     };
     Some((instance, wire.is_listed))
 }
--- a/crates/linkhold-peer/src/forward.rs
+++ b/crates/linkhold-peer/src/forward.rs
@@ -258,6 +258,10 @@
     /// Certainly not run: it may not be sent to the instance.
     #[n(7)]
     Ineligible(#[n(0)] ForwardIneligible),
+    /// Certainly not run: the instance may be cold, and this owner may send to it
+    /// after so many milliseconds.
+    #[n(8)]
+    WarmingUp(#[n(0)] u64),
 }
 
 /// A message between a node and an owner.
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -52,6 +52,7 @@
     let limits = ServiceLimits {
         max_connections: 36,
         synchronous_replicas: 1,
+        warm_up: None,
     };
     Configuration {
         version: 7,
@@ -71,6 +72,7 @@
         capacity: 3,
         lifecycle: Lifecycle::Draining,
         role: Role::Primary,
+        warm_up_left: Duration::ZERO,
     };
     let node = FeedNode {
         name: "node-1".to_owned(),
