Bear connections that fall silent for good while new ones work

A store call that got no answer left up to four silent connections for the calls after it. Test: one_silent_connection_costs_one_statement... fails without (first form: each elder asked in turn, 250 ms each, beyond the request's patience). Ruled out: streams between nodes (an owner's link has a sign of life of 0.3 s, a reader's is trusted 2 to 4 s, relayed connections live 1 s).

--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -441,6 +441,7 @@
     drop(in_flight);
     match exchanged {
         None => {
+            lease.suspect_elders(sent_at.into());
             gateway.instance_silent(&instance, sent_at);
             Conversation::Silent
         }
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -30,7 +30,7 @@
 use crate::beliefs::lock;
 use crate::gate::{Gate, Urgency};
 use crate::gateway::Gateway;
-use crate::ports::{BackendConnection, ConnectError, Platform};
+use crate::ports::{BackendConnection, Command, ConnectError, Platform};
 use crate::relay;
 
 /// How long opening a connection may take.
@@ -41,6 +41,10 @@
 /// so that a place changes hands only where that is less than the wait.
 const OTHERS_PATIENCE: Duration = Duration::from_millis(40);
 
+/// How long a connection that may be silent for good has to answer: six times the
+/// way between regions, there and back.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Why no connection was had. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckoutError {
@@ -118,9 +122,17 @@
     open: usize,
     waiters: BTreeMap<WaiterKey, Waiter<C>>,
     next_waiter: u64,
+    /// Connections that were used last before this may be silent for good.
+    suspect_before: Option<Instant>,
 }
 
 impl<C> PoolState<C> {
+    /// Whether a connection was used last before one that fell silent was asked.
+    fn is_suspect(&self, pooled: &Pooled<C>) -> bool {
+        self.suspect_before
+            .is_some_and(|moment| pooled.given_back_at < moment)
+    }
+
     /// Takes a place for a new connection if there is room, or makes room by
     /// closing the idle one that was given back first.
     fn reserve(&mut self, limit: usize) -> bool {
@@ -195,6 +207,7 @@
                 open: 0,
                 waiters: BTreeMap::new(),
                 next_waiter: 0,
+                suspect_before: None,
             }),
             opened: AtomicUsize::new(0),
         }
@@ -220,8 +233,13 @@
         urgency: Urgency,
         deadline: Instant,
     ) -> Result<Lease<C>, CheckoutError> {
-        if let Some(pooled) = self.take_idle(principal) {
-            return Ok(Lease::new(self.clone(), pooled));
+        while let Some(pooled) = self.take_idle(principal) {
+            let is_suspect = self.is_suspect(&pooled);
+            let mut lease = Lease::new(self.clone(), pooled);
+            if !is_suspect || lease.answers().await {
+                return Ok(lease);
+            }
+            self.close_suspects();
         }
         let key = self.next_key(urgency);
         let since = Instant::now();
@@ -273,6 +291,27 @@
         lock(&self.state).reserve(self.limit())
     }
 
+    /// A connection gave no answer to what was sent at `sent_at`: those that were
+    /// used last before that may be as silent as it.
+    pub(crate) fn suspect_elders(&self, sent_at: Instant) {
+        let mut state = lock(&self.state);
+        state.suspect_before = state.suspect_before.max(Some(sent_at));
+    }
+
+    fn is_suspect(&self, pooled: &Pooled<C>) -> bool {
+        lock(&self.state).is_suspect(pooled)
+    }
+
+    /// Closes those that may be silent: a second one was.
+    fn close_suspects(&self) {
+        let mut state = lock(&self.state);
+        let idle = std::mem::take(&mut state.idle);
+        let before = idle.len();
+        let proved = idle.into_iter().filter(|pooled| !state.is_suspect(pooled));
+        state.idle = proved.collect();
+        state.open -= before - state.idle.len();
+    }
+
     /// Opens a connection on a place that is reserved and hands it on.
     async fn open<P: Platform<Connection = C>>(
         self: Arc<Self>,
@@ -496,6 +535,21 @@
             .expect("a lease has its connection until it is released")
     }
 
+    /// Statements fell silent on another connection: those that are as old are asked
+    /// before they are used.
+    pub(crate) fn suspect_elders(&self, sent_at: Instant) {
+        self.pool.suspect_elders(sent_at);
+    }
+
+    /// Whether the connection still answers. What is open on it is rolled back.
+    async fn answers(&mut self) -> bool {
+        let pooled = self.pooled();
+        let asking = pooled.connection.exchange(&[Command::Rollback]);
+        let has_answered = matches!(tokio::time::timeout(PROOF_TIMEOUT, asking).await, Ok(Ok(_)));
+        pooled.needs_rollback &= !has_answered;
+        has_answered
+    }
+
     /// Gives the connection back for others to use.
     pub fn release(mut self) {
         if let Some(pooled) = self.pooled.take() {
--- a/crates/linkhold-standin/src/relay.rs
+++ b/crates/linkhold-standin/src/relay.rs
@@ -36,6 +36,9 @@
     pub link: Link,
     /// Time each byte takes in each direction.
     pub one_way_delay: Duration,
+    /// Connections of this count of silences and of earlier ones pass nothing on any
+    /// more, for good.
+    pub silences: u64,
 }
 
 /// A running relay. Dropping it stops it.
@@ -75,6 +78,12 @@
         self.state.send_modify(|state| state.link = link);
     }
 
+    /// Has all connections that stand fall silent for good, without a reset. New ones
+    /// work.
+    pub fn silence_standing(&self) {
+        self.state.send_modify(|state| state.silences += 1);
+    }
+
     /// Changes how long each byte takes in each direction.
     pub fn set_delay(&self, one_way_delay: Duration) {
         self.state
@@ -143,9 +152,11 @@
 ) {
     let mut under_way: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
     let mut ended = false;
+    let silences_before = state.borrow().silences;
     loop {
         let current = *state.borrow_and_update();
-        let stalled = current.link == Link::BlackHole;
+        let is_silent = current.silences > silences_before;
+        let stalled = is_silent || current.link == Link::BlackHole;
         let due = under_way.front().map(|(due, _)| *due);
         if due.is_none() && ended {
             return;
