Prove an instance warm for the connection that a statement goes on

Cause, by reasoning from the code: the connection by which an owner watches an instance is asked every 0.5 s, and the instance was back after 0.3 s; a connection that was opened in between carried statements uncounted. Change: only a connection that was opened before the last answered question counts as proof; a new one asks for an answer and waits up to 130 ms. The property lets the watching connection notice a restart late, and fails without the new condition.

--- a/crates/linkhold-core/src/service/warm_up.rs
+++ b/crates/linkhold-core/src/service/warm_up.rs
@@ -12,6 +12,8 @@
 //! * An owner that sends without counting has a connection that was opened at
 //!   least the settling time ago, longer than a new entry takes to be seen, and that
 //!   has answered a question sent after the last doubt and within [`ANSWER_LIFE`].
+//!   The connection on which it sends was opened before that question was sent: a
+//!   restart since then would have broken it as well.
 //! * What one node counts in any second is at most its part of the bound, and the
 //!   parts of all spenders together are at most the bound.
 //! * A node counts as a spender only while it has heard of the fleet lately, and
@@ -127,6 +129,13 @@
         was_sure
     }
 
+    /// Whether an instance that was not started again since a moment is proved to have
+    /// been warm then: the question that was answered last was sent later.
+    pub fn is_proved_since(&self, moment: Instant) -> bool {
+        let as_of = self.watch.and_then(|watch| watch.answered_as_of);
+        as_of.is_some_and(|as_of| as_of >= moment)
+    }
+
     /// Whether it is certainly warm. `says_cold`: so does its entry.
     pub fn is_warm(&self, rules: &WarmUpRules, says_cold: bool, now: Instant) -> bool {
         let Some(watch) = self.watch else {
--- a/crates/linkhold-core/tests/service_warm_up.rs
+++ b/crates/linkhold-core/tests/service_warm_up.rs
@@ -129,6 +129,7 @@
     fn a_restart_is_never_missed(
         opened in 0_u64..10_000,
         restarted in 0_u64..10_000,
+        noticed_after in 0_u64..1_000,
         reopened_after in 0_u64..3_000,
         entry_after in 0_u64..1_700,
         questions in prop::collection::vec(0_u64..20_000, 0..30),
@@ -143,18 +144,24 @@
             if moment == opened || moment == restarted + reopened_after {
                 warmth.watched(at(moment));
             }
-            if moment == restarted {
+            if moment == restarted + noticed_after.min(reopened_after) {
                 warmth.unwatched();
             }
-            if questions.contains(&moment) {
+            // The old connection answers nothing any more.
+            let is_heard = moment < restarted || moment >= restarted + reopened_after;
+            if is_heard && questions.contains(&moment) {
                 warmth.answered(at(moment));
             }
             let told = restarted + entry_after..restarted + 5_000;
             says_cold = told.contains(&moment);
         }
         let is_cold = (restarted..restarted + 5_000).contains(&asked);
-        if is_cold {
-            prop_assert!(!warmth.is_warm(&rules, says_cold, at(asked)));
+        // A statement that reaches the new life is on a connection opened since.
+        let sent_on = at(restarted + 1);
+        if is_cold && asked > restarted {
+            let is_taken_for_warm = warmth.is_warm(&rules, says_cold, at(asked))
+                && warmth.is_proved_since(sent_on);
+            prop_assert!(!is_taken_for_warm);
         }
     }
 }
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -235,7 +235,10 @@
     let frame = Frame::Inside;
     match held {
         Held::Own(lease) => {
-            gateway.wait_for_warm_up(lease.instance(), answer_by).await;
+            let opened_at = lease.opened_at();
+            gateway
+                .wait_for_warm_up(lease.instance(), opened_at, answer_by)
+                .await;
             let _pass = lease.gate().enter_at_once();
             run_on_own(gateway, lease, principal, work, frame, answer_by).await
         }
@@ -278,7 +281,9 @@
         return ineligible(work, &lease, reason);
     }
     let is_urgent = work.may_commit() || frame == Frame::Inside;
-    if let Err(after) = gateway.admit_to_instance(lease.instance(), is_urgent) {
+    let opened_at = lease.opened_at();
+    gateway.prove_warm(lease.instance(), opened_at).await;
+    if let Err(after) = gateway.admit_to_instance(lease.instance(), opened_at, is_urgent) {
         return held_off(lease, frame, after);
     }
     let sent_at = Instant::now();
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -249,7 +249,10 @@
         values: &session_values(statement),
         regions: &translate::regions_from(&statement.regions),
     };
-    gateway.wait_for_warm_up(lease.instance(), answer_by).await;
+    let opened_at = lease.opened_at();
+    gateway
+        .wait_for_warm_up(lease.instance(), opened_at, answer_by)
+        .await;
     let _pass = lease.gate().enter_at_once();
     let attempt = attempt::run_on_own(gateway, lease, principal, &work, frame, answer_by).await;
     match attempt {
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -69,6 +69,8 @@
     relayed: Option<Relayed>,
     /// When it was given back last.
     given_back_at: Instant,
+    /// When it had been opened.
+    opened_at: Instant,
 }
 
 /// What a relayed connection is bound by.
@@ -337,6 +339,7 @@
                     state: ConnectionState::default(),
                     needs_rollback: false,
                     given_back_at: Instant::now(),
+                    opened_at: Instant::now(),
                 });
             }
             Err(error) => {
@@ -522,6 +525,11 @@
         self.present().is_within(regions)
     }
 
+    /// When the connection had been opened.
+    pub fn opened_at(&self) -> std::time::Instant {
+        self.present().opened_at.into_std()
+    }
+
     fn present(&self) -> &Pooled<C> {
         self.pooled
             .as_ref()
--- a/crates/linkhold-gateway/src/warm_up/mod.rs
+++ b/crates/linkhold-gateway/src/warm_up/mod.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::warm_up::{self, SecondCount, SpenderStanding, WarmUpLimit, Warmth};
+use linkhold_core::service::warm_up::{
+    self, SecondCount, SpenderStanding, WarmUpLimit, WarmUpRules, Warmth,
+};
 use linkhold_events::Event;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -22,6 +24,11 @@
 
 pub(crate) use watch::keep_watching;
 
+/// How long a new connection waits for a proof that the instance was not started
+/// again: three times the way between regions, there and back.
+const PROOF_TIME: Duration = Duration::from_millis(130);
+/// How often it looks.
+const PROOF_LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// When to come back where this node will not be one that sends.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
 
@@ -36,6 +43,19 @@
     doubt: Arc<Notify>,
 }
 
+impl Known {
+    /// Whether a statement may be sent uncounted on a connection.
+    fn is_warm_on(
+        &self,
+        opened_at: Instant,
+        rules: &WarmUpRules,
+        says_cold: bool,
+        now: Instant,
+    ) -> bool {
+        self.warmth.is_warm(rules, says_cold, now) && self.warmth.is_proved_since(opened_at)
+    }
+}
+
 /// What this node knows of the warmth of instances.
 #[derive(Default)]
 pub(crate) struct WarmUps {
@@ -82,6 +102,7 @@
     pub(crate) fn admit_to_instance(
         &self,
         instance: &Instance,
+        opened_at: Instant,
         is_urgent: bool,
     ) -> Result<(), Duration> {
         let Some(limit) = self.warm_up_limit(instance) else {
@@ -92,7 +113,7 @@
         let now = Instant::now();
         let says_cold = self.beliefs.is_cold(&instance.id);
         let admitted = self.warm_ups.update(&instance.id, |known| {
-            let is_warm = known.warmth.is_warm(rules, says_cold, now);
+            let is_warm = known.is_warm_on(opened_at, rules, says_cold, now);
             note_warmth(known, instance, is_warm, says_cold);
             if is_warm {
                 return Ok(());
@@ -108,10 +129,43 @@
         admitted
     }
 
-    /// Waits until this node may send one more statement of an open transaction to
-    /// an instance, but no longer than `deadline`.
-    pub(crate) async fn wait_for_warm_up(&self, instance: &Instance, deadline: Instant) {
-        while let Some(wait) = self.warm_up_wait(instance) {
+    /// Has an instance proved warm for a connection that was opened after the last
+    /// proof, if it was warm then.
+    pub(crate) async fn prove_warm(&self, instance: &Instance, opened_at: Instant) {
+        if self.warm_up_limit(instance).is_none() {
+            return;
+        }
+        let deadline = Instant::now() + PROOF_TIME;
+        while self.needs_proof(instance, opened_at) && Instant::now() < deadline {
+            sleep(PROOF_LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Whether only the age of the last proof speaks against an instance; the next
+    /// one is asked for.
+    fn needs_proof(&self, instance: &Instance, opened_at: Instant) -> bool {
+        let rules = &self.settings.warm_up;
+        let says_cold = self.beliefs.is_cold(&instance.id);
+        let now = Instant::now();
+        self.warm_ups.update(&instance.id, |known| {
+            let is_needed = known.warmth.is_warm(rules, says_cold, now)
+                && !known.warmth.is_proved_since(opened_at);
+            if is_needed {
+                known.doubt.notify_one();
+            }
+            is_needed
+        })
+    }
+
+    /// Waits until this node may send one more statement of an open transaction on a
+    /// connection, but no longer than `deadline`.
+    pub(crate) async fn wait_for_warm_up(
+        &self,
+        instance: &Instance,
+        opened_at: Instant,
+        deadline: Instant,
+    ) {
+        while let Some(wait) = self.warm_up_wait(instance, opened_at) {
             let now = Instant::now();
             if now + wait >= deadline {
                 return;
@@ -120,17 +174,18 @@
         }
     }
 
-    fn warm_up_wait(&self, instance: &Instance) -> Option<Duration> {
+    fn warm_up_wait(&self, instance: &Instance, opened_at: Instant) -> Option<Duration> {
         let limit = self.warm_up_limit(instance)?;
         let rules = &self.settings.warm_up;
         let now = Instant::now();
         let says_cold = self.beliefs.is_cold(&instance.id);
         self.warm_ups.update(&instance.id, |known| {
-            if known.warmth.is_warm(rules, says_cold, now) {
+            if known.is_warm_on(opened_at, rules, says_cold, now) {
                 return None;
             }
             // Tried on a copy: it is counted where it is sent.
-            known.sent.clone().spend(now, rules.part(limit), true).err()
+            let mut sent = known.sent.clone();
+            sent.spend(now, rules.part(limit), true).err()
         })
     }
 
