Keep where statements may go apart from the other beliefs; wait for no commit's sake with synchronous replicas

A planned switch-over passes a candidate over for a warm one only where no replica has to hold a commit (found by reading).

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -213,9 +213,13 @@
         .max_by(|first, second| rank(first).cmp(&rank(second)))
 }
 
-/// Candidates for a planned switch-over, in which all commits are waited for: those
-/// that are close to the one that has received most, and warm if any of them is.
-pub fn candidates_to_wait_for(candidates: Vec<Successor>) -> Vec<Successor> {
+/// Candidates for a planned switch-over, in which commits are waited for: those that
+/// are close to the one that has received most, and warm, if any is. With
+/// `synchronous` replicas nothing comes before what was received.
+pub fn candidates_to_wait_for(candidates: Vec<Successor>, synchronous: usize) -> Vec<Successor> {
+    if synchronous > 0 {
+        return candidates;
+    }
     let Some(most) = candidates.iter().map(|it| it.status.received).max() else {
         return candidates;
     };
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -206,7 +206,7 @@
     let mut cold = candidate("a", at(100), false);
     cold.is_warm = false;
     let chosen = |candidates: Vec<Successor>| {
-        let candidates = candidates_to_wait_for(candidates);
+        let candidates = candidates_to_wait_for(candidates, 0);
         choose_successor(&candidates, 0).unwrap().status.id.clone()
     };
     let close = candidate("b", at(90), false);
@@ -214,5 +214,9 @@
     let candidates = vec![cold.clone(), leaving.clone(), close];
     assert_eq!(chosen(candidates), id("b"));
     let behind = candidate("b", at(10), false);
-    assert_eq!(chosen(vec![cold, leaving, behind]), id("a"));
+    assert_eq!(chosen(vec![cold.clone(), leaving.clone(), behind]), id("a"));
+    // A commit that a replica had to hold may be on the cold one alone.
+    let close = candidate("b", at(90), false);
+    let candidates = candidates_to_wait_for(vec![cold, leaving, close], 1);
+    assert_eq!(candidates.len(), 3);
 }
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -2,20 +2,22 @@
 //! shared by all its sessions. Locks are held for a few steps and never across
 //! a wait.
 
-use std::collections::{HashMap, HashSet};
+mod eligibility;
+
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::{Configuration, ServiceLimits, ServiceName};
 use linkhold_core::service::directory::{Directory, PrimaryChange, PrimarySource};
-use linkhold_core::service::eligibility::{self, Engagement, Ineligible, Standing};
-use linkhold_core::service::evacuation::{EvacuationChange, Evacuations, ZoneName, ZoneState};
+use linkhold_core::service::eligibility::Engagement;
+use linkhold_core::service::evacuation::Evacuations;
 use linkhold_core::service::evidence::{EvidenceLog, Sample};
 use linkhold_core::service::health::InstanceHealth;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::placement::{self, Candidate, Distance};
-use linkhold_core::service::regions::{self, AllowedRegions, RegionName};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::withholding::{WITHHOLDING, Withholdings};
 use linkhold_events::Event;
 use tokio::sync::watch;
@@ -112,31 +114,12 @@
             .field("routes", configuration.routes.len())
             .field("services", configuration.services.len())
             .log();
-        self.log_unknown_regions(&configuration);
-        *lock(&self.primary_regions) = Arc::new(bound_primaries(&configuration));
+        self.adopt_regions(&configuration);
         *current = Some(Arc::new(configuration));
         drop(current);
         self.lists_changed();
     }
 
-    /// Logs what routes and tenants are bound to and no zone of the settings lies in.
-    fn log_unknown_regions(&self, configuration: &Configuration) {
-        let known: HashSet<&RegionName> = self.places.regions.values().collect();
-        let routes = configuration.routes.iter();
-        let of_routes = routes.map(|(database, route)| ("route", database, &route.regions));
-        let tenants = configuration.tenancy.iter().flat_map(|it| it.tenants());
-        let of_tenants = tenants.map(|tenant| ("tenant", &tenant.name, &tenant.regions));
-        for (kind, name, regions) in of_routes.chain(of_tenants) {
-            for region in regions.names().filter(|region| !known.contains(region)) {
-                Event::warn("region_unknown")
-                    .field("version", configuration.version)
-                    .field(kind, name)
-                    .field("region", region)
-                    .log();
-            }
-        }
-    }
-
     /// Limits of a service, if it is configured.
     pub fn limits(&self, service: &str) -> Option<ServiceLimits> {
         self.configuration()?.services.get(service).copied()
@@ -271,178 +254,6 @@
         lock(&self.instances).directory.primary(service).cloned()
     }
 
-    /// Takes in all zones that are evacuated as of a place in the store's changes.
-    pub fn replace_evacuations(&self, zones: Vec<ZoneName>, as_of: Cursor, now: Instant) {
-        let bound = self.evacuation_bound;
-        let changes = lock(&self.instances)
-            .evacuations
-            .replace(as_of.0, zones, bound, now);
-        self.after_evacuations(&changes, as_of);
-    }
-
-    /// Takes in what has changed among them up to a place in the store's changes.
-    pub fn change_evacuations(&self, changes: Vec<EvacuationChange>, as_of: Cursor, now: Instant) {
-        let bound = self.evacuation_bound;
-        let changes = lock(&self.instances)
-            .evacuations
-            .apply(as_of.0, changes, bound, now);
-        self.after_evacuations(&changes, as_of);
-    }
-
-    fn after_evacuations(&self, changes: &[EvacuationChange], as_of: Cursor) {
-        if changes.is_empty() {
-            return;
-        }
-        for change in changes {
-            self.log_evacuation(change, as_of);
-        }
-        self.lists_changed();
-    }
-
-    fn log_evacuation(&self, change: &EvacuationChange, as_of: Cursor) {
-        let (event, zone) = match change {
-            EvacuationChange::Evacuated(zone) => (Event::warn("zone_evacuated"), zone),
-            EvacuationChange::TakenBack(zone) => (Event::info("evacuation_taken_back"), zone),
-        };
-        event
-            .field("zone", zone)
-            .field("is_known", self.places.regions.contains_key(zone))
-            .field("instances", self.instances_in(zone))
-            .field("as_of", as_of.0)
-            .log();
-    }
-
-    fn instances_in(&self, zone: &str) -> usize {
-        let instances = lock(&self.instances).directory.all(Instant::now());
-        let stand_there = instances.iter().filter(|(it, _)| &*it.zone == zone);
-        stand_there.count()
-    }
-
-    /// Instances to which nothing is sent any more, since their zone is evacuated.
-    pub fn closed_instances(&self) -> Vec<InstanceId> {
-        let now = Instant::now();
-        let instances = lock(&self.instances);
-        if instances.evacuations.is_empty() {
-            return Vec::new();
-        }
-        let all = instances.directory.all(now).into_iter();
-        let is_closed = |instance: &Instance| {
-            instances.evacuations.state(&instance.zone, now) == ZoneState::Closed
-        };
-        all.filter(|(instance, _)| is_closed(instance))
-            .map(|(instance, _)| instance.id)
-            .collect()
-    }
-
-    /// Whether an instance says that it has just started.
-    pub fn is_cold(&self, id: &InstanceId) -> bool {
-        lock(&self.instances).directory.is_cold(id, Instant::now())
-    }
-
-    /// Whether nothing is sent to an instance any more, since its zone is evacuated.
-    pub fn is_closed(&self, instance: &Instance) -> bool {
-        let instances = lock(&self.instances);
-        let state = instances.evacuations.state(&instance.zone, Instant::now());
-        state == ZoneState::Closed
-    }
-
-    /// What is known of evacuations was true at a moment.
-    pub fn evacuations_vouched(&self, moment: Instant) {
-        lock(&self.instances).evacuations.vouched(moment);
-    }
-
-    /// The zones that are evacuated, and the place in the store's changes up to
-    /// which they are known.
-    pub fn evacuations(&self) -> (Vec<ZoneName>, Cursor) {
-        let instances = lock(&self.instances);
-        let zones = instances.evacuations.zones().map(|(zone, _)| zone.clone());
-        (zones.collect(), Cursor(instances.evacuations.as_of()))
-    }
-
-    /// Whether a statement may be sent to an instance.
-    pub fn eligibility(
-        &self,
-        instance: &Instance,
-        regions: &AllowedRegions,
-        engagement: Engagement,
-    ) -> Result<(), Ineligible> {
-        let instances = lock(&self.instances);
-        self.eligibility_in(&instances, instance, regions, engagement)
-    }
-
-    fn eligibility_in(
-        &self,
-        instances: &InstanceBeliefs,
-        instance: &Instance,
-        regions: &AllowedRegions,
-        engagement: Engagement,
-    ) -> Result<(), Ineligible> {
-        let evacuations = &instances.evacuations;
-        let zone = if evacuations.is_empty() {
-            ZoneState::InService
-        } else {
-            evacuations.state(&instance.zone, Instant::now())
-        };
-        let standing = Standing {
-            is_in_regions: !regions.is_bound()
-                || regions.permits(&self.places.region(&instance.zone)),
-            zone,
-        };
-        eligibility::check(standing, engagement)
-    }
-
-    /// Why no instance of a service may run a request of these regions at all, nor
-    /// will before something changes; `None` if one may, or none is known.
-    pub fn barrier(&self, service: &str, regions: &AllowedRegions) -> Option<Ineligible> {
-        let instances = lock(&self.instances);
-        if !regions.is_bound() && instances.evacuations.is_empty() {
-            return None;
-        }
-        let mut barrier = None;
-        for instance in instances.directory.instances(service) {
-            match self.eligibility_in(&instances, instance, regions, Engagement::Free) {
-                Ok(()) => return None,
-                // One that is evacuated stands in the regions: that is what is told.
-                Err(Ineligible::Evacuated) => barrier = Some(Ineligible::Evacuated),
-                Err(Ineligible::OutsideRegions) => {
-                    barrier.get_or_insert(Ineligible::OutsideRegions);
-                }
-            }
-        }
-        barrier
-    }
-
-    /// Where the primary of a service should stand.
-    pub fn primary_regions(&self, service: &str) -> AllowedRegions {
-        let bound = lock(&self.primary_regions).clone();
-        bound.get(service).cloned().unwrap_or_default()
-    }
-
-    /// Whether an instance stands where a primary of its service should.
-    pub fn is_well_placed(&self, instance: &Instance) -> bool {
-        let regions = self.primary_regions(&instance.service);
-        self.eligibility(instance, &regions, Engagement::Free)
-            .is_ok()
-    }
-
-    /// Whether the primary of a service stands where it should not, and another
-    /// instance, which stays, where it should.
-    pub fn is_primary_misplaced(&self, service: &str) -> bool {
-        let Some(primary) = self.primary(service) else {
-            return false;
-        };
-        !self.is_well_placed(&primary) && self.has_place_for_primary(service)
-    }
-
-    /// Whether an instance that stays stands where the primary should.
-    pub fn has_place_for_primary(&self, service: &str) -> bool {
-        let now = Instant::now();
-        let instances = self.instances(service);
-        instances
-            .iter()
-            .any(|instance| self.is_well_placed(instance) && !self.is_leaving(&instance.id, now))
-    }
-
     /// The believed primary, unless it failed a moment ago or is being
     /// replaced.
     pub fn usable_primary(&self, service: &str, now: Instant) -> Option<Arc<Instance>> {
@@ -620,16 +431,6 @@
     }
 }
 
-/// Where the primaries of services should stand that are bound to regions.
-fn bound_primaries(configuration: &Configuration) -> HashMap<ServiceName, AllowedRegions> {
-    let services = configuration.services.keys();
-    let regions = services.map(|service| {
-        let regions = regions::primary_regions(configuration, service);
-        (service.clone(), regions)
-    });
-    regions.filter(|(_, regions)| regions.is_bound()).collect()
-}
-
 fn log_primary(change: &PrimaryChange) {
     Event::info("primary_changed")
         .field("service", &change.service)
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -151,7 +151,9 @@
         .filter(|it| trouble != Trouble::Misplaced || it.is_well_placed && !it.is_leaving)
         .collect();
     let candidates = match trouble {
-        Trouble::Leaving | Trouble::Misplaced => failover::candidates_to_wait_for(candidates),
+        Trouble::Leaving | Trouble::Misplaced => {
+            failover::candidates_to_wait_for(candidates, synchronous)
+        }
         Trouble::Unknown | Trouble::Lost => candidates,
     };
     let chosen = failover::choose_successor(&candidates, synchronous);
