Split what a try does from the exchange it makes, and its principal from both

The proof that an instance is warm is waited for before it is looked last whether a statement may be sent, so that nothing stands between that look and the sending but a count.

--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -14,6 +14,7 @@
 pub mod instance;
 pub mod owners;
 pub mod placement;
+pub mod primary_placement;
 pub mod readers;
 pub mod regions;
 pub mod session;
--- /dev/null
+++ b/crates/linkhold-core/src/service/primary_placement.rs
@@ -0,0 +1,58 @@
+//! Where the primary of a service should stand.
+
+use crate::tenancy::Tenant;
+
+use super::configuration::{Configuration, Consistency, DatabaseName, Route};
+use super::regions::AllowedRegions;
+
+/// Where the primary of a service should stand: in regions that its routes allow,
+/// the more urgent ones first, and then its tenants, the larger ones first. What
+/// allows none of the regions that are left by then is passed over: wherever the
+/// primary stood, one of them could not write.
+///
+/// The answer depends on the configuration alone, so that all nodes give the same
+/// and a primary that stands right stays.
+pub fn primary_regions(configuration: &Configuration, service: &str) -> AllowedRegions {
+    let mut routes: Vec<(&DatabaseName, &Route)> = configuration
+        .routes
+        .iter()
+        .map(|(database, route)| (database, &**route))
+        .filter(|(_, route)| &*route.service == service && route.regions.is_bound())
+        .collect();
+    routes.sort_by_key(|(database, route)| (urgency(route), (*database).clone()));
+    let of_routes = routes.iter().map(|(_, route)| &route.regions);
+    let tenants = tenants_by_size(configuration);
+    let of_tenants = tenants.iter().map(|tenant| &tenant.regions);
+    of_routes
+        .chain(of_tenants)
+        .fold(AllowedRegions::Everywhere, narrowed)
+}
+
+/// The regions that are left with one more set, unless none would be.
+fn narrowed(left: AllowedRegions, set: &AllowedRegions) -> AllowedRegions {
+    let shared = left.shared_with(set);
+    if shared.is_empty() { left } else { shared }
+}
+
+/// Rank of a route among those that want a primary near: by priority, and those
+/// that only a primary serves before those whose reads replicas serve.
+fn urgency(route: &Route) -> (u8, bool) {
+    (route.priority, route.consistency != Consistency::Latest)
+}
+
+/// Tenants that are bound to regions, those that may ask most first.
+fn tenants_by_size(configuration: &Configuration) -> Vec<&Tenant> {
+    let tenants = configuration.tenancy.iter().flat_map(|it| it.tenants());
+    let mut bound: Vec<&Tenant> = tenants.filter(|it| it.regions.is_bound()).collect();
+    bound.sort_by(|one, two| {
+        let by_rate = allowed_rate(two).total_cmp(&allowed_rate(one));
+        by_rate.then_with(|| one.name.cmp(&two.name))
+    });
+    bound
+}
+
+fn allowed_rate(tenant: &Tenant) -> f64 {
+    tenant
+        .limit
+        .map_or(f64::INFINITY, |limit| limit.rate_per_second)
+}
--- a/crates/linkhold-core/tests/service_regions.rs
+++ b/crates/linkhold-core/tests/service_regions.rs
@@ -8,7 +8,8 @@
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::eligibility::{Engagement, Ineligible, Standing, check};
 use linkhold_core::service::evacuation::ZoneState;
-use linkhold_core::service::regions::{AllowedRegions, primary_regions};
+use linkhold_core::service::primary_placement::primary_regions;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use proptest::prelude::*;
 
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -6,25 +6,20 @@
 use linkhold_core::service::eligibility::{Engagement, Ineligible};
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::regions::AllowedRegions;
-use linkhold_core::service::session::{SessionValues, TransactionStatus};
-use linkhold_core::tenancy::ConnectionHolder;
+use linkhold_core::service::session::TransactionStatus;
 use linkhold_events::Event;
-use tokio::time::{sleep_until, timeout_at};
 
 use crate::batch::{self, Batch, Frame, Work};
+use crate::conversation::{Conversation, converse};
 use crate::forward::{self, LentConnection};
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::pool::{CheckoutError, Lease};
 use crate::ports::{
-    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, Command, ConnectError,
+    BackendConnection, BackendConnector, BackendErrorKind, BackendReply, ConnectError,
     ExchangeError, Platform,
 };
-
-/// Silence after which an instance is looked at, at the least.
-const LEAST_SILENCE: Duration = Duration::from_millis(220);
-/// Silence after which an instance is looked at, in its usual latencies.
-const SILENCE_LATENCIES: u32 = 6;
+use crate::principal::Principal;
 
 /// The connection type of a platform.
 pub(crate) type ConnectionOf<P> = <P as BackendConnector>::Connection;
@@ -130,17 +125,6 @@
     WarmingUp(Duration),
 }
 
-/// For whom a statement is run.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Principal<'a> {
-    /// Whose connection it needs.
-    pub holder: &'a ConnectionHolder,
-    /// Values of the session.
-    pub values: &'a SessionValues,
-    /// Regions in which it may be run, and seen by other nodes.
-    pub regions: &'a AllowedRegions,
-}
-
 /// Runs `work` on `instance`: on a connection of this node's own or, where few
 /// nodes own the connections, on one of theirs.
 pub(crate) async fn run<P: Platform>(
@@ -265,24 +249,20 @@
         return ineligible(work, &lease, reason);
     }
     let batch = batch::build(lease.pooled(), principal.values, work, frame);
-    let begin = if batch.setup.is_empty() {
-        None
-    } else {
-        match set_up(gateway, lease, &batch, answer_by).await {
-            Ok((held, begin)) => {
-                lease = held;
-                begin
-            }
+    let mut begin = None;
+    if !batch.setup.is_empty() {
+        (lease, begin) = match set_up(gateway, lease, &batch, answer_by).await {
+            Ok(prepared) => prepared,
             Err(attempt) => return attempt,
-        }
-    };
+        };
+    }
+    let opened_at = lease.opened_at();
+    gateway.prove_warm(lease.instance(), opened_at).await;
     // Preparing the connection may have taken its time.
     if let Err(reason) = may_send(gateway, &lease, principal) {
         return ineligible(work, &lease, reason);
     }
     let is_urgent = work.may_commit() || frame == Frame::Inside;
-    let opened_at = lease.opened_at();
-    gateway.prove_warm(lease.instance(), opened_at).await;
     if let Err(after) = gateway.admit_to_instance(lease.instance(), opened_at, is_urgent) {
         return held_off(lease, frame, after);
     }
@@ -301,25 +281,36 @@
             Attempt::Lost
         }
         Conversation::Answered(replies) => {
-            let begin = match frame {
-                Frame::ProvingPrimary => Some((sent_at, replies[0].clone())),
-                Frame::Inside | Frame::Bare { .. } | Frame::Opening { .. } => begin,
-            };
-            let status = replies[replies.len() - 1].status;
-            let reply = replies[batch.main].clone();
-            if let Some(kind) = refusal(begin.as_ref(), &reply) {
-                return refused(gateway, lease, kind, status);
+            if frame == Frame::ProvingPrimary {
+                begin = Some((sent_at, replies[0].clone()));
             }
-            Attempt::Answered(Answer {
-                reply,
-                begin,
-                held: Held::Own(lease),
-                sent_at,
-            })
+            answered(gateway, lease, &replies, batch.main, begin, sent_at)
         }
     }
 }
 
+/// What an instance's replies come to. The one at `main` is the statement's own.
+fn answered<P: Platform>(
+    gateway: &Gateway<P>,
+    lease: Lease<ConnectionOf<P>>,
+    replies: &[BackendReply],
+    main: usize,
+    begin: Option<BeginReply>,
+    sent_at: Instant,
+) -> Attempt<P> {
+    let status = replies[replies.len() - 1].status;
+    let reply = replies[main].clone();
+    if let Some(kind) = refusal(begin.as_ref(), &reply) {
+        return refused(gateway, lease, kind, status);
+    }
+    Attempt::Answered(Answer {
+        reply,
+        begin,
+        held: Held::Own(lease),
+        sent_at,
+    })
+}
+
 /// Whether a statement may be sent on a connection, as things stand now.
 fn may_send<P: Platform>(
     gateway: &Gateway<P>,
@@ -425,99 +416,6 @@
     Err(Attempt::NotRun(NotRunCause::Refused(kind)))
 }
 
-/// How an exchange of commands and replies ended.
-enum Conversation {
-    Answered(Vec<BackendReply>),
-    Broken(ExchangeError),
-    Silent,
-}
-
-/// Exchanges commands and replies and notes what that tells of the instance.
-async fn converse<P: Platform>(
-    gateway: &Arc<Gateway<P>>,
-    lease: &mut Lease<ConnectionOf<P>>,
-    commands: &[Command],
-    answer_by: Instant,
-) -> Conversation {
-    let instance = lease.instance().clone();
-    let sent_at = Instant::now();
-    let in_flight = InFlight::start(gateway, &instance);
-    let exchanged = exchange(gateway, lease, commands, sent_at, answer_by).await;
-    drop(in_flight);
-    match exchanged {
-        None => {
-            lease.suspect_elders(sent_at.into());
-            gateway.instance_silent(&instance, sent_at);
-            Conversation::Silent
-        }
-        Some(Err(error)) => {
-            gateway.connection_lost(&instance);
-            Conversation::Broken(error)
-        }
-        Some(Ok(replies)) => {
-            let position = replies.last().and_then(|reply| reply.position);
-            gateway.instance_answered(&instance.id, sent_at.elapsed(), position);
-            Conversation::Answered(replies)
-        }
-    }
-}
-
-/// Counts a statement as under way until it is dropped.
-pub(crate) struct InFlight<'a, P: Platform> {
-    gateway: &'a Gateway<P>,
-    instance: Arc<Instance>,
-}
-
-impl<'a, P: Platform> InFlight<'a, P> {
-    pub fn start(gateway: &'a Gateway<P>, instance: &Arc<Instance>) -> Self {
-        gateway
-            .beliefs
-            .observe(&instance.id, |health| health.begin());
-        Self {
-            gateway,
-            instance: instance.clone(),
-        }
-    }
-}
-
-impl<P: Platform> Drop for InFlight<'_, P> {
-    fn drop(&mut self) {
-        self.gateway
-            .beliefs
-            .observe(&self.instance.id, |health| health.end());
-    }
-}
-
-/// Sends commands and waits; has the instance looked at when it is silent.
-async fn exchange<P: Platform>(
-    gateway: &Arc<Gateway<P>>,
-    lease: &mut Lease<ConnectionOf<P>>,
-    commands: &[Command],
-    sent_at: Instant,
-    answer_by: Instant,
-) -> Option<Result<Vec<BackendReply>, ExchangeError>> {
-    let instance = lease.instance().clone();
-    let look_at = sent_at + silence_limit(gateway, &instance);
-    let exchange = lease.pooled().connection.exchange(commands);
-    tokio::pin!(exchange);
-    if look_at < answer_by {
-        tokio::select! {
-            replies = &mut exchange => return Some(replies),
-            () = sleep_until(look_at.into()) => gateway.look_at_silent(&instance, sent_at),
-        }
-    }
-    timeout_at(answer_by.into(), exchange).await.ok()
-}
-
-fn silence_limit<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Duration {
-    let usual = gateway
-        .beliefs
-        .inspect(&instance.id, |health| health.latency())
-        .flatten()
-        .unwrap_or_default();
-    LEAST_SILENCE.max(usual * SILENCE_LATENCIES)
-}
-
 fn broken<P: Platform>(
     lease: Lease<ConnectionOf<P>>,
     error: &ExchangeError,
--- a/crates/linkhold-gateway/src/beliefs/eligibility.rs
+++ b/crates/linkhold-gateway/src/beliefs/eligibility.rs
@@ -9,7 +9,8 @@
 use linkhold_core::service::eligibility::{self, Engagement, Ineligible, Standing};
 use linkhold_core::service::evacuation::{EvacuationChange, ZoneName, ZoneState};
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::regions::{self, AllowedRegions, RegionName};
+use linkhold_core::service::primary_placement;
+use linkhold_core::service::regions::{AllowedRegions, RegionName};
 use linkhold_events::Event;
 
 use super::{Beliefs, InstanceBeliefs, lock};
@@ -217,7 +218,7 @@
 fn bound_primaries(configuration: &Configuration) -> HashMap<ServiceName, AllowedRegions> {
     let services = configuration.services.keys();
     let regions = services.map(|service| {
-        let regions = regions::primary_regions(configuration, service);
+        let regions = primary_placement::primary_regions(configuration, service);
         (service.clone(), regions)
     });
     regions.filter(|(_, regions)| regions.is_bound()).collect()
--- /dev/null
+++ b/crates/linkhold-gateway/src/conversation.rs
@@ -0,0 +1,114 @@
+//! One exchange of commands and replies on a connection, and what it tells of the
+//! instance.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::instance::Instance;
+use tokio::time::{sleep_until, timeout_at};
+
+use crate::attempt::ConnectionOf;
+use crate::gateway::Gateway;
+use crate::pool::Lease;
+use crate::ports::{BackendConnection, BackendReply, Command, ExchangeError, Platform};
+
+/// Silence after which an instance is looked at, at the least.
+const LEAST_SILENCE: Duration = Duration::from_millis(220);
+/// Silence after which an instance is looked at, in its usual latencies.
+const SILENCE_LATENCIES: u32 = 6;
+
+/// How an exchange of commands and replies ended.
+pub(crate) enum Conversation {
+    /// A reply to each command.
+    Answered(Vec<BackendReply>),
+    /// The connection broke.
+    Broken(ExchangeError),
+    /// No whole answer came in time.
+    Silent,
+}
+
+/// Exchanges commands and replies and notes what that tells of the instance.
+pub(crate) async fn converse<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    lease: &mut Lease<ConnectionOf<P>>,
+    commands: &[Command],
+    answer_by: Instant,
+) -> Conversation {
+    let instance = lease.instance().clone();
+    let sent_at = Instant::now();
+    let in_flight = InFlight::start(gateway, &instance);
+    let exchanged = exchange(gateway, lease, commands, sent_at, answer_by).await;
+    drop(in_flight);
+    match exchanged {
+        None => {
+            lease.suspect_elders(sent_at.into());
+            gateway.instance_silent(&instance, sent_at);
+            Conversation::Silent
+        }
+        Some(Err(error)) => {
+            gateway.connection_lost(&instance);
+            Conversation::Broken(error)
+        }
+        Some(Ok(replies)) => {
+            let position = replies.last().and_then(|reply| reply.position);
+            gateway.instance_answered(&instance.id, sent_at.elapsed(), position);
+            Conversation::Answered(replies)
+        }
+    }
+}
+
+/// Counts a statement as under way until it is dropped.
+pub(crate) struct InFlight<'a, P: Platform> {
+    gateway: &'a Gateway<P>,
+    instance: Arc<Instance>,
+}
+
+impl<'a, P: Platform> InFlight<'a, P> {
+    pub fn start(gateway: &'a Gateway<P>, instance: &Arc<Instance>) -> Self {
+        gateway
+            .beliefs
+            .observe(&instance.id, |health| health.begin());
+        Self {
+            gateway,
+            instance: instance.clone(),
+        }
+    }
+}
+
+impl<P: Platform> Drop for InFlight<'_, P> {
+    fn drop(&mut self) {
+        self.gateway
+            .beliefs
+            .observe(&self.instance.id, |health| health.end());
+    }
+}
+
+/// Sends commands and waits; has the instance looked at when it is silent.
+async fn exchange<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    lease: &mut Lease<ConnectionOf<P>>,
+    commands: &[Command],
+    sent_at: Instant,
+    answer_by: Instant,
+) -> Option<Result<Vec<BackendReply>, ExchangeError>> {
+    let instance = lease.instance().clone();
+    let look_at = sent_at + silence_limit(gateway, &instance);
+    let exchange = lease.pooled().connection.exchange(commands);
+    tokio::pin!(exchange);
+    if look_at < answer_by {
+        tokio::select! {
+            replies = &mut exchange => return Some(replies),
+            () = sleep_until(look_at.into()) => gateway.look_at_silent(&instance, sent_at),
+        }
+    }
+    timeout_at(answer_by.into(), exchange).await.ok()
+}
+
+fn silence_limit<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Duration {
+    let usual = gateway
+        .beliefs
+        .inspect(&instance.id, |health| health.latency())
+        .flatten()
+        .unwrap_or_default();
+    LEAST_SILENCE.max(usual * SILENCE_LATENCIES)
+}
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -17,12 +17,12 @@
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::timeout_at;
 
-use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::forward;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
+use crate::principal::Principal;
 use crate::shared_evidence;
 
 /// How long one question may take.
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -37,12 +37,14 @@
 use linkhold_events::Event;
 use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement, milliseconds};
 
-use crate::attempt::{Answer, Attempt, Bounds, Held, InFlight, NotRunCause, Principal};
+use crate::attempt::{Answer, Attempt, Bounds, Held, NotRunCause};
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
+use crate::conversation::InFlight;
 use crate::gateway::Gateway;
 use crate::owners::{InstanceOwners, PermittedOwners};
 use crate::ports::{BackendErrorKind, Platform};
+use crate::principal::Principal;
 
 use link::{CallFailure, Link, LinkState};
 pub(crate) use owner::serve;
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -20,7 +20,7 @@
 
 use super::link::read_forward;
 use super::{session_values, translate};
-use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause, Principal};
+use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause};
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
 use crate::feed::framed;
@@ -28,6 +28,7 @@
 use crate::gateway::Gateway;
 use crate::pool::Lease;
 use crate::ports::Platform;
+use crate::principal::Principal;
 use crate::shared_evidence;
 use crate::transaction::roll_back;
 
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -12,9 +12,9 @@
 use linkhold_core::tenancy::{ConnectionHolder, TenantName};
 use linkhold_peer::FeedNode;
 
-use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::places::Places;
+use crate::principal::Principal;
 
 /// The owners of one instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -26,11 +26,11 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::attempt::Principal;
 use crate::beliefs::lock;
 use crate::gate::{Gate, Urgency};
 use crate::gateway::Gateway;
 use crate::ports::{BackendConnection, Command, ConnectError, Platform};
+use crate::principal::Principal;
 use crate::relay;
 
 /// How long opening a connection may take.
--- a/crates/linkhold-gateway/src/statement.rs
+++ b/crates/linkhold-gateway/src/statement.rs
@@ -24,13 +24,14 @@
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::{sleep, timeout_at};
 
-use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause, Principal};
+use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
 use crate::batch::{Frame, Work};
 use crate::evidence_probe;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::marks::SessionMarks;
 use crate::ports::{BackendErrorKind, BackendReply, Platform};
+use crate::principal::Principal;
 
 /// Pause before an instance that was full is tried again; it doubles up to
 /// [`LONGEST_BUSY_PAUSE`].
