Ask for a replica once the node knows it, in the test of hour columns

Shown by runs: 15 of 80 fail ten at a time beside five busy ones, each time the first read alone, at the primary. Cause: a node that has just started has not heard of the replica, and reads at the primary until it has, which the design says.

--- a/crates/linkhold/tests/command_line.rs
+++ b/crates/linkhold/tests/command_line.rs
@@ -198,20 +198,34 @@
         let settings = format!("hour_offset_seconds = {offset}");
         let node = NodeProcess::start(&standin, "node-1", &settings);
         let client = connect(&node.address, &standin.database).await;
+        // A node that has just started reads at the primary until it has heard of the
+        // replica, and never at the replica of the other half of the day.
+        let first = format!("SELECT title FROM episodes WHERE id = 'first-{rehearsed}'");
+        eventually("the replica is known", || async {
+            rows(&client, &first).await.expect("is read");
+            instances_used(&standin, &first).await.contains(&replica)
+        })
+        .await;
+        let other = 3 - replica;
+        assert!(!instances_used(&standin, &first).await.contains(&other));
         let query = format!("SELECT title FROM episodes WHERE id = '{rehearsed}'");
         for _ in 0..READS {
             rows(&client, &query).await.expect("is read");
         }
-        let records = standin.records().await;
-        let used: Vec<u64> = records
-            .iter()
-            .filter(|record| record["text"] == query.as_str())
-            .filter_map(|record| record["instance"].as_u64())
-            .collect();
+        let used = instances_used(&standin, &query).await;
         assert_eq!(used, vec![replica; READS], "at {rehearsed}");
     }
 }
 
+/// The instances that ran a query, in the order in which they did.
+async fn instances_used(standin: &StandIn, query: &str) -> Vec<u64> {
+    let records = standin.records().await;
+    let of_query = records.iter().filter(|record| record["text"] == query);
+    of_query
+        .filter_map(|record| record["instance"].as_u64())
+        .collect()
+}
+
 #[test]
 fn help_explains_each_command() {
     for command in ["proxy", "table", "status"] {
