Keep one copy of pieces that the new parts wrote twice

Cause: reading the whole change again showed the same logic in several places. Which owners may see a statement stood twice; so did the check whether a zone is closed, with a needless branch around it on the way of each statement. The limits of a service were read twice for each connection. Replacing evacuations checked the place in the store's changes, and then apply() did so again.

Ruled out: SecondCount and ExpiringCount stay apart (a sliding second that tells when there is room; counts that expire each at a moment of its own). The loops of read_operator and follow_operator stay: what they share is two lines.

--- a/crates/linkhold-core/src/service/evacuation.rs
+++ b/crates/linkhold-core/src/service/evacuation.rs
@@ -68,9 +68,6 @@
         bound: Duration,
         now: Instant,
     ) -> Vec<EvacuationChange> {
-        if as_of < self.as_of {
-            return Vec::new();
-        }
         let listed: Vec<ZoneName> = zones.into_iter().collect();
         let known = self.zones.keys();
         let withdrawn = known
@@ -128,6 +125,11 @@
         }
     }
 
+    /// Whether nothing is allowed there any more.
+    pub fn is_closed(&self, zone: &str, now: Instant) -> bool {
+        self.state(zone, now) == ZoneState::Closed
+    }
+
     /// The zones that are evacuated.
     pub fn zones(&self) -> impl Iterator<Item = (&ZoneName, &Evacuation)> {
         self.zones.iter()
--- a/crates/linkhold-core/src/service/regions.rs
+++ b/crates/linkhold-core/src/service/regions.rs
@@ -25,8 +25,9 @@
 
 impl AllowedRegions {
     /// The regions that a configuration lists; none listed is no bound.
-    pub fn listed<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
-        let names: BTreeSet<RegionName> = names.into_iter().map(Arc::from).collect();
+    pub fn listed(names: impl IntoIterator<Item = impl AsRef<str>>) -> Self {
+        let names = names.into_iter().map(|name| Arc::from(name.as_ref()));
+        let names: BTreeSet<RegionName> = names.collect();
         if names.is_empty() {
             Self::Everywhere
         } else {
@@ -66,6 +67,12 @@
         names.into_iter().flatten()
     }
 
+    /// The names as messages tell them, which [`AllowedRegions::listed`] reads: none is
+    /// everywhere, so what allows no region at all must not be told.
+    pub fn to_list(&self) -> Vec<String> {
+        self.names().map(ToString::to_string).collect()
+    }
+
     /// Regions that both allow.
     pub fn shared_with(&self, other: &Self) -> Self {
         match (self, other) {
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -329,7 +329,7 @@
         now: Instant,
     ) -> Option<(Arc<Instance>, bool)> {
         let primary = self.primary(service);
-        let is_bound = self.limits(service).is_some_and(|it| it.warm_up.is_some());
+        let has_warm_up = self.limits(service).is_some_and(|it| it.warm_up.is_some());
         let instances = lock(&self.instances);
         let may_run = |instance: &Instance| {
             self.eligibility_in(&instances, instance, regions, Engagement::Free)
@@ -346,7 +346,7 @@
                 instance,
                 health: instances.health.get(&instance.id).unwrap_or(&unknown),
                 distance: self.distance(instance),
-                is_cold: is_bound && instances.directory.is_cold(&instance.id, now),
+                is_cold: has_warm_up && instances.directory.is_cold(&instance.id, now),
             });
         let choice = placement::choose(candidates, required, excluded, now)?;
         let instance = instances.directory.instance(&choice.instance.id)?;
--- a/crates/linkhold-gateway/src/beliefs/eligibility.rs
+++ b/crates/linkhold-gateway/src/beliefs/eligibility.rs
@@ -7,7 +7,7 @@
 
 use linkhold_core::service::configuration::{Configuration, ServiceName};
 use linkhold_core::service::eligibility::{self, Engagement, Ineligible, Standing};
-use linkhold_core::service::evacuation::{EvacuationChange, ZoneName, ZoneState};
+use linkhold_core::service::evacuation::{EvacuationChange, ZoneName};
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::primary_placement;
 use linkhold_core::service::regions::{AllowedRegions, RegionName};
@@ -96,10 +96,7 @@
             return Vec::new();
         }
         let all = instances.directory.all(now).into_iter();
-        let is_closed = |instance: &Instance| {
-            instances.evacuations.state(&instance.zone, now) == ZoneState::Closed
-        };
-        all.filter(|(instance, _)| is_closed(instance))
+        all.filter(|(instance, _)| instances.evacuations.is_closed(&instance.zone, now))
             .map(|(instance, _)| instance.id)
             .collect()
     }
@@ -112,8 +109,9 @@
     /// Whether nothing is sent to an instance any more, since its zone is evacuated.
     pub fn is_closed(&self, instance: &Instance) -> bool {
         let instances = lock(&self.instances);
-        let state = instances.evacuations.state(&instance.zone, Instant::now());
-        state == ZoneState::Closed
+        instances
+            .evacuations
+            .is_closed(&instance.zone, Instant::now())
     }
 
     /// What is known of evacuations was true at a moment.
@@ -147,12 +145,7 @@
         regions: &AllowedRegions,
         engagement: Engagement,
     ) -> Result<(), Ineligible> {
-        let evacuations = &instances.evacuations;
-        let zone = if evacuations.is_empty() {
-            ZoneState::InService
-        } else {
-            evacuations.state(&instance.zone, Instant::now())
-        };
+        let zone = instances.evacuations.state(&instance.zone, Instant::now());
         let standing = Standing {
             is_in_regions: !regions.is_bound()
                 || regions.permits(&self.places.region(&instance.zone)),
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -183,7 +183,7 @@
             connection_within_ms: milliseconds_until(bounds.connection_by),
             answer_within_ms: milliseconds_until(bounds.answer_by),
             tenant: translate::tenant(principal.holder),
-            regions: translate::regions(principal.regions),
+            regions: principal.regions.to_list(),
         };
         gateway.metrics.forwarded.add();
         let call = Call {
@@ -228,7 +228,7 @@
         answer_within_ms: milliseconds_until(answer_by),
         // The lent connection is its tenant's already.
         tenant: None,
-        regions: translate::regions(principal.regions),
+        regions: principal.regions.to_list(),
     };
     let call = Call {
         gateway,
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::TransactionStatus;
 use linkhold_events::Event;
 use linkhold_peer::{
@@ -206,7 +207,7 @@
     let principal = Principal {
         holder: &translate::holder_from(statement.tenant.as_deref()),
         values: &session_values(statement),
-        regions: &translate::regions_from(&statement.regions),
+        regions: &AllowedRegions::listed(&statement.regions),
     };
     let opens = matches!(frame, Frame::Opening { .. });
     let attempt = attempt::run_here(gateway, &instance, principal, &work, frame, bounds).await;
@@ -248,7 +249,7 @@
     let principal = Principal {
         holder: &lease.holder().clone(),
         values: &session_values(statement),
-        regions: &translate::regions_from(&statement.regions),
+        regions: &AllowedRegions::listed(&statement.regions),
     };
     let opened_at = lease.opened_at();
     gateway
--- a/crates/linkhold-gateway/src/forward/translate.rs
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::eligibility::Ineligible;
-use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::{Access, Prepared, SessionValues, TransactionStatus};
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::{
@@ -39,16 +38,6 @@
     }
 }
 
-/// The names of allowed regions; none is everywhere. What allows no region at all
-/// is refused before it is handed to anybody.
-pub(super) fn regions(regions: &AllowedRegions) -> Vec<String> {
-    regions.names().map(ToString::to_string).collect()
-}
-
-pub(super) fn regions_from(names: &[String]) -> AllowedRegions {
-    AllowedRegions::listed(names.iter().map(String::as_str))
-}
-
 pub(super) fn ineligible(reason: Ineligible) -> ForwardIneligible {
     match reason {
         Ineligible::OutsideRegions => ForwardIneligible::OutsideRegions,
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -42,6 +42,13 @@
     region: RegionName,
 }
 
+impl Owner {
+    /// Whether it may see the statements of a principal: this node does already.
+    fn may_serve(&self, principal: &Principal<'_>) -> bool {
+        self.address.is_none() || principal.regions.permits(&self.region)
+    }
+}
+
 /// Owners that may be handed a statement, in the order in which they are asked.
 /// Nothing else makes one, so no statement is handed to a node of a region that
 /// its request does not allow.
@@ -60,9 +67,8 @@
     /// its own. All nodes ask the owners in the same order for a tenant, so that
     /// its few connections are in one place.
     pub fn permitted(&self, principal: &Principal<'_>) -> PermittedOwners {
-        let may_see =
-            |owner: &&Owner| owner.address.is_none() || principal.regions.permits(&owner.region);
-        let permitted: Vec<&Owner> = self.members.iter().filter(may_see).collect();
+        let members = self.members.iter();
+        let permitted: Vec<&Owner> = members.filter(|it| it.may_serve(principal)).collect();
         let asked = match principal.holder {
             ConnectionHolder::NoTenant if self.includes_self => Vec::new(),
             ConnectionHolder::NoTenant => permitted.iter().filter_map(|it| it.address).collect(),
@@ -73,9 +79,8 @@
 
     /// As [`InstanceOwners::permitted`], for an instance that is cold.
     pub fn permitted_spenders(&self, principal: &Principal<'_>) -> PermittedOwners {
-        let may_see =
-            |owner: &&Owner| owner.address.is_none() || principal.regions.permits(&owner.region);
-        let permitted = self.spenders.iter().filter(may_see);
+        let spenders = self.spenders.iter();
+        let permitted = spenders.filter(|it| it.may_serve(principal));
         PermittedOwners(permitted.map_while(|owner| owner.address).collect())
     }
 
--- a/crates/linkhold-gateway/src/pools.rs
+++ b/crates/linkhold-gateway/src/pools.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::membership::NodeId;
+use linkhold_core::service::configuration::ServiceLimits;
 use linkhold_core::service::connection_share::{self, Share};
 use linkhold_core::service::instance::{Instance, InstanceId};
 
@@ -64,10 +65,10 @@
         instance: &Instance,
         beliefs: &Beliefs,
     ) -> Option<Arc<InstanceOwners>> {
-        let most = most_connections(&instance.service, beliefs);
+        let limits = beliefs.limits(&instance.service);
+        let most = most_connections(limits);
         let nodes = self.nodes.load(Ordering::Relaxed);
         // Few know whether an instance is warm.
-        let limits = beliefs.limits(&instance.service);
         let has_warm_up = limits.is_some_and(|limits| limits.warm_up.is_some());
         if !has_warm_up && !connection_share::is_crowded(most, nodes) {
             return None;
@@ -82,7 +83,7 @@
     }
 
     fn share(&self, instance: &Instance, beliefs: &Beliefs) -> Share {
-        let most = most_connections(&instance.service, beliefs);
+        let most = most_connections(beliefs.limits(&instance.service));
         let nodes = self.nodes.load(Ordering::Relaxed);
         let Some(owners) = self.owners_of(instance, beliefs) else {
             let has_just_started = self.started.elapsed() < LAST_LIFE;
@@ -154,10 +155,6 @@
     }
 }
 
-fn most_connections(service: &str, beliefs: &Beliefs) -> usize {
-    beliefs
-        .limits(service)
-        .map_or(connection_share::UNKNOWN_LIMIT, |limits| {
-            limits.max_connections
-        })
+fn most_connections(limits: Option<ServiceLimits>) -> usize {
+    limits.map_or(connection_share::UNKNOWN_LIMIT, |it| it.max_connections)
 }
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -396,21 +396,13 @@
             rate_per_second: limit.rate_per_second,
             burst: limit.burst,
         }),
-        regions: regions_to_wire(&tenant.regions),
+        regions: tenant.regions.to_list(),
     }
 }
 
-fn regions_to_wire(regions: &AllowedRegions) -> Vec<String> {
-    regions.names().map(ToString::to_string).collect()
-}
-
-fn regions_from_wire(names: &[String]) -> AllowedRegions {
-    AllowedRegions::listed(names.iter().map(String::as_str))
-}
-
 fn tenancy_from_wire(wire: Vec<WireTenant>) -> Tenancy {
     let tenants = wire.into_iter().map(|tenant| Tenant {
-        regions: regions_from_wire(&tenant.regions),
+        regions: AllowedRegions::listed(&tenant.regions),
         name: tenant.name.into(),
         credentials: tenant
             .credentials
@@ -441,7 +433,7 @@
         objective_ms: milliseconds(route.latency_objective),
         priority: route.priority,
         is_public: route.is_public,
-        regions: regions_to_wire(&route.regions),
+        regions: route.regions.to_list(),
     }
 }
 
@@ -556,7 +548,7 @@
         latency_objective: Duration::from_millis(wire.objective_ms),
         priority: wire.priority,
         is_public: wire.is_public,
-        regions: regions_from_wire(&wire.regions),
+        regions: AllowedRegions::listed(&wire.regions),
     };
     Some((wire.database.into(), Arc::new(route)))
 }
