Log what an order rests on, and whether a node that acknowledges is listed

Cause: the hypotheses on two deciding nodes could not be told apart. No line told the age of a lease or an agreement when an order left; a node did not know whether it was still listed, and a follower never learnt when it had been.

Change: renewals of a follower carry a number, and a reader says which of them a written row covers (optional on the wire: programs without it are told nothing). A node knows the age of its last confirmed renewal by its own steady clock, counted from before it was sent; the store's clock is counted from before it was asked for, so that a row looks no older than it is. promotion_ordered tells lease_age_ms, agreed_ms_ago and silent_former; listing_gained, listing_lapsed and acknowledged_while_unlisted are new, so is the figure listing_age_ms. No decision changes. The order itself moved to a module of its own.

Measured: tests of core (listing), gateway, peer and platform pass; 3 new ones.

--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -12,6 +12,7 @@
 pub mod following;
 pub mod health;
 pub mod instance;
+pub mod listing;
 pub mod owners;
 pub mod placement;
 pub mod primary_placement;
--- /dev/null
+++ b/crates/linkhold-core/tests/service_listing.rs
@@ -0,0 +1,43 @@
+//! What a node knows of its own registration.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::listing::{LISTING_LIFE, Listing, SentRenewals};
+use linkhold_core::service::readers::{FOLLOWER_RENEWAL, RENEWAL, ROW_EXPIRY};
+
+#[test]
+fn a_listing_counts_from_before_its_renewal_was_sent() {
+    let sent_at = Instant::now();
+    let mut listing = Listing::default();
+    assert!(!listing.holds(sent_at));
+    listing.confirmed(sent_at);
+    assert!(listing.holds(sent_at + LISTING_LIFE - Duration::from_millis(1)));
+    assert!(!listing.holds(sent_at + LISTING_LIFE));
+    // An answer that comes late does not take back what is known.
+    listing.confirmed(sent_at - Duration::from_secs(1));
+    assert_eq!(listing.renewed_at(), Some(sent_at));
+}
+
+/// A node stops before others may leave it out, and two renewals may be lost before
+/// it does.
+#[test]
+fn a_listing_ends_before_its_row_and_outlives_two_renewals() {
+    assert!(LISTING_LIFE < ROW_EXPIRY);
+    assert!(RENEWAL * 2 < LISTING_LIFE);
+    assert!(FOLLOWER_RENEWAL * 3 < LISTING_LIFE);
+}
+
+#[test]
+fn a_confirmation_tells_when_its_renewal_was_sent() {
+    let start = Instant::now();
+    let at = |seconds: u64| start + Duration::from_secs(seconds);
+    let mut renewals = SentRenewals::starting_at(u64::MAX - 1);
+    let numbers: Vec<u64> = (0..4).map(|second| renewals.send(at(second))).collect();
+    assert_eq!(renewals.confirmed(numbers[1]), Some(at(1)));
+    // What came before it is confirmed with it.
+    assert_eq!(renewals.confirmed(numbers[0]), None);
+    assert_eq!(renewals.confirmed(numbers[3]), Some(at(3)));
+    assert_eq!(renewals.confirmed(numbers[2]), None);
+    // A number of another stream confirms nothing.
+    assert_eq!(renewals.confirmed(77), None);
+}
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -281,6 +281,9 @@
             Attempt::Lost
         }
         Conversation::Answered(replies) => {
+            if work.may_commit() && !gateway.own_listing.holds() {
+                log_unlisted(gateway, work, &lease, &replies[batch.main]);
+            }
             if frame == Frame::ProvingPrimary {
                 begin = Some((sent_at, replies[0].clone()));
             }
@@ -380,6 +383,23 @@
         .log();
 }
 
+/// Logs a commit that is acknowledged while this node may no longer be listed: whoever
+/// replaces the instance does not ask it.
+fn log_unlisted<P: Platform>(
+    gateway: &Gateway<P>,
+    work: &Work,
+    lease: &Lease<ConnectionOf<P>>,
+    reply: &BackendReply,
+) {
+    let position = reply.position.map(|position| position.to_string());
+    Event::warn("acknowledged_while_unlisted")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &lease.instance().id)
+        .field("position", position.unwrap_or_default())
+        .field("renewed_ms_ago", gateway.own_listing.age_ms())
+        .log();
+}
+
 /// When a transaction's start was sent, and the reply to it.
 pub(crate) type BeginReply = (Instant, BackendReply);
 
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -124,11 +124,29 @@
         .log();
 }
 
+/// All nodes agree that a primary may be replaced.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Agreement {
+    /// When the first of them was asked; what they agreed to counts from later.
+    pub asked_at: Instant,
+    /// Nodes that are no longer listed and gave no answer.
+    pub silent_former: usize,
+}
+
+impl Agreement {
+    /// What holds if both do.
+    fn and(self, other: Self) -> Self {
+        Self {
+            asked_at: self.asked_at.min(other.asked_at),
+            silent_former: self.silent_former.max(other.silent_former),
+        }
+    }
+}
+
 /// Asks every node to agree that an instance may be replaced: none reaches it as
-/// a primary, and none acknowledges anything of it while that is done. Returns
-/// when they were asked, or `None` if one does not agree; whoever reaches it
-/// then serves this node's connections.
-async fn confirm_lost<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Option<Instant> {
+/// a primary, and none acknowledges anything of it while that is done. `None` if one
+/// does not agree; whoever reaches it then serves this node's connections.
+async fn confirm_lost<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Option<Agreement> {
     let Some(audience) = Audience::everyone(gateway).await else {
         log_withheld(&instance.service, "fleet_not_known");
         return None;
@@ -141,7 +159,10 @@
     log_tally(&instance.service, &instance.id.0, tally);
     if tally.is_lost() {
         peers::withhold(gateway, &instance.id);
-        return Some(asked_at);
+        return Some(Agreement {
+            asked_at,
+            silent_former: findings.silent_former,
+        });
     }
     log_withheld(&instance.service, "not_all_nodes_agree");
     if !findings.reached_by.is_empty() {
@@ -151,53 +172,52 @@
 }
 
 /// Makes sure that a primary is lost to all, and that nobody knows another one: it
-/// may have been replaced already, unseen by this node. Returns the time of the
-/// first question, or `None` if it may not be replaced.
+/// may have been replaced already, unseen by this node. `None` if it may not be
+/// replaced.
 pub(super) async fn confirm_not_replaced<P: Platform>(
     gateway: &Gateway<P>,
     primary: &Instance,
-) -> Option<Instant> {
-    let asked_at = Instant::now();
+) -> Option<Agreement> {
     let (lost, nobody_believes) = tokio::join!(
         confirm_lost(gateway, primary),
         confirm_nobody_believes(gateway, &primary.service),
     );
-    lost.and(nobody_believes).map(|_| asked_at)
+    Some(lost?.and(nobody_believes?))
 }
 
 /// Makes sure that there is no primary for others: what is not listed may be
 /// there until the directory has settled, no node may believe in a primary that
 /// it reaches (the entry of one that is cut from the directory is gone), and every
-/// instance that told this node no status has to be given up by all. Returns the
-/// time of the first question, or `None` if there may be a primary.
+/// instance that told this node no status has to be given up by all. `None` if there
+/// may be a primary.
 pub(super) async fn confirm_none_leads<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
     situation: &Situation,
-) -> Option<Instant> {
+) -> Option<Agreement> {
     if !gateway.beliefs.is_directory_settled(Instant::now()) {
         log_withheld(service, "directory_not_settled");
         return None;
     }
-    let first_asked = confirm_nobody_believes(gateway, service).await?;
+    let mut agreement = confirm_nobody_believes(gateway, service).await?;
     for instance in &situation.others {
         let answered = situation
             .statuses
             .iter()
             .any(|status| status.id == instance.id);
         if !answered {
-            confirm_lost(gateway, instance).await?;
+            agreement = agreement.and(confirm_lost(gateway, instance).await?);
         }
     }
-    Some(first_asked)
+    Some(agreement)
 }
 
 /// Asks every node whether it reaches a primary of the service, whichever it
-/// believes in. Returns when they were asked, or `None` if one does or is silent.
+/// believes in. `None` if one does or is silent.
 async fn confirm_nobody_believes<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
-) -> Option<Instant> {
+) -> Option<Agreement> {
     let Some(audience) = Audience::everyone(gateway).await else {
         log_withheld(service, "fleet_not_known");
         return None;
@@ -212,7 +232,10 @@
         log_withheld(service, "not_all_nodes_agree");
         return None;
     }
-    Some(asked_at)
+    Some(Agreement {
+        asked_at,
+        silent_former: findings.silent_former,
+    })
 }
 
 fn log_withheld(service: &ServiceName, reason: &'static str) {
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -1,7 +1,7 @@
 //! The failover lease of each service in the metadata store.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease};
@@ -21,6 +21,16 @@
 /// How often a node looks for leases that it is to hold ready.
 const READY_INTERVAL: Duration = Duration::from_millis(3_000);
 
+/// A lease that this node claimed.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    /// The lease.
+    pub lease: FailoverLease,
+    /// When the store was asked for the clock from which the lease counts; it expires
+    /// no earlier than counted from here.
+    pub asked_at: Instant,
+}
+
 /// Claims the lease of a service for a successor; `None` if another node holds
 /// it or the store cannot be used. An answer that is lost or late is no reason
 /// to find out everything anew: the row tells whether the claim was taken.
@@ -28,17 +38,19 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
     successor: &InstanceId,
-) -> Option<FailoverLease> {
+) -> Option<Claim> {
     for _ in 0..CLAIM_TRIES {
+        let asked_at = Instant::now();
         let claiming = timeout(STORE_TIMEOUT, try_claim(gateway, service, successor));
         if let Ok(Ok(lease)) = claiming.await {
             match &lease {
                 Some(lease) => gateway.leases.remember(service, lease),
                 None => gateway.leases.lost(service),
             }
-            return lease;
+            return lease.map(|lease| Claim { lease, asked_at });
         }
     }
+    let asked_at = Instant::now();
     let checks_tokens = gateway.platform.checks_tokens();
     let held = gateway
         .leases
@@ -47,7 +59,7 @@
         .field("service", service)
         .field("acts_on_old_lease", held.is_some())
         .log();
-    held
+    held.map(|lease| Claim { lease, asked_at })
 }
 
 /// Holds the leases ready whose first node this is. Runs until the process
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -8,6 +8,7 @@
 mod diagnosis;
 mod lease;
 mod misplaced;
+mod order;
 mod promotion;
 
 use std::collections::HashSet;
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -1,30 +1,25 @@
-//! Replaces a primary: chooses the successor, hands over, orders the promotion.
+//! Replaces a primary: chooses the successor and hands over.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use linkhold_core::position::{Position, Term};
+use linkhold_core::position::Term;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
-use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
+use linkhold_core::service::failover::{self, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_core::service::withholding::ORDER_WINDOW;
 use linkhold_events::Event;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::sleep;
 
-use super::diagnosis::{confirm_none_leads, confirm_not_replaced};
+use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced};
 use super::lease::claim;
+use super::order::{Grounds, order};
 use super::{Trouble, is_still_subject};
 use crate::gateway::Gateway;
-use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
+use crate::ports::Platform;
 use crate::survey;
 
-/// How long an order to promote may take to be answered.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long a successor may take to lead after the order was accepted.
-const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How often a successor is asked whether it leads, when nothing announces it.
-const LEAD_QUESTION_INTERVAL: Duration = Duration::from_millis(400);
 /// How long replicas may take to receive what a primary that stepped down had.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same where the old primary stays: nothing it had is to be undone.
@@ -61,13 +56,14 @@
     let Some(successor) = successor(gateway, service, trouble, &situation) else {
         return;
     };
-    let Some(lease) = claim(gateway, service, &successor.status.id).await else {
+    let Some(claim) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
-    let Some(agreed_at) = agreement(gateway, service, trouble, &situation).await else {
+    let Some(agreement) = agreement(gateway, service, trouble, &situation).await else {
         return;
     };
-    if !is_still_subject(gateway, service, subject) || agreed_at.elapsed() >= ORDER_WINDOW {
+    let has_time = agreement.asked_at.elapsed() < ORDER_WINDOW;
+    if !is_still_subject(gateway, service, subject) || !has_time {
         return;
     }
     let mut chosen = successor.status;
@@ -77,20 +73,28 @@
             None => return,
         }
     }
-    order(gateway, service, &lease, &chosen, trouble).await;
+    let grounds = Grounds {
+        trouble,
+        claim,
+        agreement,
+    };
+    order(gateway, service, &chosen, &grounds).await;
 }
 
-/// From when on all nodes acknowledge nothing that the present primary commits,
-/// so that it may be replaced; `None` if they do not agree. A primary that hands
-/// over ends its term itself.
+/// Has all nodes acknowledge nothing that the present primary commits, so that it may
+/// be replaced; `None` if they do not agree. A primary that hands over ends its term
+/// itself.
 async fn agreement<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
     trouble: Trouble,
     situation: &Situation,
-) -> Option<Instant> {
+) -> Option<Agreement> {
     match (trouble, &situation.old) {
-        (Trouble::Leaving | Trouble::Misplaced, _) => Some(Instant::now()),
+        (Trouble::Leaving | Trouble::Misplaced, _) => Some(Agreement {
+            asked_at: Instant::now(),
+            silent_former: 0,
+        }),
         (Trouble::Lost, Some(primary)) => confirm_not_replaced(gateway, primary).await,
         // What was lost is no longer believed in: the others decide.
         (Trouble::Lost, None) | (Trouble::Unknown, _) => {
@@ -226,86 +230,3 @@
     let undoes = trouble == Trouble::Misplaced && latest.received < last.received;
     (!undoes).then_some(latest)
 }
-
-async fn order<P: Platform>(
-    gateway: &Arc<Gateway<P>>,
-    service: &ServiceName,
-    lease: &FailoverLease,
-    successor: &InstanceStatus,
-    trouble: Trouble,
-) {
-    let order = PromoteOrder {
-        service: service.to_string(),
-        successor: successor.id.clone(),
-        holder: lease.holder.clone(),
-        token: lease.token,
-    };
-    gateway.metrics.promotions.add();
-    let started = Instant::now();
-    let answer = timeout(ORDER_TIMEOUT, gateway.platform.promote(&order))
-        .await
-        .unwrap_or(PromoteAnswer::Unknown);
-    log_order(&order, successor.received, trouble, answer, started);
-    if answer == PromoteAnswer::Refused {
-        // A newer token may have been seen: this one is not used without the
-        // store again.
-        gateway.leases.lost(service);
-    }
-    if matches!(answer, PromoteAnswer::Accepted | PromoteAnswer::Unknown) {
-        await_lead(gateway, service, &successor.id).await;
-    }
-}
-
-fn log_order(
-    order: &PromoteOrder,
-    received: Position,
-    trouble: Trouble,
-    answer: PromoteAnswer,
-    started: Instant,
-) {
-    Event::info("promotion_ordered")
-        .field("service", &order.service)
-        .field("successor", &order.successor)
-        .field("token", order.token)
-        .field("received", received)
-        .field("because", format_args!("{trouble:?}"))
-        .field("answer", format_args!("{answer:?}"))
-        .field("took_ms", started.elapsed().as_millis())
-        .log();
-}
-
-/// Waits until the successor leads: it announces that, or says so when asked.
-async fn await_lead<P: Platform>(
-    gateway: &Arc<Gateway<P>>,
-    service: &ServiceName,
-    successor: &InstanceId,
-) {
-    let deadline = Instant::now() + LEAD_TIMEOUT;
-    let mut changes = gateway.beliefs.subscribe();
-    let mut ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
-    while Instant::now() < deadline {
-        changes.mark_unchanged();
-        if gateway
-            .beliefs
-            .primary(service)
-            .is_some_and(|primary| primary.id == *successor)
-        {
-            return;
-        }
-        if Instant::now() >= ask_at {
-            ask_at = Instant::now() + LEAD_QUESTION_INTERVAL;
-            let Some(instance) = gateway.beliefs.instance(successor) else {
-                return;
-            };
-            let status = survey::status(gateway, &instance).await;
-            if status.is_some_and(|status| status.role == Role::Primary) {
-                gateway
-                    .beliefs
-                    .confirm_primary(successor, PrimarySource::Promoted);
-                return;
-            }
-        }
-        // Time passing is as good a reason to look again as a change.
-        let _ = timeout_at(ask_at.min(deadline).into(), changes.changed()).await;
-    }
-}
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::listing::SentRenewals;
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
 use linkhold_peer::{
@@ -19,6 +20,7 @@
 use tokio::time::timeout_at;
 
 use super::{read_length, write_message};
+use crate::beliefs::lock;
 use crate::fleet::{self, FleetSource};
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
@@ -84,17 +86,19 @@
     }
     let (mut reading, mut writing) = stream.into_split();
     let outbox = gateway.reader_link.open();
+    let renewals = Mutex::new(SentRenewals::starting_at(rand::random()));
     let mut listener = Listener {
         gateway,
         reader,
         patience,
         trusted_until,
+        renewals: &renewals,
         told: Vec::new(),
         instances: ToldInstances::default(),
     };
     let lost = tokio::select! {
         lost = listener.listen(&mut reading, first_word_until, key) => lost,
-        () = speak(gateway, &mut writing, outbox, key) => Lost::Broken,
+        () = speak(gateway, &mut writing, outbox, &renewals, key) => Lost::Broken,
     };
     gateway.reader_link.close();
     lost
@@ -106,6 +110,7 @@
     gateway: &Gateway<P>,
     stream: &mut OwnedWriteHalf,
     mut outbox: mpsc::UnboundedReceiver<FeedMessage>,
+    renewals: &Mutex<SentRenewals>,
     key: &PeerKey,
 ) {
     let mut renew_at = Instant::now();
@@ -116,7 +121,10 @@
             Ok(None) => return,
             Err(_) => {
                 renew_at = Instant::now() + FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2));
-                FeedMessage::Renewal(fleet::own_node(gateway))
+                FeedMessage::Renewal {
+                    node: fleet::own_node(gateway),
+                    number: Some(lock(renewals).send(Instant::now())),
+                }
             }
         };
         if write_message(stream, &message, key).await.is_err() {
@@ -131,6 +139,8 @@
     reader: SocketAddr,
     patience: Patience,
     trusted_until: &'a mut Instant,
+    /// What this node has told the reader of itself.
+    renewals: &'a Mutex<SentRenewals>,
     /// What was told and not vouched for yet.
     told: Vec<FeedMessage>,
     /// All instances as they were told.
@@ -197,6 +207,10 @@
                     self.gateway.reader_link.answered(answer);
                     continue;
                 }
+                FeedMessage::Listed { number } => {
+                    self.listed(number);
+                    continue;
+                }
                 message => {
                     self.take(message);
                     // What vouches for it comes right after.
@@ -211,6 +225,13 @@
         }
     }
 
+    /// The reader has a row written that lists this node.
+    fn listed(&self, number: u64) {
+        if let Some(sent_at) = lock(self.renewals).confirmed(number) {
+            self.gateway.own_listing.confirmed(sent_at);
+        }
+    }
+
     /// Keeps what is told until it is vouched for.
     fn take(&mut self, message: FeedMessage) {
         match message {
@@ -300,7 +321,8 @@
         | FeedMessage::Instances(_)
         | FeedMessage::InstanceChanges(_)
         | FeedMessage::Subscribe
-        | FeedMessage::Renewal(_)
+        | FeedMessage::Renewal { .. }
+        | FeedMessage::Listed { .. }
         | FeedMessage::Leaving
         | FeedMessage::Relay(_)
         | FeedMessage::Relayed
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -61,6 +61,13 @@
     }
 }
 
+/// A follower that has said who it is.
+#[derive(Clone, Debug)]
+struct Arrival {
+    name: String,
+    ticket: Ticket,
+}
+
 /// The sending half of a follower's stream, shared by all who tell it something.
 type SharedWriter = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
 
@@ -69,18 +76,20 @@
     gateway: &Arc<Gateway<P>>,
     stream: &mut OwnedReadHalf,
     writing: &SharedWriter,
-    arrived: &watch::Sender<Option<Ticket>>,
+    arrived: &watch::Sender<Option<Arrival>>,
     key: &PeerKey,
 ) {
     let mut name = None;
     while let Ok(message) = read_message(stream, key).await {
         match message {
-            FeedMessage::Renewal(node) => {
+            FeedMessage::Renewal { node, number } => {
                 let is_first = name.replace(node.name.clone()).is_none();
                 if is_first {
-                    arrived.send_replace(Some(gateway.followers.arrived(node)));
+                    let name = node.name.clone();
+                    let ticket = gateway.followers.arrived(node, number);
+                    arrived.send_replace(Some(Arrival { name, ticket }));
                 } else {
-                    gateway.followers.heard(node);
+                    gateway.followers.heard(node, number);
                 }
             }
             FeedMessage::Leaving => {
@@ -123,7 +132,7 @@
 async fn tell<P: Platform>(
     gateway: &Gateway<P>,
     writing: &SharedWriter,
-    mut arrival: watch::Receiver<Option<Ticket>>,
+    mut arrival: watch::Receiver<Option<Arrival>>,
     key: &PeerKey,
 ) {
     wait_for_first_answers(gateway).await;
@@ -156,6 +165,13 @@
                 return;
             }
         }
+        if let Some(listed) = listed(gateway, &arrival)
+            && write_message(&mut *writing.lock().await, &listed, key)
+                .await
+                .is_err()
+        {
+            return;
+        }
         // It goes last, since it vouches for all that came before it; writing
         // that may have taken its time.
         let beat = FeedMessage::Beat {
@@ -187,14 +203,14 @@
 /// Waits until a written row lists the follower.
 async fn wait_until_listed<P: Platform>(
     gateway: &Gateway<P>,
-    arrival: &mut watch::Receiver<Option<Ticket>>,
+    arrival: &mut watch::Receiver<Option<Arrival>>,
 ) -> bool {
     let waiting = arrival.wait_for(Option::is_some);
     // An error: it has left, or does not say who it is.
     let ticket = timeout(LISTING_TIME, waiting)
         .await
         .ok()
-        .and_then(|arrived| *arrived.ok()?);
+        .and_then(|arrived| Some(arrived.ok()?.as_ref()?.ticket));
     let Some(ticket) = ticket else {
         return false;
     };
@@ -202,6 +218,17 @@
     listing.await
 }
 
+/// What a follower is told when a row that lists it was written since it was told
+/// last.
+fn listed<P: Platform>(
+    gateway: &Gateway<P>,
+    arrival: &watch::Receiver<Option<Arrival>>,
+) -> Option<FeedMessage> {
+    let arrival = arrival.borrow();
+    let number = gateway.followers.take_listed(&arrival.as_ref()?.name)?;
+    Some(FeedMessage::Listed { number })
+}
+
 /// Whether this follower is to go to another reader of the region, which has
 /// fewer: some at a time do, since each decides for itself.
 fn is_one_too_many<P: Platform>(gateway: &Gateway<P>) -> bool {
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -48,7 +48,7 @@
     duty_nodes: Vec<NodeId>,
     /// When this node took up reading for others, on the store's clock.
     reads_since: Option<u64>,
-    /// The store's clock and when it was read.
+    /// The store's clock and when it was asked for.
     store_clock: Option<(u64, Instant)>,
     /// Whether this node was listed when it first looked.
     was_listed: Option<bool>,
@@ -231,7 +231,7 @@
         lock(&self.view).is_settled
     }
 
-    /// The store's clock, carried on from when it was read.
+    /// The store's clock, carried on from when it was asked for.
     pub fn store_time(&self) -> Option<u64> {
         let (time, read_at) = lock(&self.view).store_clock?;
         Some(time + u64::try_from(read_at.elapsed().as_millis()).ok()?)
@@ -397,7 +397,9 @@
 fn remember_registry<P: Platform>(gateway: &Gateway<P>, registry: &Registry) {
     let own_name = &gateway.settings.node;
     let mut view = lock(&gateway.fleet.view);
-    view.store_clock = Some((registry.now, Instant::now()));
+    // Counted from before it was told, it runs ahead rather than behind: a renewal
+    // looks no older than it is.
+    view.store_clock = Some((registry.now, registry.asked_at));
     if let Some(key) = &registry.key {
         view.key = Some(key.clone());
     }
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -6,19 +6,21 @@
 //! whoever replaces a primary asks all nodes that are listed, so a node that
 //! knows instances must be.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::readers::ROW_EXPIRY;
+use linkhold_events::Event;
 use linkhold_peer::FeedNode;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use crate::beliefs::lock;
 use crate::registration::FORMER_TIME;
-use crate::registry::Registration;
+use crate::registry::{MOST_FOLLOWERS, Registration};
 
 /// Orders the arrival of followers and the writing of rows.
 pub(crate) type Ticket = u64;
@@ -27,6 +29,10 @@
 struct Follower {
     node: FeedNode,
     heard_at: Instant,
+    /// Number of its last renewal.
+    renewal: Option<u64>,
+    /// Number of its last renewal as of which a written row lists it.
+    listed: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -72,8 +78,16 @@
 pub(crate) struct FollowerList {
     /// The followers.
     pub followers: Vec<Registration>,
-    /// The last arrival among them.
-    pub ticket: Ticket,
+    /// What is confirmed once the row is written.
+    pub covers: Covered,
+}
+
+/// What a row covers.
+pub(crate) struct Covered {
+    /// The last arrival among the followers that it lists.
+    ticket: Ticket,
+    /// Those that count their renewals, by name, each with the last one.
+    renewals: Vec<(String, u64)>,
 }
 
 impl Followers {
@@ -89,8 +103,8 @@
     }
 
     /// A node begins to follow; it is to be listed before it is told anything.
-    pub fn arrived(&self, node: FeedNode) -> Ticket {
-        self.heard(node);
+    pub fn arrived(&self, node: FeedNode, renewal: Option<u64>) -> Ticket {
+        self.heard(node, renewal);
         let mut known = lock(&self.known);
         known.arrivals += 1;
         self.changed.notify_one();
@@ -98,13 +112,26 @@
     }
 
     /// A follower lives.
-    pub fn heard(&self, node: FeedNode) {
+    pub fn heard(&self, node: FeedNode, renewal: Option<u64>) {
         let heard_at = Instant::now();
-        let follower = Follower { node, heard_at };
         let mut known = lock(&self.known);
+        let previous = known.followers.get(&node.name);
+        let follower = Follower {
+            // Of an earlier stream it confirms nothing: numbers start anew there.
+            listed: previous.and_then(|previous| previous.listed),
+            node,
+            heard_at,
+            renewal,
+        };
         known.followers.insert(follower.node.name.clone(), follower);
     }
 
+    /// The last renewal of a follower as of which a written row lists it, unless it
+    /// was told of already.
+    pub fn take_listed(&self, name: &str) -> Option<u64> {
+        lock(&self.known).followers.get_mut(name)?.listed.take()
+    }
+
     /// A follower has ended in good order: nobody needs to wait for its answers.
     pub fn left(&self, name: &str) {
         lock(&self.known).followers.remove(name);
@@ -123,7 +150,12 @@
             known
                 .followers
                 .entry(node.name.clone())
-                .or_insert(Follower { node, heard_at });
+                .or_insert(Follower {
+                    node,
+                    heard_at,
+                    renewal: None,
+                    listed: None,
+                });
         }
     }
 
@@ -140,19 +172,38 @@
         known
             .followers
             .retain(|_, follower| follower.heard_at.elapsed() < ROW_EXPIRY + FORMER_TIME);
-        let followers = known.followers.values().map(|follower| Registration {
+        let mut listed: Vec<&Follower> = known.followers.values().collect();
+        if listed.len() > MOST_FOLLOWERS {
+            log_not_listed(listed.len());
+            listed.sort_by_key(|follower| Reverse(follower.heard_at));
+            listed.truncate(MOST_FOLLOWERS);
+        }
+        let followers = listed.iter().map(|follower| Registration {
             node: follower.node.clone(),
             age: follower.heard_at.elapsed(),
         });
+        let renewals = listed
+            .iter()
+            .filter_map(|follower| Some((follower.node.name.clone(), follower.renewal?)));
         FollowerList {
             followers: followers.collect(),
-            ticket: known.arrivals,
+            covers: Covered {
+                ticket: known.arrivals,
+                renewals: renewals.collect(),
+            },
         }
     }
 
-    /// A row that covers these arrivals is written.
-    pub fn written(&self, ticket: Ticket) {
-        self.listed.send_replace(ticket);
+    /// A row is written.
+    pub fn written(&self, covered: Covered) {
+        let mut known = lock(&self.known);
+        for (name, number) in covered.renewals {
+            if let Some(follower) = known.followers.get_mut(&name) {
+                follower.listed = Some(number);
+            }
+        }
+        drop(known);
+        self.listed.send_replace(covered.ticket);
     }
 
     /// Waits until a written row covers an arrival; `false` if none does in time.
@@ -167,3 +218,10 @@
         self.changed.notified().await;
     }
 }
+
+fn log_not_listed(followers: usize) {
+    Event::warn("followers_not_listed")
+        .field("followers", followers)
+        .field("listed", MOST_FOLLOWERS)
+        .log();
+}
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::forward::Forwarding;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
+use crate::own_listing::OwnListing;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
@@ -58,6 +59,7 @@
     pub(crate) leases: HeldLeases,
     pub(crate) quotas: Quotas,
     pub(crate) warm_ups: WarmUps,
+    pub(crate) own_listing: OwnListing,
     leaving: AtomicBool,
     /// When this life of the node began.
     pub(crate) started_at: Instant,
@@ -112,6 +114,7 @@
             leases: HeldLeases::default(),
             quotas: Quotas::default(),
             warm_ups: WarmUps::default(),
+            own_listing: OwnListing::default(),
             leaving: AtomicBool::new(false),
             started_at: Instant::now(),
         })
@@ -230,6 +233,7 @@
             ("sessions_open", crate::lifecycle::open_sessions(self)),
             ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
             ("instances_held_off", self.warm_ups.count_cold() as u64),
+            ("listing_age_ms", self.own_listing.age_ms()),
         ];
         self.metrics.render(&gauges)
     }
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod marks;
 pub mod metrics;
 mod observations;
+mod own_listing;
 mod owners;
 mod peers;
 pub mod places;
@@ -60,6 +61,7 @@
     tokio::spawn(keeper::expire_instances(gateway.clone()));
     tokio::spawn(keeper::close_unused_connections(gateway.clone()));
     tokio::spawn(registration::keep_registered(gateway.clone()));
+    tokio::spawn(own_listing::watch(gateway.clone()));
     tokio::spawn(peers::answer_questions(gateway.clone()));
     tokio::spawn(feed::serve_peers(gateway.clone()));
     tokio::spawn(sources::choose(gateway.clone()));
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -359,6 +359,8 @@
     pub tally: ReachabilityTally,
     /// Nodes that reach the instance as a primary, in the order of their answers.
     pub reached_by: Vec<SocketAddr>,
+    /// Former nodes that did not answer.
+    pub silent_former: usize,
 }
 
 impl PeerFindings {
@@ -399,18 +401,21 @@
         purpose,
     };
     let datagram = encode_reachability(&message, &key);
-    collect(&socket, audience, &datagram, receiver, &mut findings).await;
+    let silent = collect(&socket, audience, &datagram, receiver, &mut findings).await;
+    let is_former = |peer: &&SocketAddr| audience.former.contains(peer);
+    findings.silent_former = silent.iter().filter(is_former).count();
     lock(&gateway.peers.waiting).remove(&number);
     findings
 }
 
+/// Takes in answers until all have come or the time is over; returns who gave none.
 async fn collect(
     socket: &UdpSocket,
     audience: &Audience,
     datagram: &[u8],
     mut receiver: mpsc::UnboundedReceiver<(SocketAddr, Reachability)>,
     findings: &mut PeerFindings,
-) {
+) -> Vec<SocketAddr> {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let repeat_at = Instant::now() + REPEAT_AFTER;
     let mut pending: Vec<SocketAddr> = audience.nodes.clone();
@@ -427,14 +432,15 @@
                 pending.swap_remove(index);
                 findings.take(from, found, audience.former.contains(&from));
             }
-            Ok(None) => return,
-            Err(_) if repeated => return,
+            Ok(None) => break,
+            Err(_) if repeated => break,
             Err(_) => {
                 repeated = true;
                 send(socket, &pending, datagram).await;
             }
         }
     }
+    pending
 }
 
 async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -141,18 +141,21 @@
 
 /// Writes the row of this node and of those that follow it.
 async fn write_row<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
+    // What is counted from here is older than the row says, never younger.
+    let sent_at = Instant::now();
     // The clock is known from the first look.
     let now = gateway.fleet.store_time().ok_or(StoreError::NoAnswer)?;
     let list = gateway.followers.list();
     let reads_since = gateway.fleet.reads_since();
     let own = fleet::own_node(gateway);
-    let row = registry::encode_row(own, reads_since, list.followers, now)?;
+    let row = registry::encode_row(own, reads_since, &list.followers, now)?;
     let call = gateway
         .platform
         .write_row(FleetTable::Nodes, &row.key, row.value, None);
     gateway.metrics.store_calls.count(CallReason::Register);
     bounded(call, CALL_TIMEOUT).await?;
-    gateway.followers.written(list.ticket);
+    gateway.own_listing.confirmed(sent_at);
+    gateway.followers.written(list.covers);
     Ok(())
 }
 
@@ -166,8 +169,9 @@
     };
     let call = gateway.platform.read_rows(FleetTable::Nodes, RowRange::All);
     gateway.metrics.store_calls.count(reason);
+    let asked_at = Instant::now();
     let rows = bounded(call, limit).await?;
-    Ok(Registry::decode(&rows, &gateway.settings.node))
+    Ok(Registry::decode(&rows, asked_at, &gateway.settings.node))
 }
 
 /// Looks at the fleet without being a part of it yet.
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linkhold_core::service::readers::{READER_EXPIRY, ROW_EXPIRY, SETTLING_TIME};
 use linkhold_events::Event;
@@ -18,9 +18,9 @@
 
 /// Row of the key between nodes. No zone's rows sort before it.
 pub const PEER_KEY_ROW: &str = "!key";
-/// Followers in a row, at the most: rows hold 64 KiB, an entry takes up to 120
-/// bytes. A reader has 30 followers, and lists former ones for some seconds.
-const MOST_FOLLOWERS: usize = 400;
+/// Followers that [`encode_row`] takes, at the most: rows hold 64 KiB, an entry takes
+/// up to 120 bytes. A reader has 30 followers, and lists former ones for some seconds.
+pub const MOST_FOLLOWERS: usize = 400;
 
 /// A node that registers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -94,17 +94,9 @@
 pub fn encode_row(
     own: FeedNode,
     reads_since: Option<u64>,
-    mut followers: Vec<Registration>,
+    followers: &[Registration],
     now: u64,
 ) -> Result<NewRow, StoreError> {
-    if followers.len() > MOST_FOLLOWERS {
-        Event::warn("followers_not_listed")
-            .field("followers", followers.len())
-            .field("listed", MOST_FOLLOWERS)
-            .log();
-        followers.sort_by_key(|follower| follower.age);
-        followers.truncate(MOST_FOLLOWERS);
-    }
     let registration = Registration {
         node: own,
         age: Duration::ZERO,
@@ -144,10 +136,12 @@
 }
 
 /// All rows of the table, decoded.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Registry {
     /// The store's clock, in milliseconds.
     pub now: u64,
+    /// When the rows were asked for, which is before the store told its clock.
+    pub asked_at: Instant,
     /// The key between nodes, once a node has made it.
     pub key: Option<PeerKey>,
     /// Nodes by name, present and former.
@@ -159,10 +153,13 @@
 impl Registry {
     /// Decodes the rows as `own` sees them. A row that cannot be read is logged
     /// and passed over.
-    pub fn decode(rows: &StoredRows, own: &str) -> Self {
+    pub fn decode(rows: &StoredRows, asked_at: Instant, own: &str) -> Self {
         let mut registry = Self {
             now: rows.now,
-            ..Self::default()
+            asked_at,
+            key: None,
+            members: BTreeMap::new(),
+            own_followers: Vec::new(),
         };
         for row in &rows.rows {
             if row.key == PEER_KEY_ROW {
--- a/crates/linkhold-gateway/tests/registry.rs
+++ b/crates/linkhold-gateway/tests/registry.rs
@@ -1,6 +1,6 @@
 //! What the rows of the fleet tell.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linkhold_gateway::ports::{StoredRow, StoredRows};
 use linkhold_gateway::registry::{PEER_KEY_ROW, Registration, Registry, encode_row};
@@ -28,7 +28,7 @@
     followers: &[Registration],
     written_at: u64,
 ) -> StoredRow {
-    let row = encode_row(node(name), reads_since, followers.to_vec(), written_at).unwrap();
+    let row = encode_row(node(name), reads_since, followers, written_at).unwrap();
     StoredRow {
         key: row.key,
         value: row.value,
@@ -37,7 +37,7 @@
 }
 
 fn registry(rows: Vec<StoredRow>, now: u64) -> Registry {
-    Registry::decode(&StoredRows { rows, now }, "own")
+    Registry::decode(&StoredRows { rows, now }, Instant::now(), "own")
 }
 
 #[test]
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -108,7 +108,18 @@
     /// A follower asks to be told everything from now on.
     Subscribe,
     /// A follower lives; its reader renews its registration.
-    Renewal(FeedNode),
+    Renewal {
+        /// The follower.
+        node: FeedNode,
+        /// Rises with each renewal on a stream; `None` from a program that does not
+        /// count them, which is told no [`FeedMessage::Listed`].
+        number: Option<u64>,
+    },
+    /// The store holds a row of the reader that lists the follower as of a renewal.
+    Listed {
+        /// The renewal's number.
+        number: u64,
+    },
     /// A follower ends in good order; nobody needs to wait for its answers.
     Leaving,
     /// A node asks to be connected to an instance over this stream.
@@ -279,7 +290,7 @@
     #[n(4)]
     Beat(#[n(0)] u64),
     #[n(5)]
-    Renewal(#[n(0)] WireNode),
+    Renewal(#[n(0)] WireNode, #[n(1)] Option<u64>),
     #[n(6)]
     Relay(#[n(0)] String),
     #[n(7)]
@@ -292,6 +303,8 @@
     InstanceChanges(#[n(0)] u64, #[n(1)] Vec<WireInstance>, #[n(2)] Vec<String>),
     #[n(13)]
     Evacuations(#[n(0)] u64, #[n(1)] Vec<String>),
+    #[n(14)]
+    Listed(#[n(0)] u64),
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -319,7 +332,8 @@
 fn to_wire(message: &FeedMessage) -> WireMessage {
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
-        FeedMessage::Renewal(node) => WireMessage::Renewal(node_to_wire(node)),
+        FeedMessage::Renewal { node, number } => WireMessage::Renewal(node_to_wire(node), *number),
+        FeedMessage::Listed { number } => WireMessage::Listed(*number),
         FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
         FeedMessage::Leaving => WireMessage::Leaving,
         FeedMessage::Relayed => WireMessage::Relayed,
@@ -461,7 +475,11 @@
 fn from_wire(wire: WireMessage) -> Option<FeedMessage> {
     Some(match wire {
         WireMessage::Subscribe => FeedMessage::Subscribe,
-        WireMessage::Renewal(wire) => FeedMessage::Renewal(node_from_wire(wire)?),
+        WireMessage::Renewal(wire, number) => FeedMessage::Renewal {
+            node: node_from_wire(wire)?,
+            number,
+        },
+        WireMessage::Listed(number) => FeedMessage::Listed { number },
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
         WireMessage::Leaving => FeedMessage::Leaving,
         WireMessage::Relayed => FeedMessage::Relayed,
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -81,7 +81,15 @@
     };
     vec![
         FeedMessage::Subscribe,
-        FeedMessage::Renewal(node.clone()),
+        FeedMessage::Renewal {
+            node: node.clone(),
+            number: Some(12),
+        },
+        FeedMessage::Renewal {
+            node: node.clone(),
+            number: None,
+        },
+        FeedMessage::Listed { number: 12 },
         FeedMessage::Relay(InstanceId("i-1".into())),
         FeedMessage::Relayed,
         FeedMessage::InstanceChanges(FeedInstanceChanges {
