--- a/crates/linkhold-core/src/service/listing.rs
+++ b/crates/linkhold-core/src/service/listing.rs
@@ -13,7 +13,7 @@
 
 /// Part of a row's life that is left for steady clocks that run apart, and for the
 /// time between a look at the clock and what follows from it.
-const LISTING_MARGIN: Duration = Duration::from_millis(1_000);
+pub const LISTING_MARGIN: Duration = Duration::from_millis(1_000);
 /// How long a node counts on a renewal after it was sent.
 pub const LISTING_LIFE: Duration = ROW_EXPIRY.saturating_sub(LISTING_MARGIN);
 
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -14,6 +14,7 @@
 pub mod instance;
 pub mod listing;
 pub mod owners;
+pub mod permission;
 pub mod placement;
 pub mod primary_placement;
 pub mod readers;
--- /dev/null
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -0,0 +1,218 @@
+//! Whether a node may speak for primaries: acknowledge what they commit, and take
+//! what they answer for proof of how far their logs have come.
+//!
+//! Whoever replaces a primary has every node agree that the store lists, and a
+//! majority of those that it listed until [`FORMER_TIME`] ago. A node that is not
+//! listed may not be asked, so it has to stop by itself, before others may leave it
+//! out. It goes on as long as one of these holds:
+//!
+//! * the store confirmed a renewal of its registration that was sent less than
+//!   [`LISTING_LIFE`] ago;
+//! * a majority of the nodes that it knows, which have a permission themselves, confirmed
+//!   less than [`CONFIRMATION_LIFE`] ago that they have agreed to no replacement of which
+//!   this node does not know, and this goes on without a gap from its last renewal. So a store that is away for all
+//!   does not stop the fleet.
+//!
+//! # Invariants
+//!
+//! * All times count from before the question or renewal was sent, by the node's own
+//!   steady clock: a process that was paused holds an older permission, never a
+//!   younger one.
+//! * Whoever replaces a primary lists the nodes after it has claimed the service's
+//!   lease. A node that joins, or comes back, reads the leases after it was listed:
+//!   either it is asked, or it sees the claim and waits for [`CLAIM_EFFECT`].
+//! * A node that agreed to a replacement tells so for [`CONSENT_MEMORY`], longer than
+//!   a gap in others' confirmations may be. Whoever confirms has a permission, so it
+//!   still counts for the majority that has to agree to a replacement; two majorities of
+//!   the same nodes share one. So whoever relies on confirmations and was not asked has
+//!   stopped [`CONFIRMATION_LIFE`] after a majority agreed; a replacement that leaves
+//!   out silent nodes waits for that.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::configuration::ServiceName;
+use super::failover::LEASE;
+use super::instance::InstanceId;
+use super::listing::{LISTING_LIFE, LISTING_MARGIN, Listing};
+use super::readers::ROW_EXPIRY;
+
+/// For how long after its row has expired a node is still asked before a primary is
+/// replaced, and counts for the majority that has to agree.
+pub const FORMER_TIME: Duration = Duration::from_secs(30);
+/// How long a majority's confirmation permits a node to go on. Renewals of followers,
+/// questions of their reader and its answers follow each other within it.
+pub const CONFIRMATION_LIFE: Duration = Duration::from_millis(3_000);
+/// How long a node tells of a replacement that it agreed to: four times as long as a
+/// permission lasts that rests on confirmations, so none can miss it.
+pub const CONSENT_MEMORY: Duration = CONFIRMATION_LIFE.saturating_mul(4);
+/// How long after its last renewal a node may go on by confirmations alone: others
+/// count it for their majority a little longer.
+const LONGEST_UNLISTED: Duration = LISTING_LIFE.saturating_add(FORMER_TIME);
+/// Age of a renewal from which a node has others confirm that it may go on.
+pub const CONFIRM_FROM: Duration = Duration::from_millis(8_000);
+/// How long after a lease was claimed a promotion under it may take effect: the
+/// lease, a second in which the order is on its way, and one that the platform takes.
+pub const CLAIM_EFFECT: Duration = LEASE.saturating_add(Duration::from_millis(2_000));
+
+/// A claim of a service's lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecentClaim {
+    /// The service.
+    pub service: ServiceName,
+    /// The instance to be promoted; `None` if the lease is only held ready.
+    pub successor: Option<InstanceId>,
+    /// How long ago it was made.
+    pub age: Duration,
+}
+
+impl RecentClaim {
+    /// Whether a promotion under it may still take effect.
+    pub fn may_take_effect(&self) -> bool {
+        self.successor.is_some() && self.age < CLAIM_EFFECT
+    }
+}
+
+/// A service whose primary may be about to be replaced without this node's consent.
+#[derive(Clone, Debug)]
+struct Bar {
+    until: Instant,
+    /// The instance that takes over; once it is known to lead, that is done.
+    successor: InstanceId,
+}
+
+/// What a confirmed renewal means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Renewed {
+    /// The node goes on.
+    Continued,
+    /// The node had no permission: it is to read the leases before it has one.
+    ToBeAdmitted,
+}
+
+/// A node's permission.
+#[derive(Clone, Debug, Default)]
+pub struct Permission {
+    listing: Listing,
+    confirmed_until: Option<Instant>,
+    bars: HashMap<ServiceName, Bar>,
+}
+
+impl Permission {
+    /// The store confirmed a renewal that was sent at a moment. A node without a
+    /// permission has none before [`Permission::admitted`].
+    pub fn renewed(&mut self, sent_at: Instant, now: Instant) -> Renewed {
+        if !self.holds(now) {
+            return Renewed::ToBeAdmitted;
+        }
+        self.listing.confirmed(sent_at);
+        Renewed::Continued
+    }
+
+    /// The node is listed by a renewal that was sent at a moment, and has read which
+    /// leases are claimed since.
+    pub fn admitted(&mut self, sent_at: Instant, claims: &[RecentClaim], now: Instant) {
+        self.listing.confirmed(sent_at);
+        self.bars.retain(|_, bar| now < bar.until);
+        for claim in claims.iter().filter(|claim| claim.may_take_effect()) {
+            let Some(successor) = claim.successor.clone() else {
+                continue;
+            };
+            let until = now + (CLAIM_EFFECT - claim.age);
+            self.bars
+                .insert(claim.service.clone(), Bar { until, successor });
+        }
+    }
+
+    /// A majority of the nodes that this one knows confirmed, to a question that was
+    /// sent at a moment, that they have agreed to no replacement. A permission that had
+    /// run out by then does not come back.
+    pub fn confirmed(&mut self, asked_at: Instant) {
+        let Some(renewed_at) = self.listing.renewed_at() else {
+            return;
+        };
+        if !self.holds(asked_at) {
+            return;
+        }
+        let until = (asked_at + CONFIRMATION_LIFE).min(renewed_at + LONGEST_UNLISTED);
+        self.confirmed_until = self.confirmed_until.max(Some(until));
+    }
+
+    /// Until when the node may go on; `None` if it never might.
+    pub fn until(&self) -> Option<Instant> {
+        self.listing.until().max(self.confirmed_until)
+    }
+
+    /// Whether the node may speak for primaries at a moment.
+    pub fn holds(&self, moment: Instant) -> bool {
+        self.until().is_some_and(|until| moment < until)
+    }
+
+    /// Whether the node may speak at a moment for an instance as the primary of a
+    /// service.
+    pub fn covers(&self, service: &str, instance: &InstanceId, moment: Instant) -> bool {
+        let is_barred = self
+            .bars
+            .get(service)
+            .is_some_and(|bar| moment < bar.until && bar.successor != *instance);
+        self.holds(moment) && !is_barred
+    }
+
+    /// Whether the node is to have others confirm that it may go on.
+    pub fn needs_confirmation(&self, now: Instant) -> bool {
+        let is_old = |renewed_at: Instant| now >= renewed_at + CONFIRM_FROM;
+        self.holds(now) && self.listing.renewed_at().is_some_and(is_old)
+    }
+
+    /// What the node knows of its own registration.
+    pub fn listing(&self) -> &Listing {
+        &self.listing
+    }
+}
+
+/// What a node has agreed to lately, as far as permissions go.
+#[derive(Clone, Debug, Default)]
+pub struct Consents {
+    /// What was asked for, and when the node agreed last.
+    agreed: HashMap<String, Instant>,
+}
+
+impl Consents {
+    /// The node agreed to a replacement. `subject` tells of what, in the words of the
+    /// question, which are the same at all nodes.
+    pub fn agree(&mut self, subject: &str, now: Instant) {
+        self.forget(now);
+        self.agreed.insert(subject.to_owned(), now);
+    }
+
+    /// What the node has agreed to lately.
+    pub fn recent(&mut self, now: Instant) -> Vec<String> {
+        self.forget(now);
+        self.agreed.keys().cloned().collect()
+    }
+
+    /// Whether this node knows of all that another has agreed to: it agreed as well, so
+    /// it speaks for nothing that is replaced.
+    pub fn include(&mut self, others: &[String], now: Instant) -> bool {
+        self.forget(now);
+        others
+            .iter()
+            .all(|subject| self.agreed.contains_key(subject))
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.agreed
+            .retain(|_, agreed_at| now < *agreed_at + CONSENT_MEMORY);
+    }
+}
+
+/// Whether so many of a number of nodes are a majority of them.
+pub fn is_majority(of_them: usize, all: usize) -> bool {
+    2 * of_them > all
+}
+
+// A node that goes on by confirmations alone stops while others still count it.
+const _: () = assert!(
+    LONGEST_UNLISTED.as_millis() + LISTING_MARGIN.as_millis()
+        <= ROW_EXPIRY.as_millis() + FORMER_TIME.as_millis()
+);
--- /dev/null
+++ b/crates/linkhold-core/tests/service_permission.rs
@@ -0,0 +1,245 @@
+//! How long a node may speak for primaries.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::failover::LEASE;
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::listing::LISTING_LIFE;
+use linkhold_core::service::permission::{
+    CLAIM_EFFECT, CONFIRMATION_LIFE, CONSENT_MEMORY, Consents, FORMER_TIME, Permission,
+    RecentClaim, Renewed, is_majority,
+};
+use linkhold_core::service::readers::ROW_EXPIRY;
+use proptest::prelude::*;
+
+const SERVICE: &str = "ledger";
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn one() -> InstanceId {
+    InstanceId("one".into())
+}
+
+/// A node that was listed by a renewal sent at `start`.
+fn listed(start: Instant) -> Permission {
+    let mut permission = Permission::default();
+    assert_eq!(permission.renewed(start, start), Renewed::ToBeAdmitted);
+    permission.admitted(start, &[], start);
+    permission
+}
+
+#[test]
+fn a_permission_ends_before_the_node_may_be_left_out() {
+    let start = Instant::now();
+    let permission = listed(start);
+    assert!(!Permission::default().covers(SERVICE, &one(), start));
+    assert!(permission.covers(SERVICE, &one(), start + LISTING_LIFE - milliseconds(1)));
+    assert!(!permission.covers(SERVICE, &one(), start + LISTING_LIFE));
+    assert!(LISTING_LIFE < ROW_EXPIRY);
+}
+
+#[test]
+fn a_node_that_comes_back_reads_the_leases_first() {
+    let start = Instant::now();
+    let mut permission = listed(start);
+    let back = start + ROW_EXPIRY;
+    assert_eq!(permission.renewed(back, back), Renewed::ToBeAdmitted);
+    assert!(!permission.holds(back));
+    let claim = RecentClaim {
+        service: SERVICE.into(),
+        successor: Some(InstanceId("two".into())),
+        age: milliseconds(1_000),
+    };
+    permission.admitted(back, &[claim], back);
+    let two = InstanceId("two".into());
+    assert!(permission.covers("other", &one(), back));
+    assert!(!permission.covers(SERVICE, &one(), back));
+    // The successor leads: the replacement is over.
+    assert!(permission.covers(SERVICE, &two, back));
+    let over = back + CLAIM_EFFECT - milliseconds(1_000);
+    assert!(!permission.covers(SERVICE, &one(), over - milliseconds(1)));
+    assert!(permission.covers(SERVICE, &one(), over));
+}
+
+#[test]
+fn a_lease_that_is_old_or_only_held_ready_bars_nothing() {
+    let start = Instant::now();
+    let two = Some(InstanceId("two".into()));
+    for (successor, age) in [(two, CLAIM_EFFECT), (None, Duration::ZERO)] {
+        let mut permission = Permission::default();
+        let claim = RecentClaim {
+            service: SERVICE.into(),
+            successor,
+            age,
+        };
+        permission.admitted(start, &[claim], start);
+        assert!(permission.covers(SERVICE, &one(), start));
+    }
+    assert!(LEASE < CLAIM_EFFECT);
+}
+
+#[test]
+fn confirmations_prolong_a_permission_without_a_gap_and_not_for_ever() {
+    let start = Instant::now();
+    let mut permission = listed(start);
+    let mut asked_at = start + LISTING_LIFE - milliseconds(1);
+    while permission.holds(asked_at) {
+        permission.confirmed(asked_at);
+        asked_at += CONFIRMATION_LIFE - milliseconds(1);
+    }
+    let last = start + LISTING_LIFE + FORMER_TIME;
+    assert_eq!(permission.until(), Some(last));
+    assert!(last < start + ROW_EXPIRY + FORMER_TIME);
+    // What has run out does not come back.
+    permission.confirmed(last);
+    assert!(!permission.holds(last));
+    let mut gap = listed(start);
+    gap.confirmed(start + LISTING_LIFE);
+    assert!(!gap.holds(start + LISTING_LIFE));
+}
+
+#[test]
+fn a_consent_is_told_for_longer_than_others_rely_on_its_absence() {
+    let start = Instant::now();
+    let mut consents = Consents::default();
+    assert!(consents.recent(start).is_empty());
+    consents.agree("one", start);
+    let told = consents.recent(start + CONSENT_MEMORY - milliseconds(1));
+    assert_eq!(told, ["one"]);
+    let mut other = Consents::default();
+    assert!(!other.include(&told, start));
+    other.agree("one", start);
+    assert!(other.include(&told, start));
+    assert!(consents.recent(start + CONSENT_MEMORY).is_empty());
+    assert!(CONFIRMATION_LIFE * 2 < CONSENT_MEMORY);
+}
+
+/// Nodes of a fleet in the property below; the last one replaces the primary.
+const NODES: usize = 5;
+
+/// One run: nodes that are cut off from the store at some moments, and from each other
+/// in two sides; the last node replaces the primary as soon as it may.
+#[derive(Clone, Debug)]
+struct Run {
+    /// When each node's last renewal was sent, in milliseconds.
+    renewed: Vec<u64>,
+    /// Whether each is on the side of the node that replaces.
+    is_near: Vec<bool>,
+    /// Whether the far nodes reach those on the near side, but for the one that replaces.
+    reaches_near: bool,
+    /// How long each waits between questions.
+    pause: u64,
+}
+
+fn runs() -> impl Strategy<Value = Run> {
+    (
+        prop::collection::vec(0_u64..40_000, NODES),
+        prop::collection::vec(any::<bool>(), NODES),
+        any::<bool>(),
+        300_u64..2_500,
+    )
+        .prop_map(|(renewed, mut is_near, reaches_near, pause)| {
+            is_near[NODES - 1] = true;
+            Run {
+                renewed,
+                is_near,
+                reaches_near,
+                pause,
+            }
+        })
+}
+
+/// What is switched off.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Without {
+    Nothing,
+    Majority,
+    Wait,
+    OwnPermission,
+}
+
+/// The first moment at which a node on the far side still speaks for the primary after
+/// it was replaced, if there is one.
+fn speaks_after_replacement(run: &Run, without: Without) -> Option<u64> {
+    let start = Instant::now();
+    let at = |moment: u64| start + milliseconds(moment);
+    let far: Vec<usize> = (0..NODES).filter(|node| !run.is_near[*node]).collect();
+    let near = NODES - far.len();
+    let mut permissions: Vec<Permission> = (0..NODES)
+        .map(|node| listed(at(run.renewed[node])))
+        .collect();
+    let mut agreed_at: Option<u64> = None;
+    let mut replaced_at: Option<u64> = None;
+    for now in (0..120_000).step_by(50) {
+        let age = |node: &usize| milliseconds(now).saturating_sub(milliseconds(run.renewed[*node]));
+        if now % run.pause < 50 {
+            // Those of a side that may speak themselves confirm to each other.
+            let may_speak = |node: &&usize| permissions[**node].holds(at(now));
+            let confirming_far = match without {
+                Without::OwnPermission => far.len(),
+                _ => far.iter().filter(may_speak).count(),
+            };
+            // Near nodes stay listed, and tell once they have agreed.
+            let confirms_near = run.reaches_near && agreed_at.is_none();
+            let confirming = confirming_far + if confirms_near { near - 1 } else { 0 };
+            for node in &far {
+                if is_majority(confirming, NODES) {
+                    permissions[*node].confirmed(at(now));
+                }
+            }
+        }
+        let all_silent_left = far.iter().all(|node| age(node) >= ROW_EXPIRY);
+        let counted = far
+            .iter()
+            .filter(|node| age(node) < ROW_EXPIRY + FORMER_TIME)
+            .count();
+        let has_majority = is_majority(near, near + counted) || without == Without::Majority;
+        if agreed_at.is_none() && all_silent_left && has_majority {
+            agreed_at = Some(now);
+        }
+        let wait = if without == Without::Wait { 0 } else { 3_000 };
+        if replaced_at.is_none() && agreed_at.is_some_and(|agreed| now >= agreed + wait) {
+            replaced_at = Some(now);
+        }
+        let speaks = far.iter().any(|node| permissions[*node].holds(at(now)));
+        if replaced_at.is_some() && speaks {
+            return Some(now);
+        }
+    }
+    None
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn no_node_speaks_for_a_primary_that_was_replaced_without_it(run in runs()) {
+        prop_assert_eq!(speaks_after_replacement(&run, Without::Nothing), None);
+    }
+}
+
+/// Three of five nodes lose the store and the others, and confirm to each other. What
+/// each part of the rule is for shows when it is switched off.
+#[test]
+fn two_sides_would_go_on_without_a_majority_a_wait_or_permissions_of_those_who_confirm() {
+    let run = |renewed: [u64; NODES], far: usize| Run {
+        renewed: renewed.to_vec(),
+        is_near: (0..NODES).map(|node| node >= far).collect(),
+        reaches_near: false,
+        pause: 500,
+    };
+    let three_far = run([0; NODES], 3);
+    let one_far = run([0; NODES], 1);
+    let apart = run([0, 0, 20_000, 0, 0], 3);
+    let heard = Run {
+        reaches_near: true,
+        ..one_far.clone()
+    };
+    for run in [&three_far, &one_far, &apart, &heard] {
+        assert_eq!(speaks_after_replacement(run, Without::Nothing), None);
+    }
+    assert!(speaks_after_replacement(&three_far, Without::Majority).is_some());
+    assert!(speaks_after_replacement(&apart, Without::OwnPermission).is_some());
+    assert!(speaks_after_replacement(&heard, Without::Wait).is_some());
+}
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -267,6 +267,12 @@
         return held_off(lease, frame, after);
     }
     let sent_at = Instant::now();
+    let needs_permission = speaks_for_primary(gateway, &lease, work, frame);
+    // Whoever may have been left out when the primary was replaced acknowledged 20
+    // commits of the old one in a cut of 26 s.
+    if needs_permission && !gateway.beliefs.may_speak_for(lease.instance(), sent_at) {
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
         Conversation::Silent => {
             log_unanswered(work, &lease, sent_at, "silent");
@@ -276,14 +282,13 @@
             log_unanswered(work, &lease, sent_at, "connection_lost");
             broken(lease, &error, batch.main)
         }
-        Conversation::Answered(_) if work.may_commit() && is_withheld(gateway, &lease) => {
-            log_unanswered(work, &lease, sent_at, "primary_being_replaced");
+        Conversation::Answered(_)
+            if needs_permission && work.may_commit() && !may_acknowledge(gateway, &lease) =>
+        {
+            log_unanswered(work, &lease, sent_at, "primary_may_be_replaced");
             Attempt::Lost
         }
         Conversation::Answered(replies) => {
-            if work.may_commit() && !gateway.own_listing.holds() {
-                log_unlisted(gateway, work, &lease, &replies[batch.main]);
-            }
             if frame == Frame::ProvingPrimary {
                 begin = Some((sent_at, replies[0].clone()));
             }
@@ -368,6 +373,29 @@
     gateway.beliefs.is_withheld(&lease.instance().id)
 }
 
+/// Whether what comes on a connection may be acknowledged now.
+fn may_acknowledge<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
+    let now = Instant::now();
+    gateway.beliefs.may_speak_for(lease.instance(), now)
+}
+
+/// Whether a statement's answer is told as that of a primary: it writes or ends a
+/// transaction that may have written, or must see all that was acknowledged.
+fn speaks_for_primary<P: Platform>(
+    gateway: &Gateway<P>,
+    lease: &Lease<ConnectionOf<P>>,
+    work: &Work,
+    frame: Frame,
+) -> bool {
+    match frame {
+        Frame::ProvingPrimary | Frame::Bare { fence: None } => true,
+        Frame::Opening { read_only, .. } => !read_only,
+        Frame::Bare { fence: Some(_) } => false,
+        // On a replica nothing but reads can be open.
+        Frame::Inside => work.may_commit() && !gateway.beliefs.is_replica(lease.instance()),
+    }
+}
+
 /// Logs a statement that was sent and got no whole answer.
 fn log_unanswered<C: BackendConnection>(
     work: &Work,
@@ -383,23 +411,6 @@
         .log();
 }
 
-/// Logs a commit that is acknowledged while this node may no longer be listed: whoever
-/// replaces the instance does not ask it.
-fn log_unlisted<P: Platform>(
-    gateway: &Gateway<P>,
-    work: &Work,
-    lease: &Lease<ConnectionOf<P>>,
-    reply: &BackendReply,
-) {
-    let position = reply.position.map(|position| position.to_string());
-    Event::warn("acknowledged_while_unlisted")
-        .field("request", String::from_utf8_lossy(work.id()))
-        .field("instance", &lease.instance().id)
-        .field("position", position.unwrap_or_default())
-        .field("renewed_ms_ago", gateway.own_listing.age_ms())
-        .log();
-}
-
 /// When a transaction's start was sent, and the reply to it.
 pub(crate) type BeginReply = (Instant, BackendReply);
 
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -15,13 +15,14 @@
 use linkhold_core::service::evacuation::Evacuations;
 use linkhold_core::service::evidence::{EvidenceLog, Sample};
 use linkhold_core::service::health::InstanceHealth;
-use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_core::service::placement::{self, Candidate, Distance};
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::withholding::{WITHHOLDING, Withholdings};
 use linkhold_events::Event;
 use tokio::sync::watch;
 
+use crate::permission::OwnPermission;
 use crate::places::Places;
 use crate::ports::Cursor;
 use crate::settings::GatewaySettings;
@@ -58,6 +59,8 @@
     changes: watch::Sender<u64>,
     /// Counts changes of the configuration and of the list of instances alone.
     told: watch::Sender<u64>,
+    /// Whether this node may speak for primaries.
+    pub(crate) permission: OwnPermission,
 }
 
 impl Beliefs {
@@ -74,6 +77,7 @@
             directory_cursor: Mutex::default(),
             changes: watch::channel(0).0,
             told: watch::channel(0).0,
+            permission: OwnPermission::default(),
         }
     }
 
@@ -254,8 +258,8 @@
         lock(&self.instances).directory.primary(service).cloned()
     }
 
-    /// The believed primary, unless it failed a moment ago or is being
-    /// replaced.
+    /// The believed primary, unless it failed a moment ago, is being replaced, or may
+    /// be without this node's consent.
     pub fn usable_primary(&self, service: &str, now: Instant) -> Option<Arc<Instance>> {
         let instances = lock(&self.instances);
         let primary = instances.directory.primary(service)?;
@@ -264,8 +268,30 @@
             .get(&primary.id)
             .is_some_and(|health| health.is_avoided(now));
         let left = self.has_left(&instances.directory, &primary.id, now);
-        let withheld = instances.withholdings.holds(&primary.id, now);
-        (!avoided && !left && !withheld).then(|| primary.clone())
+        let may_use = self.may_use_primary(&instances, primary, now);
+        (!avoided && !left && may_use).then(|| primary.clone())
+    }
+
+    /// Whether an instance is known as a replica: it announces so, and is not believed
+    /// to lead.
+    pub fn is_replica(&self, instance: &Instance) -> bool {
+        let known = lock(&self.instances);
+        let leads = known
+            .directory
+            .primary(&instance.service)
+            .is_some_and(|primary| primary.id == instance.id);
+        let announced = known.directory.instance(&instance.id);
+        !leads && announced.is_some_and(|announced| announced.role == Role::Replica)
+    }
+
+    /// Whether this node may speak at a moment for an instance as a primary: it has
+    /// not agreed that it is replaced, and nobody replaces it without its consent.
+    pub fn may_speak_for(&self, instance: &Instance, moment: Instant) -> bool {
+        self.may_use_primary(&lock(&self.instances), instance, moment)
+    }
+
+    fn may_use_primary(&self, known: &InstanceBeliefs, primary: &Instance, now: Instant) -> bool {
+        !known.withholdings.holds(&primary.id, now) && self.permission.covers(primary, now)
     }
 
     /// This node agrees to acknowledge nothing of an instance for a while, since
--- /dev/null
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -0,0 +1,131 @@
+//! Lets a node go on while nobody renews its registration: the other nodes confirm
+//! that no primary is about to be replaced without its consent.
+//!
+//! Only nodes that would read the store ask; a follower is told by its reader.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::permission::is_majority;
+use linkhold_peer::{PeerKey, ReachabilityMessage, encode_reachability};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout_at};
+
+use crate::beliefs::lock;
+use crate::gateway::Gateway;
+use crate::ports::Platform;
+
+/// How often confirmations are asked for: a lost one is made up for before a
+/// permission that rests on them has run out.
+pub(crate) const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(700);
+/// How long answers are waited for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often it is looked whether confirmations are needed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Subjects that an answer names, at the most: it has to fit one datagram. Whoever
+/// has agreed to more confirms nothing.
+const MOST_SUBJECTS: usize = 12;
+
+/// What other nodes have agreed to, or `None` from one that may not tell.
+type Told = Option<Vec<String>>;
+
+/// Questions for confirmations that wait for answers, by number.
+#[derive(Debug, Default)]
+pub(crate) struct Confirmations {
+    waiting: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Told)>>>,
+}
+
+impl Confirmations {
+    /// Another node has answered.
+    pub fn answered(&self, number: u64, from: SocketAddr, agreed: Told) {
+        if let Some(sender) = lock(&self.waiting).get(&number) {
+            // Whoever asked may have stopped waiting.
+            let _ = sender.send((from, agreed));
+        }
+    }
+}
+
+/// This node's answer to a question for a confirmation.
+pub(crate) fn answer<P: Platform>(gateway: &Gateway<P>, number: u64) -> ReachabilityMessage {
+    let agreed = gateway.beliefs.permission.confirm();
+    ReachabilityMessage::ConfirmationAnswer {
+        number,
+        agreed: agreed.filter(|subjects| subjects.len() <= MOST_SUBJECTS),
+    }
+}
+
+/// Asks for confirmations while they are needed. Runs until the process ends.
+pub(crate) async fn keep_confirmed<P: Platform>(gateway: Arc<Gateway<P>>) {
+    loop {
+        let asks = !gateway.sources.is_following();
+        if !asks || !gateway.beliefs.permission.needs_confirmation() {
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        }
+        let asked_at = Instant::now();
+        if is_confirmed(&gateway).await {
+            let agreed = gateway.beliefs.permission.agreed();
+            gateway.beliefs.permission.confirmed(asked_at, &agreed);
+            gateway.followers.confirmed(asked_at);
+        }
+        sleep(CONFIRMATION_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+    }
+}
+
+/// Whether a majority of all nodes, this one included, have agreed to no replacement
+/// of which this one does not know.
+async fn is_confirmed<P: Platform>(gateway: &Gateway<P>) -> bool {
+    let nodes = gateway.fleet.size();
+    let Some(sender) = Sender::of(gateway) else {
+        return false;
+    };
+    let number = rand::random();
+    let (answered, mut answers) = mpsc::unbounded_channel();
+    lock(&gateway.confirmations.waiting).insert(number, answered);
+    let mut pending = gateway.fleet.peers(&gateway.settings.node);
+    sender.ask(number, &pending).await;
+    let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+    let mut confirmed = 1;
+    while !is_majority(confirmed, nodes) && !pending.is_empty() {
+        let Ok(Some((from, told))) = timeout_at(deadline, answers.recv()).await else {
+            break;
+        };
+        let Some(index) = pending.iter().position(|peer| *peer == from) else {
+            continue;
+        };
+        pending.swap_remove(index);
+        let permission = &gateway.beliefs.permission;
+        if told.is_some_and(|agreed| permission.knows(&agreed)) {
+            confirmed += 1;
+        }
+    }
+    lock(&gateway.confirmations.waiting).remove(&number);
+    is_majority(confirmed, nodes)
+}
+
+/// Sends questions to other nodes.
+struct Sender {
+    socket: Arc<UdpSocket>,
+    key: PeerKey,
+}
+
+impl Sender {
+    fn of<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
+        Some(Self {
+            socket: gateway.peers.socket()?,
+            key: gateway.fleet.key()?,
+        })
+    }
+
+    async fn ask(&self, number: u64, peers: &[SocketAddr]) {
+        let question = ReachabilityMessage::ConfirmationQuestion { number };
+        let datagram = encode_reachability(&question, &self.key);
+        for peer in peers {
+            // A lost question is made up for by the next one.
+            let _ = self.socket.send_to(&datagram, peer).await;
+        }
+    }
+}
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -129,7 +129,11 @@
 pub(super) struct Agreement {
     /// When the first of them was asked; what they agreed to counts from later.
     pub asked_at: Instant,
-    /// Nodes that are no longer listed and gave no answer.
+    /// When the last of them had answered.
+    pub answered_at: Instant,
+    /// Nodes that are no longer listed and gave no answer. Until
+    /// [`CONFIRMATION_LIFE`](linkhold_core::service::permission::CONFIRMATION_LIFE) later they
+    /// may go on, by what the others confirmed before they agreed.
     pub silent_former: usize,
 }
 
@@ -138,6 +142,7 @@
     fn and(self, other: Self) -> Self {
         Self {
             asked_at: self.asked_at.min(other.asked_at),
+            answered_at: self.answered_at.max(other.answered_at),
             silent_former: self.silent_former.max(other.silent_former),
         }
     }
@@ -147,28 +152,54 @@
 /// a primary, and none acknowledges anything of it while that is done. `None` if one
 /// does not agree; whoever reaches it then serves this node's connections.
 async fn confirm_lost<P: Platform>(gateway: &Gateway<P>, instance: &Instance) -> Option<Agreement> {
+    let subject = QuestionSubject::Instance(instance.id.to_string());
+    match ask_to_agree(gateway, &instance.service, subject).await {
+        Ok(agreement) => {
+            peers::withhold(gateway, &instance.id);
+            Some(agreement)
+        }
+        Err(reached_by) => {
+            if !reached_by.is_empty() {
+                use_peers(gateway, instance, reached_by);
+            }
+            None
+        }
+    }
+}
+
+/// Has every node agree to a replacement, or tells who reaches what is to be replaced.
+async fn ask_to_agree<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    subject: QuestionSubject,
+) -> Result<Agreement, Vec<SocketAddr>> {
     let Some(audience) = Audience::everyone(gateway).await else {
-        log_withheld(&instance.service, "fleet_not_known");
-        return None;
+        log_withheld(service, "fleet_not_known");
+        return Err(Vec::new());
+    };
+    gateway.beliefs.permission.agree(&subject);
+    let instance = match &subject {
+        QuestionSubject::Instance(id) => id.clone(),
+        QuestionSubject::PrimaryOf(_) => "any".to_owned(),
     };
     let asked_at = Instant::now();
-    let subject = QuestionSubject::Instance(instance.id.to_string());
     let findings = peers::ask(gateway, subject, QuestionPurpose::Replace, &audience).await;
     let mut tally = findings.tally;
     tally.unreached += 1;
-    log_tally(&instance.service, &instance.id.0, tally);
-    if tally.is_lost() {
-        peers::withhold(gateway, &instance.id);
-        return Some(Agreement {
-            asked_at,
-            silent_former: findings.silent_former,
-        });
+    log_tally(service, &instance, tally);
+    if !tally.is_lost() {
+        log_withheld(service, "not_all_nodes_agree");
+        return Err(findings.reached_by);
     }
-    log_withheld(&instance.service, "not_all_nodes_agree");
-    if !findings.reached_by.is_empty() {
-        use_peers(gateway, instance, findings.reached_by);
+    if !findings.has_majority() {
+        log_withheld(service, "no_majority_agrees");
+        return Err(Vec::new());
     }
-    None
+    Ok(Agreement {
+        asked_at,
+        answered_at: Instant::now(),
+        silent_former: findings.silent_former,
+    })
 }
 
 /// Makes sure that a primary is lost to all, and that nobody knows another one: it
@@ -218,24 +249,8 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
 ) -> Option<Agreement> {
-    let Some(audience) = Audience::everyone(gateway).await else {
-        log_withheld(service, "fleet_not_known");
-        return None;
-    };
-    let asked_at = Instant::now();
     let subject = QuestionSubject::PrimaryOf(service.to_string());
-    let findings = peers::ask(gateway, subject, QuestionPurpose::Replace, &audience).await;
-    let mut tally = findings.tally;
-    tally.unreached += 1;
-    log_tally(service, "any", tally);
-    if !tally.is_lost() {
-        log_withheld(service, "not_all_nodes_agree");
-        return None;
-    }
-    Some(Agreement {
-        asked_at,
-        silent_former: findings.silent_former,
-    })
+    ask_to_agree(gateway, service, subject).await.ok()
 }
 
 fn log_withheld(service: &ServiceName, reason: &'static str) {
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -6,13 +6,14 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease};
 use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::permission::RecentClaim;
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
 use crate::lease_format::{decode_lease, encode_lease};
 use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
-use crate::store_call::CallReason;
+use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
 /// How long a claim, a read and a write, may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -136,6 +137,50 @@
     Ok(written == WriteResult::Written)
 }
 
+/// Claims of leases as they were read.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownClaims {
+    /// Those under which a promotion may still take effect.
+    pub claims: Vec<RecentClaim>,
+    /// When they were read; their ages count from no later.
+    pub read_at: Instant,
+}
+
+impl KnownClaims {
+    /// The same with their ages as of now.
+    pub fn aged(&self) -> Vec<RecentClaim> {
+        let since = self.read_at.elapsed();
+        let aged = |claim: &RecentClaim| RecentClaim {
+            age: claim.age + since,
+            ..claim.clone()
+        };
+        self.claims.iter().map(aged).collect()
+    }
+}
+
+/// Reads which leases were claimed lately.
+pub(crate) async fn recent_claims<P: Platform>(
+    gateway: &Gateway<P>,
+) -> Result<KnownClaims, StoreError> {
+    gateway.metrics.store_calls.count(CallReason::Lease);
+    let call = gateway
+        .platform
+        .read_rows(FleetTable::Leases, RowRange::All);
+    let rows = bounded(call, READ_TIMEOUT).await?;
+    let read_at = Instant::now();
+    let mut claims = Vec::new();
+    for row in &rows.rows {
+        let lease = decode_lease(&row.value).ok_or(StoreError::Malformed)?;
+        claims.push(RecentClaim {
+            service: row.key.as_str().into(),
+            successor: lease.successor,
+            age: Duration::from_millis(rows.now.saturating_sub(lease.claimed_at)),
+        });
+    }
+    claims.retain(RecentClaim::may_take_effect);
+    Ok(KnownClaims { claims, read_at })
+}
+
 async fn try_claim<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -28,7 +28,7 @@
 use misplaced::MisplacedPrimaries;
 use promotion::replace;
 
-pub(crate) use lease::hold_leases_ready;
+pub(crate) use lease::{KnownClaims, hold_leases_ready, recent_claims};
 
 /// How often primaries that leave are looked for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -8,9 +8,10 @@
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::{self, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::permission::CONFIRMATION_LIFE;
 use linkhold_core::service::withholding::ORDER_WINDOW;
 use linkhold_events::Event;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced};
 use super::lease::claim;
@@ -56,12 +57,27 @@
     let Some(successor) = successor(gateway, service, trouble, &situation) else {
         return;
     };
-    let Some(claim) = claim(gateway, service, &successor.status.id).await else {
+    let successor_id = &successor.status.id;
+    let Some(claimed) = claim(gateway, service, successor_id).await else {
         return;
     };
     let Some(agreement) = agreement(gateway, service, trouble, &situation).await else {
         return;
     };
+    let (claimed, agreement) = if agreement.silent_former == 0 {
+        (claimed, agreement)
+    } else {
+        wait_for_silent_nodes(service, &agreement).await;
+        // Whoever is listed from now on sees the claim, or is asked.
+        let Some(claimed) = claim(gateway, service, successor_id).await else {
+            return;
+        };
+        let again = self::agreement(gateway, service, trouble, &situation).await;
+        let Some(agreement) = again else {
+            return;
+        };
+        (claimed, agreement)
+    };
     let has_time = agreement.asked_at.elapsed() < ORDER_WINDOW;
     if !is_still_subject(gateway, service, subject) || !has_time {
         return;
@@ -75,7 +91,7 @@
     }
     let grounds = Grounds {
         trouble,
-        claim,
+        claim: claimed,
         agreement,
     };
     order(gateway, service, &chosen, &grounds).await;
@@ -93,6 +109,7 @@
     match (trouble, &situation.old) {
         (Trouble::Leaving | Trouble::Misplaced, _) => Some(Agreement {
             asked_at: Instant::now(),
+            answered_at: Instant::now(),
             silent_former: 0,
         }),
         (Trouble::Lost, Some(primary)) => confirm_not_replaced(gateway, primary).await,
@@ -103,6 +120,17 @@
     }
 }
 
+/// Waits until nodes that are no longer listed, and were not heard, have stopped to
+/// speak for the primary: they may rely on what others confirmed before they agreed.
+async fn wait_for_silent_nodes(service: &ServiceName, agreement: &Agreement) {
+    Event::info("promotion_delayed")
+        .field("service", service)
+        .field("silent_former", agreement.silent_former)
+        .field("for_ms", CONFIRMATION_LIFE.as_millis())
+        .log();
+    sleep_until((agreement.answered_at + CONFIRMATION_LIFE).into()).await;
+}
+
 async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &str) -> Situation {
     let old = gateway.beliefs.primary(service);
     let others: Vec<Arc<Instance>> = gateway
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::listing::SentRenewals;
+use linkhold_core::service::permission::{RecentClaim, Renewed};
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
 use linkhold_peer::{
@@ -21,6 +22,7 @@
 
 use super::{read_length, write_message};
 use crate::beliefs::lock;
+use crate::confirmation::CONFIRMATION_INTERVAL;
 use crate::fleet::{self, FleetSource};
 use crate::gateway::Gateway;
 use crate::ports::{Cursor, Platform};
@@ -29,6 +31,10 @@
 /// shared by the first words to many followers.
 const STALL_TIME: Duration = Duration::from_millis(400);
 
+/// How long a reader that is trusted may take to have a row written that lists this
+/// node: two of its renewals.
+const LISTING_PATIENCE: Duration = FOLLOWER_RENEWAL.saturating_mul(2);
+
 /// Why a reader is no longer followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Lost {
@@ -38,6 +44,10 @@
     Broken,
     /// It was silent, or had itself not heard from the store.
     Stale,
+    /// It lists this node, which had no permission any more: it is to come anew.
+    NotAdmitted,
+    /// It does not list this node.
+    NotListed,
     /// This node is to follow others now, or to read the store.
     NoLongerChosen,
 }
@@ -93,6 +103,7 @@
         patience,
         trusted_until,
         renewals: &renewals,
+        followed_at: Instant::now(),
         told: Vec::new(),
         instances: ToldInstances::default(),
     };
@@ -120,7 +131,8 @@
             // The link was opened anew.
             Ok(None) => return,
             Err(_) => {
-                renew_at = Instant::now() + FOLLOWER_RENEWAL.mul_f64(rand::random_range(0.8..1.2));
+                let interval = renewal_interval(gateway);
+                renew_at = Instant::now() + interval.mul_f64(rand::random_range(0.8..1.2));
                 FeedMessage::Renewal {
                     node: fleet::own_node(gateway),
                     number: Some(lock(renewals).send(Instant::now())),
@@ -133,6 +145,15 @@
     }
 }
 
+/// Whoever goes on by confirmations alone asks for them often.
+fn renewal_interval<P: Platform>(gateway: &Gateway<P>) -> Duration {
+    if gateway.beliefs.permission.needs_confirmation() {
+        CONFIRMATION_INTERVAL
+    } else {
+        FOLLOWER_RENEWAL
+    }
+}
+
 /// Takes in what a reader says.
 struct Listener<'a, P: Platform> {
     gateway: &'a Gateway<P>,
@@ -141,6 +162,8 @@
     trusted_until: &'a mut Instant,
     /// What this node has told the reader of itself.
     renewals: &'a Mutex<SentRenewals>,
+    /// When this stream was opened.
+    followed_at: Instant,
     /// What was told and not vouched for yet.
     told: Vec<FeedMessage>,
     /// All instances as they were told.
@@ -207,8 +230,14 @@
                     self.gateway.reader_link.answered(answer);
                     continue;
                 }
-                FeedMessage::Listed { number } => {
-                    self.listed(number);
+                FeedMessage::Listed { number, claims } => {
+                    if let Err(lost) = self.listed(number, claims) {
+                        return lost;
+                    }
+                    continue;
+                }
+                FeedMessage::Confirmed { number, agreed } => {
+                    self.confirmed(number, &agreed);
                     continue;
                 }
                 message => {
@@ -225,10 +254,34 @@
         }
     }
 
+    /// Whether the reader, which is trusted, has had no row written that lists this node
+    /// for so long that it may speak for no primary any more.
+    fn is_not_listed(&self, now: Instant) -> bool {
+        let had_time = now.saturating_duration_since(self.followed_at) > LISTING_PATIENCE;
+        had_time && !self.gateway.beliefs.permission.holds()
+    }
+
     /// The reader has a row written that lists this node.
-    fn listed(&self, number: u64) {
+    fn listed(&self, number: u64, claims: Option<Vec<RecentClaim>>) -> Result<(), Lost> {
+        let Some(sent_at) = lock(self.renewals).confirmed(number) else {
+            return Ok(());
+        };
+        let permission = &self.gateway.beliefs.permission;
+        match (permission.renewed(sent_at), claims) {
+            (Renewed::Continued, _) => Ok(()),
+            (Renewed::ToBeAdmitted, Some(claims)) => {
+                permission.admitted(sent_at, &claims);
+                Ok(())
+            }
+            // Whoever comes anew is told of the leases.
+            (Renewed::ToBeAdmitted, None) => Err(Lost::NotAdmitted),
+        }
+    }
+
+    /// A majority confirmed to the reader that it may go on.
+    fn confirmed(&self, number: u64, agreed: &[String]) {
         if let Some(sent_at) = lock(self.renewals).confirmed(number) {
-            self.gateway.own_listing.confirmed(sent_at);
+            self.gateway.beliefs.permission.confirmed(sent_at, agreed);
         }
     }
 
@@ -294,6 +347,9 @@
         *self.trusted_until = silent_at;
         self.patience = Patience::UntilStale;
         start_following(self.gateway, self.reader);
+        if self.is_not_listed(now) {
+            return Err(Lost::NotListed);
+        }
         if !is_reader_of(self.gateway, self.reader) {
             return Err(Lost::NoLongerChosen);
         }
@@ -323,6 +379,7 @@
         | FeedMessage::Subscribe
         | FeedMessage::Renewal { .. }
         | FeedMessage::Listed { .. }
+        | FeedMessage::Confirmed { .. }
         | FeedMessage::Leaving
         | FeedMessage::Relay(_)
         | FeedMessage::Relayed
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -165,12 +165,13 @@
                 return;
             }
         }
-        if let Some(listed) = listed(gateway, &arrival)
-            && write_message(&mut *writing.lock().await, &listed, key)
+        for message in about_permission(gateway, &arrival) {
+            if write_message(&mut *writing.lock().await, &message, key)
                 .await
                 .is_err()
-        {
-            return;
+            {
+                return;
+            }
         }
         // It goes last, since it vouches for all that came before it; writing
         // that may have taken its time.
@@ -218,15 +219,27 @@
     listing.await
 }
 
-/// What a follower is told when a row that lists it was written since it was told
-/// last.
-fn listed<P: Platform>(
+/// What a follower is told when a row that lists it was written, or a majority
+/// confirmed, since it was told last.
+fn about_permission<P: Platform>(
     gateway: &Gateway<P>,
     arrival: &watch::Receiver<Option<Arrival>>,
-) -> Option<FeedMessage> {
+) -> Vec<FeedMessage> {
     let arrival = arrival.borrow();
-    let number = gateway.followers.take_listed(&arrival.as_ref()?.name)?;
-    Some(FeedMessage::Listed { number })
+    let Some(arrival) = &*arrival else {
+        return Vec::new();
+    };
+    let listed = gateway.followers.take_listed(&arrival.name);
+    let listed = listed.map(|listed| FeedMessage::Listed {
+        number: listed.number,
+        claims: listed.claims.map(|known| known.aged()),
+    });
+    let confirmed = gateway.followers.take_confirmed(&arrival.name);
+    let confirmed = confirmed.map(|number| FeedMessage::Confirmed {
+        number,
+        agreed: gateway.beliefs.permission.agreed(),
+    });
+    listed.into_iter().chain(confirmed).collect()
 }
 
 /// Whether this follower is to go to another reader of the region, which has
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -8,10 +8,11 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::permission::FORMER_TIME;
 use linkhold_core::service::readers::ROW_EXPIRY;
 use linkhold_events::Event;
 use linkhold_peer::FeedNode;
@@ -19,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::beliefs::lock;
-use crate::registration::FORMER_TIME;
+use crate::failover::KnownClaims;
 use crate::registry::{MOST_FOLLOWERS, Registration};
 
 /// Orders the arrival of followers and the writing of rows.
@@ -31,8 +32,35 @@
     heard_at: Instant,
     /// Number of its last renewal.
     renewal: Option<u64>,
-    /// Number of its last renewal as of which a written row lists it.
-    listed: Option<u64>,
+    /// A written row lists it, and it was not told yet.
+    listed: Option<Listed>,
+    /// Its arrival, as long as no row is written that covers it.
+    arrival: Option<Ticket>,
+    /// Number of a renewal that came before this node asked a majority whether it may
+    /// go on; the follower was not told yet.
+    confirmed: Option<u64>,
+}
+
+impl Follower {
+    fn new(node: FeedNode, heard_at: Instant) -> Self {
+        Self {
+            node,
+            heard_at,
+            renewal: None,
+            listed: None,
+            arrival: None,
+            confirmed: None,
+        }
+    }
+}
+
+/// A written row lists a follower.
+#[derive(Clone, Debug)]
+pub(crate) struct Listed {
+    /// Number of its last renewal before that.
+    pub number: u64,
+    /// Which leases had been claimed then, if it has just come.
+    pub claims: Option<Arc<KnownClaims>>,
 }
 
 #[derive(Debug, Default)]
@@ -42,6 +70,23 @@
     arrivals: Ticket,
 }
 
+impl Known {
+    /// A follower lives.
+    fn heard(&mut self, node: FeedNode, renewal: Option<u64>) -> &mut Follower {
+        let name = node.name.clone();
+        let follower = self
+            .followers
+            .entry(name)
+            .or_insert_with(|| Follower::new(node.clone(), Instant::now()));
+        // What it was not told on an earlier stream tells it nothing: numbers start
+        // anew there.
+        follower.node = node;
+        follower.heard_at = Instant::now();
+        follower.renewal = renewal;
+        follower
+    }
+}
+
 /// Followers, present and former.
 #[derive(Debug)]
 pub(crate) struct Followers {
@@ -86,8 +131,25 @@
 pub(crate) struct Covered {
     /// The last arrival among the followers that it lists.
     ticket: Ticket,
-    /// Those that count their renewals, by name, each with the last one.
-    renewals: Vec<(String, u64)>,
+    /// Those that count their renewals.
+    renewals: Vec<CoveredRenewal>,
+}
+
+/// A follower's last renewal that a row covers.
+struct CoveredRenewal {
+    name: String,
+    number: u64,
+    /// The follower's arrival, if no row covered it before.
+    arrival: Option<Ticket>,
+}
+
+impl Covered {
+    /// Whether the row lists followers that no row listed before.
+    pub fn has_arrivals(&self) -> bool {
+        self.renewals
+            .iter()
+            .any(|renewal| renewal.arrival.is_some())
+    }
 }
 
 impl Followers {
@@ -104,34 +166,41 @@
 
     /// A node begins to follow; it is to be listed before it is told anything.
     pub fn arrived(&self, node: FeedNode, renewal: Option<u64>) -> Ticket {
-        self.heard(node, renewal);
         let mut known = lock(&self.known);
         known.arrivals += 1;
+        let ticket = known.arrivals;
+        known.heard(node, renewal).arrival = Some(ticket);
+        drop(known);
         self.changed.notify_one();
-        known.arrivals
+        ticket
     }
 
     /// A follower lives.
     pub fn heard(&self, node: FeedNode, renewal: Option<u64>) {
-        let heard_at = Instant::now();
-        let mut known = lock(&self.known);
-        let previous = known.followers.get(&node.name);
-        let follower = Follower {
-            // Of an earlier stream it confirms nothing: numbers start anew there.
-            listed: previous.and_then(|previous| previous.listed),
-            node,
-            heard_at,
-            renewal,
-        };
-        known.followers.insert(follower.node.name.clone(), follower);
+        lock(&self.known).heard(node, renewal);
     }
 
-    /// The last renewal of a follower as of which a written row lists it, unless it
-    /// was told of already.
-    pub fn take_listed(&self, name: &str) -> Option<u64> {
+    /// That a written row lists a follower, unless it was told so already.
+    pub fn take_listed(&self, name: &str) -> Option<Listed> {
         lock(&self.known).followers.get_mut(name)?.listed.take()
     }
 
+    /// A renewal of a follower that came before this node asked a majority, unless it
+    /// was told so already.
+    pub fn take_confirmed(&self, name: &str) -> Option<u64> {
+        lock(&self.known).followers.get_mut(name)?.confirmed.take()
+    }
+
+    /// A majority confirmed to this node that it may go on, to a question that was
+    /// sent at a moment.
+    pub fn confirmed(&self, asked_at: Instant) {
+        let mut known = lock(&self.known);
+        let followers = known.followers.values_mut();
+        for follower in followers.filter(|follower| follower.heard_at <= asked_at) {
+            follower.confirmed = follower.renewal;
+        }
+    }
+
     /// A follower has ended in good order: nobody needs to wait for its answers.
     pub fn left(&self, name: &str) {
         lock(&self.known).followers.remove(name);
@@ -150,12 +219,7 @@
             known
                 .followers
                 .entry(node.name.clone())
-                .or_insert(Follower {
-                    node,
-                    heard_at,
-                    renewal: None,
-                    listed: None,
-                });
+                .or_insert_with(|| Follower::new(node, heard_at));
         }
     }
 
@@ -182,9 +246,13 @@
             node: follower.node.clone(),
             age: follower.heard_at.elapsed(),
         });
-        let renewals = listed
-            .iter()
-            .filter_map(|follower| Some((follower.node.name.clone(), follower.renewal?)));
+        let renewals = listed.iter().filter_map(|follower| {
+            Some(CoveredRenewal {
+                name: follower.node.name.clone(),
+                number: follower.renewal?,
+                arrival: follower.arrival,
+            })
+        });
         FollowerList {
             followers: followers.collect(),
             covers: Covered {
@@ -194,13 +262,23 @@
         }
     }
 
-    /// A row is written.
-    pub fn written(&self, covered: Covered) {
+    /// A row is written; `claims` were read since, if it lists arrivals.
+    pub fn written(&self, covered: Covered, claims: Option<KnownClaims>) {
+        let claims = claims.map(Arc::new);
         let mut known = lock(&self.known);
-        for (name, number) in covered.renewals {
-            if let Some(follower) = known.followers.get_mut(&name) {
-                follower.listed = Some(number);
+        for renewal in covered.renewals {
+            let Some(follower) = known.followers.get_mut(&renewal.name) else {
+                continue;
+            };
+            let told_later = follower.listed.take().and_then(|listed| listed.claims);
+            let new_claims = claims.clone().filter(|_| renewal.arrival.is_some());
+            if new_claims.is_some() && follower.arrival == renewal.arrival {
+                follower.arrival = None;
             }
+            follower.listed = Some(Listed {
+                number: renewal.number,
+                claims: new_claims.or(told_later),
+            });
         }
         drop(known);
         self.listed.send_replace(covered.ticket);
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 
 use crate::admission::Quotas;
 use crate::beliefs::{Beliefs, lock};
+use crate::confirmation::Confirmations;
 use crate::evidence_probe::Questions;
 use crate::feed::FeedFrames;
 use crate::fleet::{Fleet, FleetSource};
@@ -21,7 +22,6 @@
 use crate::forward::Forwarding;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
-use crate::own_listing::OwnListing;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
@@ -48,6 +48,7 @@
     /// Asks for evidence or a look at a primary.
     pub(crate) attention: Attention,
     pub(crate) questions: Questions,
+    pub(crate) confirmations: Confirmations,
     pub(crate) fleet: Fleet,
     pub(crate) followers: Followers,
     pub(crate) peers: Peers,
@@ -59,7 +60,6 @@
     pub(crate) leases: HeldLeases,
     pub(crate) quotas: Quotas,
     pub(crate) warm_ups: WarmUps,
-    pub(crate) own_listing: OwnListing,
     leaving: AtomicBool,
     /// When this life of the node began.
     pub(crate) started_at: Instant,
@@ -103,6 +103,7 @@
             metrics: Metrics::default(),
             attention: Attention::default(),
             questions: Questions::default(),
+            confirmations: Confirmations::default(),
             fleet: Fleet::default(),
             followers: Followers::default(),
             peers: Peers::default(),
@@ -114,7 +115,6 @@
             leases: HeldLeases::default(),
             quotas: Quotas::default(),
             warm_ups: WarmUps::default(),
-            own_listing: OwnListing::default(),
             leaving: AtomicBool::new(false),
             started_at: Instant::now(),
         })
@@ -208,9 +208,13 @@
         }
     }
 
-    /// A reply proved an instance to be primary when the request was sent.
+    /// An instance replied as a primary to a request. That proves what its log must
+    /// hold unless it had been replaced by then: reads on the evidence of a replaced
+    /// primary lack what its successor has acknowledged.
     pub(crate) fn primary_proved(&self, instance: &Instance, sample: Sample) {
-        self.beliefs.record_evidence(&instance.service, sample);
+        if self.beliefs.may_speak_for(instance, sample.sent_at) {
+            self.beliefs.record_evidence(&instance.service, sample);
+        }
     }
 
     fn is_believed_primary(&self, id: &InstanceId, service: &str) -> bool {
@@ -233,7 +237,7 @@
             ("sessions_open", crate::lifecycle::open_sessions(self)),
             ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
             ("instances_held_off", self.warm_ups.count_cold() as u64),
-            ("listing_age_ms", self.own_listing.age_ms()),
+            ("listing_age_ms", self.beliefs.permission.age_ms()),
         ];
         self.metrics.render(&gauges)
     }
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -14,6 +14,7 @@
 
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::permission::is_majority;
 use linkhold_core::service::withholding::RECENT_FAILURE;
 use linkhold_core::tenancy::budget::Grant;
 use linkhold_events::Event;
@@ -28,6 +29,7 @@
 
 use crate::admission::{self, BudgetAnswer, BudgetRequest};
 use crate::beliefs::lock;
+use crate::confirmation;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 use crate::registration;
@@ -62,15 +64,19 @@
 impl Peers {
     /// Sends a datagram to a node. A lost one counts as not sent.
     pub async fn send(&self, to: SocketAddr, datagram: &[u8]) {
-        let socket = lock(&self.socket).clone();
-        if let Some(socket) = socket {
+        if let Some(socket) = self.socket() {
             let _ = socket.send_to(datagram, to).await;
         }
     }
 
+    /// The socket for datagrams; `None` until it is bound.
+    pub fn socket(&self) -> Option<Arc<UdpSocket>> {
+        lock(&self.socket).clone()
+    }
+
     /// Where other nodes reach this one; `None` until it listens.
     pub fn address(&self) -> Option<SocketAddr> {
-        lock(&self.socket).as_ref()?.local_addr().ok()
+        self.socket()?.local_addr().ok()
     }
 
     /// The listener for streams, if it was bound together with the socket.
@@ -146,6 +152,17 @@
                     let _ = sender.send((from, found));
                 }
             }
+            Ok(Datagram::Reachability(ReachabilityMessage::ConfirmationQuestion { number })) => {
+                let answer = confirmation::answer(gateway, number);
+                // A lost answer counts as none.
+                let _ = socket
+                    .send_to(&encode_reachability(&answer, &key), from)
+                    .await;
+            }
+            Ok(Datagram::Reachability(ReachabilityMessage::ConfirmationAnswer {
+                number,
+                agreed,
+            })) => gateway.confirmations.answered(number, from, agreed),
             Err(error) => Event::warn("peer_message_refused")
                 .field("from", from)
                 .field("error", error)
@@ -246,6 +263,9 @@
         // What it does not know, it does not use.
         None => Reachability::Unreached,
     };
+    if found != Reachability::Reached && purpose == QuestionPurpose::Replace {
+        gateway.beliefs.permission.agree(&subject);
+    }
     if found == Reachability::Unreached && purpose == QuestionPurpose::Replace {
         match (&instance, &subject) {
             (Some(instance), _) => withhold(&gateway, &instance.id),
@@ -335,8 +355,9 @@
         }
     }
 
-    /// Everyone: as the store lists them now or, if it gives no answer, as this
-    /// node knows them. `None` if it then knows a part of the fleet only.
+    /// Everyone: as the store lists them now or, if it gives no answer and the
+    /// authority itself refuses old tokens, as this node knows them. `None` if it then
+    /// knows a part of the fleet only.
     pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
         if let Ok(listed) = registration::list_nodes(gateway).await {
             return Some(Self {
@@ -344,6 +365,9 @@
                 former: listed.former,
             });
         }
+        if !gateway.platform.checks_tokens() {
+            return None;
+        }
         let nodes = gateway.fleet.all_peers(&gateway.settings.node)?;
         Some(Self {
             nodes,
@@ -355,15 +379,27 @@
 /// What other nodes answered.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerFindings {
-    /// How many found what.
+    /// How many of the nodes whose silence counts found what; of the others, those
+    /// that reach it.
     pub tally: ReachabilityTally,
     /// Nodes that reach the instance as a primary, in the order of their answers.
     pub reached_by: Vec<SocketAddr>,
+    /// Former nodes that agreed, as those that do not reach it.
+    pub agreed_former: usize,
     /// Former nodes that did not answer.
     pub silent_former: usize,
 }
 
 impl PeerFindings {
+    /// Whether a majority of all who were asked agreed, the one that asks included:
+    /// those who go on by confirmations alone are no majority then.
+    pub fn has_majority(&self) -> bool {
+        let tally = self.tally;
+        let agreed = 1 + tally.unreached + tally.not_primary + self.agreed_former;
+        let asked = tally.nodes + self.agreed_former + self.silent_former;
+        is_majority(agreed, asked)
+    }
+
     fn take(&mut self, from: SocketAddr, found: Reachability, is_former: bool) {
         match found {
             Reachability::Reached => {
@@ -371,7 +407,9 @@
                 self.reached_by.push(from);
             }
             // It stands for nobody who is waited for.
-            Reachability::Unreached if is_former => {}
+            Reachability::Unreached | Reachability::NotPrimary if is_former => {
+                self.agreed_former += 1;
+            }
             Reachability::Unreached => self.tally.unreached += 1,
             Reachability::NotPrimary => self.tally.not_primary += 1,
         }
@@ -386,8 +424,7 @@
     purpose: QuestionPurpose,
     audience: &Audience,
 ) -> PeerFindings {
-    let socket = lock(&gateway.peers.socket).clone();
-    let (Some(key), Some(socket)) = (gateway.fleet.key(), socket) else {
+    let (Some(key), Some(socket)) = (gateway.fleet.key(), gateway.peers.socket()) else {
         return PeerFindings::default();
     };
     let mut findings = PeerFindings::default();
--- /dev/null
+++ b/crates/linkhold-gateway/src/permission.rs
@@ -0,0 +1,119 @@
+//! This node's permission to speak for primaries, and what it has agreed to.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::permission::{Consents, Permission, RecentClaim, Renewed};
+use linkhold_events::Event;
+use linkhold_peer::{QuestionSubject, milliseconds};
+use tokio::time::sleep;
+
+use crate::beliefs::lock;
+use crate::gateway::Gateway;
+use crate::ports::Platform;
+
+/// How often it is looked whether the permission has lapsed, for the log alone.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// This node's permission to speak for primaries, and what it has agreed to.
+#[derive(Debug, Default)]
+pub(crate) struct OwnPermission {
+    permission: Mutex<Permission>,
+    consents: Mutex<Consents>,
+}
+
+impl OwnPermission {
+    /// The store confirmed a renewal that was sent at a moment.
+    pub fn renewed(&self, sent_at: Instant) -> Renewed {
+        lock(&self.permission).renewed(sent_at, Instant::now())
+    }
+
+    /// This node was listed by a renewal that was sent at a moment, and has learnt
+    /// which leases were claimed by then.
+    pub fn admitted(&self, sent_at: Instant, claims: &[RecentClaim]) {
+        let now = Instant::now();
+        let mut permission = lock(&self.permission);
+        let held = permission.holds(now);
+        let age = age_ms(&permission, now);
+        permission.admitted(sent_at, claims, now);
+        if !held {
+            Event::info("permission_gained")
+                .field("sent_ms_ago", sent_at.elapsed().as_millis())
+                .field("renewed_ms_ago", age)
+                .field("claims", claims.len())
+                .log();
+        }
+    }
+
+    /// A majority confirmed that this node may go on, to a question that was sent at a
+    /// moment, and has agreed to nothing but `agreed`.
+    pub fn confirmed(&self, asked_at: Instant, agreed: &[String]) {
+        if self.knows(agreed) {
+            lock(&self.permission).confirmed(asked_at);
+        }
+    }
+
+    /// Whether this node may speak for an instance as a primary at a moment.
+    pub fn covers(&self, instance: &Instance, moment: Instant) -> bool {
+        lock(&self.permission).covers(&instance.service, &instance.id, moment)
+    }
+
+    /// Whether this node may speak for primaries at all.
+    pub fn holds(&self) -> bool {
+        lock(&self.permission).holds(Instant::now())
+    }
+
+    /// Whether this node is to have others confirm that it may go on.
+    pub fn needs_confirmation(&self) -> bool {
+        lock(&self.permission).needs_confirmation(Instant::now())
+    }
+
+    /// This node agrees to a replacement.
+    pub fn agree(&self, subject: &QuestionSubject) {
+        lock(&self.consents).agree(&subject.to_string(), Instant::now());
+    }
+
+    /// What this node has agreed to lately, told to one that relies on it; `None` if
+    /// this node may not speak for primaries itself.
+    pub fn confirm(&self) -> Option<Vec<String>> {
+        self.holds().then(|| self.agreed())
+    }
+
+    /// What this node has agreed to lately.
+    pub fn agreed(&self) -> Vec<String> {
+        lock(&self.consents).recent(Instant::now())
+    }
+
+    /// Whether this node has agreed to all that others have.
+    pub fn knows(&self, agreed: &[String]) -> bool {
+        lock(&self.consents).include(agreed, Instant::now())
+    }
+
+    /// How long ago the last renewal that the store confirmed was sent, in whole
+    /// milliseconds; the most that there is if none was.
+    pub fn age_ms(&self) -> u64 {
+        age_ms(&lock(&self.permission), Instant::now())
+    }
+}
+
+fn age_ms(permission: &Permission, now: Instant) -> u64 {
+    let renewed_at = permission.listing().renewed_at();
+    let age = renewed_at.map(|at| now.saturating_duration_since(at));
+    age.map_or(u64::MAX, milliseconds)
+}
+
+/// Logs when the permission has lapsed. Runs until the process ends.
+pub(crate) async fn watch<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let permission = &gateway.beliefs.permission;
+    let mut held = false;
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        let holds = permission.holds();
+        if std::mem::replace(&mut held, holds) && !holds {
+            Event::warn("permission_lapsed")
+                .field("renewed_ms_ago", permission.age_ms())
+                .log();
+        }
+    }
+}
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -8,11 +8,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::permission::{FORMER_TIME, Renewed};
 use linkhold_core::service::readers::{self, ROW_EXPIRY};
 use linkhold_events::Event;
 use linkhold_peer::{FeedMessage, PeerKey};
 use tokio::time::{sleep, timeout_at};
 
+use crate::failover;
 use crate::fleet::{self, Reading};
 use crate::gateway::Gateway;
 use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
@@ -34,9 +36,6 @@
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long the word of a follower that stops takes to go out.
 const FAREWELL_TIME: Duration = Duration::from_millis(30);
-/// For how long after its row has expired a node is still asked before a
-/// primary is replaced: it may live and have lost the store alone.
-pub(crate) const FORMER_TIME: Duration = Duration::from_secs(30);
 /// How long reading them may take: a primary waits to be replaced.
 const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of the key between nodes.
@@ -139,7 +138,8 @@
     write_row(gateway).await
 }
 
-/// Writes the row of this node and of those that follow it.
+/// Writes the row of this node and of those that follow it. Whoever is listed anew
+/// learns which leases were claimed by then: it was not asked under these.
 async fn write_row<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     // What is counted from here is older than the row says, never younger.
     let sent_at = Instant::now();
@@ -154,8 +154,17 @@
         .write_row(FleetTable::Nodes, &row.key, row.value, None);
     gateway.metrics.store_calls.count(CallReason::Register);
     bounded(call, CALL_TIMEOUT).await?;
-    gateway.own_listing.confirmed(sent_at);
-    gateway.followers.written(list.covers);
+    let renewed = gateway.beliefs.permission.renewed(sent_at);
+    let claims = if renewed == Renewed::ToBeAdmitted || list.covers.has_arrivals() {
+        Some(failover::recent_claims(gateway).await?)
+    } else {
+        None
+    };
+    if renewed == Renewed::ToBeAdmitted {
+        let claims = claims.as_ref().map_or(&[][..], |known| &known.claims);
+        gateway.beliefs.permission.admitted(sent_at, claims);
+    }
+    gateway.followers.written(list.covers, claims);
     Ok(())
 }
 
--- a/crates/linkhold-gateway/src/transaction.rs
+++ b/crates/linkhold-gateway/src/transaction.rs
@@ -105,7 +105,6 @@
         work: &Work,
         answer_by: Instant,
     ) -> Result<Committed, Failure> {
-        let service = self.admitted.route.service.clone();
         let principal = principal(&self.admitted, session);
         let attempt = attempt::run_on(gateway, self.held, principal, work, answer_by).await;
         let answer = match attempt {
@@ -121,7 +120,7 @@
                 sent_at: answer.sent_at,
                 position,
             };
-            gateway.beliefs.record_evidence(&service, sample);
+            gateway.primary_proved(answer.held.instance(), sample);
         }
         answer.held.finish(answer.reply.status);
         Ok(Committed {
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -14,6 +14,7 @@
 };
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::warm_up::WarmUpLimit;
 use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
@@ -119,6 +120,17 @@
     Listed {
         /// The renewal's number.
         number: u64,
+        /// The leases that were claimed lately, if they were read since the row was
+        /// written: a follower that has just come needs to know.
+        claims: Option<Vec<RecentClaim>>,
+    },
+    /// A majority of the nodes confirmed, to a question that the reader sent after a
+    /// renewal had come, that they have agreed to no other replacements than these.
+    Confirmed {
+        /// The renewal's number.
+        number: u64,
+        /// What the reader has agreed to lately.
+        agreed: Vec<String>,
     },
     /// A follower ends in good order; nobody needs to wait for its answers.
     Leaving,
@@ -277,6 +289,16 @@
     nodes: Vec<WireNode>,
 }
 
+#[derive(Encode, Decode)]
+struct WireClaim {
+    #[n(0)]
+    service: String,
+    #[n(1)]
+    successor: Option<String>,
+    #[n(2)]
+    age_ms: u64,
+}
+
 #[derive(Encode, Decode)]
 enum WireMessage {
     #[n(0)]
@@ -304,7 +326,9 @@
     #[n(13)]
     Evacuations(#[n(0)] u64, #[n(1)] Vec<String>),
     #[n(14)]
-    Listed(#[n(0)] u64),
+    Listed(#[n(0)] u64, #[n(1)] Option<Vec<WireClaim>>),
+    #[n(15)]
+    Confirmed(#[n(0)] u64, #[n(1)] Vec<String>),
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -333,7 +357,15 @@
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
         FeedMessage::Renewal { node, number } => WireMessage::Renewal(node_to_wire(node), *number),
-        FeedMessage::Listed { number } => WireMessage::Listed(*number),
+        FeedMessage::Listed { number, claims } => {
+            let claims = claims
+                .as_ref()
+                .map(|claims| claims.iter().map(claim_to_wire).collect());
+            WireMessage::Listed(*number, claims)
+        }
+        FeedMessage::Confirmed { number, agreed } => {
+            WireMessage::Confirmed(*number, agreed.clone())
+        }
         FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
         FeedMessage::Leaving => WireMessage::Leaving,
         FeedMessage::Relayed => WireMessage::Relayed,
@@ -372,6 +404,22 @@
     }
 }
 
+fn claim_to_wire(claim: &RecentClaim) -> WireClaim {
+    WireClaim {
+        service: claim.service.to_string(),
+        successor: claim.successor.as_ref().map(ToString::to_string),
+        age_ms: milliseconds(claim.age),
+    }
+}
+
+fn claim_from_wire(wire: WireClaim) -> RecentClaim {
+    RecentClaim {
+        service: wire.service.into(),
+        successor: wire.successor.map(|id| InstanceId(id.into())),
+        age: Duration::from_millis(wire.age_ms),
+    }
+}
+
 fn configuration_to_wire(configuration: &Configuration) -> WireConfiguration {
     let routes = configuration
         .routes
@@ -479,7 +527,11 @@
             node: node_from_wire(wire)?,
             number,
         },
-        WireMessage::Listed(number) => FeedMessage::Listed { number },
+        WireMessage::Listed(number, claims) => FeedMessage::Listed {
+            number,
+            claims: claims.map(|claims| claims.into_iter().map(claim_from_wire).collect()),
+        },
+        WireMessage::Confirmed(number, agreed) => FeedMessage::Confirmed { number, agreed },
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
         WireMessage::Leaving => FeedMessage::Leaving,
         WireMessage::Relayed => FeedMessage::Relayed,
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -1,6 +1,8 @@
 //! Questions between nodes: can you reach this instance as a primary, and will
 //! you send it nothing while it is replaced?
 
+use std::fmt;
+
 use minicbor::{Decode, Encode};
 
 use crate::{MAX_DATAGRAM, PeerError, PeerKey};
@@ -45,7 +47,17 @@
     PrimaryOf(#[n(0)] String),
 }
 
-/// A message about the reachability of an instance.
+impl fmt::Display for QuestionSubject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Instance(id) => write!(formatter, "instance {id}"),
+            Self::PrimaryOf(service) => write!(formatter, "service {service}"),
+        }
+    }
+}
+
+/// A message about the reachability of an instance, or about what a node has agreed
+/// to.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ReachabilityMessage {
     /// Please try to reach an instance.
@@ -71,6 +83,24 @@
         #[n(1)]
         found: Reachability,
     },
+    /// What replacements have you agreed to lately?
+    #[n(2)]
+    ConfirmationQuestion {
+        /// Told back in the answer.
+        #[n(0)]
+        number: u64,
+    },
+    /// These, and no others.
+    #[n(3)]
+    ConfirmationAnswer {
+        /// The question's number.
+        #[n(0)]
+        number: u64,
+        /// What it has agreed to, as [`QuestionSubject`]s are displayed; `None` if it
+        /// may not speak for primaries itself, or if they are too many.
+        #[n(1)]
+        agreed: Option<Vec<String>>,
+    },
 }
 
 /// Encodes a message for one datagram.
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -7,6 +7,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
@@ -89,7 +90,22 @@
             node: node.clone(),
             number: None,
         },
-        FeedMessage::Listed { number: 12 },
+        FeedMessage::Listed {
+            number: 12,
+            claims: None,
+        },
+        FeedMessage::Listed {
+            number: 13,
+            claims: Some(vec![RecentClaim {
+                service: "ledger".into(),
+                successor: Some(InstanceId("two".into())),
+                age: Duration::from_millis(1_200),
+            }]),
+        },
+        FeedMessage::Confirmed {
+            number: 14,
+            agreed: vec!["instance one".to_owned()],
+        },
         FeedMessage::Relay(InstanceId("i-1".into())),
         FeedMessage::Relayed,
         FeedMessage::InstanceChanges(FeedInstanceChanges {
