Let a quarter agree to a replacement, and three quarters confirm

Cause: a majority on both sides kept a fleet that had lost more than half of its nodes from replacing a primary for 43 s, and one of two nodes from doing so at all in that time.

Change: a node goes on by confirmations of three quarters of the nodes that it knows; a replacement needs the word of more than a quarter of those listed within 43 s. Fleets under three nodes do not go on by confirmations: one node that joins would be a quarter.

--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -1,15 +1,15 @@
 //! Whether a node may speak for primaries: acknowledge what they commit, and take
 //! what they answer for proof of how far their logs have come.
 //!
-//! Whoever replaces a primary has every node agree that the store lists, and a
-//! majority of those that it listed until [`FORMER_TIME`] ago. A node that is not
+//! Whoever replaces a primary has every node agree that the store lists, and over a
+//! quarter of those that it listed until [`FORMER_TIME`] ago. A node that is not
 //! listed may not be asked, so it has to stop by itself, before others may leave it
 //! out. It goes on as long as one of these holds:
 //!
 //! * the store confirmed a renewal of its registration that was sent less than
 //!   [`LISTING_LIFE`] ago;
-//! * a majority of the nodes that it knows, which have a permission themselves, confirmed
-//!   less than [`CONFIRMATION_LIFE`] ago that they have agreed to no replacement of which
+//! * three quarters of the nodes that it knows, which have a permission themselves,
+//!   confirmed less than [`CONFIRMATION_LIFE`] ago that they have agreed to no replacement of which
 //!   this node does not know, and this goes on without a gap from its last renewal. So a store that is away for all
 //!   does not stop the fleet.
 //!
@@ -23,10 +23,14 @@
 //!   either it is asked, or it sees the claim and waits for [`CLAIM_EFFECT`].
 //! * A node that agreed to a replacement tells so for [`CONSENT_MEMORY`], longer than
 //!   a gap in others' confirmations may be. Whoever confirms has a permission, so it
-//!   still counts for the majority that has to agree to a replacement; two majorities of
-//!   the same nodes share one. So whoever relies on confirmations and was not asked has
-//!   stopped [`CONFIRMATION_LIFE`] after a majority agreed; a replacement that leaves
-//!   out silent nodes waits for that.
+//!   still counts for the quarter that has to agree to a replacement; three quarters and
+//!   more than a quarter of the same nodes share one. So whoever relies on
+//!   confirmations and was not asked has stopped [`CONFIRMATION_LIFE`] after enough
+//!   agreed; a replacement that leaves out silent nodes waits for that.
+//!
+//! Nodes that joined since a node lost the store are not among those that it knows:
+//! the last invariant takes fewer than a quarter of the nodes to join within
+//! [`FORMER_TIME`].
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -38,16 +42,16 @@
 use super::readers::ROW_EXPIRY;
 
 /// For how long after its row has expired a node is still asked before a primary is
-/// replaced, and counts for the majority that has to agree.
+/// replaced, and counts for the part that has to agree.
 pub const FORMER_TIME: Duration = Duration::from_secs(30);
-/// How long a majority's confirmation permits a node to go on. Renewals of followers,
+/// How long confirmations permit a node to go on. Renewals of followers,
 /// questions of their reader and its answers follow each other within it.
 pub const CONFIRMATION_LIFE: Duration = Duration::from_millis(3_000);
 /// How long a node tells of a replacement that it agreed to: four times as long as a
 /// permission lasts that rests on confirmations, so none can miss it.
 pub const CONSENT_MEMORY: Duration = CONFIRMATION_LIFE.saturating_mul(4);
 /// How long after its last renewal a node may go on by confirmations alone: others
-/// count it for their majority a little longer.
+/// count it a little longer.
 const LONGEST_UNLISTED: Duration = LISTING_LIFE.saturating_add(FORMER_TIME);
 /// Age of a renewal from which a node has others confirm that it may go on.
 pub const CONFIRM_FROM: Duration = Duration::from_millis(8_000);
@@ -124,8 +128,8 @@
         }
     }
 
-    /// A majority of the nodes that this one knows confirmed, to a question that was
-    /// sent at a moment, that they have agreed to no replacement. A permission that had
+    /// Enough of the nodes that this one knows confirmed, to a question that was sent at
+    /// a moment, that they have agreed to no replacement. A permission that had
     /// run out by then does not come back.
     pub fn confirmed(&mut self, asked_at: Instant) {
         let Some(renewed_at) = self.listing.renewed_at() else {
@@ -206,9 +210,24 @@
     }
 }
 
-/// Whether so many of a number of nodes are a majority of them.
-pub fn is_majority(of_them: usize, all: usize) -> bool {
-    2 * of_them > all
+/// One in so many nodes may be missing where a node goes on by confirmations. Fewer may
+/// be missing than with majorities, so that a replacement needs few of the nodes that
+/// are left: any number may be lost at once.
+const PART: usize = 4;
+/// Smallest fleet whose nodes go on by confirmations: in a smaller one, a single node
+/// that joins would be enough to replace a primary.
+const LEAST_CONFIRMED_FLEET: usize = 3;
+
+/// Nodes, the one that asks included, that have to confirm that it may go on; `None`
+/// where confirmations do not count.
+pub fn confirmations_needed(nodes: usize) -> Option<usize> {
+    (nodes >= LEAST_CONFIRMED_FLEET).then(|| nodes - nodes / PART)
+}
+
+/// Nodes, the one that asks included, that have to agree to a replacement, of all that
+/// were listed lately.
+pub fn agreements_needed(nodes: usize) -> usize {
+    nodes / PART + 1
 }
 
 // A node that goes on by confirmations alone stops while others still count it.
--- a/crates/linkhold-gateway/src/confirmation.rs
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::permission::is_majority;
+use linkhold_core::service::permission::confirmations_needed;
 use linkhold_peer::{PeerKey, ReachabilityMessage, encode_reachability};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -75,10 +75,12 @@
     }
 }
 
-/// Whether a majority of all nodes, this one included, have agreed to no replacement
-/// of which this one does not know.
+/// Whether enough of all nodes, this one included, have agreed to no replacement of
+/// which this one does not know.
 async fn is_confirmed<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let nodes = gateway.fleet.size();
+    let Some(needed) = confirmations_needed(gateway.fleet.size()) else {
+        return false;
+    };
     let Some(sender) = Sender::of(gateway) else {
         return false;
     };
@@ -89,7 +91,7 @@
     sender.ask(number, &pending).await;
     let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     let mut confirmed = 1;
-    while !is_majority(confirmed, nodes) && !pending.is_empty() {
+    while confirmed < needed && !pending.is_empty() {
         let Ok(Some((from, told))) = timeout_at(deadline, answers.recv()).await else {
             break;
         };
@@ -103,7 +105,7 @@
         }
     }
     lock(&gateway.confirmations.waiting).remove(&number);
-    is_majority(confirmed, nodes)
+    confirmed >= needed
 }
 
 /// Sends questions to other nodes.
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -191,8 +191,8 @@
         log_withheld(service, "not_all_nodes_agree");
         return Err(findings.reached_by);
     }
-    if !findings.has_majority() {
-        log_withheld(service, "no_majority_agrees");
+    if !findings.have_enough_agreed() {
+        log_withheld(service, "too_few_agree");
         return Err(Vec::new());
     }
     Ok(Agreement {
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -278,7 +278,7 @@
         }
     }
 
-    /// A majority confirmed to the reader that it may go on.
+    /// Enough nodes confirmed to the reader that it may go on.
     fn confirmed(&self, number: u64, agreed: &[String]) {
         if let Some(sent_at) = lock(self.renewals).confirmed(number) {
             self.gateway.beliefs.permission.confirmed(sent_at, agreed);
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -36,8 +36,8 @@
     listed: Option<Listed>,
     /// Its arrival, as long as no row is written that covers it.
     arrival: Option<Ticket>,
-    /// Number of a renewal that came before this node asked a majority whether it may
-    /// go on; the follower was not told yet.
+    /// Number of a renewal that came before this node asked others whether it may go
+    /// on; the follower was not told yet.
     confirmed: Option<u64>,
 }
 
@@ -185,13 +185,13 @@
         lock(&self.known).followers.get_mut(name)?.listed.take()
     }
 
-    /// A renewal of a follower that came before this node asked a majority, unless it
-    /// was told so already.
+    /// A renewal of a follower that came before this node asked others, unless it was
+    /// told so already.
     pub fn take_confirmed(&self, name: &str) -> Option<u64> {
         lock(&self.known).followers.get_mut(name)?.confirmed.take()
     }
 
-    /// A majority confirmed to this node that it may go on, to a question that was
+    /// Others confirmed to this node that it may go on, to a question that was
     /// sent at a moment.
     pub fn confirmed(&self, asked_at: Instant) {
         let mut known = lock(&self.known);
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -14,7 +14,7 @@
 
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::permission::is_majority;
+use linkhold_core::service::permission::agreements_needed;
 use linkhold_core::service::withholding::RECENT_FAILURE;
 use linkhold_core::tenancy::budget::Grant;
 use linkhold_events::Event;
@@ -391,13 +391,13 @@
 }
 
 impl PeerFindings {
-    /// Whether a majority of all who were asked agreed, the one that asks included:
-    /// those who go on by confirmations alone are no majority then.
-    pub fn has_majority(&self) -> bool {
+    /// Whether enough of all who were asked agreed, the one that asks included, so that
+    /// nobody goes on by confirmations alone.
+    pub fn have_enough_agreed(&self) -> bool {
         let tally = self.tally;
         let agreed = 1 + tally.unreached + tally.not_primary + self.agreed_former;
         let asked = tally.nodes + self.agreed_former + self.silent_former;
-        is_majority(agreed, asked)
+        agreed >= agreements_needed(asked)
     }
 
     fn take(&mut self, from: SocketAddr, found: Reachability, is_former: bool) {
--- a/crates/linkhold-gateway/src/permission.rs
+++ b/crates/linkhold-gateway/src/permission.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// A majority confirmed that this node may go on, to a question that was sent at a
+    /// Enough nodes confirmed that this node may go on, to a question that was sent at a
     /// moment, and has agreed to nothing but `agreed`.
     pub fn confirmed(&self, asked_at: Instant, agreed: &[String]) {
         if self.knows(agreed) {
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -124,8 +124,8 @@
         /// written: a follower that has just come needs to know.
         claims: Option<Vec<RecentClaim>>,
     },
-    /// A majority of the nodes confirmed, to a question that the reader sent after a
-    /// renewal had come, that they have agreed to no other replacements than these.
+    /// Enough nodes confirmed, to a question that the reader sent after a renewal had
+    /// come, that they have agreed to no other replacements than these.
     Confirmed {
         /// The renewal's number.
         number: u64,
