Bind what is believed of primaries to terms

Cause: an announcement tells a role and no term, and evidence was recorded whichever instance gave it. A replaced primary that was cut off was believed again when its entry came back after it had been forgotten, when its successor stepped down, or when a node started while two entries named a primary; its answers were taken for proof, and commits on connections to it were acknowledged after the node had heard of the successor.

Ruled out: evidence that looks younger after a pause (a test holds that).

Change: the newest term in which a primary's log was proved to end is never forgotten; older answers prove nothing, are not told, and deny the instance. An instance that another one followed as primary is not believed for its announcement again, also after its entry was forgotten; of two that announce the role none is believed, and they are asked for their terms. What is told as a primary's answer needs that no other one is believed in, before it is sent and when it is answered, on own and lent connections.

--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -5,8 +5,12 @@
 //! * An entry that vanished while the directory could not be read is kept as
 //!   lapsed: its absence proves nothing until the directory has been read again
 //!   for [`Directory::LAPSE`].
-//! * An instance that denied being primary is not believed again before it
-//!   announces the role anew or proves it by an answer.
+//! * An instance that denied being primary, or that another one has followed as
+//!   primary, is not believed again before it announces the role after that of a
+//!   replica, or says so when asked. It is remembered as such beyond its entry: an
+//!   announcement tells a role and no term, and a replaced primary that was cut off
+//!   announces the one that it last had.
+//! * Of two that announce the role, none is believed for that.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -61,9 +65,24 @@
 #[derive(Debug, Default)]
 struct PrimaryBelief {
     current: Option<InstanceId>,
+    /// Instances that are not believed for their announcements, the latest last.
     denied: Vec<InstanceId>,
 }
 
+/// Denied instances that are remembered for a service, at the most: more than follow
+/// each other as primaries while one of them may come back.
+const MOST_DENIED: usize = 32;
+
+impl PrimaryBelief {
+    fn deny(&mut self, id: &InstanceId) {
+        self.denied.retain(|denied| denied != id);
+        self.denied.push(id.clone());
+        if self.denied.len() > MOST_DENIED {
+            self.denied.remove(0);
+        }
+    }
+}
+
 /// All instances known to a node.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -121,12 +140,15 @@
         }
         let belief = self.primaries.entry(service.clone()).or_default();
         match role {
-            Role::Primary => {
-                if previous == Some(Role::Primary) && belief.denied.contains(&id) {
-                    return None;
-                }
+            // It was a replica, and has been promoted since.
+            Role::Primary if previous == Some(Role::Replica) => {
                 self.believe(&service, Some(id), PrimarySource::Announced)
             }
+            Role::Primary if belief.denied.contains(&id) => None,
+            Role::Primary => {
+                let sole = self.announced_primary(&service);
+                self.believe(&service, sole, PrimarySource::Announced)
+            }
             Role::Replica if belief.current.as_ref() == Some(&id) => {
                 let other = self.announced_primary(&service);
                 self.believe(&service, other, PrimarySource::Announced)
@@ -188,7 +210,6 @@
         for id in &gone {
             self.entries.remove(id);
             for belief in self.primaries.values_mut() {
-                belief.denied.retain(|denied| denied != id);
                 if belief.current.as_ref() == Some(id) {
                     belief.current = None;
                 }
@@ -307,9 +328,7 @@
     pub fn deny_primary(&mut self, id: &InstanceId) -> Option<PrimaryChange> {
         let service = self.instance(id)?.service.clone();
         let belief = self.primaries.entry(service.clone()).or_default();
-        if !belief.denied.contains(id) {
-            belief.denied.push(id.clone());
-        }
+        belief.deny(id);
         if belief.current.as_ref() != Some(id) {
             return None;
         }
@@ -327,14 +346,22 @@
         self.believe(&service, Some(id.clone()), source)
     }
 
-    fn announced_primary(&self, service: &str) -> Option<InstanceId> {
+    /// Instances that announce being primary and were not denied it.
+    pub fn claimants(&self, service: &str) -> impl Iterator<Item = &Arc<Instance>> {
         let denied = self
             .primaries
             .get(service)
             .map_or(&[][..], |belief| &belief.denied);
-        self.instances(service)
-            .find(|instance| instance.role == Role::Primary && !denied.contains(&instance.id))
-            .map(|instance| instance.id.clone())
+        self.instances(service).filter(move |instance| {
+            instance.role == Role::Primary && !denied.contains(&instance.id)
+        })
+    }
+
+    /// The instance that announces being primary, if it is the only one.
+    fn announced_primary(&self, service: &str) -> Option<InstanceId> {
+        let mut claimants = self.claimants(service);
+        let first = claimants.next()?;
+        claimants.next().is_none().then(|| first.id.clone())
     }
 
     fn believe(
@@ -350,6 +377,11 @@
         if belief.current == primary {
             return None;
         }
+        if primary.is_some()
+            && let Some(replaced) = belief.current.take()
+        {
+            belief.deny(&replaced);
+        }
         belief.current.clone_from(&primary);
         Some(PrimaryChange {
             service: service.clone(),
--- a/crates/linkhold-core/src/service/evidence.rs
+++ b/crates/linkhold-core/src/service/evidence.rs
@@ -12,12 +12,14 @@
 //!   that was paused in between has evidence older than it thinks, never
 //!   younger.
 //! * Evidence of a newer term covers every commit of older terms that still
-//!   stands, so a fence of an older term is dropped for it and not waited for.
+//!   stands, so a fence of an older term is dropped for it and not waited for. The
+//!   newest term is never forgotten: an instance that still answers in an older one
+//!   has been replaced, and proves nothing.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::position::Position;
+use crate::position::{Position, Term};
 
 /// Samples kept; with [`SAMPLE_SPACING`] they reach back several seconds.
 const MOST_SAMPLES: usize = 128;
@@ -36,12 +38,23 @@
 /// Recent observations of one service's primary, oldest first.
 #[derive(Debug, Default)]
 pub struct EvidenceLog {
+    /// Observations of the newest term.
     samples: VecDeque<Sample>,
+    /// The newest term in which any primary answered.
+    newest_term: Option<Term>,
 }
 
 impl EvidenceLog {
-    /// Records an observation.
+    /// Records an observation, unless it is of an older term than is known.
     pub fn record(&mut self, sample: Sample) {
+        let term = Some(sample.position.term);
+        if term < self.newest_term {
+            return;
+        }
+        if term > self.newest_term {
+            self.newest_term = term;
+            self.samples.clear();
+        }
         self.drop_crowded(&sample);
         let index = self
             .samples
@@ -53,7 +66,7 @@
     }
 
     /// Drops the newest sample when it lies close behind the one before it
-    /// and `next` takes its place. Dropping a sample is always safe.
+    /// and `next`, which is of the same term, takes its place.
     fn drop_crowded(&mut self, next: &Sample) {
         let count = self.samples.len();
         if count < 2 {
@@ -69,16 +82,19 @@
     /// The lowest position that covers all commits acknowledged before
     /// `moment`, or `None` if nothing was observed since then.
     pub fn fence(&self, moment: Instant) -> Option<Position> {
-        let newest_term = self.newest()?.position.term;
         self.samples
             .iter()
             .rev()
             .take_while(|sample| sample.sent_at >= moment)
             .map(|sample| sample.position)
-            .filter(|position| position.term == newest_term)
             .min()
     }
 
+    /// The newest term in which any primary answered.
+    pub fn newest_term(&self) -> Option<Term> {
+        self.newest_term
+    }
+
     /// The observation with the highest position.
     pub fn newest(&self) -> Option<Sample> {
         self.samples
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -217,6 +217,12 @@
     answer_by: Instant,
 ) -> Attempt<P> {
     let frame = Frame::Inside;
+    let needs_permission = speaks_for_primary(gateway, held.instance(), work, frame);
+    if needs_permission && !gateway.beliefs.may_speak_for(held.instance(), Instant::now()) {
+        // The connection is closed with it, which undoes what is open on it.
+        drop(held);
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
     match held {
         Held::Own(lease) => {
             let opened_at = lease.opened_at();
@@ -267,7 +273,7 @@
         return held_off(lease, frame, after);
     }
     let sent_at = Instant::now();
-    let needs_permission = speaks_for_primary(gateway, &lease, work, frame);
+    let needs_permission = speaks_for_primary(gateway, lease.instance(), work, frame);
     // Whoever may have been left out when the primary was replaced acknowledged 20
     // commits of the old one in a cut of 26 s.
     if needs_permission && !gateway.beliefs.may_speak_for(lease.instance(), sent_at) {
@@ -282,11 +288,16 @@
             log_unanswered(work, &lease, sent_at, "connection_lost");
             broken(lease, &error, batch.main)
         }
-        Conversation::Answered(_)
-            if needs_permission && work.may_commit() && !may_acknowledge(gateway, &lease) =>
+        Conversation::Answered(replies)
+            if needs_permission && !may_tell(gateway, lease.instance(), work, &replies) =>
         {
             log_unanswered(work, &lease, sent_at, "primary_may_be_replaced");
-            Attempt::Lost
+            if work.may_commit() {
+                Attempt::Lost
+            } else {
+                // Nothing of a read is kept: it is told by whoever leads.
+                Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::ReadOnly))
+            }
         }
         Conversation::Answered(replies) => {
             if frame == Frame::ProvingPrimary {
@@ -373,17 +384,26 @@
     gateway.beliefs.is_withheld(&lease.instance().id)
 }
 
-/// Whether what comes on a connection may be acknowledged now.
-fn may_acknowledge<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
-    let now = Instant::now();
-    gateway.beliefs.may_speak_for(lease.instance(), now)
+/// Whether what an instance answered as a primary may be told: its log ends in no older
+/// term than is known, and a commit is acknowledged only while this node may speak for
+/// the instance.
+fn may_tell<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    replies: &[BackendReply],
+) -> bool {
+    let position = replies.last().and_then(|reply| reply.position);
+    let is_permitted =
+        !work.may_commit() || gateway.beliefs.may_speak_for(instance, Instant::now());
+    is_permitted && !gateway.is_outdated(instance, position)
 }
 
 /// Whether a statement's answer is told as that of a primary: it writes or ends a
 /// transaction that may have written, or must see all that was acknowledged.
 fn speaks_for_primary<P: Platform>(
     gateway: &Gateway<P>,
-    lease: &Lease<ConnectionOf<P>>,
+    instance: &Instance,
     work: &Work,
     frame: Frame,
 ) -> bool {
@@ -392,7 +412,7 @@
         Frame::Opening { read_only, .. } => !read_only,
         Frame::Bare { fence: Some(_) } => false,
         // On a replica nothing but reads can be open.
-        Frame::Inside => work.may_commit() && !gateway.beliefs.is_replica(lease.instance()),
+        Frame::Inside => work.may_commit() && !gateway.beliefs.is_replica(instance),
     }
 }
 
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use linkhold_core::position::Position;
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, ServiceLimits, ServiceName};
 use linkhold_core::service::directory::{Directory, PrimaryChange, PrimarySource};
 use linkhold_core::service::eligibility::Engagement;
@@ -37,6 +37,8 @@
     directory: Directory,
     health: HashMap<InstanceId, InstanceHealth>,
     evidence: HashMap<ServiceName, EvidenceLog>,
+    /// The newest term of each service of which anything told.
+    terms: HashMap<ServiceName, Term>,
     withholdings: Withholdings,
     evacuations: Evacuations,
     /// Entries whose absence counted when that was looked at last.
@@ -284,10 +286,40 @@
         !leads && announced.is_some_and(|announced| announced.role == Role::Replica)
     }
 
-    /// Whether this node may speak at a moment for an instance as a primary: it has
-    /// not agreed that it is replaced, and nobody replaces it without its consent.
+    /// Whether this node may speak at a moment for an instance as a primary: it believes
+    /// in no other one, has not agreed that this one is replaced, and nobody replaces it
+    /// without its consent.
     pub fn may_speak_for(&self, instance: &Instance, moment: Instant) -> bool {
-        self.may_use_primary(&lock(&self.instances), instance, moment)
+        let known = lock(&self.instances);
+        let primary = known.directory.primary(&instance.service);
+        let is_replaced = primary.is_some_and(|primary| primary.id != instance.id);
+        !is_replaced && self.may_use_primary(&known, instance, moment)
+    }
+
+    /// Instances that announce being primary of a service, of which at most one is.
+    pub fn claimants(&self, service: &str) -> Vec<InstanceId> {
+        let known = lock(&self.instances);
+        let claimants = known.directory.claimants(service);
+        claimants.map(|instance| instance.id.clone()).collect()
+    }
+
+    /// An instance of a service follows a term, or answered in it as a primary.
+    pub fn term_seen(&self, service: &ServiceName, term: Term) {
+        let mut known = lock(&self.instances);
+        let newest = known.terms.entry(service.clone()).or_insert(term);
+        *newest = term.max(*newest);
+    }
+
+    /// The newest term in which a primary's log was proved to end. One that was just
+    /// promoted may not have written in its own term yet.
+    pub fn newest_proved_term(&self, service: &str) -> Option<Term> {
+        lock(&self.instances).evidence.get(service)?.newest_term()
+    }
+
+    /// The newest term of a service of which this node knows. An instance that leads an
+    /// older one has been replaced.
+    pub fn newest_term(&self, service: &str) -> Option<Term> {
+        lock(&self.instances).terms.get(service).copied()
     }
 
     fn may_use_primary(&self, known: &InstanceBeliefs, primary: &Instance, now: Instant) -> bool {
@@ -408,6 +440,7 @@
 
     /// Records evidence of a primary's log.
     pub fn record_evidence(&self, service: &ServiceName, sample: Sample) {
+        self.term_seen(service, sample.position.term);
         let mut instances = lock(&self.instances);
         let evidence = instances.evidence.entry(service.clone()).or_default();
         let previous = evidence.newest();
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -46,8 +46,8 @@
         return;
     }
     let situation = survey_service(gateway, service).await;
-    if let Some(primary) = find_primary(&situation.statuses)
-        && trouble == Trouble::Unknown
+    if trouble == Trouble::Unknown
+        && let Some(primary) = find_primary(gateway, service, &situation.statuses)
     {
         gateway
             .beliefs
@@ -131,7 +131,10 @@
     sleep_until((agreement.answered_at + CONFIRMATION_LIFE).into()).await;
 }
 
-async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &str) -> Situation {
+async fn survey_service<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> Situation {
     let old = gateway.beliefs.primary(service);
     let others: Vec<Arc<Instance>> = gateway
         .beliefs
@@ -140,6 +143,9 @@
         .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
         .collect();
     let statuses = survey::statuses(gateway, &others).await;
+    for status in &statuses {
+        gateway.beliefs.term_seen(service, status.term);
+    }
     Situation {
         others,
         statuses,
@@ -147,12 +153,23 @@
     }
 }
 
-/// An instance that says it is primary in the newest term that any follows.
-fn find_primary(statuses: &[InstanceStatus]) -> Option<&InstanceStatus> {
-    let newest = statuses.iter().map(|status| status.term).max()?;
+/// An instance that says it is primary in the newest term that is known. Where several
+/// announce that they lead, all have to tell their term: the one that is silent may be
+/// the newest.
+fn find_primary<'a, P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    statuses: &'a [InstanceStatus],
+) -> Option<&'a InstanceStatus> {
+    let has_told = |id: &InstanceId| statuses.iter().any(|status| status.id == *id);
+    let claimants = gateway.beliefs.claimants(service);
+    if claimants.len() > 1 && !claimants.iter().all(has_told) {
+        return None;
+    }
+    let newest = gateway.beliefs.newest_term(service)?;
     statuses
         .iter()
-        .find(|status| status.role == Role::Primary && status.term == newest)
+        .find(|status| status.role == Role::Primary && status.term >= newest)
 }
 
 /// The instance to promote, if enough is known to choose one.
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -212,11 +212,26 @@
     /// hold unless it had been replaced by then: reads on the evidence of a replaced
     /// primary lack what its successor has acknowledged.
     pub(crate) fn primary_proved(&self, instance: &Instance, sample: Sample) {
+        if self.is_outdated(instance, Some(sample.position)) {
+            return;
+        }
         if self.beliefs.may_speak_for(instance, sample.sent_at) {
             self.beliefs.record_evidence(&instance.service, sample);
         }
     }
 
+    /// Whether an instance that answered as a primary is known to be replaced: its log
+    /// ends in an older term than another primary's did. It is not believed to lead any
+    /// more.
+    pub(crate) fn is_outdated(&self, instance: &Instance, position: Option<Position>) -> bool {
+        let newest = self.beliefs.newest_proved_term(&instance.service);
+        let is_outdated = position.is_some_and(|position| Some(position.term) < newest);
+        if is_outdated {
+            self.instance_denied_primary(instance);
+        }
+        is_outdated
+    }
+
     fn is_believed_primary(&self, id: &InstanceId, service: &str) -> bool {
         self.beliefs
             .primary(service)
