End an agreement by what is known, not by time alone

Cause: a node that had agreed to a replacement acknowledged nothing of the old primary for 2.5 s, and went back to it then whether or not it had heard of a successor: cut off from the store, or stopped meanwhile, it told what the old primary answered. One that used the primary through another node withheld nothing. Owners told evidence of the primary that they believed in, whichever the asking node meant.

Change: after that time a node goes on only once the list of instances is known as of a moment at which a successor's entry would have been in it; it asks the store for changes at the shorter interval until then. Agreements hold for relayed instances as well. A question for evidence names its primary. What an owner answered to a commit is told only if no other primary is believed in by then.

--- a/crates/linkhold-core/src/service/withholding.rs
+++ b/crates/linkhold-core/src/service/withholding.rs
@@ -11,6 +11,8 @@
 //! An order goes out less than [`ORDER_WINDOW`] after the question that all
 //! nodes agreed to was sent. That is shorter than [`WITHHOLDING`] by more than
 //! an order takes, and each node counts from when it answered, which is later.
+//! After that time, a node that has heard of no successor goes on only once it
+//! knows the list of instances as of a moment at which one would have been in it.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -25,21 +27,41 @@
 /// node that agrees to withhold.
 pub const RECENT_FAILURE: Duration = Duration::from_millis(1_500);
 
+/// How long after it leads a successor's entry says so, at the most: it is written at
+/// once, and a write takes no longer.
+const ANNOUNCEMENT: Duration = Duration::from_millis(500);
+/// How long an agreement is remembered of whose outcome nothing is heard: an instance
+/// is forgotten before that.
+const MEMORY: Duration = Duration::from_secs(600);
+
 /// Instances of which a node acknowledges nothing for now.
 #[derive(Debug, Default)]
 pub struct Withholdings {
-    until: HashMap<InstanceId, Instant>,
+    agreed_at: HashMap<InstanceId, Instant>,
 }
 
 impl Withholdings {
     /// The node agrees to acknowledge nothing of an instance.
     pub fn agree(&mut self, id: &InstanceId, now: Instant) {
-        self.until.retain(|_, until| now < *until);
-        self.until.insert(id.clone(), now + WITHHOLDING);
+        self.agreed_at
+            .retain(|_, agreed_at| now < *agreed_at + MEMORY);
+        self.agreed_at.insert(id.clone(), now);
+    }
+
+    /// Whether this holds for any instance.
+    pub fn holds_any(&self, now: Instant, directory_as_of: Option<Instant>) -> bool {
+        let mut ids = self.agreed_at.keys();
+        ids.any(|id| self.holds(id, now, directory_as_of))
     }
 
-    /// Whether nothing of an instance may be acknowledged.
-    pub fn holds(&self, id: &InstanceId, now: Instant) -> bool {
-        self.until.get(id).is_some_and(|until| now < *until)
+    /// Whether nothing of an instance may be acknowledged. `directory_as_of` is the last
+    /// moment as of which the list of instances is known.
+    pub fn holds(&self, id: &InstanceId, now: Instant, directory_as_of: Option<Instant>) -> bool {
+        let Some(agreed_at) = self.agreed_at.get(id) else {
+            return false;
+        };
+        let over = *agreed_at + WITHHOLDING;
+        let would_know = directory_as_of.is_some_and(|as_of| as_of >= over + ANNOUNCEMENT);
+        now < over || !would_know
     }
 }
--- a/crates/linkhold-core/tests/service_withholding.rs
+++ b/crates/linkhold-core/tests/service_withholding.rs
@@ -7,17 +7,23 @@
     ORDER_WINDOW, RECENT_FAILURE, WITHHOLDING, Withholdings,
 };
 
+/// When the list of instances is known again, so late that a successor would be in it.
+const KNOWN_LATER: Duration = WITHHOLDING.saturating_mul(2);
+
 #[test]
 fn an_agreement_holds_for_its_time_and_its_instance() {
     let now = Instant::now();
     let [one, two] = ["one", "two"].map(|name| InstanceId(name.into()));
     let mut withholdings = Withholdings::default();
-    assert!(!withholdings.holds(&one, now));
+    let holds = |withholdings: &Withholdings, id: &InstanceId, moment: Instant| {
+        withholdings.holds(id, moment, Some(now + KNOWN_LATER))
+    };
+    assert!(!holds(&withholdings, &one, now));
     withholdings.agree(&one, now);
     let last = now + WITHHOLDING - Duration::from_millis(1);
-    assert!(withholdings.holds(&one, last));
-    assert!(!withholdings.holds(&two, last));
-    assert!(!withholdings.holds(&one, now + WITHHOLDING));
+    assert!(holds(&withholdings, &one, last));
+    assert!(!holds(&withholdings, &two, last));
+    assert!(!holds(&withholdings, &one, now + WITHHOLDING));
 }
 
 #[test]
@@ -28,8 +34,22 @@
     withholdings.agree(&one, now);
     let later = now + WITHHOLDING / 2;
     withholdings.agree(&one, later);
-    assert!(withholdings.holds(&one, now + WITHHOLDING));
-    assert!(!withholdings.holds(&one, later + WITHHOLDING));
+    let known = Some(now + KNOWN_LATER);
+    assert!(withholdings.holds(&one, now + WITHHOLDING, known));
+    assert!(!withholdings.holds(&one, later + WITHHOLDING, known));
+}
+
+/// Time alone tells nothing of whether the promotion took effect.
+#[test]
+fn an_agreement_holds_until_a_successor_would_be_known() {
+    let now = Instant::now();
+    let one = InstanceId("one".into());
+    let mut withholdings = Withholdings::default();
+    withholdings.agree(&one, now);
+    let later = now + WITHHOLDING * 10;
+    assert!(withholdings.holds(&one, later, None));
+    assert!(withholdings.holds(&one, later, Some(now + WITHHOLDING)));
+    assert!(!withholdings.holds(&one, later, Some(now + KNOWN_LATER)));
 }
 
 /// Whoever was asked counts from later than whoever asked: an order within its
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -147,10 +147,11 @@
         };
         let attempt = forward::run(gateway, &asked, instance, principal, work, frame, bounds).await;
         if let Some(attempt) = attempt {
-            return attempt;
+            return acknowledged(gateway, instance, work, frame, attempt);
         }
     }
-    run_here(gateway, instance, principal, work, frame, bounds).await
+    let attempt = run_here(gateway, instance, principal, work, frame, bounds).await;
+    acknowledged(gateway, instance, work, frame, attempt)
 }
 
 /// Runs `work` on a connection of this node's own.
@@ -218,12 +219,13 @@
 ) -> Attempt<P> {
     let frame = Frame::Inside;
     let needs_permission = speaks_for_primary(gateway, held.instance(), work, frame);
-    if needs_permission && !gateway.beliefs.may_speak_for(held.instance(), Instant::now()) {
+    if needs_permission && gateway.beliefs.is_replaced(held.instance()) {
         // The connection is closed with it, which undoes what is open on it.
         drop(held);
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
-    match held {
+    let instance = held.instance().clone();
+    let attempt = match held {
         Held::Own(lease) => {
             let opened_at = lease.opened_at();
             gateway
@@ -233,7 +235,25 @@
             run_on_own(gateway, lease, principal, work, frame, answer_by).await
         }
         Held::Lent(lent) => forward::run_on(gateway, lent, principal, work, answer_by).await,
+    };
+    acknowledged(gateway, &instance, work, frame, attempt)
+}
+
+/// A commit is not acknowledged if its instance has been replaced meanwhile, as far as
+/// this node has heard; whoever ran it for this node may not have.
+fn acknowledged<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    frame: Frame,
+    attempt: Attempt<P>,
+) -> Attempt<P> {
+    let is_answered = matches!(attempt, Attempt::Answered(_));
+    let commits = work.may_commit() && speaks_for_primary(gateway, instance, work, frame);
+    if is_answered && commits && gateway.beliefs.is_replaced(instance) {
+        return Attempt::Lost;
     }
+    attempt
 }
 
 /// Runs `work` on a connection of this node's own that is held. Whatever a caller
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -40,6 +40,8 @@
     /// The newest term of each service of which anything told.
     terms: HashMap<ServiceName, Term>,
     withholdings: Withholdings,
+    /// The last moment as of which the list of instances is known.
+    directory_as_of: Option<Instant>,
     evacuations: Evacuations,
     /// Entries whose absence counted when that was looked at last.
     absent: usize,
@@ -211,6 +213,12 @@
         *lock(&self.directory_read_at) = Some(now);
     }
 
+    /// What is known of the list of instances was true at a moment.
+    pub fn directory_vouched(&self, moment: Instant) {
+        let mut known = lock(&self.instances);
+        known.directory_as_of = known.directory_as_of.max(Some(moment));
+    }
+
     /// How long ago the directory was read last; without end if never.
     pub fn directory_age(&self) -> Duration {
         let read_at = *lock(&self.directory_read_at);
@@ -286,14 +294,16 @@
         !leads && announced.is_some_and(|announced| announced.role == Role::Replica)
     }
 
-    /// Whether this node may speak at a moment for an instance as a primary: it believes
-    /// in no other one, has not agreed that this one is replaced, and nobody replaces it
-    /// without its consent.
+    /// Whether another instance is believed to lead an instance's service.
+    pub fn is_replaced(&self, instance: &Instance) -> bool {
+        let primary = self.primary(&instance.service);
+        primary.is_some_and(|primary| primary.id != instance.id)
+    }
+
+    /// Whether this node may speak at a moment for an instance as a primary: it has not
+    /// agreed that it is replaced, and nobody replaces it without its consent.
     pub fn may_speak_for(&self, instance: &Instance, moment: Instant) -> bool {
-        let known = lock(&self.instances);
-        let primary = known.directory.primary(&instance.service);
-        let is_replaced = primary.is_some_and(|primary| primary.id != instance.id);
-        !is_replaced && self.may_use_primary(&known, instance, moment)
+        self.may_use_primary(&lock(&self.instances), instance, moment)
     }
 
     /// Instances that announce being primary of a service, of which at most one is.
@@ -323,7 +333,10 @@
     }
 
     fn may_use_primary(&self, known: &InstanceBeliefs, primary: &Instance, now: Instant) -> bool {
-        !known.withholdings.holds(&primary.id, now) && self.permission.covers(primary, now)
+        let is_withheld = known
+            .withholdings
+            .holds(&primary.id, now, known.directory_as_of);
+        !is_withheld && self.permission.covers(primary, now)
     }
 
     /// This node agrees to acknowledge nothing of an instance for a while, since
@@ -332,14 +345,25 @@
         lock(&self.instances).withholdings.agree(id, Instant::now());
         Event::info("instance_withheld")
             .field("instance", id)
-            .field("for_ms", WITHHOLDING.as_millis())
+            .field("at_least_ms", WITHHOLDING.as_millis())
             .log();
         self.announce_change();
     }
 
+    /// Whether nothing of some instance may be acknowledged.
+    pub fn withholds_any(&self) -> bool {
+        let known = lock(&self.instances);
+        known
+            .withholdings
+            .holds_any(Instant::now(), known.directory_as_of)
+    }
+
     /// Whether nothing of an instance may be acknowledged.
     pub fn is_withheld(&self, id: &InstanceId) -> bool {
-        lock(&self.instances).withholdings.holds(id, Instant::now())
+        let known = lock(&self.instances);
+        known
+            .withholdings
+            .holds(id, Instant::now(), known.directory_as_of)
     }
 
     /// Whether an instance is leaving.
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -119,7 +119,7 @@
     };
     if let Some(owners) = gateway.pools.owners_of(&primary, &gateway.beliefs)
         && !owners.includes_self
-        && let Some(sample) = forward::ask_evidence(gateway, &owners, service, moment).await
+        && let Some(sample) = forward::ask_evidence(gateway, &owners, &primary, moment).await
     {
         gateway.primary_proved(&primary, sample);
         return;
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -155,7 +155,7 @@
     let subject = QuestionSubject::Instance(instance.id.to_string());
     match ask_to_agree(gateway, &instance.service, subject).await {
         Ok(agreement) => {
-            peers::withhold(gateway, &instance.id);
+            gateway.beliefs.withhold(&instance.id);
             Some(agreement)
         }
         Err(reached_by) => {
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -131,10 +131,7 @@
     sleep_until((agreement.answered_at + CONFIRMATION_LIFE).into()).await;
 }
 
-async fn survey_service<P: Platform>(
-    gateway: &Gateway<P>,
-    service: &ServiceName,
-) -> Situation {
+async fn survey_service<P: Platform>(gateway: &Gateway<P>, service: &ServiceName) -> Situation {
     let old = gateway.beliefs.primary(service);
     let others: Vec<Arc<Instance>> = gateway
         .beliefs
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -342,6 +342,7 @@
         // Time on the way makes this too late, by less than the bound leaves.
         if let Some(moment) = now.checked_sub(age) {
             self.gateway.beliefs.evacuations_vouched(moment);
+            self.gateway.beliefs.directory_vouched(moment);
         }
         let silent_at = now + (freshness.trust - age);
         *self.trusted_until = silent_at;
--- a/crates/linkhold-gateway/src/forward/link.rs
+++ b/crates/linkhold-gateway/src/forward/link.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::instance::Instance;
 use linkhold_peer::{
     EvidenceAnswer, FeedMessage, ForwardMessage, ForwardOutcome, ForwardStatement,
     MAX_FORWARD_MESSAGE, PeerKey, decode_forward, encode_forward, milliseconds,
@@ -187,7 +187,7 @@
     /// Asks for evidence.
     pub async fn ask_evidence(
         &self,
-        service: &ServiceName,
+        primary: &Instance,
         max_age: Duration,
         within: Duration,
     ) -> Option<EvidenceAnswer> {
@@ -196,8 +196,9 @@
         lock(&self.shared).questions.insert(number, sender);
         self.tell(ForwardMessage::EvidenceQuestion {
             number,
-            service: service.to_string(),
+            service: primary.service.to_string(),
             max_age_ms: milliseconds(max_age),
+            instance: Some(primary.id.to_string()),
         });
         let answer = timeout(within, receiver).await;
         lock(&self.shared).questions.remove(&number);
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -30,7 +30,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::session::{Access, SessionValues};
@@ -367,12 +366,12 @@
     }
 }
 
-/// Asks an owner of a primary's connections for evidence that is no older than
-/// `max_age`; `None` if none tells any.
+/// Asks an owner of a primary's connections for evidence of it that covers `moment`;
+/// `None` if none tells any.
 pub(crate) async fn ask_evidence<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     owners: &InstanceOwners,
-    service: &ServiceName,
+    primary: &Instance,
     moment: Instant,
 ) -> Option<Sample> {
     let owner = gateway.forwarding.choose(&owners.others())?;
@@ -380,7 +379,7 @@
     let asked_at = Instant::now();
     let max_age = asked_at.saturating_duration_since(moment);
     let answer = link
-        .ask_evidence(service, max_age, EVIDENCE_TIMEOUT)
+        .ask_evidence(primary, max_age, EVIDENCE_TIMEOUT)
         .await?;
     Some(Sample {
         sent_at: asked_at.checked_sub(answer.age)?,
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -132,7 +132,22 @@
             number,
             service,
             max_age_ms,
+            instance,
         } => {
+            let is_believed = |id: &String| {
+                let primary = gateway.beliefs.primary(&service);
+                primary.is_some_and(|primary| *primary.id.0 == **id)
+            };
+            if !instance.as_ref().is_none_or(is_believed) {
+                let none = ForwardMessage::EvidenceAnswer {
+                    number,
+                    age_ms: 0,
+                    position: None,
+                };
+                // Whoever asked may be gone.
+                let _ = lent.outbox.send(none);
+                return;
+            }
             let question = EvidenceQuestion {
                 number,
                 service: service.into(),
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -128,7 +128,9 @@
     /// How long the store holds a question for changes.
     pub(crate) fn store_wait(&self) -> Duration {
         let may_be_followed = self.fleet.has_readers() || !self.fleet.is_settled();
-        if may_be_followed || self.followers.served() > 0 {
+        // What was agreed to ends with news of the instances.
+        let awaits_news = self.beliefs.withholds_any();
+        if may_be_followed || awaits_news || self.followers.served() > 0 {
             self.freshness.wait
         } else {
             self.freshness.wait_alone
@@ -215,7 +217,8 @@
         if self.is_outdated(instance, Some(sample.position)) {
             return;
         }
-        if self.beliefs.may_speak_for(instance, sample.sent_at) {
+        let is_replaced = self.beliefs.is_replaced(instance);
+        if !is_replaced && self.beliefs.may_speak_for(instance, sample.sent_at) {
             self.beliefs.record_evidence(&instance.service, sample);
         }
     }
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -164,12 +164,14 @@
 }
 
 async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
+    let asked_at = Instant::now();
     let call = gateway.platform.read_instances();
     let (listed, next) = bounded(call, READ_TIMEOUT).await?;
     gateway.sources.instances_answered();
     gateway
         .beliefs
         .replace_instances(listed, next, Instant::now());
+    gateway.beliefs.directory_vouched(asked_at);
     Ok(next)
 }
 
@@ -177,6 +179,7 @@
     gateway: &Gateway<P>,
     from: Cursor,
 ) -> Result<Cursor, StoreError> {
+    let asked_at = Instant::now();
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
     let (changes, next) = bounded(call, wait + READ_TIMEOUT).await?;
@@ -192,6 +195,7 @@
     }
     gateway.beliefs.advance_directory(next);
     gateway.beliefs.directory_read();
+    gateway.beliefs.directory_vouched(asked_at);
     if has_changes {
         sleep(GATHER_TIME).await;
     }
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -268,8 +268,10 @@
     }
     if found == Reachability::Unreached && purpose == QuestionPurpose::Replace {
         match (&instance, &subject) {
-            (Some(instance), _) => withhold(&gateway, &instance.id),
-            (None, QuestionSubject::Instance(id)) => withhold(&gateway, &instance_id(id)),
+            (Some(instance), _) => gateway.beliefs.withhold(&instance.id),
+            (None, QuestionSubject::Instance(id)) => {
+                gateway.beliefs.withhold(&instance_id(id));
+            }
             (None, QuestionSubject::PrimaryOf(_)) => {}
         }
     }
@@ -303,14 +305,6 @@
     found
 }
 
-/// Agrees to acknowledge nothing of an instance for a while. A node that uses it
-/// through a peer need not: the peer is asked as well.
-pub(crate) fn withhold<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) {
-    if !gateway.relays.is_relayed(id) {
-        gateway.beliefs.withhold(id);
-    }
-}
-
 async fn try_to_reach<P: Platform>(gateway: &Gateway<P>, instance: &Arc<Instance>) -> Reachability {
     let found = survey::reach_primary(gateway, instance).await;
     let mut failures = lock(&gateway.peers.failures);
--- a/crates/linkhold-peer/src/forward.rs
+++ b/crates/linkhold-peer/src/forward.rs
@@ -303,6 +303,10 @@
         /// milliseconds.
         #[n(2)]
         max_age_ms: u64,
+        /// The instance that whoever asks believes to lead: what an owner that
+        /// believes in another one knows is no evidence for it.
+        #[n(3)]
+        instance: Option<String>,
     },
     /// The answer to that.
     #[n(4)]
--- a/crates/linkhold-peer/tests/forward.rs
+++ b/crates/linkhold-peer/tests/forward.rs
@@ -95,6 +95,7 @@
             number: 9,
             service: "ledger".to_owned(),
             max_age_ms: 300,
+            instance: Some("one".to_owned()),
         },
         ForwardMessage::EvidenceAnswer {
             number: 9,
