Order a promotion only on a lease that lasts, and hand over only from who leads

Cause: a lease was looked at when it was claimed and never again. What followed took up to 7.8 s against its 4 s, more in a process that was paused, so that a lower token came after a higher one where nobody checks them. A hand-over asked nobody and did not look whether the primary still led: a node that stood still during another's hand-over did it once more when it woke, under a valid lease of its own, from the primary before. An order without an answer could be overtaken by one for another successor; a token used without the store was handed out again; an agreement of 2.5 s was shorter than an order may take.

Ruled out: a restart under the same name (it orders the same with the same token).

Change: where the authority checks no tokens the lease's row is written once more just before an order, under the condition that no other claim came in between, and tells that an order is about to leave: for 10 s no other token is handed out, unless the order was answered. Elsewhere a lease that runs out is claimed anew. An order is sent at the latest 2.5 s before its lease ends, and its connection is reset when it is given up. A primary hands over only if it says that it leads the newest term that is known. Agreements last 5.5 s, the sum of what an order may take, and whoever orders nothing says so.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -7,6 +7,11 @@
 //!   delayed on the way is refused once a newer one has been seen.
 //! * A holder keeps other nodes from claiming for [`LEASE`], counted on the
 //!   store's clock from the write that claimed.
+//! * An order leaves only while its lease lasts for [`ORDER_TIMEOUT`] more, by its
+//!   node's steady clock, counted from before the lease was claimed.
+//! * Where the authority checks no tokens, the row tells that an order is about to
+//!   leave. For [`ORDER_MEMORY`] no other token is handed out then: the order may be
+//!   carried out late, behind newer ones.
 
 use std::time::Duration;
 
@@ -17,6 +22,13 @@
 /// How long a claim keeps others from claiming.
 pub const LEASE: Duration = Duration::from_millis(4_000);
 
+/// How long an order to promote may take to be answered; its connection is reset
+/// then, so that it leaves no later.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// For how long an order without an answer may still be carried out: seconds, say the
+/// users; a node that gave one up and claimed anew was overtaken by it after 1.9 s.
+pub const ORDER_MEMORY: Duration = Duration::from_millis(10_000);
+
 /// The failover lease of one service, as kept in the metadata store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FailoverLease {
@@ -29,6 +41,9 @@
     /// The instance its token promotes; `None` while the lease is only held
     /// ready and its token was not used.
     pub successor: Option<InstanceId>,
+    /// When an order under it was about to leave, on the store's clock in
+    /// milliseconds; `None` if none was, or the authority checks tokens.
+    pub ordered_at: Option<u64>,
 }
 
 /// What a node may do about a service's lease.
@@ -50,27 +65,37 @@
     let Some(current) = current else {
         return ClaimDecision::Write(lease(node, 1, now, successor));
     };
-    if current.holder == node {
-        let token = if current.may_promote(successor) {
-            current.token
-        } else {
-            current.token + 1
-        };
-        return ClaimDecision::Write(lease(node, token, now, successor));
+    if current.holder == node && current.may_promote(successor) {
+        return ClaimDecision::Write(FailoverLease {
+            ordered_at: current.ordered_at,
+            ..lease(node, current.token, now, successor)
+        });
     }
-    let age = Duration::from_millis(now.saturating_sub(current.claimed_at));
-    match LEASE.checked_sub(age) {
-        Some(left) if !left.is_zero() => ClaimDecision::HeldElsewhere(left),
-        _ => ClaimDecision::Write(lease(node, current.token + 1, now, successor)),
+    let left = match current.ordered_at {
+        Some(ordered_at) => left_of(ORDER_MEMORY, ordered_at, now),
+        None if current.holder == node => None,
+        None => left_of(LEASE, current.claimed_at, now),
+    };
+    match left {
+        Some(left) => ClaimDecision::HeldElsewhere(left),
+        None => ClaimDecision::Write(lease(node, current.token + 1, now, successor)),
     }
 }
 
+/// What is left of a time that began at a moment of the store's clock; `None` if
+/// nothing is.
+fn left_of(time: Duration, from: u64, now: u64) -> Option<Duration> {
+    let age = Duration::from_millis(now.saturating_sub(from));
+    time.checked_sub(age).filter(|left| !left.is_zero())
+}
+
 fn lease(node: &str, token: u64, now: u64, successor: &InstanceId) -> FailoverLease {
     FailoverLease {
         holder: node.to_owned(),
         token,
         claimed_at: now,
         successor: Some(successor.clone()),
+        ordered_at: None,
     }
 }
 
@@ -86,8 +111,10 @@
     let token = match current {
         None => 1,
         Some(current) => {
-            let age = Duration::from_millis(now.saturating_sub(current.claimed_at));
-            if age < LEASE || is_in_fleet(&current.holder) {
+            let is_held = left_of(LEASE, current.claimed_at, now).is_some();
+            let ordered_at = current.ordered_at;
+            let is_open = ordered_at.and_then(|at| left_of(ORDER_MEMORY, at, now));
+            if is_held || is_open.is_some() || is_in_fleet(&current.holder) {
                 return None;
             }
             current.token + 1
@@ -98,10 +125,24 @@
         token,
         claimed_at: now,
         successor: None,
+        ordered_at: None,
     })
 }
 
 impl FailoverLease {
+    /// The lease as it is written just before an order leaves under `claimed`; `None` if
+    /// another claim has taken its place.
+    pub fn about_to_order(&self, claimed: &Self, now: u64) -> Option<Self> {
+        let is_same = self.holder == claimed.holder
+            && self.token == claimed.token
+            && self.successor == claimed.successor;
+        is_same.then(|| Self {
+            claimed_at: now,
+            ordered_at: Some(now),
+            ..self.clone()
+        })
+    }
+
     /// Whether its token may be used for this successor.
     pub fn may_promote(&self, successor: &InstanceId) -> bool {
         self.successor
--- a/crates/linkhold-core/src/service/withholding.rs
+++ b/crates/linkhold-core/src/service/withholding.rs
@@ -13,16 +13,19 @@
 //! an order takes, and each node counts from when it answered, which is later.
 //! After that time, a node that has heard of no successor goes on only once it
 //! knows the list of instances as of a moment at which one would have been in it.
+//! Whoever asked and orders nothing says so, which ends what it asked for.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::instance::InstanceId;
 
-/// How long a node acknowledges nothing of an instance after it agreed.
-pub const WITHHOLDING: Duration = Duration::from_millis(2_500);
+/// How long a node acknowledges nothing of an instance after it agreed, at the least:
+/// [`ORDER_WINDOW`], the 2.5 s in which the order may be on its way, a second that the
+/// platform takes to promote, and half a second.
+pub const WITHHOLDING: Duration = Duration::from_millis(5_500);
 /// How soon after it asked the others a node must have ordered the promotion.
-pub const ORDER_WINDOW: Duration = Duration::from_millis(1_000);
+pub const ORDER_WINDOW: Duration = Duration::from_millis(1_500);
 /// How long a failed try to reach an instance is as good as a new one for a
 /// node that agrees to withhold.
 pub const RECENT_FAILURE: Duration = Duration::from_millis(1_500);
@@ -37,15 +40,33 @@
 /// Instances of which a node acknowledges nothing for now.
 #[derive(Debug, Default)]
 pub struct Withholdings {
-    agreed_at: HashMap<InstanceId, Instant>,
+    /// When the node agreed to each question, by its number.
+    agreed_at: HashMap<InstanceId, HashMap<u64, Instant>>,
 }
 
 impl Withholdings {
-    /// The node agrees to acknowledge nothing of an instance.
-    pub fn agree(&mut self, id: &InstanceId, now: Instant) {
-        self.agreed_at
-            .retain(|_, agreed_at| now < *agreed_at + MEMORY);
-        self.agreed_at.insert(id.clone(), now);
+    /// The node agrees to acknowledge nothing of an instance, to a question with a number.
+    pub fn agree(&mut self, id: &InstanceId, number: u64, now: Instant) {
+        self.keep(|_, agreed_at| now < agreed_at + MEMORY);
+        let questions = self.agreed_at.entry(id.clone()).or_default();
+        questions.insert(number, now);
+    }
+
+    /// Whoever asked with a number orders nothing; whether that ends an agreement.
+    pub fn release(&mut self, number: u64) -> bool {
+        let count = |withholdings: &Self| -> usize {
+            withholdings.agreed_at.values().map(HashMap::len).sum()
+        };
+        let before = count(self);
+        self.keep(|question, _| question != number);
+        count(self) < before
+    }
+
+    fn keep(&mut self, is_kept: impl Fn(u64, Instant) -> bool) {
+        for questions in self.agreed_at.values_mut() {
+            questions.retain(|number, agreed_at| is_kept(*number, *agreed_at));
+        }
+        self.agreed_at.retain(|_, questions| !questions.is_empty());
     }
 
     /// Whether this holds for any instance.
@@ -57,7 +78,7 @@
     /// Whether nothing of an instance may be acknowledged. `directory_as_of` is the last
     /// moment as of which the list of instances is known.
     pub fn holds(&self, id: &InstanceId, now: Instant, directory_as_of: Option<Instant>) -> bool {
-        let Some(agreed_at) = self.agreed_at.get(id) else {
+        let Some(agreed_at) = self.agreed_at.get(id).and_then(|it| it.values().max()) else {
             return false;
         };
         let over = *agreed_at + WITHHOLDING;
--- a/crates/linkhold-core/tests/service_withholding.rs
+++ b/crates/linkhold-core/tests/service_withholding.rs
@@ -19,7 +19,7 @@
         withholdings.holds(id, moment, Some(now + KNOWN_LATER))
     };
     assert!(!holds(&withholdings, &one, now));
-    withholdings.agree(&one, now);
+    withholdings.agree(&one, 1, now);
     let last = now + WITHHOLDING - Duration::from_millis(1);
     assert!(holds(&withholdings, &one, last));
     assert!(!holds(&withholdings, &two, last));
@@ -31,9 +31,9 @@
     let now = Instant::now();
     let one = InstanceId("one".into());
     let mut withholdings = Withholdings::default();
-    withholdings.agree(&one, now);
+    withholdings.agree(&one, 1, now);
     let later = now + WITHHOLDING / 2;
-    withholdings.agree(&one, later);
+    withholdings.agree(&one, 2, later);
     let known = Some(now + KNOWN_LATER);
     assert!(withholdings.holds(&one, now + WITHHOLDING, known));
     assert!(!withholdings.holds(&one, later + WITHHOLDING, known));
@@ -45,7 +45,7 @@
     let now = Instant::now();
     let one = InstanceId("one".into());
     let mut withholdings = Withholdings::default();
-    withholdings.agree(&one, now);
+    withholdings.agree(&one, 1, now);
     let later = now + WITHHOLDING * 10;
     assert!(withholdings.holds(&one, later, None));
     assert!(withholdings.holds(&one, later, Some(now + WITHHOLDING)));
@@ -60,3 +60,18 @@
     assert!(ORDER_WINDOW + longest_promotion <= WITHHOLDING);
     assert!(RECENT_FAILURE < WITHHOLDING);
 }
+
+/// Whoever asked ends what it asked for, and nothing that others did.
+#[test]
+fn an_agreement_ends_when_all_who_asked_order_nothing() {
+    let now = Instant::now();
+    let one = InstanceId("one".into());
+    let mut withholdings = Withholdings::default();
+    withholdings.agree(&one, 1, now);
+    withholdings.agree(&one, 2, now);
+    assert!(withholdings.release(1));
+    assert!(withholdings.holds(&one, now, None));
+    assert!(!withholdings.release(1));
+    assert!(withholdings.release(2));
+    assert!(!withholdings.holds(&one, now, None));
+}
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -341,8 +341,9 @@
 
     /// This node agrees to acknowledge nothing of an instance for a while, since
     /// it may be replaced.
-    pub fn withhold(&self, id: &InstanceId) {
-        lock(&self.instances).withholdings.agree(id, Instant::now());
+    pub fn withhold(&self, id: &InstanceId, question: u64) {
+        let now = Instant::now();
+        lock(&self.instances).withholdings.agree(id, question, now);
         Event::info("instance_withheld")
             .field("instance", id)
             .field("at_least_ms", WITHHOLDING.as_millis())
@@ -350,6 +351,13 @@
         self.announce_change();
     }
 
+    /// Whoever asked this node to agree orders nothing.
+    pub fn release(&self, question: u64) {
+        if lock(&self.instances).withholdings.release(question) {
+            self.announce_change();
+        }
+    }
+
     /// Whether nothing of some instance may be acknowledged.
     pub fn withholds_any(&self) -> bool {
         let known = lock(&self.instances);
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -124,9 +124,17 @@
         .log();
 }
 
+/// A question that all nodes agreed to.
+#[derive(Clone, Debug)]
+struct Agreed {
+    number: u64,
+    audience: Audience,
+}
+
 /// All nodes agree that a primary may be replaced.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Agreement {
+    questions: Vec<Agreed>,
     /// When the first of them was asked; what they agreed to counts from later.
     pub asked_at: Instant,
     /// When the last of them had answered.
@@ -139,13 +147,22 @@
 
 impl Agreement {
     /// What holds if both do.
-    fn and(self, other: Self) -> Self {
+    fn and(mut self, other: Self) -> Self {
+        self.questions.extend(other.questions);
         Self {
+            questions: self.questions,
             asked_at: self.asked_at.min(other.asked_at),
             answered_at: self.answered_at.max(other.answered_at),
             silent_former: self.silent_former.max(other.silent_former),
         }
     }
+
+    /// Nothing is ordered: whoever agreed may go on.
+    pub async fn release<P: Platform>(self, gateway: &Gateway<P>) {
+        for question in self.questions {
+            peers::release(gateway, question.number, &question.audience).await;
+        }
+    }
 }
 
 /// Asks every node to agree that an instance may be replaced: none reaches it as
@@ -155,7 +172,9 @@
     let subject = QuestionSubject::Instance(instance.id.to_string());
     match ask_to_agree(gateway, &instance.service, subject).await {
         Ok(agreement) => {
-            gateway.beliefs.withhold(&instance.id);
+            for question in &agreement.questions {
+                gateway.beliefs.withhold(&instance.id, question.number);
+            }
             Some(agreement)
         }
         Err(reached_by) => {
@@ -187,15 +206,21 @@
     let mut tally = findings.tally;
     tally.unreached += 1;
     log_tally(service, &instance, tally);
-    if !tally.is_lost() {
-        log_withheld(service, "not_all_nodes_agree");
+    let refusal = match (tally.is_lost(), findings.have_enough_agreed()) {
+        (false, _) => Some("not_all_nodes_agree"),
+        (true, false) => Some("too_few_agree"),
+        (true, true) => None,
+    };
+    if let Some(reason) = refusal {
+        log_withheld(service, reason);
+        peers::release(gateway, findings.number, &audience).await;
         return Err(findings.reached_by);
     }
-    if !findings.have_enough_agreed() {
-        log_withheld(service, "too_few_agree");
-        return Err(Vec::new());
-    }
     Ok(Agreement {
+        questions: vec![Agreed {
+            number: findings.number,
+            audience,
+        }],
         asked_at,
         answered_at: Instant::now(),
         silent_former: findings.silent_former,
@@ -213,7 +238,7 @@
         confirm_lost(gateway, primary),
         confirm_nobody_believes(gateway, &primary.service),
     );
-    Some(lost?.and(nobody_believes?))
+    both(gateway, lost, nobody_believes).await
 }
 
 /// Makes sure that there is no primary for others: what is not listed may be
@@ -223,9 +248,9 @@
 /// may be a primary.
 pub(super) async fn confirm_none_leads<P: Platform>(
     gateway: &Gateway<P>,
-    service: &ServiceName,
     situation: &Situation,
 ) -> Option<Agreement> {
+    let service = &situation.service;
     if !gateway.beliefs.is_directory_settled(Instant::now()) {
         log_withheld(service, "directory_not_settled");
         return None;
@@ -237,12 +262,29 @@
             .iter()
             .any(|status| status.id == instance.id);
         if !answered {
-            agreement = agreement.and(confirm_lost(gateway, instance).await?);
+            let lost = confirm_lost(gateway, instance).await;
+            agreement = both(gateway, Some(agreement), lost).await?;
         }
     }
     Some(agreement)
 }
 
+/// What holds if all agree to both; what only one agreement was for is released.
+async fn both<P: Platform>(
+    gateway: &Gateway<P>,
+    one: Option<Agreement>,
+    other: Option<Agreement>,
+) -> Option<Agreement> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.and(other)),
+        (Some(alone), None) | (None, Some(alone)) => {
+            alone.release(gateway).await;
+            None
+        }
+        (None, None) => None,
+    }
+}
+
 /// Asks every node whether it reaches a primary of the service, whichever it
 /// believes in. `None` if one does or is silent.
 async fn confirm_nobody_believes<P: Platform>(
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
-use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease};
+use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease, LEASE, ORDER_TIMEOUT};
 use linkhold_core::service::instance::InstanceId;
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_events::Event;
@@ -32,6 +32,14 @@
     pub asked_at: Instant,
 }
 
+impl Claim {
+    /// The last moment at which an order may be sent that is answered, or given up,
+    /// while the lease lasts.
+    pub fn order_by(&self) -> Instant {
+        self.asked_at + (LEASE - ORDER_TIMEOUT)
+    }
+}
+
 /// Claims the lease of a service for a successor; `None` if another node holds
 /// it or the store cannot be used. An answer that is lost or late is no reason
 /// to find out everything anew: the row tells whether the claim was taken.
@@ -137,6 +145,43 @@
     Ok(written == WriteResult::Written)
 }
 
+/// Makes sure that a lease lasts for an order, which is about to leave. Where nobody
+/// refuses old tokens, the row is written once more and tells so, under the condition
+/// that no other claim came in between: a process that was paused since its claim sent an
+/// order 8.3 s after it. `None` if the lease is lost.
+pub(super) async fn prepare_order<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    claimed: &Claim,
+) -> Option<Claim> {
+    if gateway.platform.checks_tokens() {
+        let successor = claimed.lease.successor.as_ref()?;
+        let lasts = Instant::now() < claimed.order_by();
+        return match lasts {
+            true => Some(claimed.clone()),
+            false => claim(gateway, service, successor).await,
+        };
+    }
+    let asked_at = Instant::now();
+    let marking = timeout(STORE_TIMEOUT, mark_order(gateway, service, &claimed.lease));
+    let lease = marking.await.ok()?.ok()??;
+    gateway.leases.remember(service, &lease);
+    Some(Claim { lease, asked_at })
+}
+
+async fn mark_order<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    claimed: &FailoverLease,
+) -> Result<Option<FailoverLease>, StoreError> {
+    let (row, version, now) = read_lease(gateway, service).await?;
+    let Some(lease) = row.and_then(|row| row.about_to_order(claimed, now)) else {
+        return Ok(None);
+    };
+    let written = write_lease(gateway, service, &lease, version).await?;
+    Ok(written.then_some(lease))
+}
+
 /// Claims of leases as they were read.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownClaims {
@@ -186,8 +231,12 @@
     service: &ServiceName,
     successor: &InstanceId,
 ) -> Result<Option<FailoverLease>, StoreError> {
-    let (current, version, now) = read_lease(gateway, service).await?;
+    let (row, version, now) = read_lease(gateway, service).await?;
     let node = &gateway.settings.node;
+    let current = row.map(|row| match row.holder == *node {
+        true => gateway.leases.completed(service, row),
+        false => row,
+    });
     let lease = match failover::claim(current.as_ref(), node, successor, now) {
         ClaimDecision::Write(lease) => lease,
         ClaimDecision::HeldElsewhere(left) => {
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -6,20 +6,19 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
-use linkhold_core::service::failover::InstanceStatus;
+use linkhold_core::service::failover::{InstanceStatus, ORDER_TIMEOUT};
 use linkhold_core::service::instance::{InstanceId, Role};
+use linkhold_core::service::withholding::ORDER_WINDOW;
 use linkhold_events::Event;
 use tokio::time::{timeout, timeout_at};
 
 use super::Trouble;
 use super::diagnosis::Agreement;
-use super::lease::Claim;
+use super::lease::{Claim, prepare_order};
 use crate::gateway::Gateway;
 use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
 use crate::survey;
 
-/// How long an order to promote may take to be answered.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a successor may take to lead after the order was accepted.
 const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How often a successor is asked whether it leads, when nothing announces it.
@@ -31,8 +30,35 @@
     pub trouble: Trouble,
     /// The lease.
     pub claim: Claim,
-    /// What the other nodes agreed to.
-    pub agreement: Agreement,
+    /// What the other nodes agreed to; `None` if the primary ended its term itself.
+    pub agreement: Option<Agreement>,
+}
+
+impl Grounds {
+    /// The last moment at which an order may be sent on these grounds.
+    fn order_by(&self) -> Instant {
+        let by_lease = self.claim.order_by();
+        match &self.agreement {
+            Some(agreement) => by_lease.min(agreement.asked_at + ORDER_WINDOW),
+            None => by_lease,
+        }
+    }
+
+    /// Nothing is ordered on these grounds.
+    pub async fn give_up<P: Platform>(
+        self,
+        gateway: &Gateway<P>,
+        service: &ServiceName,
+        reason: &'static str,
+    ) {
+        Event::info("order_given_up")
+            .field("service", service)
+            .field("reason", reason)
+            .log();
+        if let Some(agreement) = self.agreement {
+            agreement.release(gateway).await;
+        }
+    }
 }
 
 /// Orders a promotion, and waits until the successor leads.
@@ -40,21 +66,36 @@
     gateway: &Arc<Gateway<P>>,
     service: &ServiceName,
     successor: &InstanceStatus,
-    grounds: &Grounds,
+    mut grounds: Grounds,
 ) {
+    let Some(claim) = prepare_order(gateway, service, &grounds.claim).await else {
+        return grounds.give_up(gateway, service, "lease_lost").await;
+    };
+    grounds.claim = claim;
+    let order_by = grounds.order_by();
+    if Instant::now() >= order_by {
+        return grounds.give_up(gateway, service, "too_late").await;
+    }
     let lease = &grounds.claim.lease;
     let order = PromoteOrder {
         service: service.to_string(),
         successor: successor.id.clone(),
         holder: lease.holder.clone(),
         token: lease.token,
+        send_by: order_by,
     };
     gateway.metrics.promotions.add();
     let started = Instant::now();
     let answer = timeout(ORDER_TIMEOUT, gateway.platform.promote(&order))
         .await
         .unwrap_or(PromoteAnswer::Unknown);
-    log_order(&order, successor.received, grounds, answer, started);
+    log_order(&order, successor.received, &grounds, answer, started);
+    if answer != PromoteAnswer::Unknown {
+        gateway.leases.answered(service, order.token);
+    }
+    if answer == PromoteAnswer::NotSent {
+        return grounds.give_up(gateway, service, "too_late").await;
+    }
     if answer == PromoteAnswer::Refused {
         // A newer token may have been seen: this one is not used without the
         // store again.
@@ -72,6 +113,12 @@
     answer: PromoteAnswer,
     started: Instant,
 ) {
+    let agreement = grounds.agreement.as_ref();
+    let silent_former = agreement.map_or(0, |agreement| agreement.silent_former);
+    let agreed_ms_ago = agreement.map_or_else(
+        || "handed_over".to_owned(),
+        |agreement| (started - agreement.asked_at).as_millis().to_string(),
+    );
     let age_ms = |moment: Instant| started.saturating_duration_since(moment).as_millis();
     Event::info("promotion_ordered")
         .field("service", &order.service)
@@ -80,8 +127,8 @@
         .field("received", received)
         .field("because", format_args!("{:?}", grounds.trouble))
         .field("lease_age_ms", age_ms(grounds.claim.asked_at))
-        .field("agreed_ms_ago", age_ms(grounds.agreement.asked_at))
-        .field("silent_former", grounds.agreement.silent_former)
+        .field("agreed_ms_ago", agreed_ms_ago)
+        .field("silent_former", silent_former)
         .field("answer", format_args!("{answer:?}"))
         .field("took_ms", started.elapsed().as_millis())
         .log();
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -9,12 +9,11 @@
 use linkhold_core::service::failover::{self, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_core::service::permission::CONFIRMATION_LIFE;
-use linkhold_core::service::withholding::ORDER_WINDOW;
 use linkhold_events::Event;
 use tokio::time::{sleep, sleep_until};
 
 use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced};
-use super::lease::claim;
+use super::lease::{Claim, claim};
 use super::order::{Grounds, order};
 use super::{Trouble, is_still_subject};
 use crate::gateway::Gateway;
@@ -30,6 +29,7 @@
 
 /// What was found out before a primary is replaced.
 pub(super) struct Situation {
+    pub(super) service: ServiceName,
     /// All instances but the old primary.
     pub(super) others: Vec<Arc<Instance>>,
     pub(super) statuses: Vec<InstanceStatus>,
@@ -57,66 +57,66 @@
     let Some(successor) = successor(gateway, service, trouble, &situation) else {
         return;
     };
-    let successor_id = &successor.status.id;
-    let Some(claimed) = claim(gateway, service, successor_id).await else {
+    let Some(claimed) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
-    let Some(agreement) = agreement(gateway, service, trouble, &situation).await else {
-        return;
-    };
-    let (claimed, agreement) = if agreement.silent_former == 0 {
-        (claimed, agreement)
-    } else {
-        wait_for_silent_nodes(service, &agreement).await;
-        // Whoever is listed from now on sees the claim, or is asked.
-        let Some(claimed) = claim(gateway, service, successor_id).await else {
-            return;
-        };
-        let again = self::agreement(gateway, service, trouble, &situation).await;
-        let Some(agreement) = again else {
-            return;
-        };
-        (claimed, agreement)
+    let prepared = match trouble {
+        Trouble::Leaving | Trouble::Misplaced => {
+            let caught_up = hand_over(gateway, &situation, &successor.status, trouble).await;
+            caught_up.map(|caught_up| (caught_up, claimed, None))
+        }
+        Trouble::Lost | Trouble::Unknown => {
+            let agreed = agree(gateway, trouble, &situation, claimed).await;
+            agreed.map(|(claimed, agreement)| (successor.status, claimed, Some(agreement)))
+        }
     };
-    let has_time = agreement.asked_at.elapsed() < ORDER_WINDOW;
-    if !is_still_subject(gateway, service, subject) || !has_time {
+    let Some((chosen, claim, agreement)) = prepared else {
         return;
-    }
-    let mut chosen = successor.status;
-    if matches!(trouble, Trouble::Leaving | Trouble::Misplaced) {
-        match hand_over(gateway, &situation, &chosen, trouble).await {
-            Some(caught_up) => chosen = caught_up,
-            None => return,
-        }
-    }
+    };
     let grounds = Grounds {
         trouble,
-        claim: claimed,
+        claim,
         agreement,
     };
-    order(gateway, service, &chosen, &grounds).await;
+    if !is_still_subject(gateway, service, subject) {
+        return grounds.give_up(gateway, service, "primary_changed").await;
+    }
+    order(gateway, service, &chosen, grounds).await;
+}
+
+/// Has all nodes agree, and those that cannot be asked stop; with the claim under which
+/// they were asked last.
+async fn agree<P: Platform>(
+    gateway: &Gateway<P>,
+    trouble: Trouble,
+    situation: &Situation,
+    claimed: Claim,
+) -> Option<(Claim, Agreement)> {
+    let service = &situation.service;
+    let agreement = agreement(gateway, trouble, situation).await?;
+    if agreement.silent_former == 0 {
+        return Some((claimed, agreement));
+    }
+    wait_for_silent_nodes(service, &agreement).await;
+    agreement.release(gateway).await;
+    // Whoever is listed from now on sees the claim, or is asked.
+    let successor = claimed.lease.successor.as_ref()?;
+    let claimed = claim(gateway, service, successor).await?;
+    let agreement = self::agreement(gateway, trouble, situation).await?;
+    Some((claimed, agreement))
 }
 
 /// Has all nodes acknowledge nothing that the present primary commits, so that it may
-/// be replaced; `None` if they do not agree. A primary that hands over ends its term
-/// itself.
+/// be replaced; `None` if they do not agree.
 async fn agreement<P: Platform>(
     gateway: &Gateway<P>,
-    service: &ServiceName,
     trouble: Trouble,
     situation: &Situation,
 ) -> Option<Agreement> {
-    match (trouble, &situation.old) {
-        (Trouble::Leaving | Trouble::Misplaced, _) => Some(Agreement {
-            asked_at: Instant::now(),
-            answered_at: Instant::now(),
-            silent_former: 0,
-        }),
-        (Trouble::Lost, Some(primary)) => confirm_not_replaced(gateway, primary).await,
+    match &situation.old {
+        Some(primary) if trouble == Trouble::Lost => confirm_not_replaced(gateway, primary).await,
         // What was lost is no longer believed in: the others decide.
-        (Trouble::Lost, None) | (Trouble::Unknown, _) => {
-            confirm_none_leads(gateway, service, situation).await
-        }
+        _ => confirm_none_leads(gateway, situation).await,
     }
 }
 
@@ -144,6 +144,7 @@
         gateway.beliefs.term_seen(service, status.term);
     }
     Situation {
+        service: service.clone(),
         others,
         statuses,
         old,
@@ -221,6 +222,16 @@
     instance.is_some_and(|instance| gateway.beliefs.is_well_placed(&instance))
 }
 
+/// Whether an instance says that it leads, and nothing is known of a newer term.
+fn leads_newest_term<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    status: &InstanceStatus,
+) -> bool {
+    let newest = gateway.beliefs.newest_term(&instance.service);
+    status.role == Role::Primary && Some(status.term) >= newest
+}
+
 /// Ends the term of a primary that leaves, or is misplaced, and waits until the successor has
 /// everything that it had, so that no commit is rolled back. `None` if that is
 /// not possible yet.
@@ -233,6 +244,12 @@
     let old = situation.old.as_ref()?;
     let instance = gateway.beliefs.instance(&successor.id)?;
     let present = survey::status(gateway, old).await?;
+    // A node that stood still during another's hand-over did it once more when it woke,
+    // from the old primary's log: 3 to 5 commits of the new one were undone.
+    if !leads_newest_term(gateway, old, &present) {
+        gateway.instance_denied_primary(old);
+        return None;
+    }
     // One that is misplaced does not end by itself: it waits for its successor.
     let leaving_for = match trouble {
         Trouble::Leaving => gateway.beliefs.leaving_for(&old.id, Instant::now())?,
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -152,6 +152,9 @@
                     let _ = sender.send((from, found));
                 }
             }
+            Ok(Datagram::Reachability(ReachabilityMessage::Release { number })) => {
+                gateway.beliefs.release(number);
+            }
             Ok(Datagram::Reachability(ReachabilityMessage::ConfirmationQuestion { number })) => {
                 let answer = confirmation::answer(gateway, number);
                 // A lost answer counts as none.
@@ -268,9 +271,9 @@
     }
     if found == Reachability::Unreached && purpose == QuestionPurpose::Replace {
         match (&instance, &subject) {
-            (Some(instance), _) => gateway.beliefs.withhold(&instance.id),
+            (Some(instance), _) => gateway.beliefs.withhold(&instance.id, asker.number),
             (None, QuestionSubject::Instance(id)) => {
-                gateway.beliefs.withhold(&instance_id(id));
+                gateway.beliefs.withhold(&instance_id(id), asker.number);
             }
             (None, QuestionSubject::PrimaryOf(_)) => {}
         }
@@ -373,6 +376,8 @@
 /// What other nodes answered.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerFindings {
+    /// The question's number.
+    pub number: u64,
     /// How many of the nodes whose silence counts found what; of the others, those
     /// that reach it.
     pub tally: ReachabilityTally,
@@ -410,6 +415,23 @@
     }
 }
 
+/// Tells everyone who was asked to agree that nothing is ordered; a lost word costs the
+/// time for which they agreed.
+pub(crate) async fn release<P: Platform>(gateway: &Gateway<P>, number: u64, audience: &Audience) {
+    gateway.beliefs.release(number);
+    let (Some(key), Some(socket)) = (gateway.fleet.key(), gateway.peers.socket()) else {
+        return;
+    };
+    let datagram = encode_reachability(&ReachabilityMessage::Release { number }, &key);
+    let nodes: Vec<SocketAddr> = audience
+        .nodes
+        .iter()
+        .chain(&audience.former)
+        .copied()
+        .collect();
+    send(&socket, &nodes, &datagram).await;
+}
+
 /// Asks other nodes whether they reach an instance, or whichever they believe in,
 /// as a primary. Nothing is counted while the fleet is not known.
 pub(crate) async fn ask<P: Platform>(
@@ -424,6 +446,7 @@
     let mut findings = PeerFindings::default();
     findings.tally.nodes = audience.nodes.len() + 1;
     let number = rand::random();
+    findings.number = number;
     let (sender, receiver) = mpsc::unbounded_channel();
     lock(&gateway.peers.waiting).insert(number, sender);
     let message = ReachabilityMessage::Question {
--- a/crates/linkhold-gateway/src/ports/authority.rs
+++ b/crates/linkhold-gateway/src/ports/authority.rs
@@ -1,6 +1,7 @@
 //! Who carries out promotions.
 
 use std::future::Future;
+use std::time::Instant;
 
 use linkhold_core::service::instance::InstanceId;
 
@@ -15,6 +16,8 @@
     pub holder: String,
     /// Its fencing token.
     pub token: u64,
+    /// The last moment at which it may leave this node.
+    pub send_by: Instant,
 }
 
 /// Answer to an order.
@@ -26,6 +29,8 @@
     Refused,
     /// Too many orders; nothing was done.
     Throttled,
+    /// It had not left when its time was over; nothing was done.
+    NotSent,
     /// No answer; it may still be carried out.
     Unknown,
 }
@@ -34,6 +39,7 @@
 pub trait FailoverAuthority: Send + Sync + 'static {
     /// Whether orders with an old token are refused by the authority.
     fn checks_tokens(&self) -> bool;
-    /// Orders a promotion.
+    /// Orders a promotion. An order that is given up while its answer is waited for is
+    /// to leave this node no more.
     fn promote(&self, order: &PromoteOrder) -> impl Future<Output = PromoteAnswer> + Send;
 }
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -83,6 +83,13 @@
         #[n(1)]
         found: Reachability,
     },
+    /// Whoever asked a question to replace an instance orders nothing.
+    #[n(4)]
+    Release {
+        /// The question's number.
+        #[n(0)]
+        number: u64,
+    },
     /// What replacements have you agreed to lately?
     #[n(2)]
     ConfirmationQuestion {
