--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -36,7 +36,7 @@
 use std::time::{Duration, Instant};
 
 use super::configuration::ServiceName;
-use super::failover::LEASE;
+use super::failover::{LEASE, ORDER_TIMEOUT};
 use super::instance::InstanceId;
 use super::listing::{LISTING_LIFE, LISTING_MARGIN, Listing};
 use super::readers::ROW_EXPIRY;
@@ -56,8 +56,11 @@
 /// Age of a renewal from which a node has others confirm that it may go on.
 pub const CONFIRM_FROM: Duration = Duration::from_millis(8_000);
 /// How long after a lease was claimed a promotion under it may take effect: the
-/// lease, a second in which the order is on its way, and one that the platform takes.
-pub const CLAIM_EFFECT: Duration = LEASE.saturating_add(Duration::from_millis(2_000));
+/// lease, within which an order leaves, the time in which it is on its way, and a second
+/// that the platform takes, with half a second to spare.
+pub const CLAIM_EFFECT: Duration = LEASE
+    .saturating_add(ORDER_TIMEOUT)
+    .saturating_add(Duration::from_millis(1_500));
 
 /// A claim of a service's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +103,8 @@
     listing: Listing,
     confirmed_until: Option<Instant>,
     bars: HashMap<ServiceName, Bar>,
+    /// When it was admitted again after its permission had run out.
+    regained_at: Option<Instant>,
 }
 
 impl Permission {
@@ -116,8 +121,10 @@
     /// The node is listed by a renewal that was sent at a moment, and has read which
     /// leases are claimed since.
     pub fn admitted(&mut self, sent_at: Instant, claims: &[RecentClaim], now: Instant) {
+        if self.listing.renewed_at().is_some() {
+            self.regained_at = Some(now);
+        }
         self.listing.confirmed(sent_at);
-        self.bars.retain(|_, bar| now < bar.until);
         for claim in claims.iter().filter(|claim| claim.may_take_effect()) {
             let Some(successor) = claim.successor.clone() else {
                 continue;
@@ -153,13 +160,21 @@
     }
 
     /// Whether the node may speak at a moment for an instance as the primary of a
-    /// service.
-    pub fn covers(&self, service: &str, instance: &InstanceId, moment: Instant) -> bool {
-        let is_barred = self
-            .bars
-            .get(service)
-            .is_some_and(|bar| moment < bar.until && bar.successor != *instance);
-        self.holds(moment) && !is_barred
+    /// service. `directory_as_of` is the last moment as of which it knows the instances:
+    /// what was replaced while it had no permission, or was barred, it has to have heard.
+    pub fn covers(
+        &self,
+        service: &str,
+        instance: &InstanceId,
+        moment: Instant,
+        directory_as_of: Option<Instant>,
+    ) -> bool {
+        let has_heard = |since: Instant| directory_as_of.is_some_and(|as_of| as_of >= since);
+        let is_over = |bar: &Bar| moment >= bar.until && has_heard(bar.until);
+        let bar = self.bars.get(service);
+        let is_barred = bar.is_some_and(|bar| !is_over(bar) && bar.successor != *instance);
+        let knows_what_it_missed = self.regained_at.is_none_or(has_heard);
+        self.holds(moment) && knows_what_it_missed && !is_barred
     }
 
     /// Whether the node is to have others confirm that it may go on.
@@ -177,16 +192,22 @@
 /// What a node has agreed to lately, as far as permissions go.
 #[derive(Clone, Debug, Default)]
 pub struct Consents {
-    /// What was asked for, and when the node agreed last.
-    agreed: HashMap<String, Instant>,
+    /// What was asked for, and when the node agreed to each question, by its number.
+    agreed: HashMap<String, HashMap<u64, Instant>>,
 }
 
 impl Consents {
     /// The node agreed to a replacement. `subject` tells of what, in the words of the
     /// question, which are the same at all nodes.
-    pub fn agree(&mut self, subject: &str, now: Instant) {
+    pub fn agree(&mut self, subject: &str, question: u64, now: Instant) {
         self.forget(now);
-        self.agreed.insert(subject.to_owned(), now);
+        let questions = self.agreed.entry(subject.to_owned()).or_default();
+        questions.insert(question, now);
+    }
+
+    /// Whoever asked a question orders nothing.
+    pub fn release(&mut self, question: u64) {
+        self.keep(|number, _| number != question);
     }
 
     /// What the node has agreed to lately.
@@ -205,8 +226,14 @@
     }
 
     fn forget(&mut self, now: Instant) {
-        self.agreed
-            .retain(|_, agreed_at| now < *agreed_at + CONSENT_MEMORY);
+        self.keep(|_, agreed_at| now < agreed_at + CONSENT_MEMORY);
+    }
+
+    fn keep(&mut self, is_kept: impl Fn(u64, Instant) -> bool) {
+        for questions in self.agreed.values_mut() {
+            questions.retain(|number, agreed_at| is_kept(*number, *agreed_at));
+        }
+        self.agreed.retain(|_, questions| !questions.is_empty());
     }
 }
 
--- a/crates/linkhold-core/tests/service_permission.rs
+++ b/crates/linkhold-core/tests/service_permission.rs
@@ -34,9 +34,19 @@
 fn a_permission_ends_before_the_node_may_be_left_out() {
     let start = Instant::now();
     let permission = listed(start);
-    assert!(!Permission::default().covers(SERVICE, &one(), start));
-    assert!(permission.covers(SERVICE, &one(), start + LISTING_LIFE - milliseconds(1)));
-    assert!(!permission.covers(SERVICE, &one(), start + LISTING_LIFE));
+    assert!(!Permission::default().covers(SERVICE, &one(), start, Some(start)));
+    assert!(permission.covers(
+        SERVICE,
+        &one(),
+        start + LISTING_LIFE - milliseconds(1),
+        Some(start + LISTING_LIFE - milliseconds(1))
+    ));
+    assert!(!permission.covers(
+        SERVICE,
+        &one(),
+        start + LISTING_LIFE,
+        Some(start + LISTING_LIFE)
+    ));
     assert!(LISTING_LIFE < ROW_EXPIRY);
 }
 
@@ -54,13 +64,18 @@
     };
     permission.admitted(back, &[claim], back);
     let two = InstanceId("two".into());
-    assert!(permission.covers("other", &one(), back));
-    assert!(!permission.covers(SERVICE, &one(), back));
+    assert!(permission.covers("other", &one(), back, Some(back)));
+    assert!(!permission.covers(SERVICE, &one(), back, Some(back)));
     // The successor leads: the replacement is over.
-    assert!(permission.covers(SERVICE, &two, back));
+    assert!(permission.covers(SERVICE, &two, back, Some(back)));
     let over = back + CLAIM_EFFECT - milliseconds(1_000);
-    assert!(!permission.covers(SERVICE, &one(), over - milliseconds(1)));
-    assert!(permission.covers(SERVICE, &one(), over));
+    assert!(!permission.covers(
+        SERVICE,
+        &one(),
+        over - milliseconds(1),
+        Some(over - milliseconds(1))
+    ));
+    assert!(permission.covers(SERVICE, &one(), over, Some(over)));
 }
 
 #[test]
@@ -75,7 +90,7 @@
             age,
         };
         permission.admitted(start, &[claim], start);
-        assert!(permission.covers(SERVICE, &one(), start));
+        assert!(permission.covers(SERVICE, &one(), start, Some(start)));
     }
     assert!(LEASE < CLAIM_EFFECT);
 }
@@ -105,12 +120,12 @@
     let start = Instant::now();
     let mut consents = Consents::default();
     assert!(consents.recent(start).is_empty());
-    consents.agree("one", start);
+    consents.agree("one", 1, start);
     let told = consents.recent(start + CONSENT_MEMORY - milliseconds(1));
     assert_eq!(told, ["one"]);
     let mut other = Consents::default();
     assert!(!other.include(&told, start));
-    other.agree("one", start);
+    other.agree("one", 1, start);
     assert!(other.include(&told, start));
     assert!(consents.recent(start + CONSENT_MEMORY).is_empty());
     assert!(CONFIRMATION_LIFE * 2 < CONSENT_MEMORY);
@@ -259,3 +274,29 @@
     assert_eq!(confirmations_needed(2), None);
     assert!(agreements_needed(3 + 1) > 1);
 }
+
+/// A node that comes back may have missed a promotion: it needs the list of instances
+/// as of later.
+#[test]
+fn a_node_that_comes_back_speaks_for_nobody_before_it_knows_the_instances() {
+    let start = Instant::now();
+    let mut permission = listed(start);
+    assert!(permission.covers(SERVICE, &one(), start, None));
+    let back = start + ROW_EXPIRY;
+    permission.admitted(back, &[], back);
+    assert!(!permission.covers(SERVICE, &one(), back, None));
+    assert!(!permission.covers(SERVICE, &one(), back, Some(back - milliseconds(1))));
+    assert!(permission.covers(SERVICE, &one(), back, Some(back)));
+}
+
+#[test]
+fn a_consent_ends_when_whoever_asked_orders_nothing() {
+    let start = Instant::now();
+    let mut consents = Consents::default();
+    consents.agree("one", 1, start);
+    consents.agree("one", 2, start);
+    consents.release(1);
+    assert_eq!(consents.recent(start), ["one"]);
+    consents.release(2);
+    assert!(consents.recent(start).is_empty());
+}
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -336,7 +336,7 @@
         let is_withheld = known
             .withholdings
             .holds(&primary.id, now, known.directory_as_of);
-        !is_withheld && self.permission.covers(primary, now)
+        !is_withheld && self.permission.covers(primary, now, known.directory_as_of)
     }
 
     /// This node agrees to acknowledge nothing of an instance for a while, since
@@ -353,6 +353,7 @@
 
     /// Whoever asked this node to agree orders nothing.
     pub fn release(&self, question: u64) {
+        self.permission.release(question);
         if lock(&self.instances).withholdings.release(question) {
             self.announce_change();
         }
--- a/crates/linkhold-gateway/src/confirmation.rs
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -78,7 +78,7 @@
 /// Whether enough of all nodes, this one included, have agreed to no replacement of
 /// which this one does not know.
 async fn is_confirmed<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let Some(needed) = confirmations_needed(gateway.fleet.size()) else {
+    let Some(needed) = confirmations_needed(gateway.fleet.largest_size_lately()) else {
         return false;
     };
     let Some(sender) = Sender::of(gateway) else {
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -27,6 +27,7 @@
     let audience = Audience::for_look(gateway);
     let peers = peers::ask(
         gateway,
+        rand::random(),
         QuestionSubject::Instance(primary.id.to_string()),
         QuestionPurpose::Look,
         &audience,
@@ -196,13 +197,15 @@
         log_withheld(service, "fleet_not_known");
         return Err(Vec::new());
     };
-    gateway.beliefs.permission.agree(&subject);
+    let number = rand::random();
+    gateway.beliefs.permission.agree(&subject, number);
     let instance = match &subject {
         QuestionSubject::Instance(id) => id.clone(),
         QuestionSubject::PrimaryOf(_) => "any".to_owned(),
     };
     let asked_at = Instant::now();
-    let findings = peers::ask(gateway, subject, QuestionPurpose::Replace, &audience).await;
+    let purpose = QuestionPurpose::Replace;
+    let findings = peers::ask(gateway, number, subject, purpose, &audience).await;
     let mut tally = findings.tally;
     tally.unreached += 1;
     log_tally(service, &instance, tally);
@@ -213,14 +216,11 @@
     };
     if let Some(reason) = refusal {
         log_withheld(service, reason);
-        peers::release(gateway, findings.number, &audience).await;
+        peers::release(gateway, number, &audience).await;
         return Err(findings.reached_by);
     }
     Ok(Agreement {
-        questions: vec![Agreed {
-            number: findings.number,
-            audience,
-        }],
+        questions: vec![Agreed { number, audience }],
         asked_at,
         answered_at: Instant::now(),
         silent_former: findings.silent_former,
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -153,6 +153,7 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
     claimed: &Claim,
+    is_handed_over: bool,
 ) -> Option<Claim> {
     if gateway.platform.checks_tokens() {
         let successor = claimed.lease.successor.as_ref()?;
@@ -162,6 +163,10 @@
             false => claim(gateway, service, successor).await,
         };
     }
+    // A node that was listed meanwhile was not asked, and may have read this claim.
+    if claimed.asked_at.elapsed() >= LEASE && !is_handed_over {
+        return None;
+    }
     let asked_at = Instant::now();
     let marking = timeout(STORE_TIMEOUT, mark_order(gateway, service, &claimed.lease));
     let lease = marking.await.ok()?.ok()??;
@@ -169,6 +174,29 @@
     Some(Claim { lease, asked_at })
 }
 
+/// An order was answered: other nodes need not wait for it.
+pub(super) async fn settle_order<P: Platform>(
+    gateway: Arc<Gateway<P>>,
+    service: ServiceName,
+    ordered: FailoverLease,
+) {
+    let settling = async {
+        let (row, version, _) = read_lease(&gateway, &service).await?;
+        match row.filter(|row| *row == ordered) {
+            Some(row) => {
+                let settled = FailoverLease {
+                    ordered_at: None,
+                    ..row
+                };
+                write_lease(&gateway, &service, &settled, version).await
+            }
+            None => Ok(false),
+        }
+    };
+    // Without an answer, others wait for the order's whole time.
+    let _ = timeout(STORE_TIMEOUT, settling).await;
+}
+
 async fn mark_order<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -14,7 +14,7 @@
 
 use super::Trouble;
 use super::diagnosis::Agreement;
-use super::lease::{Claim, prepare_order};
+use super::lease::{Claim, prepare_order, settle_order};
 use crate::gateway::Gateway;
 use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
 use crate::survey;
@@ -68,7 +68,14 @@
     successor: &InstanceStatus,
     mut grounds: Grounds,
 ) {
-    let Some(claim) = prepare_order(gateway, service, &grounds.claim).await else {
+    let Some(claim) = prepare_order(
+        gateway,
+        service,
+        &grounds.claim,
+        grounds.agreement.is_none(),
+    )
+    .await
+    else {
         return grounds.give_up(gateway, service, "lease_lost").await;
     };
     grounds.claim = claim;
@@ -85,24 +92,34 @@
         send_by: order_by,
     };
     gateway.metrics.promotions.add();
+    gateway.leases.ordering(service, order.token);
     let started = Instant::now();
     let answer = timeout(ORDER_TIMEOUT, gateway.platform.promote(&order))
         .await
         .unwrap_or(PromoteAnswer::Unknown);
     log_order(&order, successor.received, &grounds, answer, started);
-    if answer != PromoteAnswer::Unknown {
-        gateway.leases.answered(service, order.token);
+    let is_settled =
+        answer != PromoteAnswer::Unknown && gateway.leases.answered(service, order.token);
+    if is_settled && grounds.claim.lease.ordered_at.is_some() {
+        // Others need not wait for it.
+        tokio::spawn(settle_order(
+            gateway.clone(),
+            service.clone(),
+            grounds.claim.lease.clone(),
+        ));
     }
-    if answer == PromoteAnswer::NotSent {
-        return grounds.give_up(gateway, service, "too_late").await;
-    }
-    if answer == PromoteAnswer::Refused {
-        // A newer token may have been seen: this one is not used without the
-        // store again.
-        gateway.leases.lost(service);
-    }
-    if matches!(answer, PromoteAnswer::Accepted | PromoteAnswer::Unknown) {
-        await_lead(gateway, service, &successor.id).await;
+    match answer {
+        PromoteAnswer::Accepted | PromoteAnswer::Unknown => {
+            await_lead(gateway, service, &successor.id).await;
+        }
+        PromoteAnswer::Refused => {
+            // A newer token may have been seen: this one is not used without the
+            // store again.
+            gateway.leases.lost(service);
+            grounds.give_up(gateway, service, "refused").await;
+        }
+        PromoteAnswer::Throttled => grounds.give_up(gateway, service, "throttled").await,
+        PromoteAnswer::NotSent => grounds.give_up(gateway, service, "too_late").await,
     }
 }
 
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -133,9 +133,12 @@
             Err(_) => {
                 let interval = renewal_interval(gateway);
                 renew_at = Instant::now() + interval.mul_f64(rand::random_range(0.8..1.2));
+                let node = fleet::own_node(gateway);
+                // A node that cannot be asked has no permission.
+                let counts = node.address.is_some();
                 FeedMessage::Renewal {
-                    node: fleet::own_node(gateway),
-                    number: Some(lock(renewals).send(Instant::now())),
+                    node,
+                    number: counts.then(|| lock(renewals).send(Instant::now())),
                 }
             }
         };
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
+use crate::registration::OwnRow;
 use crate::relay::Relays;
 use crate::settings::GatewaySettings;
 use crate::shared_evidence::ReaderLink;
@@ -50,6 +51,7 @@
     pub(crate) questions: Questions,
     pub(crate) confirmations: Confirmations,
     pub(crate) fleet: Fleet,
+    pub(crate) own_row: OwnRow,
     pub(crate) followers: Followers,
     pub(crate) peers: Peers,
     pub(crate) relays: Relays,
@@ -105,6 +107,7 @@
             questions: Questions::default(),
             confirmations: Confirmations::default(),
             fleet: Fleet::default(),
+            own_row: OwnRow::default(),
             followers: Followers::default(),
             peers: Peers::default(),
             relays: Relays::default(),
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -48,9 +48,16 @@
 #[derive(Default)]
 pub(crate) struct HeldLeases {
     leases: Mutex<HashMap<ServiceName, FailoverLease>>,
-    /// Tokens under which an order was answered, by service: it is not carried out
-    /// any more.
-    answered: Mutex<HashMap<ServiceName, u64>>,
+    /// Orders under the last token of each service.
+    orders: Mutex<HashMap<ServiceName, SentOrders>>,
+}
+
+/// Orders that this node sent under a token.
+#[derive(Clone, Copy, Debug)]
+struct SentOrders {
+    token: u64,
+    /// Those that were not answered: they may be carried out yet.
+    open: usize,
 }
 
 impl HeldLeases {
@@ -66,9 +73,32 @@
             .is_some_and(|lease| lease.holder == node)
     }
 
-    /// The last order under a token was answered.
-    pub fn answered(&self, service: &ServiceName, token: u64) {
-        lock(&self.answered).insert(service.clone(), token);
+    /// An order under a token is about to leave.
+    pub fn ordering(&self, service: &ServiceName, token: u64) {
+        let mut orders = lock(&self.orders);
+        let sent = orders
+            .entry(service.clone())
+            .and_modify(|sent| sent.open *= usize::from(sent.token == token))
+            .or_insert(SentOrders { token, open: 0 });
+        sent.token = token;
+        sent.open += 1;
+    }
+
+    /// It was answered, or did not leave. Whether no other one under its token is open.
+    pub fn answered(&self, service: &str, token: u64) -> bool {
+        let mut orders = lock(&self.orders);
+        let Some(sent) = orders.get_mut(service).filter(|sent| sent.token == token) else {
+            return false;
+        };
+        sent.open = sent.open.saturating_sub(1);
+        sent.open == 0
+    }
+
+    /// Whether all orders that this node sent under a token were answered.
+    fn has_none_open(&self, service: &str, token: u64) -> bool {
+        let orders = lock(&self.orders);
+        let sent = orders.get(service);
+        sent.is_some_and(|sent| sent.token == token && sent.open == 0)
     }
 
     /// A lease of this node's own as its row has it, with what only this node knows: for
@@ -80,7 +110,7 @@
         if let Some(held) = held.filter(|held| held.token == lease.token) {
             lease.successor = lease.successor.or(held.successor);
         }
-        if lock(&self.answered).get(service) == Some(&lease.token) {
+        if self.has_none_open(service, lease.token) {
             lease.ordered_at = None;
         }
         lease
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -267,7 +267,7 @@
         None => Reachability::Unreached,
     };
     if found != Reachability::Reached && purpose == QuestionPurpose::Replace {
-        gateway.beliefs.permission.agree(&subject);
+        gateway.beliefs.permission.agree(&subject, asker.number);
     }
     if found == Reachability::Unreached && purpose == QuestionPurpose::Replace {
         match (&instance, &subject) {
@@ -376,8 +376,6 @@
 /// What other nodes answered.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerFindings {
-    /// The question's number.
-    pub number: u64,
     /// How many of the nodes whose silence counts found what; of the others, those
     /// that reach it.
     pub tally: ReachabilityTally,
@@ -436,6 +434,7 @@
 /// as a primary. Nothing is counted while the fleet is not known.
 pub(crate) async fn ask<P: Platform>(
     gateway: &Gateway<P>,
+    number: u64,
     subject: QuestionSubject,
     purpose: QuestionPurpose,
     audience: &Audience,
@@ -445,8 +444,6 @@
     };
     let mut findings = PeerFindings::default();
     findings.tally.nodes = audience.nodes.len() + 1;
-    let number = rand::random();
-    findings.number = number;
     let (sender, receiver) = mpsc::unbounded_channel();
     lock(&gateway.peers.waiting).insert(number, sender);
     let message = ReachabilityMessage::Question {
--- a/crates/linkhold-gateway/src/permission.rs
+++ b/crates/linkhold-gateway/src/permission.rs
@@ -55,8 +55,14 @@
     }
 
     /// Whether this node may speak for an instance as a primary at a moment.
-    pub fn covers(&self, instance: &Instance, moment: Instant) -> bool {
-        lock(&self.permission).covers(&instance.service, &instance.id, moment)
+    pub fn covers(
+        &self,
+        instance: &Instance,
+        moment: Instant,
+        directory_as_of: Option<Instant>,
+    ) -> bool {
+        let permission = lock(&self.permission);
+        permission.covers(&instance.service, &instance.id, moment, directory_as_of)
     }
 
     /// Whether this node may speak for primaries at all.
@@ -69,9 +75,19 @@
         lock(&self.permission).needs_confirmation(Instant::now())
     }
 
-    /// This node agrees to a replacement.
-    pub fn agree(&self, subject: &QuestionSubject) {
-        lock(&self.consents).agree(&subject.to_string(), Instant::now());
+    /// This node agrees to a replacement, to a question with a number.
+    pub fn agree(&self, subject: &QuestionSubject, question: u64) {
+        lock(&self.consents).agree(&subject.to_string(), question, Instant::now());
+    }
+
+    /// Whoever asked a question orders nothing.
+    pub fn release(&self, question: u64) {
+        lock(&self.consents).release(question);
+    }
+
+    /// Another process has this node's name: it is asked in this one's place.
+    pub fn revoke(&self) {
+        *lock(&self.permission) = Permission::default();
     }
 
     /// What this node has agreed to lately, told to one that relies on it; `None` if
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -148,10 +148,11 @@
         value: Vec<u8>,
         expected: Option<u64>,
     ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
-    /// Removes a row.
+    /// Removes a row if it still has `expected` as version.
     fn remove_row(
         &self,
         table: FleetTable,
         key: &str,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+        expected: u64,
+    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
 }
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -5,7 +5,8 @@
 //! that they live, and its row lists them ([`crate::registry`]).
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::permission::{FORMER_TIME, Renewed};
@@ -14,6 +15,7 @@
 use linkhold_peer::{FeedMessage, PeerKey};
 use tokio::time::{sleep, timeout_at};
 
+use crate::beliefs::lock;
 use crate::failover;
 use crate::fleet::{self, Reading};
 use crate::gateway::Gateway;
@@ -123,6 +125,7 @@
     // Rows are renewed first: what is read then holds this node.
     enlist(gateway).await?;
     let registry = read_registry(gateway, CallReason::Fleet).await?;
+    gateway.own_row.read(registry.own_version);
     Ok(fleet::adopt_registry(gateway, &registry, Reading::Yes))
 }
 
@@ -138,9 +141,97 @@
     write_row(gateway).await
 }
 
-/// Writes the row of this node and of those that follow it. Whoever is listed anew
+/// What this node knows of its own row.
+#[derive(Debug, Default)]
+pub(crate) struct OwnRow {
+    /// Its version as it was read last, unless it was written since.
+    version: Mutex<Option<u64>>,
+    /// This process has written it.
+    was_written: AtomicBool,
+    /// One write is under way at a time.
+    writing: tokio::sync::Mutex<()>,
+}
+
+impl OwnRow {
+    /// The row was read with this version; 0 if it is not there.
+    fn read(&self, version: u64) {
+        *lock(&self.version) = Some(version);
+    }
+
+    fn is_written(&self) {
+        self.was_written.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this process has written it before.
+    fn was_written(&self) -> bool {
+        self.was_written.load(Ordering::Relaxed)
+    }
+
+    /// Its version, which is not known any more once it is used.
+    fn take_version(&self) -> Option<u64> {
+        lock(&self.version).take()
+    }
+}
+
+/// Times that a row is written in a call: once more if a write of this node's own, which
+/// had got no answer, came in between.
+const WRITE_TRIES: usize = 2;
+
+/// Writes this node's own row under the condition that no other process has written it.
+async fn write_own<P: Platform>(
+    gateway: &Gateway<P>,
+    row: &registry::NewRow,
+    address: Option<SocketAddr>,
+) -> Result<(), StoreError> {
+    for _ in 0..WRITE_TRIES {
+        let version = own_version(gateway, &row.key, address).await?;
+        let value = row.value.clone();
+        let call = gateway
+            .platform
+            .write_row(FleetTable::Nodes, &row.key, value, Some(version));
+        gateway.metrics.store_calls.count(CallReason::Register);
+        if bounded(call, CALL_TIMEOUT).await? == WriteResult::Written {
+            gateway.own_row.is_written();
+            return Ok(());
+        }
+    }
+    Err(StoreError::Refused)
+}
+
+/// The version of this node's own row, which is read if it is not known. A row that
+/// another process has written since this one did means that the others ask that one.
+async fn own_version<P: Platform>(
+    gateway: &Gateway<P>,
+    key: &str,
+    address: Option<SocketAddr>,
+) -> Result<u64, StoreError> {
+    if let Some(version) = gateway.own_row.take_version() {
+        return Ok(version);
+    }
+    gateway.metrics.store_calls.count(CallReason::Register);
+    let asked_at = Instant::now();
+    let call = gateway
+        .platform
+        .read_rows(FleetTable::Nodes, RowRange::Key(key));
+    let rows = bounded(call, CALL_TIMEOUT).await?;
+    let node = &gateway.settings.node;
+    let registry = Registry::decode(&rows, asked_at, node);
+    let writer = registry.members.get(node);
+    let is_own = writer.is_none_or(|it| it.registration.node.address == address);
+    if gateway.own_row.was_written() && !is_own {
+        Event::warn("name_taken_by_another").log();
+        gateway.beliefs.permission.revoke();
+        return Err(StoreError::Refused);
+    }
+    Ok(registry.own_version)
+}
+
+/// Writes the row of this node and of those that follow it, under the condition that
+/// nobody has written it since it was read: a write without an answer that is done
+/// seconds later would take followers off the list that came meanwhile. Whoever is listed anew
 /// learns which leases were claimed by then: it was not asked under these.
 async fn write_row<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
+    let _writing = gateway.own_row.writing.lock().await;
     // What is counted from here is older than the row says, never younger.
     let sent_at = Instant::now();
     // The clock is known from the first look.
@@ -148,12 +239,14 @@
     let list = gateway.followers.list();
     let reads_since = gateway.fleet.reads_since();
     let own = fleet::own_node(gateway);
+    let address = own.address;
+    let is_reached = address.is_some() || gateway.settings.peer_address.is_none();
     let row = registry::encode_row(own, reads_since, &list.followers, now)?;
-    let call = gateway
-        .platform
-        .write_row(FleetTable::Nodes, &row.key, row.value, None);
-    gateway.metrics.store_calls.count(CallReason::Register);
-    bounded(call, CALL_TIMEOUT).await?;
+    write_own(gateway, &row, address).await?;
+    if !is_reached {
+        // Nobody can ask it.
+        return Ok(());
+    }
     let renewed = gateway.beliefs.permission.renewed(sent_at);
     let claims = if renewed == Renewed::ToBeAdmitted || list.covers.has_arrivals() {
         Some(failover::recent_claims(gateway).await?)
@@ -198,8 +291,16 @@
         return;
     }
     let key = registry::row_key(&gateway.settings.places.zone, &gateway.settings.node);
-    let removal = gateway.platform.remove_row(FleetTable::Nodes, &key);
-    gateway.metrics.store_calls.count(CallReason::Remove);
+    let removal = async {
+        let address = gateway.peers.address();
+        let version = own_version(gateway, &key, address).await?;
+        gateway.metrics.store_calls.count(CallReason::Remove);
+        // One that is done late removes no row that this node's next life has written.
+        gateway
+            .platform
+            .remove_row(FleetTable::Nodes, &key, version)
+            .await
+    };
     if let Err(error) = bounded(removal, DEREGISTER_TIMEOUT).await {
         // Without it, the row expires by itself.
         log_failure(gateway, error);
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -148,6 +148,8 @@
     pub members: BTreeMap<String, Member>,
     /// What this node's own row lists as its followers.
     pub own_followers: Vec<Registration>,
+    /// Version of this node's own row; 0 if it has none.
+    pub own_version: u64,
 }
 
 impl Registry {
@@ -160,6 +162,7 @@
             key: None,
             members: BTreeMap::new(),
             own_followers: Vec::new(),
+            own_version: 0,
         };
         for row in &rows.rows {
             if row.key == PEER_KEY_ROW {
@@ -172,6 +175,7 @@
     }
 
     fn take(&mut self, row: &StoredRow, own: &str) {
+        let version = row.version;
         let row: NodeRow = match serde_json::from_slice(&row.value) {
             Ok(row) => row,
             Err(error) => {
@@ -182,6 +186,9 @@
                 return;
             }
         };
+        if row.name == own {
+            self.own_version = version;
+        }
         for follower in &row.followers {
             let registration = follower.registration(self.now);
             if row.name == own {
