Hold an agreement for as long as an order may be carried out

A node that took long to answer agreed to a question that had been released.

Change: an agreement lasts 12.5 s unless whoever asked says before that nothing of its order comes, which it does whenever it knows; questions that were released are remembered.

--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -251,6 +251,29 @@
     (nodes >= LEAST_CONFIRMED_FLEET).then(|| nodes - nodes / PART)
 }
 
+/// Sizes of the fleet that a node saw lately. Nodes that it sees no more may still count
+/// for others, so that confirmations are counted over the largest.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSizes {
+    /// Sizes, and until when each counts; falling.
+    sizes: Vec<(usize, Instant)>,
+}
+
+impl FleetSizes {
+    /// The node sees so many nodes.
+    pub fn seen(&mut self, size: usize, now: Instant) {
+        self.sizes
+            .retain(|(known, until)| now < *until && *known > size);
+        self.sizes.push((size, now + ROW_EXPIRY + FORMER_TIME));
+    }
+
+    /// The most that it saw as long as they may count.
+    pub fn largest(&self, now: Instant) -> usize {
+        let sizes = self.sizes.iter().filter(|(_, until)| now < *until);
+        sizes.map(|(size, _)| *size).max().unwrap_or(0)
+    }
+}
+
 /// Nodes, the one that asks included, that have to agree to a replacement, of all that
 /// were listed lately.
 pub fn agreements_needed(nodes: usize) -> usize {
--- a/crates/linkhold-core/src/service/withholding.rs
+++ b/crates/linkhold-core/src/service/withholding.rs
@@ -15,15 +15,19 @@
 //! knows the list of instances as of a moment at which one would have been in it.
 //! Whoever asked and orders nothing says so, which ends what it asked for.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::failover::ORDER_MEMORY;
 use super::instance::InstanceId;
 
 /// How long a node acknowledges nothing of an instance after it agreed, at the least:
-/// [`ORDER_WINDOW`], the 2.5 s in which the order may be on its way, a second that the
-/// platform takes to promote, and half a second.
-pub const WITHHOLDING: Duration = Duration::from_millis(5_500);
+/// [`ORDER_WINDOW`], the time in which an order without an answer may be carried out,
+/// and a second that the platform takes to promote. Whoever asked ends it before, as soon
+/// as it knows that nothing of its order comes any more.
+pub const WITHHOLDING: Duration = ORDER_WINDOW
+    .saturating_add(ORDER_MEMORY)
+    .saturating_add(Duration::from_millis(1_000));
 /// How soon after it asked the others a node must have ordered the promotion.
 pub const ORDER_WINDOW: Duration = Duration::from_millis(1_500);
 /// How long a failed try to reach an instance is as good as a new one for a
@@ -37,9 +41,15 @@
 /// is forgotten before that.
 const MEMORY: Duration = Duration::from_secs(600);
 
+/// Questions that are remembered as over, at the most: a node that takes long to answer
+/// agrees to none of them any more.
+const MOST_RELEASED: usize = 64;
+
 /// Instances of which a node acknowledges nothing for now.
 #[derive(Debug, Default)]
 pub struct Withholdings {
+    /// Questions whose askers order nothing, the latest last.
+    released: VecDeque<u64>,
     /// When the node agreed to each question, by its number.
     agreed_at: HashMap<InstanceId, HashMap<u64, Instant>>,
 }
@@ -48,12 +58,19 @@
     /// The node agrees to acknowledge nothing of an instance, to a question with a number.
     pub fn agree(&mut self, id: &InstanceId, number: u64, now: Instant) {
         self.keep(|_, agreed_at| now < agreed_at + MEMORY);
+        if self.released.contains(&number) {
+            return;
+        }
         let questions = self.agreed_at.entry(id.clone()).or_default();
         questions.insert(number, now);
     }
 
     /// Whoever asked with a number orders nothing; whether that ends an agreement.
     pub fn release(&mut self, number: u64) -> bool {
+        self.released.push_back(number);
+        if self.released.len() > MOST_RELEASED {
+            self.released.pop_front();
+        }
         let count = |withholdings: &Self| -> usize {
             withholdings.agreed_at.values().map(HashMap::len).sum()
         };
--- a/crates/linkhold-core/tests/service_withholding.rs
+++ b/crates/linkhold-core/tests/service_withholding.rs
@@ -75,3 +75,14 @@
     assert!(withholdings.release(2));
     assert!(!withholdings.holds(&one, now, None));
 }
+
+/// A node that takes long to answer agrees after it was told that nothing is ordered.
+#[test]
+fn what_was_released_is_not_agreed_to_any_more() {
+    let now = Instant::now();
+    let one = InstanceId("one".into());
+    let mut withholdings = Withholdings::default();
+    withholdings.release(1);
+    withholdings.agree(&one, 1, now);
+    assert!(!withholdings.holds(&one, now, None));
+}
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -12,8 +12,8 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
-use linkhold_core::service::permission::FORMER_TIME;
-use linkhold_core::service::readers::{self, ROW_EXPIRY, ReaderCandidate, Source};
+use linkhold_core::service::permission::FleetSizes;
+use linkhold_core::service::readers::{self, ReaderCandidate, Source};
 use linkhold_core::service::regions::RegionName;
 use linkhold_events::Event;
 use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
@@ -40,8 +40,8 @@
     nodes: BTreeMap<String, FeedNode>,
     /// The nodes that read the store for others, of all regions.
     readers: Vec<FeedNode>,
-    /// Sizes of the fleet, and until when each counts as one that it had lately; falling.
-    lately: Vec<(usize, Instant)>,
+    /// Sizes that it had lately.
+    sizes: FleetSizes,
     /// Nodes of the own region for each of its readers.
     followers_a_reader: usize,
     /// Whether `size` counts all nodes: not while a fleet starts.
@@ -178,9 +178,7 @@
     /// count for others.
     pub fn largest_size_lately(&self) -> usize {
         let view = lock(&self.view);
-        let now = Instant::now();
-        let sizes = view.lately.iter().filter(|(_, until)| now < *until);
-        sizes.map(|(size, _)| *size).fold(view.size, usize::max)
+        view.sizes.largest(Instant::now()).max(view.size)
     }
 
     /// Nodes of the own region for each of its readers.
@@ -500,10 +498,7 @@
     let size = fleet.size.max(nodes.len());
     let mut view = lock(&gateway.fleet.view);
     let previous = view.size;
-    let now = Instant::now();
-    view.lately.retain(|(_, until)| now < *until);
-    view.lately.retain(|(known, _)| *known > size);
-    view.lately.push((size, now + ROW_EXPIRY + FORMER_TIME));
+    view.sizes.seen(size, Instant::now());
     let has_changed =
         view.nodes != nodes || view.readers != fleet.readers || view.is_settled != is_settled;
     view.size = size;
