--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -19,6 +19,7 @@
     BackendConnection, BackendConnector, BackendErrorKind, BackendReply, ConnectError,
     ExchangeError, Platform,
 };
+use crate::primary_answer::{acknowledged, may_tell, speaks_for_primary};
 use crate::principal::Principal;
 
 /// The connection type of a platform.
@@ -239,23 +240,6 @@
     acknowledged(gateway, &instance, work, frame, attempt)
 }
 
-/// A commit is not acknowledged if its instance has been replaced meanwhile, as far as
-/// this node has heard; whoever ran it for this node may not have.
-fn acknowledged<P: Platform>(
-    gateway: &Gateway<P>,
-    instance: &Instance,
-    work: &Work,
-    frame: Frame,
-    attempt: Attempt<P>,
-) -> Attempt<P> {
-    let is_answered = matches!(attempt, Attempt::Answered(_));
-    let commits = work.may_commit() && speaks_for_primary(gateway, instance, work, frame);
-    if is_answered && commits && gateway.beliefs.is_replaced(instance) {
-        return Attempt::Lost;
-    }
-    attempt
-}
-
 /// Runs `work` on a connection of this node's own that is held. Whatever a caller
 /// asks is sent to an instance here and nowhere else, so this is where it is looked
 /// once more whether it may be.
@@ -404,38 +388,6 @@
     gateway.beliefs.is_withheld(&lease.instance().id)
 }
 
-/// Whether what an instance answered as a primary may be told: its log ends in no older
-/// term than is known, and a commit is acknowledged only while this node may speak for
-/// the instance.
-fn may_tell<P: Platform>(
-    gateway: &Gateway<P>,
-    instance: &Instance,
-    work: &Work,
-    replies: &[BackendReply],
-) -> bool {
-    let position = replies.last().and_then(|reply| reply.position);
-    let is_permitted =
-        !work.may_commit() || gateway.beliefs.may_speak_for(instance, Instant::now());
-    is_permitted && !gateway.is_outdated(instance, position)
-}
-
-/// Whether a statement's answer is told as that of a primary: it writes or ends a
-/// transaction that may have written, or must see all that was acknowledged.
-fn speaks_for_primary<P: Platform>(
-    gateway: &Gateway<P>,
-    instance: &Instance,
-    work: &Work,
-    frame: Frame,
-) -> bool {
-    match frame {
-        Frame::ProvingPrimary | Frame::Bare { fence: None } => true,
-        Frame::Opening { read_only, .. } => !read_only,
-        Frame::Bare { fence: Some(_) } => false,
-        // On a replica nothing but reads can be open.
-        Frame::Inside => work.may_commit() && !gateway.beliefs.is_replica(instance),
-    }
-}
-
 /// Logs a statement that was sent and got no whole answer.
 fn log_unanswered<C: BackendConnection>(
     work: &Work,
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod pool;
 mod pools;
 pub mod ports;
+mod primary_answer;
 mod principal;
 mod registration;
 pub mod registry;
--- /dev/null
+++ b/crates/linkhold-gateway/src/primary_answer.rs
@@ -0,0 +1,59 @@
+//! Whether what an instance answered may be told as the word of its service's primary.
+
+use std::time::Instant;
+
+use linkhold_core::service::instance::Instance;
+
+use crate::attempt::Attempt;
+use crate::batch::{Frame, Work};
+use crate::gateway::Gateway;
+use crate::ports::{BackendReply, Platform};
+
+/// Whether what an instance answered as a primary may be told: its log ends in no older
+/// term than is known, and a commit is acknowledged only while this node may speak for
+/// the instance.
+pub(crate) fn may_tell<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    replies: &[BackendReply],
+) -> bool {
+    let position = replies.last().and_then(|reply| reply.position);
+    let is_permitted =
+        !work.may_commit() || gateway.beliefs.may_speak_for(instance, Instant::now());
+    is_permitted && !gateway.is_outdated(instance, position)
+}
+
+/// Whether a statement's answer is told as that of a primary: it writes or ends a
+/// transaction that may have written, or must see all that was acknowledged.
+pub(crate) fn speaks_for_primary<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    frame: Frame,
+) -> bool {
+    match frame {
+        Frame::ProvingPrimary | Frame::Bare { fence: None } => true,
+        Frame::Opening { read_only, .. } => !read_only,
+        Frame::Bare { fence: Some(_) } => false,
+        // On a replica nothing but reads can be open.
+        Frame::Inside => work.may_commit() && !gateway.beliefs.is_replica(instance),
+    }
+}
+
+/// A commit is not acknowledged if its instance has been replaced meanwhile, as far as
+/// this node has heard; whoever ran it for this node may not have.
+pub(crate) fn acknowledged<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    frame: Frame,
+    attempt: Attempt<P>,
+) -> Attempt<P> {
+    let is_answered = matches!(attempt, Attempt::Answered(_));
+    let commits = work.may_commit() && speaks_for_primary(gateway, instance, work, frame);
+    if is_answered && commits && gateway.beliefs.is_replaced(instance) {
+        return Attempt::Lost;
+    }
+    attempt
+}
