Send confirmations by the piece that sends other questions; mend comments

Cause: reading the change again. The confirmations had a sender of their own beside peers::send; two comments still said that whoever uses a primary through a peer agrees to nothing; a module page had lines that were not wrapped, and one said a majority for three quarters; agree, agreement and self::agreement stood beside each other.

Ruled out: one lookup for questions and confirmations, whose answers differ in type; Listing::holds stays, tests call it.

Change: peers::send serves both; ask_everyone() is the name of what asks; comments. Behaviour stays as it is.

--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -9,9 +9,9 @@
 //! * the store confirmed a renewal of its registration that was sent less than
 //!   [`LISTING_LIFE`] ago;
 //! * three quarters of the nodes that it knows, which have a permission themselves,
-//!   confirmed less than [`CONFIRMATION_LIFE`] ago that they have agreed to no replacement of which
-//!   this node does not know, and this goes on without a gap from its last renewal. So a store that is away for all
-//!   does not stop the fleet.
+//!   confirmed less than [`CONFIRMATION_LIFE`] ago that they have agreed to no
+//!   replacement of which this node does not know, and this goes on without a gap from
+//!   its last renewal. So a store that is away for all does not stop the fleet at once.
 //!
 //! # Invariants
 //!
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -382,8 +382,8 @@
     Attempt::NotRun(NotRunCause::WarmingUp(after))
 }
 
-/// Whether nothing that comes on a connection may be acknowledged. What comes
-/// through a peer is withheld by the peer.
+/// Whether nothing that comes on a connection may be acknowledged, be it through a
+/// peer.
 fn is_withheld<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
     gateway.beliefs.is_withheld(&lease.instance().id)
 }
--- a/crates/linkhold-gateway/src/confirmation.rs
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -9,13 +9,13 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::permission::confirmations_needed;
-use linkhold_peer::{PeerKey, ReachabilityMessage, encode_reachability};
-use tokio::net::UdpSocket;
+use linkhold_peer::{ReachabilityMessage, encode_reachability};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout_at};
 
 use crate::beliefs::lock;
 use crate::gateway::Gateway;
+use crate::peers;
 use crate::ports::Platform;
 
 /// How often confirmations are asked for: a lost one is made up for before a
@@ -81,14 +81,16 @@
     let Some(needed) = confirmations_needed(gateway.fleet.largest_size_lately()) else {
         return false;
     };
-    let Some(sender) = Sender::of(gateway) else {
+    let (Some(key), Some(socket)) = (gateway.fleet.key(), gateway.peers.socket()) else {
         return false;
     };
     let number = rand::random();
     let (answered, mut answers) = mpsc::unbounded_channel();
     lock(&gateway.confirmations.waiting).insert(number, answered);
     let mut pending = gateway.fleet.peers(&gateway.settings.node);
-    sender.ask(number, &pending).await;
+    let question = ReachabilityMessage::ConfirmationQuestion { number };
+    // A lost question is made up for by the next one.
+    peers::send(&socket, &pending, &encode_reachability(&question, &key)).await;
     let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     let mut confirmed = 1;
     while confirmed < needed && !pending.is_empty() {
@@ -107,27 +109,3 @@
     lock(&gateway.confirmations.waiting).remove(&number);
     confirmed >= needed
 }
-
-/// Sends questions to other nodes.
-struct Sender {
-    socket: Arc<UdpSocket>,
-    key: PeerKey,
-}
-
-impl Sender {
-    fn of<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
-        Some(Self {
-            socket: gateway.peers.socket()?,
-            key: gateway.fleet.key()?,
-        })
-    }
-
-    async fn ask(&self, number: u64, peers: &[SocketAddr]) {
-        let question = ReachabilityMessage::ConfirmationQuestion { number };
-        let datagram = encode_reachability(&question, &self.key);
-        for peer in peers {
-            // A lost question is made up for by the next one.
-            let _ = self.socket.send_to(&datagram, peer).await;
-        }
-    }
-}
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -93,7 +93,7 @@
     claimed: Claim,
 ) -> Option<(Claim, Agreement)> {
     let service = &situation.service;
-    let agreement = agreement(gateway, trouble, situation).await?;
+    let agreement = ask_everyone(gateway, trouble, situation).await?;
     if agreement.silent_former == 0 {
         return Some((claimed, agreement));
     }
@@ -102,13 +102,13 @@
     // Whoever is listed from now on sees the claim, or is asked.
     let successor = claimed.lease.successor.as_ref()?;
     let claimed = claim(gateway, service, successor).await?;
-    let agreement = self::agreement(gateway, trouble, situation).await?;
+    let agreement = ask_everyone(gateway, trouble, situation).await?;
     Some((claimed, agreement))
 }
 
 /// Has all nodes acknowledge nothing that the present primary commits, so that it may
 /// be replaced; `None` if they do not agree.
-async fn agreement<P: Platform>(
+async fn ask_everyone<P: Platform>(
     gateway: &Gateway<P>,
     trouble: Trouble,
     situation: &Situation,
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -219,7 +219,7 @@
     listing.await
 }
 
-/// What a follower is told when a row that lists it was written, or a majority
+/// What a follower is told when a row that lists it was written, or enough nodes
 /// confirmed, since it was told last.
 fn about_permission<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -494,7 +494,8 @@
     pending
 }
 
-async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
+/// Sends a datagram to each of some nodes.
+pub(crate) async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &[u8]) {
     for peer in peers {
         // A peer that cannot be reached does not answer.
         let _ = socket.send_to(datagram, peer).await;
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -15,8 +15,8 @@
 //!   the key between nodes, and starts nothing while it is leaving.
 //! * A connection for requests that may not leave some regions is relayed by a
 //!   peer of these alone.
-//! * A peer that agrees to the replacement of a primary breaks what it relays to
-//!   it: those whom it serves need not agree.
+//! * A peer that agrees to the replacement of a primary breaks what it relays to it.
+//!   Those whom it serves agree as well: it may not have been asked.
 
 use std::collections::HashMap;
 use std::io;
