--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -11,8 +11,14 @@
 //!   announcement tells a role and no term, and a replaced primary that was cut off
 //!   announces the one that it last had.
 //! * Of two that announce the role, none is believed for that.
-
-use std::collections::HashMap;
+//! * A list that may be older than what is known makes nobody a primary that was known
+//!   as a replica, and takes nobody back that was known to leave.
+//! * Of an instance's lives the one that was announced last is there, and no other: an
+//!   earlier one that is announced again, as a list from an older copy may, is not taken
+//!   in. A later life that announces being primary holds nothing of what the earlier
+//!   one acknowledged, so it is not believed for that.
+
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -30,6 +36,15 @@
     Asked,
 }
 
+/// How a list of instances stands to what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Currency {
+    /// It is what is listed now.
+    Present,
+    /// It is from a copy, made before the last changes that are known.
+    MayBeOlder,
+}
+
 /// A belief that changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PrimaryChange {
@@ -41,6 +56,18 @@
     pub source: PrimarySource,
 }
 
+/// What an announcement tells of the life of its instance.
+enum LifeNews {
+    /// It is the first that is known.
+    First,
+    /// It is the present one.
+    Known,
+    /// It is one that has ended.
+    Former,
+    /// It takes the place of this one.
+    Later(InstanceId),
+}
+
 #[derive(Debug)]
 struct Entry {
     instance: Arc<Instance>,
@@ -65,6 +92,9 @@
 #[derive(Debug, Default)]
 struct PrimaryBelief {
     current: Option<InstanceId>,
+    /// That it leads was seen to begin, or was told when it was asked: an entry that says so
+    /// when it is first seen may be that of an instance which was replaced before.
+    is_proved: bool,
     /// Instances that are not believed for their announcements, the latest last.
     denied: Vec<InstanceId>,
 }
@@ -83,10 +113,45 @@
     }
 }
 
+/// Earlier lives of an instance that are remembered: a list tells of one no longer than
+/// a copy of it may be old, in which an instance starts a few times at the most.
+const MOST_FORMER_LIVES: usize = 16;
+
+/// The lives of one instance.
+#[derive(Debug)]
+struct Lives {
+    present: InstanceId,
+    /// Those that have ended, the latest last.
+    former: VecDeque<InstanceId>,
+}
+
+impl Lives {
+    fn new(present: InstanceId) -> Self {
+        Self {
+            present,
+            former: VecDeque::new(),
+        }
+    }
+
+    /// Another life takes the place of the present one, which is returned.
+    fn begin(&mut self, id: &InstanceId) -> InstanceId {
+        let ended = std::mem::replace(&mut self.present, id.clone());
+        self.former.push_back(ended.clone());
+        if self.former.len() > MOST_FORMER_LIVES {
+            self.former.pop_front();
+        }
+        ended
+    }
+}
+
 /// All instances known to a node.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: HashMap<InstanceId, Entry>,
+    /// Lives by the instances' names.
+    lives: HashMap<Arc<str>, Lives>,
+    /// Lives that have ended and were not returned by [`Directory::expire`] yet.
+    ended: Vec<InstanceId>,
     primaries: HashMap<ServiceName, PrimaryBelief>,
     contact: Contact,
 }
@@ -112,6 +177,11 @@
         let service = instance.service.clone();
         let id = instance.id.clone();
         let role = instance.role;
+        match self.take_life(&id) {
+            LifeNews::Former => return None,
+            LifeNews::Later(ended) => self.end_life(&ended, &id),
+            LifeNews::Known | LifeNews::First => {}
+        }
         let known = self.entries.get(&id);
         let previous = known.map(|entry| entry.instance.role);
         let draining = match (instance.lifecycle, known) {
@@ -142,7 +212,9 @@
         match role {
             // It was a replica, and has been promoted since.
             Role::Primary if previous == Some(Role::Replica) => {
-                self.believe(&service, Some(id), PrimarySource::Announced)
+                let change = self.believe(&service, Some(id.clone()), PrimarySource::Announced);
+                self.prove_lead(&id);
+                change
             }
             Role::Primary if belief.denied.contains(&id) => None,
             Role::Primary => {
@@ -157,6 +229,39 @@
         }
     }
 
+    /// Takes in which life of an instance is there.
+    fn take_life(&mut self, id: &InstanceId) -> LifeNews {
+        let Some(lives) = self.lives.get_mut(id.name()) else {
+            self.lives.insert(id.name().into(), Lives::new(id.clone()));
+            return LifeNews::First;
+        };
+        if lives.present == *id {
+            LifeNews::Known
+        } else if lives.former.contains(id) {
+            LifeNews::Former
+        } else {
+            LifeNews::Later(lives.begin(id))
+        }
+    }
+
+    /// A life of an instance has ended, and another one has begun. Neither is believed to
+    /// lead for what it announces.
+    fn end_life(&mut self, ended: &InstanceId, begun: &InstanceId) {
+        let Some(entry) = self.entries.remove(ended) else {
+            return;
+        };
+        self.ended.push(ended.clone());
+        let belief = self
+            .primaries
+            .entry(entry.instance.service.clone())
+            .or_default();
+        belief.deny(ended);
+        belief.deny(begun);
+        if belief.current.as_ref() == Some(ended) {
+            belief.current = None;
+        }
+    }
+
     /// An instance is no longer listed.
     pub fn vanish(&mut self, id: &InstanceId, now: Instant) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -164,10 +269,23 @@
         }
     }
 
-    /// Everything that is listed now; what else was known vanishes.
-    pub fn replace(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<PrimaryChange> {
+    /// The present life of the instance with a name is no longer listed.
+    pub fn vanish_by_name(&mut self, name: &str, now: Instant) {
+        if let Some(lives) = self.lives.get(name) {
+            let present = lives.present.clone();
+            self.vanish(&present, now);
+        }
+    }
+
+    /// Everything that is listed; what else was known vanishes.
+    pub fn replace(
+        &mut self,
+        listed: Vec<Instance>,
+        currency: Currency,
+        now: Instant,
+    ) -> Vec<PrimaryChange> {
         self.read(now);
-        let ids: Vec<InstanceId> = listed.iter().map(|instance| instance.id.clone()).collect();
+        let ids: HashSet<InstanceId> = listed.iter().map(|instance| instance.id.clone()).collect();
         let missing: Vec<InstanceId> = self
             .entries
             .keys()
@@ -179,10 +297,35 @@
         }
         listed
             .into_iter()
-            .filter_map(|instance| self.announce(instance, now))
+            .filter_map(|instance| {
+                if currency == Currency::MayBeOlder {
+                    self.announce_from_copy(instance, now)
+                } else {
+                    self.announce(instance, now)
+                }
+            })
             .collect()
     }
 
+    /// An instance is listed in a copy of the list that may be older than what is known.
+    /// One that was known to drain goes on doing so. One that was known as a replica may
+    /// have been the primary then: it is believed to lead only when it says so.
+    fn announce_from_copy(
+        &mut self,
+        mut instance: Instance,
+        now: Instant,
+    ) -> Option<PrimaryChange> {
+        if let Some(known) = self.entries.get(&instance.id) {
+            if known.instance.lifecycle == Lifecycle::Draining {
+                instance.lifecycle = Lifecycle::Draining;
+            }
+            if known.instance.role == Role::Replica && instance.role == Role::Primary {
+                instance.role = Role::Replica;
+            }
+        }
+        self.announce(instance, now)
+    }
+
     /// The directory could not be read.
     pub fn disturbed(&mut self) {
         self.contact = Contact::Lost;
@@ -196,9 +339,9 @@
     }
 
     /// Forgets instances whose absence counts and that had time to drain.
-    /// Returns the ones forgotten.
+    /// Returns the ones forgotten, and lives that have ended since.
     pub fn expire(&mut self, now: Instant, drain: Duration) -> Vec<InstanceId> {
-        let gone: Vec<InstanceId> = self
+        let mut gone: Vec<InstanceId> = self
             .entries
             .iter()
             .filter(|(_, entry)| {
@@ -209,12 +352,14 @@
             .collect();
         for id in &gone {
             self.entries.remove(id);
+            self.lives.remove(id.name());
             for belief in self.primaries.values_mut() {
                 if belief.current.as_ref() == Some(id) {
                     belief.current = None;
                 }
             }
         }
+        gone.append(&mut self.ended);
         gone
     }
 
@@ -343,7 +488,39 @@
         source: PrimarySource,
     ) -> Option<PrimaryChange> {
         let service = self.instance(id)?.service.clone();
-        self.believe(&service, Some(id.clone()), source)
+        let change = self.believe(&service, Some(id.clone()), source);
+        self.prove_lead(id);
+        change
+    }
+
+    /// Whether an instance is not believed to lead whatever it announces.
+    pub fn is_denied(&self, id: &InstanceId) -> bool {
+        let service = self.instance(id).map(|instance| &instance.service);
+        let belief = service.and_then(|service| self.primaries.get(service));
+        belief.is_some_and(|belief| belief.denied.contains(id))
+    }
+
+    /// Whether an instance is believed to lead for its announcement alone, which does not
+    /// tell a term.
+    pub fn needs_lead_proof(&self, id: &InstanceId) -> bool {
+        let Some(instance) = self.instance(id) else {
+            return false;
+        };
+        let belief = self.primaries.get(&instance.service);
+        belief.is_some_and(|belief| belief.current.as_ref() == Some(id) && !belief.is_proved)
+    }
+
+    /// Nothing that the other instances know speaks against an instance that is believed to
+    /// lead.
+    pub fn prove_lead(&mut self, id: &InstanceId) {
+        let Some(service) = self.instance(id).map(|instance| instance.service.clone()) else {
+            return;
+        };
+        if let Some(belief) = self.primaries.get_mut(&service)
+            && belief.current.as_ref() == Some(id)
+        {
+            belief.is_proved = true;
+        }
     }
 
     /// Instances that announce being primary and were not denied it.
@@ -383,6 +560,7 @@
             belief.deny(&replaced);
         }
         belief.current.clone_from(&primary);
+        belief.is_proved = source != PrimarySource::Announced;
         Some(PrimaryChange {
             service: service.clone(),
             primary,
--- a/crates/linkhold-core/src/service/evacuation.rs
+++ b/crates/linkhold-core/src/service/evacuation.rs
@@ -3,7 +3,10 @@
 //! # Invariants
 //!
 //! * What is known never goes back: an older place in the store's changes changes
-//!   nothing ([`Evacuations::replace`], [`Evacuations::apply`]).
+//!   nothing ([`Evacuations::replace`], [`Evacuations::apply`]). A store that comes back
+//!   from an older copy may have lost an evacuation that it acknowledged: what is
+//!   evacuated stays so until that copy's own changes take it back, or for
+//!   [`REWRITING_TIME`] if they never tell of it.
 //! * An evacuation was acknowledged after the last moment as of which this node
 //!   knew that there was none. Open work ends within [`OPEN_WORK_PERCENT`] of the
 //!   bound from that moment, however late the node learnt.
@@ -12,6 +15,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::store_place::StorePlace;
+
 /// Name of a zone.
 pub type ZoneName = Arc<str>;
 
@@ -19,6 +24,10 @@
 /// rest is for statements that are on their way to an instance.
 pub const OPEN_WORK_PERCENT: u32 = 40;
 
+/// How long an evacuation that the store has lost stays in force: operators have two
+/// minutes to ask for it again.
+pub const REWRITING_TIME: Duration = Duration::from_secs(120);
+
 /// A zone that is evacuated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Evacuation {
@@ -52,10 +61,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evacuations {
     /// Place in the store's changes up to which they are known.
-    as_of: u64,
+    as_of: StorePlace,
     /// The last moment as of which they were vouched for.
     vouched_at: Option<Instant>,
     zones: BTreeMap<ZoneName, Evacuation>,
+    /// Evacuations that the store has lost, and until when they stay in force.
+    lost: BTreeMap<ZoneName, Instant>,
 }
 
 impl Evacuations {
@@ -63,15 +74,19 @@
     /// changed.
     pub fn replace(
         &mut self,
-        as_of: u64,
+        as_of: StorePlace,
         zones: impl IntoIterator<Item = ZoneName>,
         bound: Duration,
         now: Instant,
     ) -> Vec<EvacuationChange> {
         let listed: Vec<ZoneName> = zones.into_iter().collect();
+        self.lost.retain(|zone, _| !listed.contains(zone));
+        if as_of.era() > self.as_of.era() {
+            self.keep_lost(&listed, now);
+        }
         let known = self.zones.keys();
         let withdrawn = known
-            .filter(|zone| !listed.contains(zone))
+            .filter(|zone| !listed.contains(zone) && !self.lost.contains_key(*zone))
             .cloned()
             .map(EvacuationChange::TakenBack);
         let mut changes: Vec<EvacuationChange> = withdrawn.collect();
@@ -82,7 +97,7 @@
     /// Takes in changes up to a place in the store's changes; those that are news.
     pub fn apply(
         &mut self,
-        as_of: u64,
+        as_of: StorePlace,
         changes: impl IntoIterator<Item = EvacuationChange>,
         bound: Duration,
         now: Instant,
@@ -92,12 +107,42 @@
         }
         self.as_of = as_of;
         let is_news = |change: &EvacuationChange| match change {
-            EvacuationChange::Evacuated(zone) => self.evacuate(zone, bound, now),
-            EvacuationChange::TakenBack(zone) => self.zones.remove(zone).is_some(),
+            EvacuationChange::Evacuated(zone) => {
+                self.lost.remove(zone);
+                self.evacuate(zone, bound, now)
+            }
+            EvacuationChange::TakenBack(zone) => {
+                self.lost.remove(zone);
+                self.zones.remove(zone).is_some()
+            }
         };
         changes.into_iter().filter(is_news).collect()
     }
 
+    /// The store has come back from a copy that lists these zones alone.
+    fn keep_lost(&mut self, listed: &[ZoneName], now: Instant) {
+        let lost = self.zones.keys().filter(|zone| !listed.contains(zone));
+        for zone in lost {
+            self.lost.insert(zone.clone(), now + REWRITING_TIME);
+        }
+    }
+
+    /// Ends evacuations that the store has lost and nobody has asked for again; these.
+    pub fn expire_lost(&mut self, now: Instant) -> Vec<EvacuationChange> {
+        let is_over = |(_, until): &(&ZoneName, &Instant)| now >= **until;
+        let over: Vec<ZoneName> = self
+            .lost
+            .iter()
+            .filter(is_over)
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        for zone in &over {
+            self.lost.remove(zone);
+            self.zones.remove(zone);
+        }
+        over.into_iter().map(EvacuationChange::TakenBack).collect()
+    }
+
     fn evacuate(&mut self, zone: &ZoneName, bound: Duration, now: Instant) -> bool {
         if self.zones.contains_key(zone) {
             return false;
@@ -141,7 +186,7 @@
     }
 
     /// Place in the store's changes up to which they are known.
-    pub fn as_of(&self) -> u64 {
+    pub fn as_of(&self) -> StorePlace {
         self.as_of
     }
 }
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -5,6 +5,9 @@
 //! * A token belongs to one holder and one intended successor. A new holder,
 //!   or another successor, takes a higher one, so that an order which was
 //!   delayed on the way is refused once a newer one has been seen.
+//! * A lease of one era of the store gives no order in another: a store that comes back
+//!   from an older copy may have lost a claim. Tokens of a later era are higher than all of
+//!   an earlier one ([`next_token`]), whichever of them the copy knows.
 //! * A holder keeps other nodes from claiming for [`LEASE`], counted on the
 //!   store's clock from the write that claimed.
 //! * An order leaves only while its lease lasts for [`ORDER_TIMEOUT`] more, by its
@@ -18,6 +21,7 @@
 use crate::position::{Position, Term};
 
 use super::instance::{InstanceId, Role};
+use super::store_place::Era;
 
 /// How long a claim keeps others from claiming.
 pub const LEASE: Duration = Duration::from_millis(4_000);
@@ -46,6 +50,29 @@
     pub ordered_at: Option<u64>,
 }
 
+/// Bits of a token below its era: as many claims as a service may have in one.
+const TOKEN_ERA_SHIFT: u32 = 32;
+
+/// A token above `token` and above all tokens of earlier eras.
+fn next_token(token: u64, era: Era) -> u64 {
+    token.max(u64::from(era.0) << TOKEN_ERA_SHIFT) + 1
+}
+
+/// The era in which a token was handed out.
+pub fn era_of_token(token: u64) -> Era {
+    // The bits above the shift are those of an era.
+    Era((token >> TOKEN_ERA_SHIFT) as u32)
+}
+
+/// When and in which era a lease is claimed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClaimTime {
+    /// On the store's clock, in milliseconds.
+    pub now: u64,
+    /// The store's era.
+    pub era: Era,
+}
+
 /// What a node may do about a service's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimDecision {
@@ -55,17 +82,19 @@
     HeldElsewhere(Duration),
 }
 
-/// Decides on a claim. `now` is on the store's clock.
+/// Decides on a claim.
 pub fn claim(
     current: Option<&FailoverLease>,
     node: &str,
     successor: &InstanceId,
-    now: u64,
+    time: ClaimTime,
 ) -> ClaimDecision {
+    let ClaimTime { now, era } = time;
     let Some(current) = current else {
-        return ClaimDecision::Write(lease(node, 1, now, successor));
+        return ClaimDecision::Write(lease(node, next_token(0, era), now, successor));
     };
-    if current.holder == node && current.may_promote(successor) {
+    let is_of_era = era_of_token(current.token) == era;
+    if is_of_era && current.holder == node && current.may_promote(successor) {
         return ClaimDecision::Write(FailoverLease {
             ordered_at: current.ordered_at,
             ..lease(node, current.token, now, successor)
@@ -78,7 +107,7 @@
     };
     match left {
         Some(left) => ClaimDecision::HeldElsewhere(left),
-        None => ClaimDecision::Write(lease(node, current.token + 1, now, successor)),
+        None => ClaimDecision::Write(lease(node, next_token(current.token, era), now, successor)),
     }
 }
 
@@ -106,18 +135,20 @@
     current: Option<&FailoverLease>,
     node: &str,
     is_in_fleet: impl FnOnce(&str) -> bool,
-    now: u64,
+    time: ClaimTime,
 ) -> Option<FailoverLease> {
+    let ClaimTime { now, era } = time;
     let token = match current {
-        None => 1,
+        None => next_token(0, era),
         Some(current) => {
             let is_held = left_of(LEASE, current.claimed_at, now).is_some();
             let ordered_at = current.ordered_at;
             let is_open = ordered_at.and_then(|at| left_of(ORDER_MEMORY, at, now));
-            if is_held || is_open.is_some() || is_in_fleet(&current.holder) {
+            let is_of_era = era_of_token(current.token) == era;
+            if is_held || is_open.is_some() || is_of_era && is_in_fleet(&current.holder) {
                 return None;
             }
-            current.token + 1
+            next_token(current.token, era)
         }
     };
     Some(FailoverLease {
--- a/crates/linkhold-core/src/service/instance.rs
+++ b/crates/linkhold-core/src/service/instance.rs
@@ -7,10 +7,34 @@
 
 use super::configuration::ServiceName;
 
+/// Stands between an instance's name and the life that an identity is of.
+pub const LIFE_MARK: char = '@';
+
 /// Identity of one life of an instance; never used again.
+///
+/// An instance that starts again under its name holds nothing and knows nothing of
+/// before. Its new life is another identity, so that whatever was learnt of the old one
+/// ends with it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InstanceId(pub Arc<str>);
 
+impl InstanceId {
+    /// The life that began at a moment, in Unix milliseconds, of the instance with a name;
+    /// the only one if the instance tells none.
+    pub fn of_life(name: &str, born: Option<u64>) -> Self {
+        match born {
+            Some(born) => Self(format!("{name}{LIFE_MARK}{born}").into()),
+            None => Self(name.into()),
+        }
+    }
+
+    /// The name that all lives of the instance share.
+    pub fn name(&self) -> &str {
+        let parts = self.0.split_once(LIFE_MARK);
+        parts.map_or(&self.0, |(name, _)| name)
+    }
+}
+
 impl fmt::Display for InstanceId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(&self.0)
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -20,6 +20,7 @@
 pub mod readers;
 pub mod regions;
 pub mod session;
+pub mod store_place;
 pub mod waiting;
 pub mod warm_up;
 pub mod withholding;
--- a/crates/linkhold-core/src/service/owners.rs
+++ b/crates/linkhold-core/src/service/owners.rs
@@ -30,9 +30,9 @@
 /// How long an owner keeps a connection that it does not use.
 pub const OWNER_IDLE: Duration = Duration::from_millis(2_000);
 
-/// The owners of an instance among the nodes near it.
+/// The owners of an instance among the nodes near it: the same in all its lives.
 pub fn choose(instance: &InstanceId, nearby: impl Iterator<Item = NodeId>) -> Vec<NodeId> {
-    rendezvous::owners(&instance.0, nearby, OWNERS)
+    rendezvous::owners(instance.name(), nearby, OWNERS)
 }
 
 /// The order in which a node asks the owners of an instance: spread over the
--- a/crates/linkhold-core/src/service/warm_up.rs
+++ b/crates/linkhold-core/src/service/warm_up.rs
@@ -10,7 +10,8 @@
 //! # Invariants
 //!
 //! * An owner that sends without counting has a connection that was opened at
-//!   least the settling time ago, longer than a new entry takes to be seen, and that
+//!   least the settling time ago, longer than a new entry takes to be seen, and knows the
+//!   entries as of later than that ([`Warmth::is_life_listed`]); and that
 //!   has answered a question sent after the last doubt and within [`ANSWER_LIFE`].
 //!   The connection on which it sends was opened before that question was sent: a
 //!   restart since then would have broken it as well.
@@ -136,6 +137,15 @@
         as_of.is_some_and(|as_of| as_of >= moment)
     }
 
+    /// Whether the entries that are known as of a moment tell of the life to which the
+    /// connection leads: a list that was not read since may be that of an earlier one.
+    pub fn is_life_listed(&self, rules: &WarmUpRules, entries_as_of: Option<Instant>) -> bool {
+        let settled_at = self
+            .watch
+            .map(|watch| watch.opened_at + rules.settling_time());
+        settled_at.is_some_and(|at| entries_as_of >= Some(at))
+    }
+
     /// Whether it is certainly warm. `says_cold`: so does its entry.
     pub fn is_warm(&self, rules: &WarmUpRules, says_cold: bool, now: Instant) -> bool {
         let Some(watch) = self.watch else {
--- /dev/null
+++ b/crates/linkhold-core/tests/service_eras.rs
@@ -0,0 +1,171 @@
+//! A store that comes back from an older copy of itself: what was learnt in one era is
+//! neither taken for that of another, nor undone by it.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::evacuation::{
+    EvacuationChange, Evacuations, REWRITING_TIME, ZoneName, ZoneState,
+};
+use linkhold_core::service::failover::{
+    ClaimDecision, ClaimTime, FailoverLease, LEASE, claim, era_of_token, hold_ready,
+};
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::store_place::{Era, StorePlace};
+use proptest::prelude::*;
+
+const BOUND: Duration = Duration::from_millis(5_000);
+
+fn place(era: u32, count: u64) -> StorePlace {
+    StorePlace::new(Era(era), count)
+}
+
+fn zones(names: &[&str]) -> Vec<ZoneName> {
+    names.iter().map(|name| ZoneName::from(*name)).collect()
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+proptest! {
+    #[test]
+    fn a_place_of_a_later_era_is_later_whatever_its_count(
+        (first, second) in (0_u32..1_000, 0_u32..1_000),
+        (one, two) in (0_u64..1 << 39, 0_u64..1 << 39),
+    ) {
+        let (one, two) = (place(first, one), place(second, two));
+        prop_assert_eq!(one.cmp(&two), (first, one.count()).cmp(&(second, two.count())));
+        prop_assert_eq!(StorePlace::from_bits(one.to_bits()), one);
+        prop_assert_eq!(one.era(), Era(first));
+    }
+
+    /// The store is restored at any moments to any earlier state of a lease's row, while
+    /// nodes claim it: no token is handed out twice, and each is above all before it.
+    #[test]
+    fn tokens_rise_across_restores(
+        steps in prop::collection::vec((0_u8..4, 0_u8..3, 0_u64..6_000, any::<u16>()), 1..60),
+    ) {
+        let mut rows: Vec<Option<FailoverLease>> = vec![None];
+        let mut time = ClaimTime { now: 10_000, era: Era(1) };
+        let mut highest = 0;
+        for (node, kind, pause, copy) in steps {
+            time.now += pause;
+            if kind == 0 {
+                rows.truncate(usize::from(copy) % rows.len() + 1);
+                time.era = Era(time.era.0 + 1);
+                continue;
+            }
+            let node = format!("node-{node}");
+            let current = rows.last().cloned().flatten();
+            let successor = InstanceId(format!("instance-{kind}").into());
+            let next = match claim(current.as_ref(), &node, &successor, time) {
+                ClaimDecision::Write(lease) => lease,
+                ClaimDecision::HeldElsewhere(_) => continue,
+            };
+            let is_same = current.is_some_and(|row| row.token == next.token);
+            prop_assert!(next.token > highest || is_same && next.token == highest);
+            prop_assert_eq!(era_of_token(next.token), time.era);
+            highest = next.token;
+            rows.push(Some(next));
+        }
+    }
+}
+
+/// The property above with its mechanism switched off: in one era, a row that goes back
+/// hands a token out twice.
+#[test]
+fn without_eras_a_token_would_be_handed_out_twice() {
+    let time = |now| ClaimTime { now, era: Era(0) };
+    let claimed = |current: Option<&FailoverLease>, node: &str, now| {
+        let successor = InstanceId(node.into());
+        match claim(current, node, &successor, time(now)) {
+            ClaimDecision::Write(lease) => lease,
+            ClaimDecision::HeldElsewhere(_) => panic!("its time is over"),
+        }
+    };
+    let pause = milliseconds(LEASE) + 1;
+    let first = claimed(None, "a", 1_000);
+    let second = claimed(Some(&first), "b", 1_000 + pause);
+    // The second claim is lost.
+    let third = claimed(Some(&first), "c", 1_000 + 2 * pause);
+    assert_eq!(second.token, third.token);
+}
+
+#[test]
+fn a_lease_of_an_earlier_era_is_held_ready_anew() {
+    let time = |era| ClaimTime {
+        now: 100_000,
+        era: Era(era),
+    };
+    let held = hold_ready(None, "a", |_| true, time(1)).unwrap();
+    let later = ClaimTime {
+        now: time(2).now + milliseconds(LEASE),
+        ..time(2)
+    };
+    let renewed = hold_ready(Some(&held), "a", |_| true, later).unwrap();
+    assert!(renewed.token > held.token);
+}
+
+#[test]
+fn an_evacuation_that_the_store_lost_stays_in_force_until_it_is_asked_for_again() {
+    let start = Instant::now();
+    let mut evacuations = Evacuations::default();
+    evacuations.replace(place(1, 50), zones(&["a"]), BOUND, start);
+    evacuations.replace(place(2, 40), zones(&[]), BOUND, start);
+    let closed = start + BOUND;
+    assert_eq!(evacuations.state("a", closed), ZoneState::Closed);
+    // Read again within the new era, the list still lacks it.
+    evacuations.replace(place(2, 45), zones(&[]), BOUND, closed);
+    assert_eq!(evacuations.state("a", closed), ZoneState::Closed);
+    // The operator asks again, and later takes it back.
+    evacuations.apply(
+        place(2, 46),
+        [EvacuationChange::Evacuated("a".into())],
+        BOUND,
+        closed,
+    );
+    assert!(evacuations.expire_lost(closed + REWRITING_TIME).is_empty());
+    evacuations.apply(
+        place(2, 47),
+        [EvacuationChange::TakenBack("a".into())],
+        BOUND,
+        closed,
+    );
+    assert_eq!(evacuations.state("a", closed), ZoneState::InService);
+}
+
+#[test]
+fn an_evacuation_that_nobody_asks_for_again_ends() {
+    let start = Instant::now();
+    let mut evacuations = Evacuations::default();
+    evacuations.replace(place(1, 50), zones(&["a"]), BOUND, start);
+    evacuations.replace(place(2, 40), zones(&[]), BOUND, start);
+    assert!(
+        evacuations
+            .expire_lost(start + REWRITING_TIME / 2)
+            .is_empty()
+    );
+    let over = evacuations.expire_lost(start + REWRITING_TIME);
+    assert_eq!(over, [EvacuationChange::TakenBack("a".into())]);
+    assert_eq!(
+        evacuations.state("a", start + REWRITING_TIME),
+        ZoneState::InService
+    );
+}
+
+/// Two restores in a row, told through readers that are late.
+#[test]
+fn what_is_told_late_of_an_earlier_era_changes_nothing() {
+    let start = Instant::now();
+    let mut evacuations = Evacuations::default();
+    evacuations.replace(place(3, 10), zones(&["b"]), BOUND, start);
+    evacuations.replace(place(2, 900), zones(&["a"]), BOUND, start);
+    evacuations.apply(
+        place(1, 999),
+        [EvacuationChange::TakenBack("b".into())],
+        BOUND,
+        start,
+    );
+    let known: Vec<&ZoneName> = evacuations.zones().map(|(zone, _)| zone).collect();
+    assert_eq!(known, [&ZoneName::from("b")]);
+}
--- a/crates/linkhold-core/tests/service_evacuation.rs
+++ b/crates/linkhold-core/tests/service_evacuation.rs
@@ -7,6 +7,7 @@
 use linkhold_core::service::evacuation::{
     EvacuationChange, Evacuations, OPEN_WORK_PERCENT, ZoneName, ZoneState,
 };
+use linkhold_core::service::store_place::{Era, StorePlace};
 use proptest::prelude::*;
 
 const BOUND: Duration = Duration::from_millis(5_000);
@@ -35,6 +36,11 @@
     evacuations.zones().map(|(zone, _)| zone.clone()).collect()
 }
 
+/// A place in the store's changes, in the only era.
+fn at(count: u64) -> StorePlace {
+    StorePlace::new(Era::default(), count)
+}
+
 proptest! {
     /// Whatever is told, in whatever order and how often (readers change, messages
     /// are late or doubled), a node knows what the store listed at the latest place
@@ -50,7 +56,7 @@
         let mut latest = 0;
         for place in told {
             let place = place % history.len();
-            evacuations.replace(place as u64, history[place].clone(), BOUND, now);
+            evacuations.replace(at(place as u64), history[place].clone(), BOUND, now);
             latest = latest.max(place);
             prop_assert_eq!(&known(&evacuations), &history[latest]);
         }
@@ -66,7 +72,7 @@
         let history = history(&changes);
         let start = start % history.len();
         let mut evacuations = Evacuations::default();
-        evacuations.replace(start as u64, history[start].clone(), BOUND, now);
+        evacuations.replace(at(start as u64), history[start].clone(), BOUND, now);
         for (index, (zone, is_evacuated)) in changes.iter().enumerate().skip(start) {
             let zone = ZoneName::from(["a", "b", "c"][*zone]);
             let change = if *is_evacuated {
@@ -74,7 +80,7 @@
             } else {
                 EvacuationChange::TakenBack(zone)
             };
-            evacuations.apply(index as u64 + 1, [change], BOUND, now);
+            evacuations.apply(at(index as u64 + 1), [change], BOUND, now);
         }
         prop_assert_eq!(known(&evacuations), history.last().unwrap().clone());
     }
@@ -97,7 +103,7 @@
         }
         let acknowledged_at = start + milliseconds(acknowledged);
         let learnt_at = acknowledged_at + milliseconds(learnt_after);
-        let news = evacuations.apply(7, [EvacuationChange::Evacuated("a".into())], BOUND, learnt_at);
+        let news = evacuations.apply(at(7), [EvacuationChange::Evacuated("a".into())], BOUND, learnt_at);
         prop_assert_eq!(news.len(), 1);
         let asked_at = learnt_at + milliseconds(asked_after);
         let zone = evacuations.state("a", asked_at);
@@ -120,7 +126,7 @@
     let mut evacuations = Evacuations::default();
     evacuations.vouched(learnt_at);
     evacuations.apply(
-        1,
+        at(1),
         [EvacuationChange::Evacuated("a".into())],
         BOUND,
         learnt_at,
@@ -135,19 +141,23 @@
     let mut evacuations = Evacuations::default();
     let evacuated = || [EvacuationChange::Evacuated("a".into())];
     evacuations.vouched(start);
-    evacuations.apply(1, evacuated(), BOUND, start);
+    evacuations.apply(at(1), evacuated(), BOUND, start);
     // Told twice, it is no news.
-    assert!(evacuations.apply(2, evacuated(), BOUND, start).is_empty());
+    assert!(
+        evacuations
+            .apply(at(2), evacuated(), BOUND, start)
+            .is_empty()
+    );
     let much_later = start + BOUND * 3;
     assert_eq!(evacuations.state("a", much_later), ZoneState::Closed);
     evacuations.apply(
-        3,
+        at(3),
         [EvacuationChange::TakenBack("a".into())],
         BOUND,
         much_later,
     );
     assert_eq!(evacuations.state("a", much_later), ZoneState::InService);
     evacuations.vouched(much_later);
-    evacuations.apply(4, evacuated(), BOUND, much_later);
+    evacuations.apply(at(4), evacuated(), BOUND, much_later);
     assert_eq!(evacuations.state("a", much_later), ZoneState::Emptying);
 }
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -4,7 +4,7 @@
 
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{
-    ClaimDecision, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
+    ClaimDecision, ClaimTime, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
     candidates_to_wait_for, choose_successor, claim, hold_ready, is_current, may_hand_over,
     statuses_required,
 };
@@ -15,6 +15,14 @@
     InstanceId(name.into())
 }
 
+/// A moment of the store's clock, in the only era.
+fn at(now: u64) -> ClaimTime {
+    ClaimTime {
+        now,
+        ..ClaimTime::default()
+    }
+}
+
 fn candidate(name: &str, received: Position, is_leaving: bool) -> Successor {
     Successor {
         status: InstanceStatus {
@@ -44,13 +52,13 @@
             now += pause;
             let node = format!("node-{node}");
             if successor == 0 {
-                if let Some(lease) = hold_ready(current.as_ref(), &node, |_| false, now) {
+                if let Some(lease) = hold_ready(current.as_ref(), &node, |_| false, at(now)) {
                     current = Some(lease);
                 }
                 continue;
             }
             let successor = id(&format!("instance-{successor}"));
-            let ClaimDecision::Write(lease) = claim(current.as_ref(), &node, &successor, now) else {
+            let ClaimDecision::Write(lease) = claim(current.as_ref(), &node, &successor, at(now)) else {
                 continue;
             };
             if let Some(previous) = &current {
@@ -72,24 +80,27 @@
 
 #[test]
 fn a_lease_held_ready_promotes_one_successor_and_is_taken_over_from_the_gone_only() {
-    let lease = hold_ready(None, "node-1", |_| true, 1_000).unwrap();
+    let lease = hold_ready(None, "node-1", |_| true, at(1_000)).unwrap();
     assert_eq!(lease.token, 1);
     let later = 1_000 + LEASE.as_millis() as u64;
-    assert_eq!(hold_ready(Some(&lease), "node-2", |_| true, later), None);
     assert_eq!(
-        hold_ready(Some(&lease), "node-2", |_| false, later - 1),
+        hold_ready(Some(&lease), "node-2", |_| true, at(later)),
+        None
+    );
+    assert_eq!(
+        hold_ready(Some(&lease), "node-2", |_| false, at(later - 1)),
         None
     );
-    let taken = hold_ready(Some(&lease), "node-2", |_| false, later).unwrap();
+    let taken = hold_ready(Some(&lease), "node-2", |_| false, at(later)).unwrap();
     assert_eq!((taken.holder.as_str(), taken.token), ("node-2", 2));
-    let ClaimDecision::Write(used) = claim(Some(&lease), "node-1", &id("a"), later) else {
+    let ClaimDecision::Write(used) = claim(Some(&lease), "node-1", &id("a"), at(later)) else {
         panic!("its own lease");
     };
     assert_eq!(
         used.token, 1,
         "the first successor takes the token as it is"
     );
-    let ClaimDecision::Write(next) = claim(Some(&used), "node-1", &id("b"), later) else {
+    let ClaimDecision::Write(next) = claim(Some(&used), "node-1", &id("b"), at(later)) else {
         panic!("its own lease");
     };
     assert_eq!(next.token, 2, "another one takes a higher token");
--- /dev/null
+++ b/crates/linkhold-core/tests/service_lives.rs
@@ -0,0 +1,151 @@
+//! Instances that start again under their names: what was known of one life does not hold
+//! for the next.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::directory::{Currency, Directory, PrimarySource};
+use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use proptest::prelude::*;
+
+const DRAIN: Duration = Duration::from_millis(7_000);
+
+fn life(name: &str, born: u64, role: Role) -> Instance {
+    Instance {
+        id: InstanceId::of_life(name, Some(born)),
+        service: "ledger".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".into(),
+        capacity: 3,
+        lifecycle: Lifecycle::Ready,
+        role,
+        warm_up_left: Duration::ZERO,
+    }
+}
+
+fn primary(directory: &Directory) -> Option<String> {
+    let primary = directory.primary("ledger");
+    primary.map(|instance| instance.id.to_string())
+}
+
+#[test]
+fn a_primary_that_starts_again_is_not_believed_for_saying_that_it_leads() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(life("one", 7, Role::Primary), now);
+    directory.announce(life("two", 7, Role::Replica), now);
+    assert_eq!(primary(&directory).as_deref(), Some("one@7"));
+    directory.announce(life("one", 9, Role::Primary), now);
+    assert_eq!(primary(&directory), None);
+    let names: Vec<&str> = directory
+        .instances("ledger")
+        .map(|it| it.id.name())
+        .collect();
+    assert_eq!(names, ["one", "two"]);
+    // It was asked, and holds what was acknowledged after all.
+    let one = InstanceId::of_life("one", Some(9));
+    directory.confirm_primary(&one, PrimarySource::Asked);
+    assert_eq!(primary(&directory).as_deref(), Some("one@9"));
+}
+
+#[test]
+fn a_life_that_has_ended_is_forgotten_at_once() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(life("one", 7, Role::Replica), now);
+    directory.announce(life("one", 9, Role::Replica), now);
+    let ended = InstanceId::of_life("one", Some(7));
+    assert!(directory.instance(&ended).is_none());
+    assert_eq!(directory.expire(now, DRAIN), [ended]);
+    assert_eq!(directory.expire(now, DRAIN), []);
+}
+
+/// A clock that was set back gives a later life an earlier birth.
+#[test]
+fn which_life_is_there_does_not_depend_on_clocks() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(life("one", 9, Role::Replica), now);
+    directory.announce(life("one", 7, Role::Replica), now);
+    let later = InstanceId::of_life("one", Some(7));
+    assert!(directory.instance(&later).is_some());
+}
+
+#[test]
+fn a_copy_of_the_list_brings_no_earlier_life_back() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(life("one", 7, Role::Primary), now);
+    directory.announce(life("one", 9, Role::Replica), now);
+    directory.announce(life("two", 7, Role::Primary), now);
+    let copy = vec![life("one", 7, Role::Primary), life("two", 7, Role::Replica)];
+    directory.replace(copy, Currency::MayBeOlder, now);
+    assert!(
+        directory
+            .instance(&InstanceId::of_life("one", Some(7)))
+            .is_none()
+    );
+    assert_ne!(primary(&directory).as_deref(), Some("one@7"));
+}
+
+/// A copy from before a promotion says that the replaced primary leads.
+#[test]
+fn a_copy_of_the_list_makes_no_replaced_primary_lead() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(life("one", 7, Role::Replica), now);
+    directory.announce(life("two", 7, Role::Primary), now);
+    let copy = || vec![life("one", 7, Role::Primary), life("two", 7, Role::Replica)];
+    directory.replace(copy(), Currency::MayBeOlder, now);
+    assert_ne!(primary(&directory).as_deref(), Some("one@7"));
+    // The same list, if it is that of the present, does.
+    let mut present = Directory::default();
+    present.announce(life("one", 7, Role::Replica), now);
+    present.announce(life("two", 7, Role::Primary), now);
+    present.replace(copy(), Currency::Present, now);
+    assert_eq!(primary(&present).as_deref(), Some("one@7"));
+}
+
+#[test]
+fn a_copy_of_the_list_takes_back_nobody_who_leaves() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    let leaving = Instance {
+        lifecycle: Lifecycle::Draining,
+        ..life("one", 7, Role::Replica)
+    };
+    directory.announce(leaving, now);
+    let copy = vec![life("one", 7, Role::Replica)];
+    directory.replace(copy, Currency::MayBeOlder, now);
+    let one = InstanceId::of_life("one", Some(7));
+    assert!(directory.is_leaving(&one, now));
+}
+
+proptest! {
+    /// Lives that are announced in any order, and again, leave one of each name, the one
+    /// that came last as news; whoever was replaced by a later life never leads.
+    #[test]
+    fn one_life_of_each_name_is_there(
+        told in prop::collection::vec((0_usize..3, 0_u64..5, any::<bool>()), 1..60),
+    ) {
+        let now = Instant::now();
+        let mut directory = Directory::default();
+        let mut present = [None; 3];
+        let mut former: Vec<(usize, u64)> = Vec::new();
+        for (name, born, leads) in told {
+            let role = if leads { Role::Primary } else { Role::Replica };
+            directory.announce(life(["one", "two", "three"][name], born, role), now);
+            if former.contains(&(name, born)) {
+                continue;
+            }
+            if let Some(before) = present[name].replace(born).filter(|it| *it != born) {
+                former.push((name, before));
+            }
+            let there = directory.instances("ledger").count();
+            prop_assert_eq!(there, present.iter().flatten().count());
+            for (name, born) in &former {
+                let id = InstanceId::of_life(["one", "two", "three"][*name], Some(*born));
+                prop_assert!(directory.instance(&id).is_none());
+            }
+        }
+    }
+}
--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::forward::{self, LentConnection};
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
+use crate::lead_proof;
 use crate::pool::{CheckoutError, Lease};
 use crate::ports::{
     BackendConnection, BackendConnector, BackendErrorKind, BackendReply, ConnectError,
@@ -167,6 +168,12 @@
     if gateway.relays.bars(&instance.id, principal.regions) {
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
+    if speaks_for_primary(gateway, instance, work, frame) {
+        lead_proof::prove(gateway, instance).await;
+        if gateway.beliefs.is_denied(&instance.id) {
+            return Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::ReadOnly));
+        }
+    }
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
     let entered = pool
         .gate()
@@ -283,6 +290,7 @@
     if needs_permission && !gateway.beliefs.may_speak_for(lease.instance(), sent_at) {
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
+    let proved = gateway.beliefs.newest_position(&lease.instance().service);
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
         Conversation::Silent => {
             log_unanswered(work, &lease, sent_at, "silent");
@@ -293,7 +301,7 @@
             broken(lease, &error, batch.main)
         }
         Conversation::Answered(replies)
-            if needs_permission && !may_tell(gateway, lease.instance(), work, &replies) =>
+            if needs_permission && !may_tell(gateway, lease.instance(), work, &replies, proved) =>
         {
             log_unanswered(work, &lease, sent_at, "primary_may_be_replaced");
             if work.may_commit() {
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -11,7 +11,7 @@
 
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, ServiceLimits, ServiceName};
-use linkhold_core::service::directory::{Directory, PrimaryChange};
+use linkhold_core::service::directory::{Currency, Directory, PrimaryChange};
 use linkhold_core::service::eligibility::Engagement;
 use linkhold_core::service::evacuation::Evacuations;
 use linkhold_core::service::evidence::{EvidenceLog, Sample};
@@ -19,13 +19,13 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::placement::{self, Candidate, Distance};
 use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_core::service::withholding::Withholdings;
 use linkhold_events::Event;
 use tokio::sync::watch;
 
 use crate::permission::OwnPermission;
 use crate::places::Places;
-use crate::ports::Cursor;
 use crate::settings::GatewaySettings;
 
 /// Part of the drain time in which a leaving instance may get new work, in
@@ -60,7 +60,7 @@
     primary_regions: Mutex<Arc<HashMap<ServiceName, AllowedRegions>>>,
     directory_read_at: Mutex<Option<Instant>>,
     instances: Mutex<InstanceBeliefs>,
-    directory_cursor: Mutex<Cursor>,
+    directory_place: Mutex<StorePlace>,
     changes: watch::Sender<u64>,
     /// Counts changes of the configuration and of the list of instances alone.
     told: watch::Sender<u64>,
@@ -79,7 +79,7 @@
             primary_regions: Mutex::default(),
             directory_read_at: Mutex::default(),
             instances: Mutex::default(),
-            directory_cursor: Mutex::default(),
+            directory_place: Mutex::default(),
             changes: watch::channel(0).0,
             told: watch::channel(0).0,
             permission: OwnPermission::default(),
@@ -141,14 +141,23 @@
 
     /// Takes in everything that is listed as of a place in the store's changes,
     /// unless more is known already: what is known never goes back.
-    pub fn replace_instances(&self, listed: Vec<Instance>, cursor: Cursor, now: Instant) {
-        if !self.advance_directory(cursor) {
+    pub fn replace_instances(&self, listed: Vec<Instance>, place: StorePlace, now: Instant) {
+        let known = self.directory_place();
+        if !self.advance_directory(place) {
             return;
         }
         for instance in &listed {
             self.log_instance(instance);
         }
-        let changes = lock(&self.instances).directory.replace(listed, now);
+        let is_copy = known != StorePlace::default() && place.era() > known.era();
+        let currency = if is_copy {
+            Currency::MayBeOlder
+        } else {
+            Currency::Present
+        };
+        let mut instances = lock(&self.instances);
+        let changes = instances.directory.replace(listed, currency, now);
+        drop(instances);
         for change in changes {
             log_primary(&change);
         }
@@ -157,18 +166,18 @@
 
     /// The list of instances is known up to a place in the store's changes;
     /// `false` if it was known further already.
-    pub fn advance_directory(&self, cursor: Cursor) -> bool {
-        let mut known = lock(&self.directory_cursor);
-        let is_news = cursor >= *known;
+    pub fn advance_directory(&self, place: StorePlace) -> bool {
+        let mut known = lock(&self.directory_place);
+        let is_news = place >= *known;
         if is_news {
-            *known = cursor;
+            *known = place;
         }
         is_news
     }
 
     /// The place in the store's changes up to which instances are known.
-    pub fn directory_cursor(&self) -> Cursor {
-        *lock(&self.directory_cursor)
+    pub fn directory_place(&self) -> StorePlace {
+        *lock(&self.directory_place)
     }
 
     /// An instance is announced or changed its announcement.
@@ -195,10 +204,12 @@
             .log();
     }
 
-    /// An instance is no longer listed.
-    pub fn vanish_instance(&self, id: &InstanceId, now: Instant) {
-        lock(&self.instances).directory.vanish(id, now);
-        Event::info("instance_unlisted").field("instance", id).log();
+    /// The instance with a name is no longer listed.
+    pub fn vanish_instance(&self, name: &str, now: Instant) {
+        lock(&self.instances).directory.vanish_by_name(name, now);
+        Event::info("instance_unlisted")
+            .field("instance", name)
+            .log();
         self.announce_change();
     }
 
@@ -220,6 +231,11 @@
         known.directory_as_of = known.directory_as_of.max(Some(moment));
     }
 
+    /// The last moment as of which the list of instances is known; `None` if never.
+    pub fn directory_as_of(&self) -> Option<Instant> {
+        lock(&self.instances).directory_as_of
+    }
+
     /// How long ago the directory was read last; without end if never.
     pub fn directory_age(&self) -> Duration {
         let read_at = *lock(&self.directory_read_at);
@@ -259,9 +275,14 @@
             .collect()
     }
 
-    /// Services that have instances.
+    /// Services of the configuration that have instances. An entry may name another.
     pub fn services(&self) -> Vec<ServiceName> {
-        lock(&self.instances).directory.services()
+        let Some(configuration) = self.configuration() else {
+            return Vec::new();
+        };
+        let mut services = lock(&self.instances).directory.services();
+        services.retain(|service| configuration.services.contains_key(service));
+        services
     }
 
     /// Whether an instance is leaving.
--- a/crates/linkhold-gateway/src/beliefs/eligibility.rs
+++ b/crates/linkhold-gateway/src/beliefs/eligibility.rs
@@ -11,10 +11,10 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::primary_placement;
 use linkhold_core::service::regions::{AllowedRegions, RegionName};
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
 
 use super::{Beliefs, InstanceBeliefs, lock};
-use crate::ports::Cursor;
 
 impl Beliefs {
     /// Takes in the regions that a configuration binds to.
@@ -42,24 +42,38 @@
     }
 
     /// Takes in all zones that are evacuated as of a place in the store's changes.
-    pub fn replace_evacuations(&self, zones: Vec<ZoneName>, as_of: Cursor, now: Instant) {
+    pub fn replace_evacuations(&self, zones: Vec<ZoneName>, as_of: StorePlace, now: Instant) {
         let bound = self.evacuation_bound;
         let changes = lock(&self.instances)
             .evacuations
-            .replace(as_of.0, zones, bound, now);
+            .replace(as_of, zones, bound, now);
         self.after_evacuations(&changes, as_of);
     }
 
     /// Takes in what has changed among them up to a place in the store's changes.
-    pub fn change_evacuations(&self, changes: Vec<EvacuationChange>, as_of: Cursor, now: Instant) {
+    pub fn change_evacuations(
+        &self,
+        changes: Vec<EvacuationChange>,
+        as_of: StorePlace,
+        now: Instant,
+    ) {
         let bound = self.evacuation_bound;
         let changes = lock(&self.instances)
             .evacuations
-            .apply(as_of.0, changes, bound, now);
+            .apply(as_of, changes, bound, now);
+        self.after_evacuations(&changes, as_of);
+    }
+
+    /// Ends evacuations that the store has lost and nobody has asked for again.
+    pub fn expire_evacuations(&self, now: Instant) {
+        let mut instances = lock(&self.instances);
+        let changes = instances.evacuations.expire_lost(now);
+        let as_of = instances.evacuations.as_of();
+        drop(instances);
         self.after_evacuations(&changes, as_of);
     }
 
-    fn after_evacuations(&self, changes: &[EvacuationChange], as_of: Cursor) {
+    fn after_evacuations(&self, changes: &[EvacuationChange], as_of: StorePlace) {
         if changes.is_empty() {
             return;
         }
@@ -69,7 +83,7 @@
         self.lists_changed();
     }
 
-    fn log_evacuation(&self, change: &EvacuationChange, as_of: Cursor) {
+    fn log_evacuation(&self, change: &EvacuationChange, as_of: StorePlace) {
         let (event, zone) = match change {
             EvacuationChange::Evacuated(zone) => (Event::warn("zone_evacuated"), zone),
             EvacuationChange::TakenBack(zone) => (Event::info("evacuation_taken_back"), zone),
@@ -78,7 +92,7 @@
             .field("zone", zone)
             .field("is_known", self.places.regions.contains_key(zone))
             .field("instances", self.instances_in(zone))
-            .field("as_of", as_of.0)
+            .field("as_of", as_of)
             .log();
     }
 
@@ -121,10 +135,10 @@
 
     /// The zones that are evacuated, and the place in the store's changes up to
     /// which they are known.
-    pub fn evacuations(&self) -> (Vec<ZoneName>, Cursor) {
+    pub fn evacuations(&self) -> (Vec<ZoneName>, StorePlace) {
         let instances = lock(&self.instances);
         let zones = instances.evacuations.zones().map(|(zone, _)| zone.clone());
-        (zones.collect(), Cursor(instances.evacuations.as_of()))
+        (zones.collect(), instances.evacuations.as_of())
     }
 
     /// Whether a statement may be sent to an instance.
--- a/crates/linkhold-gateway/src/beliefs/primaries.rs
+++ b/crates/linkhold-gateway/src/beliefs/primaries.rs
@@ -126,6 +126,22 @@
             .holds(id, Instant::now(), known.directory_as_of)
     }
 
+    /// Whether an instance is not believed to lead whatever it announces.
+    pub fn is_denied(&self, id: &InstanceId) -> bool {
+        lock(&self.instances).directory.is_denied(id)
+    }
+
+    /// Whether an instance is believed to lead for its announcement alone.
+    pub fn needs_lead_proof(&self, id: &InstanceId) -> bool {
+        lock(&self.instances).directory.needs_lead_proof(id)
+    }
+
+    /// Nothing that the other instances know speaks against an instance that is believed to
+    /// lead.
+    pub fn prove_lead(&self, id: &InstanceId) {
+        lock(&self.instances).directory.prove_lead(id);
+    }
+
     /// An instance denied being primary.
     pub fn deny_primary(&self, id: &InstanceId) {
         let change = lock(&self.instances).directory.deny_primary(id);
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -21,6 +21,7 @@
 use crate::forward;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
+use crate::lead_proof;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
 use crate::principal::Principal;
 use crate::shared_evidence;
@@ -125,6 +126,10 @@
         return;
     }
     gateway.metrics.evidence_probes.add();
+    lead_proof::prove(gateway, &primary).await;
+    if gateway.beliefs.is_denied(&primary.id) {
+        return;
+    }
     let deadline = tokio::time::Instant::from_std(started + QUESTION_TIMEOUT);
     let pool = gateway.pools.pool(&primary, &gateway.beliefs);
     let urgency = Urgency {
@@ -147,6 +152,7 @@
     let Ok(mut lease) = checkout else {
         return;
     };
+    let proved = gateway.beliefs.newest_position(service);
     let sent_at = Instant::now();
     let commands = [
         Command::Begin {
@@ -160,6 +166,8 @@
         Ok(Ok(replies)) => {
             gateway.instance_answered(&primary.id, sent_at.elapsed(), None);
             match (replies[0].error(), replies[0].position) {
+                (None, Some(position))
+                    if gateway.has_lost_its_log(&primary, Some(position), proved) => {}
                 (None, Some(position)) => {
                     gateway.primary_proved(&primary, Sample { sent_at, position });
                 }
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -4,23 +4,24 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
-use linkhold_core::service::failover::{self, ClaimDecision, FailoverLease, LEASE, ORDER_TIMEOUT};
+use linkhold_core::service::failover::{
+    self, ClaimDecision, ClaimTime, FailoverLease, LEASE, ORDER_TIMEOUT, era_of_token,
+};
 use linkhold_core::service::instance::InstanceId;
 use linkhold_core::service::permission::RecentClaim;
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::lease_format::{decode_lease, encode_lease};
-use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
+use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
 use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
 /// How long a claim, a read and a write, may take.
-const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Claims tried in a row when the store gives no answer.
 const CLAIM_TRIES: u32 = 2;
-/// How often a node looks for leases that it is to hold ready.
-const READY_INTERVAL: Duration = Duration::from_millis(3_000);
 
 /// A lease that this node claimed.
 #[derive(Clone, Debug)]
@@ -61,9 +62,12 @@
     }
     let asked_at = Instant::now();
     let checks_tokens = gateway.platform.checks_tokens();
-    let held = gateway
-        .leases
-        .use_without_store(service, successor, checks_tokens);
+    let held = gateway.leases.use_without_store(
+        service,
+        successor,
+        checks_tokens,
+        gateway.store_era.known(),
+    );
     Event::warn("lease_unconfirmed")
         .field("service", service)
         .field("acts_on_old_lease", held.is_some())
@@ -71,47 +75,17 @@
     held.map(|lease| Claim { lease, asked_at })
 }
 
-/// Holds the leases ready whose first node this is. Runs until the process
-/// ends.
-pub(crate) async fn hold_leases_ready<P: Platform>(gateway: Arc<Gateway<P>>) {
-    loop {
-        sleep(READY_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
-        for service in gateway.beliefs.services() {
-            let node = &gateway.settings.node;
-            let is_first = gateway.fleet.is_first(node, &service);
-            if is_first && !gateway.leases.holds(&service, node) && !gateway.is_leaving() {
-                // Without the store there is nothing to hold; the next round tries again.
-                let _ = timeout(STORE_TIMEOUT, hold_ready(&gateway, &service)).await;
-            }
-        }
-    }
+/// A lease's row as it is.
+struct LeaseRead {
+    lease: Option<FailoverLease>,
+    version: StorePlace,
+    read_at: ClaimTime,
 }
 
-async fn hold_ready<P: Platform>(
-    gateway: &Gateway<P>,
-    service: &ServiceName,
-) -> Result<(), StoreError> {
-    let (current, version, now) = read_lease(gateway, service).await?;
-    let is_in_fleet = |holder: &str| gateway.fleet.knows(holder);
-    let node = &gateway.settings.node;
-    let Some(lease) = failover::hold_ready(current.as_ref(), node, is_in_fleet, now) else {
-        return Ok(());
-    };
-    if write_lease(gateway, service, &lease, version).await? {
-        gateway.leases.remember(service, &lease);
-        Event::info("lease_held_ready")
-            .field("service", service)
-            .field("token", lease.token)
-            .log();
-    }
-    Ok(())
-}
-
-/// The lease's row as it is, its version, and the store's clock.
 async fn read_lease<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
-) -> Result<(Option<FailoverLease>, u64, u64), StoreError> {
+) -> Result<LeaseRead, StoreError> {
     gateway.metrics.store_calls.count(CallReason::Lease);
     let rows = gateway
         .platform
@@ -122,7 +96,14 @@
     let current = row
         .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
         .transpose()?;
-    Ok((current, row.map_or(0, |row| row.version), rows.now))
+    Ok(LeaseRead {
+        lease: current,
+        version: row.map_or_else(StorePlace::default, |row| row.version),
+        read_at: ClaimTime {
+            now: rows.now,
+            era: rows.era,
+        },
+    })
 }
 
 /// Writes a lease if its row still has `version`; whether it was written.
@@ -130,17 +111,17 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
     lease: &FailoverLease,
-    version: u64,
+    version: StorePlace,
 ) -> Result<bool, StoreError> {
     gateway.metrics.store_calls.count(CallReason::Lease);
+    let row = RowWrite {
+        key: service,
+        value: encode_lease(lease),
+        expected: Some(version),
+    };
     let written = gateway
         .platform
-        .write_row(
-            FleetTable::Leases,
-            service,
-            encode_lease(lease),
-            Some(version),
-        )
+        .write_rows(FleetTable::Leases, &[row])
         .await?;
     Ok(written == WriteResult::Written)
 }
@@ -157,7 +138,8 @@
 ) -> Option<Claim> {
     if gateway.platform.checks_tokens() {
         let successor = claimed.lease.successor.as_ref()?;
-        let lasts = Instant::now() < claimed.order_by();
+        let is_of_era = era_of_token(claimed.lease.token) == gateway.store_era.known();
+        let lasts = is_of_era && Instant::now() < claimed.order_by();
         return match lasts {
             true => Some(claimed.clone()),
             false => claim(gateway, service, successor).await,
@@ -181,14 +163,14 @@
     ordered: FailoverLease,
 ) {
     let settling = async {
-        let (row, version, _) = read_lease(&gateway, &service).await?;
-        match row.filter(|row| *row == ordered) {
+        let read = read_lease(&gateway, &service).await?;
+        match read.lease.filter(|row| *row == ordered) {
             Some(row) => {
                 let settled = FailoverLease {
                     ordered_at: None,
                     ..row
                 };
-                write_lease(&gateway, &service, &settled, version).await
+                write_lease(&gateway, &service, &settled, read.version).await
             }
             None => Ok(false),
         }
@@ -202,11 +184,14 @@
     service: &ServiceName,
     claimed: &FailoverLease,
 ) -> Result<Option<FailoverLease>, StoreError> {
-    let (row, version, now) = read_lease(gateway, service).await?;
-    let Some(lease) = row.and_then(|row| row.about_to_order(claimed, now)) else {
+    let read = read_lease(gateway, service).await?;
+    let now = read.read_at.now;
+    let is_of_era = era_of_token(claimed.token) == read.read_at.era;
+    let current = read.lease.filter(|_| is_of_era);
+    let Some(lease) = current.and_then(|row| row.about_to_order(claimed, now)) else {
         return Ok(None);
     };
-    let written = write_lease(gateway, service, &lease, version).await?;
+    let written = write_lease(gateway, service, &lease, read.version).await?;
     Ok(written.then_some(lease))
 }
 
@@ -259,13 +244,13 @@
     service: &ServiceName,
     successor: &InstanceId,
 ) -> Result<Option<FailoverLease>, StoreError> {
-    let (row, version, now) = read_lease(gateway, service).await?;
+    let read = read_lease(gateway, service).await?;
     let node = &gateway.settings.node;
-    let current = row.map(|row| match row.holder == *node {
+    let current = read.lease.map(|row| match row.holder == *node {
         true => gateway.leases.completed(service, row),
         false => row,
     });
-    let lease = match failover::claim(current.as_ref(), node, successor, now) {
+    let lease = match failover::claim(current.as_ref(), node, successor, read.read_at) {
         ClaimDecision::Write(lease) => lease,
         ClaimDecision::HeldElsewhere(left) => {
             Event::info("lease_held_elsewhere")
@@ -276,6 +261,6 @@
             return Ok(None);
         }
     };
-    let written = write_lease(gateway, service, &lease, version).await?;
+    let written = write_lease(gateway, service, &lease, read.version).await?;
     Ok(written.then_some(lease))
 }
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -10,6 +10,7 @@
 mod misplaced;
 mod order;
 mod promotion;
+mod ready_leases;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -28,7 +29,8 @@
 use misplaced::MisplacedPrimaries;
 use promotion::replace;
 
-pub(crate) use lease::{KnownClaims, hold_leases_ready, recent_claims};
+pub(crate) use lease::{KnownClaims, recent_claims};
+pub(crate) use ready_leases::hold_leases_ready;
 
 /// How often primaries that leave are looked for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -165,8 +165,12 @@
         return None;
     }
     let newest = gateway.beliefs.newest_term(service)?;
+    // One that started again holds nothing, and may say that it leads all the same.
+    let proved = gateway.beliefs.newest_position(service);
+    let holds_proved = |status: &&InstanceStatus| Some(status.received) >= proved;
     statuses
         .iter()
+        .filter(holds_proved)
         .find(|status| status.role == Role::Primary && status.term >= newest)
 }
 
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -10,6 +10,7 @@
 use linkhold_core::service::listing::SentRenewals;
 use linkhold_core::service::permission::{RecentClaim, Renewed};
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
 use linkhold_peer::{
     FeedInstanceChanges, FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed,
@@ -25,7 +26,7 @@
 use crate::confirmation::CONFIRMATION_INTERVAL;
 use crate::fleet::{self, FleetSource};
 use crate::gateway::Gateway;
-use crate::ports::{Cursor, Platform};
+use crate::ports::Platform;
 
 /// Longest time without a byte of a message that has begun: a reader's link may be
 /// shared by the first words to many followers.
@@ -176,7 +177,7 @@
 /// All instances as a reader tells them: once whole, then what changes.
 #[derive(Default)]
 struct ToldInstances {
-    cursor: u64,
+    place: StorePlace,
     instances: HashMap<InstanceId, (Instance, bool)>,
     /// They were not taken in since the last change.
     is_news: bool,
@@ -186,14 +187,14 @@
     fn replace(&mut self, known: FeedInstances) {
         self.instances.clear();
         self.apply(FeedInstanceChanges {
-            cursor: known.cursor,
+            place: known.place,
             changed: known.instances,
             gone: Vec::new(),
         });
     }
 
     fn apply(&mut self, changes: FeedInstanceChanges) {
-        self.cursor = changes.cursor;
+        self.place = changes.place;
         self.is_news = true;
         for (instance, is_listed) in changes.changed {
             self.instances
@@ -207,7 +208,7 @@
     /// All of them, if something has changed.
     fn take_news(&mut self) -> Option<FeedInstances> {
         std::mem::take(&mut self.is_news).then(|| FeedInstances {
-            cursor: self.cursor,
+            place: self.place,
             instances: self.instances.values().cloned().collect(),
         })
     }
@@ -368,9 +369,8 @@
             gateway.beliefs.adopt_configuration(configuration);
         }
         FeedMessage::Evacuations(known) => {
-            let as_of = Cursor(known.cursor);
             let beliefs = &gateway.beliefs;
-            beliefs.replace_evacuations(known.zones, as_of, Instant::now());
+            beliefs.replace_evacuations(known.zones, known.place, Instant::now());
         }
         FeedMessage::Fleet(fleet) => {
             fleet::adopt_fleet(gateway, fleet, true);
@@ -408,13 +408,13 @@
 }
 
 fn adopt_instances<P: Platform>(gateway: &Gateway<P>, known: FeedInstances) {
+    gateway.store_era.seen(known.place.era());
     let listed = known
         .instances
         .into_iter()
         .filter(|(_, is_listed)| *is_listed)
         .map(|(instance, _)| instance);
-    let cursor = Cursor(known.cursor);
     gateway
         .beliefs
-        .replace_instances(listed.collect(), cursor, Instant::now());
+        .replace_instances(listed.collect(), known.place, Instant::now());
 }
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -7,6 +7,7 @@
 use linkhold_core::service::configuration::Configuration;
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_peer::{FeedEvacuations, FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
 
 use super::frame;
@@ -62,14 +63,14 @@
 
     /// The zones that are evacuated as of a place in the store's changes; encoded
     /// anew when that has moved.
-    pub fn evacuations(&self, zones: &[ZoneName], as_of: u64, key: &PeerKey) -> Arc<[u8]> {
+    pub fn evacuations(&self, zones: &[ZoneName], as_of: StorePlace, key: &PeerKey) -> Arc<[u8]> {
         let message = || {
             FeedMessage::Evacuations(FeedEvacuations {
-                cursor: as_of,
+                place: as_of,
                 zones: zones.to_vec(),
             })
         };
-        cached(&self.evacuations, as_of, key, message)
+        cached(&self.evacuations, as_of.to_bits(), key, message)
     }
 
     /// The fleet, if all its nodes are known. The same frame as before unless it
@@ -95,18 +96,18 @@
 /// All instances as a reader knew them at one time.
 pub(crate) struct InstanceSnapshot {
     revision: u64,
-    cursor: u64,
+    place: StorePlace,
     instances: HashMap<InstanceId, (Instance, bool)>,
 }
 
 impl InstanceSnapshot {
     fn take(revision: u64, beliefs: &Beliefs) -> Self {
         // Read first: what is listed may be newer than that, never older.
-        let cursor = beliefs.directory_cursor().0;
+        let place = beliefs.directory_place();
         let instances = beliefs.all_instances().into_iter();
         Self {
             revision,
-            cursor,
+            place,
             instances: instances
                 .map(|(instance, is_listed)| (instance.id.clone(), (instance, is_listed)))
                 .collect(),
@@ -115,7 +116,7 @@
 
     fn whole(&self) -> FeedMessage {
         FeedMessage::Instances(FeedInstances {
-            cursor: self.cursor,
+            place: self.place,
             instances: self.instances.values().cloned().collect(),
         })
     }
@@ -128,7 +129,7 @@
         let is_gone = |id: &&InstanceId| !self.instances.contains_key(*id);
         let gone = before.instances.keys().filter(is_gone);
         FeedInstanceChanges {
-            cursor: self.cursor,
+            place: self.place,
             changed: changed.map(|(_, entry)| entry.clone()).collect(),
             gone: gone.cloned().collect(),
         }
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::evacuation::ZoneName;
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_peer::{EvidenceQuestion, FeedMessage, PeerKey};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -14,7 +15,7 @@
 use super::{read_message, write_frame, write_message};
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
-use crate::ports::{Cursor, Platform};
+use crate::ports::Platform;
 use crate::shared_evidence;
 
 /// How often a reader says that it lives.
@@ -259,8 +260,8 @@
     // None at all is what a follower starts with, unless another reader told it some.
     let (evacuated, as_of) = gateway.beliefs.evacuations();
     let has_told = told.revision.is_some();
-    if evacuated != told.evacuated || !has_told && as_of != Cursor::default() {
-        news.push(frames.evacuations(&evacuated, as_of.0, key));
+    if evacuated != told.evacuated || !has_told && as_of != StorePlace::default() {
+        news.push(frames.evacuations(&evacuated, as_of, key));
         told.evacuated = evacuated;
     }
     if let Some(configuration) = gateway.beliefs.configuration()
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::readers::{self, Freshness};
+use linkhold_events::Event;
 use tokio::sync::Notify;
 
 use crate::admission::Quotas;
@@ -20,6 +21,7 @@
 use crate::fleet::{Fleet, FleetSource};
 use crate::followers::Followers;
 use crate::forward::Forwarding;
+use crate::lead_proof::LeadProofs;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -30,6 +32,7 @@
 use crate::settings::GatewaySettings;
 use crate::shared_evidence::ReaderLink;
 use crate::sources::Sources;
+use crate::store_era::StoreEra;
 use crate::warm_up::WarmUps;
 
 /// The engine.
@@ -60,6 +63,8 @@
     pub(crate) sources: Sources,
     pub(crate) feed_frames: FeedFrames,
     pub(crate) leases: HeldLeases,
+    pub(crate) lead_proofs: LeadProofs,
+    pub(crate) store_era: StoreEra,
     pub(crate) quotas: Quotas,
     pub(crate) warm_ups: WarmUps,
     leaving: AtomicBool,
@@ -116,6 +121,8 @@
             sources: Sources::default(),
             feed_frames: FeedFrames::default(),
             leases: HeldLeases::default(),
+            lead_proofs: LeadProofs::default(),
+            store_era: StoreEra::default(),
             quotas: Quotas::default(),
             warm_ups: WarmUps::default(),
             leaving: AtomicBool::new(false),
@@ -178,7 +185,7 @@
         self.warm_ups.doubted(&instance.id);
         self.metrics.instance_failures.add();
         if !was_failing {
-            linkhold_events::Event::warn("instance_failed")
+            Event::warn("instance_failed")
                 .field("instance", &instance.id)
                 .field("service", &instance.service)
                 .field("reason", reason)
@@ -238,6 +245,28 @@
         is_outdated
     }
 
+    /// Whether an instance that answered as a primary lacks what it was proved to hold
+    /// before it was asked: it has started again with nothing. It is not believed to lead
+    /// any more. Until its entry told so, 44 reads of what was written found nothing.
+    pub(crate) fn has_lost_its_log(
+        &self,
+        instance: &Instance,
+        position: Option<Position>,
+        proved: Option<Position>,
+    ) -> bool {
+        let has_lost = position.is_some_and(|position| Some(position) < proved);
+        if has_lost {
+            Event::warn("primary_log_lost")
+                .field("service", &instance.service)
+                .field("instance", &instance.id)
+                .field("position", position.unwrap_or_default())
+                .field("proved", proved.unwrap_or_default())
+                .log();
+            self.instance_denied_primary(instance);
+        }
+        has_lost
+    }
+
     fn is_believed_primary(&self, id: &InstanceId, service: &str) -> bool {
         self.beliefs
             .primary(service)
@@ -259,6 +288,8 @@
             ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
             ("instances_held_off", self.warm_ups.count_cold() as u64),
             ("listing_age_ms", self.beliefs.permission.age_ms()),
+            ("store_era", u64::from(self.store_era.known().0)),
+            ("entries_unusable_total", self.platform.unusable_entries()),
         ];
         self.metrics.render(&gauges)
     }
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::ports::{Cursor, DirectoryChange, Platform, StoreError};
+use crate::ports::{DirectoryChange, Platform, StoreError};
 use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
 /// First pause after a failure; it doubles.
@@ -79,13 +80,13 @@
 /// zones. Runs until the process ends.
 pub async fn keep_configuration<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut contact = Contact::new(&gateway, "configuration");
-    let mut cursor: Option<Cursor> = None;
+    let mut place: Option<StorePlace> = None;
     loop {
         if gateway.sources.wait_until_reading().await {
-            cursor = None;
+            place = None;
         }
         gateway.metrics.store_calls.count(CallReason::Configuration);
-        let answer = match cursor {
+        let answer = match place {
             Some(from) => follow_operator(&gateway, from).await,
             None => read_operator(&gateway).await,
         };
@@ -93,20 +94,21 @@
             Ok(next) => {
                 contact.answered();
                 gateway.sources.configuration_answered();
-                cursor = Some(next);
+                place = Some(next);
             }
             Err(error) => {
-                cursor = None;
+                place = None;
                 contact.failed(error).await;
             }
         }
     }
 }
 
-async fn read_operator<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
+async fn read_operator<P: Platform>(gateway: &Gateway<P>) -> Result<StorePlace, StoreError> {
     let asked_at = Instant::now();
     let call = gateway.platform.read_operator();
     let (state, next) = bounded(call, READ_TIMEOUT).await?;
+    gateway.store_era.seen(next.era());
     let beliefs = &gateway.beliefs;
     // Before the configuration, with which a node begins to serve.
     beliefs.replace_evacuations(state.evacuated, next, Instant::now());
@@ -119,8 +121,8 @@
 
 async fn follow_operator<P: Platform>(
     gateway: &Gateway<P>,
-    from: Cursor,
-) -> Result<Cursor, StoreError> {
+    from: StorePlace,
+) -> Result<StorePlace, StoreError> {
     let asked_at = Instant::now();
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_operator(from, wait);
@@ -137,24 +139,24 @@
 /// Keeps the list of instances. Runs until the process ends.
 pub async fn keep_instances<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut contact = Contact::new(&gateway, "instances");
-    let mut cursor: Option<Cursor> = None;
+    let mut place: Option<StorePlace> = None;
     loop {
         if gateway.sources.wait_until_reading().await {
-            cursor = None;
+            place = None;
         }
         gateway.metrics.store_calls.count(CallReason::Instances);
-        let answer = match cursor {
+        let answer = match place {
             Some(from) => follow_instances(&gateway, from).await,
             None => read_instances(&gateway).await,
         };
         match answer {
             Ok(next) => {
                 contact.answered();
-                cursor = Some(next);
+                place = Some(next);
             }
             Err(error) => {
                 gateway.beliefs.directory_disturbed();
-                cursor = None;
+                place = None;
                 contact.failed(error).await;
                 // One of this node's tasks finds out that the store is back.
                 gateway.sources.wait_for_store(STORE_RETURN_TIME).await;
@@ -163,10 +165,11 @@
     }
 }
 
-async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<Cursor, StoreError> {
+async fn read_instances<P: Platform>(gateway: &Gateway<P>) -> Result<StorePlace, StoreError> {
     let asked_at = Instant::now();
     let call = gateway.platform.read_instances();
     let (listed, next) = bounded(call, READ_TIMEOUT).await?;
+    gateway.store_era.seen(next.era());
     gateway.sources.instances_answered();
     gateway
         .beliefs
@@ -177,8 +180,8 @@
 
 async fn follow_instances<P: Platform>(
     gateway: &Gateway<P>,
-    from: Cursor,
-) -> Result<Cursor, StoreError> {
+    from: StorePlace,
+) -> Result<StorePlace, StoreError> {
     let asked_at = Instant::now();
     let wait = gateway.store_wait();
     let call = gateway.platform.follow_instances(from, wait);
@@ -190,7 +193,9 @@
             DirectoryChange::Present(instance) => {
                 gateway.beliefs.announce_instance(instance, Instant::now());
             }
-            DirectoryChange::Absent(id) => gateway.beliefs.vanish_instance(&id, Instant::now()),
+            DirectoryChange::Absent(name) => {
+                gateway.beliefs.vanish_instance(&name, Instant::now());
+            }
         }
     }
     gateway.beliefs.advance_directory(next);
@@ -212,6 +217,7 @@
         for id in gateway.beliefs.closed_instances() {
             gateway.pools.close_idle(&id);
         }
+        gateway.beliefs.expire_evacuations(Instant::now());
         for id in gateway.beliefs.expire_instances(Instant::now(), drain) {
             gateway.pools.forget(&id);
         }
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -4,8 +4,9 @@
 use std::sync::Mutex;
 
 use linkhold_core::service::configuration::ServiceName;
-use linkhold_core::service::failover::FailoverLease;
+use linkhold_core::service::failover::{FailoverLease, era_of_token};
 use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::store_place::Era;
 use serde::{Deserialize, Serialize};
 
 use crate::beliefs::lock;
@@ -66,11 +67,12 @@
         lock(&self.leases).insert(service.clone(), lease.clone());
     }
 
-    /// Whether this node claimed the service's lease last, as far as it knows.
-    pub fn holds(&self, service: &str, node: &str) -> bool {
+    /// Whether this node claimed the service's lease last, as far as it knows, in an era
+    /// of the store.
+    pub fn holds(&self, service: &str, node: &str, era: Era) -> bool {
         lock(&self.leases)
             .get(service)
-            .is_some_and(|lease| lease.holder == node)
+            .is_some_and(|lease| lease.holder == node && era_of_token(lease.token) == era)
     }
 
     /// An order under a token is about to leave.
@@ -123,13 +125,14 @@
 
     /// A lease on which this node may act although the store does not answer:
     /// its own last one, unused or for the same successor, where the authority
-    /// itself refuses tokens that are no longer the newest. From then on its
-    /// token belongs to this successor.
+    /// itself refuses tokens that are no longer the newest, if it was claimed in the
+    /// store's era. From then on its token belongs to this successor.
     pub fn use_without_store(
         &self,
         service: &str,
         successor: &InstanceId,
         authority_checks_tokens: bool,
+        era: Era,
     ) -> Option<FailoverLease> {
         if !authority_checks_tokens {
             return None;
@@ -137,7 +140,7 @@
         let mut leases = lock(&self.leases);
         let lease = leases
             .get_mut(service)
-            .filter(|lease| lease.may_promote(successor))?;
+            .filter(|lease| lease.may_promote(successor) && era_of_token(lease.token) == era)?;
         lease.successor = Some(successor.clone());
         Some(lease.clone())
     }
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -31,7 +31,7 @@
 use crate::beliefs::lock;
 use crate::confirmation;
 use crate::gateway::Gateway;
-use crate::ports::Platform;
+use crate::ports::{Platform, StoreError};
 use crate::registration;
 use crate::survey;
 
@@ -356,11 +356,16 @@
     /// authority itself refuses old tokens, as this node knows them. `None` if it then
     /// knows a part of the fleet only.
     pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
-        if let Ok(listed) = registration::list_nodes(gateway).await {
-            return Some(Self {
-                nodes: listed.present,
-                former: listed.former,
-            });
+        match registration::list_nodes(gateway).await {
+            Ok(listed) => {
+                return Some(Self {
+                    nodes: listed.present,
+                    former: listed.former,
+                });
+            }
+            // The store does not list all nodes, and this one may not know them either.
+            Err(StoreError::OtherEra) => return None,
+            Err(_) => {}
         }
         if !gateway.platform.checks_tokens() {
             return None;
--- a/crates/linkhold-gateway/src/ports/mod.rs
+++ b/crates/linkhold-gateway/src/ports/mod.rs
@@ -17,8 +17,8 @@
     CallerConnection, CallerError, CallerReply, CallerRequest, Rejection, Startup, Statement,
 };
 pub use store::{
-    Cursor, DirectoryChange, FleetTable, InstanceDirectory, MetadataStore, OperatorChanges,
-    OperatorSource, OperatorState, RowRange, StoreError, StoredRow, StoredRows, WriteResult,
+    DirectoryChange, FleetTable, InstanceDirectory, MetadataStore, OperatorChanges, OperatorSource,
+    OperatorState, RowRange, RowWrite, StoreError, StoredRow, StoredRows, WriteResult,
 };
 
 /// Everything the engine needs.
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -1,11 +1,13 @@
 //! The platform's store: configuration, instances, the fleet's own rows.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use linkhold_core::service::configuration::Configuration;
 use linkhold_core::service::evacuation::{EvacuationChange, ZoneName};
-use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::store_place::{Era, StorePlace};
 use thiserror::Error;
 
 /// The store could not be used.
@@ -17,25 +19,24 @@
     /// No answer, or a broken one; a write may have been done.
     #[error("store gave no answer")]
     NoAnswer,
-    /// Changes since the cursor are no longer known.
+    /// Changes since a place are no longer known, or the place is of another era.
     #[error("store has forgotten its history")]
     HistoryGone,
+    /// A write rested on what was read in another era. It was done.
+    #[error("store has come back from an older copy meanwhile")]
+    OtherEra,
     /// The answer made no sense.
     #[error("store gave an answer that makes no sense")]
     Malformed,
 }
 
-/// Place in a stream of changes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Cursor(pub u64);
-
 /// A change to one entry of the instance directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
     /// The entry is there and reads so.
     Present(Instance),
-    /// The entry is gone.
-    Absent(InstanceId),
+    /// The entry of the instance with this name is gone.
+    Absent(Arc<str>),
 }
 
 /// Everything that the operator asks for.
@@ -61,27 +62,29 @@
     /// All of them, and the place from which to follow.
     fn read_operator(
         &self,
-    ) -> impl Future<Output = Result<(OperatorState, Cursor), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(OperatorState, StorePlace), StoreError>> + Send;
     /// Changes; returns when there is one or after `wait`.
     fn follow_operator(
         &self,
-        from: Cursor,
+        from: StorePlace,
         wait: Duration,
-    ) -> impl Future<Output = Result<(OperatorChanges, Cursor), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(OperatorChanges, StorePlace), StoreError>> + Send;
 }
 
 /// Where instances announce themselves.
 pub trait InstanceDirectory: Send + Sync + 'static {
+    /// Entries that were found so far and name no instance, each version of one once.
+    fn unusable_entries(&self) -> u64;
     /// All instances, and the place from which to follow.
     fn read_instances(
         &self,
-    ) -> impl Future<Output = Result<(Vec<Instance>, Cursor), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Instance>, StorePlace), StoreError>> + Send;
     /// Changes; returns when there is one or after `wait`.
     fn follow_instances(
         &self,
-        from: Cursor,
+        from: StorePlace,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Vec<DirectoryChange>, Cursor), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(Vec<DirectoryChange>, StorePlace), StoreError>> + Send;
 }
 
 /// A row of the metadata store.
@@ -92,7 +95,7 @@
     /// Its value.
     pub value: Vec<u8>,
     /// Version for conditional writes.
-    pub version: u64,
+    pub version: StorePlace,
 }
 
 /// Which rows of a table are read, in the order of their keys.
@@ -111,6 +114,19 @@
     pub rows: Vec<StoredRow>,
     /// The store's steady clock, in milliseconds.
     pub now: u64,
+    /// The era in which they were read.
+    pub era: Era,
+}
+
+/// A row to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowWrite<'a> {
+    /// Its key.
+    pub key: &'a str,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Version that it must have (the default: not there); `None`: any.
+    pub expected: Option<StorePlace>,
 }
 
 /// Result of a conditional write.
@@ -139,20 +155,17 @@
         table: FleetTable,
         range: RowRange<'_>,
     ) -> impl Future<Output = Result<StoredRows, StoreError>> + Send;
-    /// Writes a row if it still has `expected` as version (0: not there);
-    /// without a condition if `expected` is `None`.
-    fn write_row(
+    /// Writes rows, all of them or, if one is not as it is expected to be, none.
+    fn write_rows(
         &self,
         table: FleetTable,
-        key: &str,
-        value: Vec<u8>,
-        expected: Option<u64>,
+        rows: &[RowWrite<'_>],
     ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
     /// Removes a row if it still has `expected` as version.
     fn remove_row(
         &self,
         table: FleetTable,
         key: &str,
-        expected: u64,
+        expected: StorePlace,
     ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
 }
--- a/crates/linkhold-gateway/src/primary_answer.rs
+++ b/crates/linkhold-gateway/src/primary_answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use linkhold_core::position::Position;
 use linkhold_core::service::instance::Instance;
 
 use crate::attempt::Attempt;
@@ -10,18 +11,21 @@
 use crate::ports::{BackendReply, Platform};
 
 /// Whether what an instance answered as a primary may be told: its log ends in no older
-/// term than is known, and a commit is acknowledged only while this node may speak for
-/// the instance.
+/// term than is known and not before `proved`, up to which it was proved to reach when it
+/// was asked, and a commit is acknowledged only while this node may speak for the instance.
 pub(crate) fn may_tell<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Instance,
     work: &Work,
     replies: &[BackendReply],
+    proved: Option<Position>,
 ) -> bool {
     let position = replies.last().and_then(|reply| reply.position);
     let is_permitted =
         !work.may_commit() || gateway.beliefs.may_speak_for(instance, Instant::now());
-    is_permitted && !gateway.is_outdated(instance, position)
+    is_permitted
+        && !gateway.is_outdated(instance, position)
+        && !gateway.has_lost_its_log(instance, position, proved)
 }
 
 /// Whether a statement's answer is told as that of a primary: it writes or ends a
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -4,6 +4,7 @@
 //! renewed for long on the store's clock is gone. Followers of a reader tell it
 //! that they live, and its row lists them ([`crate::registry`]).
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -11,16 +12,18 @@
 
 use linkhold_core::service::permission::{FORMER_TIME, Renewed};
 use linkhold_core::service::readers::{self, ROW_EXPIRY};
+use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_events::Event;
 use linkhold_peer::{FeedMessage, PeerKey};
-use tokio::time::{sleep, timeout_at};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::beliefs::lock;
 use crate::failover;
 use crate::fleet::{self, Reading};
 use crate::gateway::Gateway;
-use crate::ports::{FleetTable, Platform, RowRange, StoreError, WriteResult};
-use crate::registry::{self, PEER_KEY_ROW, Registry};
+use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
+use crate::registry::{self, ERA_ROW, EraRow, Member, PEER_KEY_ROW, Registry};
 use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, bounded};
 
 /// Pause before registering is tried again after a failure, at the least.
@@ -126,9 +129,46 @@
     enlist(gateway).await?;
     let registry = read_registry(gateway, CallReason::Fleet).await?;
     gateway.own_row.read(registry.own_version);
+    write_what_is_lost(gateway, &registry).await?;
     Ok(fleet::adopt_registry(gateway, &registry, Reading::Yes))
 }
 
+/// Writes what all nodes share and a store that came back from an older copy lacks: the
+/// key between them, and since when they know of the copy.
+async fn write_what_is_lost<P: Platform>(
+    gateway: &Gateway<P>,
+    registry: &Registry,
+) -> Result<(), StoreError> {
+    let mut rows = Vec::new();
+    if registry.lacks_era() {
+        rows.push(era_row(registry.era, registry.now, registry.era_version)?);
+    }
+    let lost_key = gateway.fleet.key().filter(|_| registry.key.is_none());
+    if let Some(key) = lost_key {
+        rows.push(RowWrite {
+            key: PEER_KEY_ROW,
+            value: key.secret().to_vec(),
+            expected: Some(StorePlace::default()),
+        });
+    }
+    if rows.is_empty() {
+        return Ok(());
+    }
+    gateway.metrics.store_calls.count(CallReason::Key);
+    let call = gateway.platform.write_rows(FleetTable::Nodes, &rows);
+    // Another node may have written them first.
+    bounded(call, CALL_TIMEOUT).await.map(|_| ())
+}
+
+fn era_row(era: Era, since: u64, expected: StorePlace) -> Result<RowWrite<'static>, StoreError> {
+    let row = EraRow { era: era.0, since };
+    Ok(RowWrite {
+        key: ERA_ROW,
+        value: serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?,
+        expected: Some(expected),
+    })
+}
+
 /// Writes this node's row, which may be its first.
 pub(crate) async fn enlist<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
     if gateway.fleet.store_time().is_none() {
@@ -145,7 +185,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct OwnRow {
     /// Its version as it was read last, unless it was written since.
-    version: Mutex<Option<u64>>,
+    version: Mutex<Option<StorePlace>>,
     /// This process has written it.
     was_written: AtomicBool,
     /// One write is under way at a time.
@@ -153,8 +193,8 @@
 }
 
 impl OwnRow {
-    /// The row was read with this version; 0 if it is not there.
-    fn read(&self, version: u64) {
+    /// The row was read with this version; the default if it is not there.
+    fn read(&self, version: StorePlace) {
         *lock(&self.version) = Some(version);
     }
 
@@ -168,7 +208,7 @@
     }
 
     /// Its version, which is not known any more once it is used.
-    fn take_version(&self) -> Option<u64> {
+    fn take_version(&self) -> Option<StorePlace> {
         lock(&self.version).take()
     }
 }
@@ -185,10 +225,12 @@
 ) -> Result<(), StoreError> {
     for _ in 0..WRITE_TRIES {
         let version = own_version(gateway, &row.key, address).await?;
-        let value = row.value.clone();
-        let call = gateway
-            .platform
-            .write_row(FleetTable::Nodes, &row.key, value, Some(version));
+        let rows = [RowWrite {
+            key: &row.key,
+            value: row.value.clone(),
+            expected: Some(version),
+        }];
+        let call = gateway.platform.write_rows(FleetTable::Nodes, &rows);
         gateway.metrics.store_calls.count(CallReason::Register);
         if bounded(call, CALL_TIMEOUT).await? == WriteResult::Written {
             gateway.own_row.is_written();
@@ -204,7 +246,7 @@
     gateway: &Gateway<P>,
     key: &str,
     address: Option<SocketAddr>,
-) -> Result<u64, StoreError> {
+) -> Result<StorePlace, StoreError> {
     if let Some(version) = gateway.own_row.take_version() {
         return Ok(version);
     }
@@ -217,15 +259,43 @@
     let node = &gateway.settings.node;
     let registry = Registry::decode(&rows, asked_at, node);
     let writer = registry.members.get(node);
-    let is_own = writer.is_none_or(|it| it.registration.node.address == address);
-    if gateway.own_row.was_written() && !is_own {
+    let other = writer.filter(|it| it.registration.node.address != address);
+    if gateway.own_row.was_written() && other.is_some() {
         Event::warn("name_taken_by_another").log();
         gateway.beliefs.permission.revoke();
         return Err(StoreError::Refused);
     }
+    if let Some(other) = other.filter(|it| it.is_present())
+        && may_live(other).await
+    {
+        Event::warn("name_held_by_another")
+            .field(
+                "address",
+                format_args!("{:?}", other.registration.node.address),
+            )
+            .log();
+        return Err(StoreError::Refused);
+    }
     Ok(registry.own_version)
 }
 
+/// How long another process of this node's name has to take a connection: a way between
+/// regions and back, seven times.
+const LIFE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Whether another process that is listed under this node's name may still run. It was
+/// listed to be asked before a primary is replaced: while it may wake and speak for one,
+/// nobody takes its place. A machine that refuses the connection runs no such process.
+async fn may_live(other: &Member) -> bool {
+    let Some(address) = other.registration.node.address else {
+        return false;
+    };
+    match timeout(LIFE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() != io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => true,
+    }
+}
+
 /// Writes the row of this node and of those that follow it, under the condition that
 /// nobody has written it since it was read: a write without an answer that is done
 /// seconds later would take followers off the list that came meanwhile. Whoever is listed anew
@@ -273,6 +343,7 @@
     gateway.metrics.store_calls.count(reason);
     let asked_at = Instant::now();
     let rows = bounded(call, limit).await?;
+    gateway.store_era.seen(rows.era);
     Ok(Registry::decode(&rows, asked_at, &gateway.settings.node))
 }
 
@@ -310,12 +381,19 @@
 /// The key between nodes; made by whichever node comes first.
 async fn shared_key<P: Platform>(gateway: &Gateway<P>) -> Result<PeerKey, StoreError> {
     let own: [u8; PEER_KEY_LENGTH] = rand::random();
-    let call = gateway
-        .platform
-        .write_row(FleetTable::Nodes, PEER_KEY_ROW, own.to_vec(), Some(0));
+    let key = RowWrite {
+        key: PEER_KEY_ROW,
+        value: own.to_vec(),
+        expected: Some(StorePlace::default()),
+    };
+    let rows = [key];
+    let call = gateway.platform.write_rows(FleetTable::Nodes, &rows);
     gateway.metrics.store_calls.count(CallReason::Key);
     match bounded(call, CALL_TIMEOUT).await? {
-        WriteResult::Written => Ok(PeerKey::new(own)),
+        WriteResult::Written => {
+            write_first_era(gateway).await?;
+            Ok(PeerKey::new(own))
+        }
         WriteResult::Conflict => {
             let registry = read_registry(gateway, CallReason::Key).await?;
             registry.key.ok_or(StoreError::Malformed)
@@ -323,6 +401,19 @@
     }
 }
 
+/// Tells that the store ran on its era when the first node ever started: no node can have
+/// been lost with an earlier one.
+async fn write_first_era<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
+    let era = gateway.store_era.known();
+    if era == Era::default() {
+        return Ok(());
+    }
+    let rows = [era_row(era, 0, StorePlace::default())?];
+    gateway.metrics.store_calls.count(CallReason::Key);
+    let call = gateway.platform.write_rows(FleetTable::Nodes, &rows);
+    bounded(call, CALL_TIMEOUT).await.map(|_| ())
+}
+
 /// Addresses of the other nodes, as the store lists them.
 pub(crate) struct ListedNodes {
     /// Nodes whose rows count.
@@ -336,6 +427,9 @@
     gateway: &Gateway<P>,
 ) -> Result<ListedNodes, StoreError> {
     let registry = read_registry(gateway, CallReason::List).await?;
+    if registry.may_lack_nodes() {
+        return Err(StoreError::OtherEra);
+    }
     let mut listed = ListedNodes {
         present: Vec::new(),
         former: Vec::new(),
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::readers::{READER_EXPIRY, ROW_EXPIRY, SETTLING_TIME};
+use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_events::Event;
 use linkhold_peer::{FeedNode, PeerKey, milliseconds};
 use serde::{Deserialize, Serialize};
@@ -18,10 +19,22 @@
 
 /// Row of the key between nodes. No zone's rows sort before it.
 pub const PEER_KEY_ROW: &str = "!key";
+/// Row that tells since when nodes know of the store's era. No zone's rows sort before it.
+pub const ERA_ROW: &str = "!era";
 /// Followers that [`encode_row`] takes, at the most: rows hold 64 KiB, an entry takes
 /// up to 120 bytes. A reader has 30 followers, and lists former ones for some seconds.
 pub const MOST_FOLLOWERS: usize = 400;
 
+/// Since when nodes know of the store's era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EraRow {
+    /// The era.
+    pub era: u32,
+    /// When a node first saw it, on the store's clock in milliseconds; 0 if the store ran
+    /// on it when the first node ever started.
+    pub since: u64,
+}
+
 /// A node that registers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -148,8 +161,14 @@
     pub members: BTreeMap<String, Member>,
     /// What this node's own row lists as its followers.
     pub own_followers: Vec<Registration>,
-    /// Version of this node's own row; 0 if it has none.
-    pub own_version: u64,
+    /// Version of this node's own row; the default if it has none.
+    pub own_version: StorePlace,
+    /// The store's era.
+    pub era: Era,
+    /// What the table tells of it.
+    pub era_row: Option<EraRow>,
+    /// Version of that row; the default if there is none.
+    pub era_version: StorePlace,
 }
 
 impl Registry {
@@ -162,11 +181,17 @@
             key: None,
             members: BTreeMap::new(),
             own_followers: Vec::new(),
-            own_version: 0,
+            own_version: StorePlace::default(),
+            era: rows.era,
+            era_row: None,
+            era_version: StorePlace::default(),
         };
         for row in &rows.rows {
             if row.key == PEER_KEY_ROW {
                 registry.key = Some(PeerKey::new(row.value.clone()));
+            } else if row.key == ERA_ROW {
+                registry.era_row = serde_json::from_slice(&row.value).ok();
+                registry.era_version = row.version;
             } else {
                 registry.take(row, own);
             }
@@ -213,6 +238,20 @@
         self.members.insert(name, member);
     }
 
+    /// Whether the row of the store's era is to be written: it tells of another one.
+    pub fn lacks_era(&self) -> bool {
+        let told = self.era_row.map(|row| Era(row.era));
+        self.era != Era::default() && told != Some(self.era)
+    }
+
+    /// Whether nodes may live that are not listed: the store came back lately from an older
+    /// copy, which lacks nodes that had registered just before.
+    pub fn may_lack_nodes(&self) -> bool {
+        let expiry = milliseconds(ROW_EXPIRY);
+        let is_new = |row: EraRow| row.since > 0 && self.now < row.since + expiry;
+        self.lacks_era() || self.era_row.is_some_and(is_new)
+    }
+
     /// Nodes that count.
     pub fn present(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| member.is_present())
--- a/crates/linkhold-gateway/src/warm_up/mod.rs
+++ b/crates/linkhold-gateway/src/warm_up/mod.rs
@@ -49,11 +49,27 @@
         &self,
         opened_at: Instant,
         rules: &WarmUpRules,
-        says_cold: bool,
+        entry: EntryKnown,
         now: Instant,
     ) -> bool {
-        self.warmth.is_warm(rules, says_cold, now) && self.warmth.is_proved_since(opened_at)
+        self.may_be_warm(rules, entry, now) && self.warmth.is_proved_since(opened_at)
     }
+
+    /// Whether it is warm but for the age of the last proof. With the list of instances
+    /// unread while an instance was started again, its last life's entry let 97 statements
+    /// in a second through where 14 are allowed.
+    fn may_be_warm(&self, rules: &WarmUpRules, entry: EntryKnown, now: Instant) -> bool {
+        self.warmth.is_life_listed(rules, entry.as_of)
+            && self.warmth.is_warm(rules, entry.says_cold, now)
+    }
+}
+
+/// What an instance's entry says of its warmth.
+#[derive(Clone, Copy, Debug)]
+struct EntryKnown {
+    says_cold: bool,
+    /// The last moment as of which the entries are known.
+    as_of: Option<Instant>,
 }
 
 /// What this node knows of the warmth of instances.
@@ -97,6 +113,13 @@
         self.beliefs.limits(&instance.service)?.warm_up
     }
 
+    fn entry_known(&self, instance: &Instance) -> EntryKnown {
+        EntryKnown {
+            says_cold: self.beliefs.is_cold(&instance.id),
+            as_of: self.beliefs.directory_as_of(),
+        }
+    }
+
     /// Counts a statement that is about to be sent to an instance, or tells when
     /// this node may send one.
     pub(crate) fn admit_to_instance(
@@ -111,10 +134,10 @@
         let rules = &self.settings.warm_up;
         let standing = self.spender_standing(instance);
         let now = Instant::now();
-        let says_cold = self.beliefs.is_cold(&instance.id);
+        let entry = self.entry_known(instance);
         let admitted = self.warm_ups.update(&instance.id, |known| {
-            let is_warm = known.is_warm_on(opened_at, rules, says_cold, now);
-            note_warmth(known, instance, is_warm, says_cold);
+            let is_warm = known.is_warm_on(opened_at, rules, entry, now);
+            note_warmth(known, instance, is_warm, entry.says_cold);
             if is_warm {
                 return Ok(());
             }
@@ -145,11 +168,11 @@
     /// one is asked for.
     fn needs_proof(&self, instance: &Instance, opened_at: Instant) -> bool {
         let rules = &self.settings.warm_up;
-        let says_cold = self.beliefs.is_cold(&instance.id);
+        let entry = self.entry_known(instance);
         let now = Instant::now();
         self.warm_ups.update(&instance.id, |known| {
-            let is_needed = known.warmth.is_warm(rules, says_cold, now)
-                && !known.warmth.is_proved_since(opened_at);
+            let is_needed =
+                known.may_be_warm(rules, entry, now) && !known.warmth.is_proved_since(opened_at);
             if is_needed {
                 known.doubt.notify_one();
             }
@@ -178,9 +201,9 @@
         let limit = self.warm_up_limit(instance)?;
         let rules = &self.settings.warm_up;
         let now = Instant::now();
-        let says_cold = self.beliefs.is_cold(&instance.id);
+        let entry = self.entry_known(instance);
         self.warm_ups.update(&instance.id, |known| {
-            if known.is_warm_on(opened_at, rules, says_cold, now) {
+            if known.is_warm_on(opened_at, rules, entry, now) {
                 return None;
             }
             // Tried on a copy: it is counted where it is sent.
--- a/crates/linkhold-gateway/tests/registry.rs
+++ b/crates/linkhold-gateway/tests/registry.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_gateway::ports::{StoredRow, StoredRows};
 use linkhold_gateway::registry::{PEER_KEY_ROW, Registration, Registry, encode_row};
 use linkhold_peer::FeedNode;
@@ -32,12 +33,13 @@
     StoredRow {
         key: row.key,
         value: row.value,
-        version: 1,
+        version: StorePlace::new(Era::default(), 1),
     }
 }
 
 fn registry(rows: Vec<StoredRow>, now: u64) -> Registry {
-    Registry::decode(&StoredRows { rows, now }, Instant::now(), "own")
+    let era = Era::default();
+    Registry::decode(&StoredRows { rows, now, era }, Instant::now(), "own")
 }
 
 #[test]
@@ -105,12 +107,12 @@
     let strange = StoredRow {
         key: "a/strange".to_owned(),
         value: b"{\"name\": 3".to_vec(),
-        version: 1,
+        version: StorePlace::new(Era::default(), 1),
     };
     let key = StoredRow {
         key: PEER_KEY_ROW.to_owned(),
         value: vec![7; 32],
-        version: 2,
+        version: StorePlace::new(Era::default(), 2),
     };
     let known = registry(vec![key, strange, row("r-1", None, &[], 5)], 10);
     assert!(known.key.is_some());
--- a/crates/linkhold-peer/src/feed.rs
+++ b/crates/linkhold-peer/src/feed.rs
@@ -16,6 +16,7 @@
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::store_place::StorePlace;
 use linkhold_core::service::warm_up::WarmUpLimit;
 use linkhold_core::tenancy::credential::CREDENTIAL_BYTES;
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
@@ -53,8 +54,8 @@
 /// All instances, as a reader knows them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FeedInstances {
-    /// The store's count of changes up to which they were read.
-    pub cursor: u64,
+    /// The place in the store's changes up to which they were read.
+    pub place: StorePlace,
     /// Each instance, and whether it is still listed.
     pub instances: Vec<(Instance, bool)>,
 }
@@ -63,8 +64,8 @@
 /// stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FeedInstanceChanges {
-    /// The store's count of changes up to which they were read.
-    pub cursor: u64,
+    /// The place in the store's changes up to which they were read.
+    pub place: StorePlace,
     /// Instances that are new or have changed, and whether they are listed.
     pub changed: Vec<(Instance, bool)>,
     /// Instances that are no longer known.
@@ -74,8 +75,8 @@
 /// The zones that are evacuated, as a reader knows them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FeedEvacuations {
-    /// The store's count of changes up to which they were read.
-    pub cursor: u64,
+    /// The place in the store's changes up to which they were read.
+    pub place: StorePlace,
     /// The zones.
     pub zones: Vec<ZoneName>,
 }
@@ -384,14 +385,14 @@
             WireMessage::Configuration(configuration_to_wire(configuration))
         }
         FeedMessage::Evacuations(known) => WireMessage::Evacuations(
-            known.cursor,
+            known.place.to_bits(),
             known.zones.iter().map(ToString::to_string).collect(),
         ),
         FeedMessage::Instances(known) => {
-            WireMessage::Instances(known.cursor, instances_to_wire(&known.instances))
+            WireMessage::Instances(known.place.to_bits(), instances_to_wire(&known.instances))
         }
         FeedMessage::InstanceChanges(changes) => WireMessage::InstanceChanges(
-            changes.cursor,
+            changes.place.to_bits(),
             instances_to_wire(&changes.changed),
             changes.gone.iter().map(ToString::to_string).collect(),
         ),
@@ -553,18 +554,18 @@
         WireMessage::Configuration(wire) => {
             FeedMessage::Configuration(configuration_from_wire(wire)?)
         }
-        WireMessage::Evacuations(cursor, zones) => FeedMessage::Evacuations(FeedEvacuations {
-            cursor,
+        WireMessage::Evacuations(place, zones) => FeedMessage::Evacuations(FeedEvacuations {
+            place: StorePlace::from_bits(place),
             zones: zones.into_iter().map(ZoneName::from).collect(),
         }),
-        WireMessage::Instances(cursor, wire) => FeedMessage::Instances(FeedInstances {
-            cursor,
+        WireMessage::Instances(place, wire) => FeedMessage::Instances(FeedInstances {
+            place: StorePlace::from_bits(place),
             instances: instances_from_wire(wire)?,
         }),
-        WireMessage::InstanceChanges(cursor, changed, gone) => {
+        WireMessage::InstanceChanges(place, changed, gone) => {
             let gone = gone.into_iter().map(|id| InstanceId(id.into()));
             FeedMessage::InstanceChanges(FeedInstanceChanges {
-                cursor,
+                place: StorePlace::from_bits(place),
                 changed: instances_from_wire(changed)?,
                 gone: gone.collect(),
             })
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -76,6 +76,11 @@
         Self(key.into())
     }
 
+    /// Its bytes, as they are kept where nodes find them.
+    pub fn secret(&self) -> &[u8] {
+        &self.0
+    }
+
     fn mac(&self) -> Hmac<Sha256> {
         <Hmac<Sha256> as Mac>::new_from_slice(&self.0).expect("HMAC takes a key of any length")
     }
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -9,6 +9,7 @@
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstanceChanges, FeedInstances, FeedMessage,
@@ -109,7 +110,7 @@
         FeedMessage::Relay(InstanceId("i-1".into())),
         FeedMessage::Relayed,
         FeedMessage::InstanceChanges(FeedInstanceChanges {
-            cursor: 9,
+            place: StorePlace::new(Era(2), 9),
             changed: vec![(instance.clone(), false)],
             gone: vec![InstanceId("two".into())],
         }),
@@ -133,7 +134,7 @@
         }),
         FeedMessage::Configuration(configuration()),
         FeedMessage::Instances(FeedInstances {
-            cursor: 77,
+            place: StorePlace::new(Era::default(), 77),
             instances: vec![(instance, false)],
         }),
         FeedMessage::Fleet(FeedFleet {
