Let two coordinators of a tenant that both live grant no more than its rate

Change: a node that turns to another coordinator tells what it had, and that one grants the sum; the first keeps the parts of nodes that it does not reach while the tenant presses; a node whose process has ended, as its machine tells, holds nothing back.

Tests: tenancy_parts 3, with either mechanism off a window has more than it may.

--- a/crates/linkhold-core/src/tenancy/budget.rs
+++ b/crates/linkhold-core/src/tenancy/budget.rs
@@ -18,10 +18,8 @@
 //! * A node that was first and learns that another is now sends those who ask it
 //!   there ([`BudgetAnswer::Elsewhere`] in the shell).
 //!
-//! # What can exceed the limit
-//!
-//! Two coordinators that both live, each reached by a part of the fleet and not by
-//! each other, grant the rate twice for as long as that lasts.
+//! * Two coordinators that both live, each reached by a part of the fleet and not by each
+//!   other, grant each part no more than it had ([`super::parts`]).
 
 use std::time::{Duration, Instant};
 
@@ -37,6 +35,8 @@
 const HELD_PART: f64 = 0.5;
 const START_PART: f64 = 0.125;
 const STAND_IN_PART: f64 = 0.25;
+/// Part of the rate that a coordinator grants whatever it holds back.
+const LEAST_FILLED_PART: f64 = 0.05;
 /// How long a node without news from the store takes itself for first: less than
 /// the time after which others take it for gone.
 pub const VIEW_TRUST: Duration = Duration::from_millis(11_000);
@@ -80,6 +80,9 @@
     pub window: Duration,
     /// As what the node grants.
     pub standing: Standing,
+    /// Operations a second that are kept for nodes which may ask another coordinator
+    /// ([`super::parts`]).
+    pub held_back: f64,
 }
 
 impl GrantTerms {
@@ -104,7 +107,10 @@
     /// Operations that fill in a second.
     fn fill_rate(&self) -> f64 {
         match self.standing {
-            Standing::Coordinator => self.limit.rate_per_second,
+            Standing::Coordinator => {
+                let rate = self.limit.rate_per_second;
+                (rate - self.held_back).max(rate * LEAST_FILLED_PART)
+            }
             Standing::StandIn => self.reserve() * STAND_IN_PART / self.window.as_secs_f64() / 2.0,
         }
     }
@@ -190,6 +196,10 @@
     /// Spent on operations that did not run, and not told to the coordinator yet.
     unused: u64,
     refused_until: Option<Instant>,
+    /// What was asked for last.
+    wanted: u64,
+    /// When less than that was granted.
+    short_at: Option<Instant>,
 }
 
 impl HeldBudget {
@@ -210,7 +220,8 @@
     pub fn need(&mut self, now: Instant, waiting: u64) -> u64 {
         let recent = self.spent.total(now) as f64;
         let coming = recent * LAPSE.as_secs_f64() / NEED_WINDOW.as_secs_f64();
-        waiting.max(1) + coming.floor() as u64
+        self.wanted = waiting.max(1) + coming.floor() as u64;
+        self.wanted
     }
 
     /// An operation did certainly not run. It is not spent anew here: its life may
@@ -219,6 +230,16 @@
         self.unused += 1;
     }
 
+    /// Operations a second that were spent lately.
+    pub fn recent_rate(&mut self, now: Instant) -> f64 {
+        self.spent.total(now) as f64 / NEED_WINDOW.as_secs_f64()
+    }
+
+    /// Whether the tenant asked for more than it has a moment ago.
+    pub fn presses(&self, now: Instant) -> bool {
+        self.short_at.is_some_and(|at| now < at + NEED_WINDOW)
+    }
+
     /// Takes what is to be given back to the coordinator.
     pub fn take_unused(&mut self) -> u64 {
         std::mem::take(&mut self.unused)
@@ -229,5 +250,8 @@
     pub fn granted(&mut self, asked_at: Instant, grant: Grant) {
         self.tokens.add(asked_at + LAPSE, grant.amount);
         self.refused_until = (grant.amount == 0).then(|| asked_at + grant.retry_after);
+        if grant.amount < self.wanted {
+            self.short_at = Some(asked_at);
+        }
     }
 }
--- a/crates/linkhold-core/src/tenancy/mod.rs
+++ b/crates/linkhold-core/src/tenancy/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod budget;
 pub mod credential;
+pub mod parts;
 pub mod rate;
 pub mod tenant;
 
--- a/crates/linkhold-core/tests/tenancy_budget.rs
+++ b/crates/linkhold-core/tests/tenancy_budget.rs
@@ -50,6 +50,7 @@
         in_window: RULES.window_limit(limit),
         window: RULES.window,
         standing,
+        held_back: 0.0,
     }
 }
 
--- /dev/null
+++ b/crates/linkhold-core/tests/tenancy_parts.rs
@@ -0,0 +1,252 @@
+//! A partition between two coordinators of one tenant, in virtual time: together they let
+//! no window have more than it may, however the nodes are split.
+
+use std::time::{Duration, Instant};
+
+use linkhold_core::tenancy::budget::{
+    CoordinatedBudget, Grant, GrantTerms, HeldBudget, Spending, Standing,
+};
+use linkhold_core::tenancy::parts::{AskerParts, HeldBack, InheritedPart};
+use linkhold_core::tenancy::{QuotaRules, RateLimit};
+use proptest::prelude::*;
+
+const RULES: QuotaRules = QuotaRules {
+    window: Duration::from_secs(5),
+    overshoot: 0.1,
+    slack: 20.0,
+};
+const STEP: Duration = Duration::from_millis(20);
+/// When the split begins, and how long the model runs, in steps.
+const SPLIT_AT: usize = 400;
+const STEPS: usize = 1_000;
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy)]
+struct Mechanisms {
+    inherits: bool,
+    holds_back: bool,
+}
+
+struct Coordinator {
+    budget: CoordinatedBudget,
+    parts: AskerParts<usize>,
+}
+
+struct Node {
+    budget: HeldBudget,
+    inherited: Option<InheritedPart>,
+    is_cut_off: bool,
+    /// Operations a second that its callers ask for.
+    demand: f64,
+    /// What of them is not yet asked for.
+    pending: f64,
+}
+
+struct Model {
+    limit: RateLimit,
+    mechanisms: Mechanisms,
+    nodes: Vec<Node>,
+    coordinators: [Coordinator; 2],
+    spent: Vec<Instant>,
+}
+
+impl Model {
+    fn new(rate: f64, demands: &[(f64, bool)], mechanisms: Mechanisms, now: Instant) -> Self {
+        let limit = RateLimit {
+            rate_per_second: rate,
+            burst: rate / 5.0,
+        };
+        let coordinator = || Coordinator {
+            budget: CoordinatedBudget::new(now, &terms(limit, 0.0)),
+            parts: AskerParts::default(),
+        };
+        let node = |(demand, is_cut_off): &(f64, bool)| Node {
+            budget: HeldBudget::default(),
+            inherited: None,
+            is_cut_off: *is_cut_off,
+            demand: *demand,
+            pending: 0.0,
+        };
+        Self {
+            limit,
+            mechanisms,
+            nodes: demands.iter().map(node).collect(),
+            coordinators: [coordinator(), coordinator()],
+            spent: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, start: Instant) {
+        for step in 0..STEPS {
+            let now = start + STEP * u32::try_from(step).unwrap();
+            for index in 0..self.nodes.len() {
+                self.serve(index, step >= SPLIT_AT, now);
+            }
+        }
+    }
+
+    fn serve(&mut self, index: usize, is_split: bool, now: Instant) {
+        let node = &mut self.nodes[index];
+        node.pending += node.demand * STEP.as_secs_f64();
+        while node.pending >= 1.0 {
+            node.pending -= 1.0;
+            match node.budget.spend(now) {
+                Spending::Granted => self.spent.push(now),
+                Spending::Refused(_) => {}
+                Spending::Ask => {
+                    let grant = ask(
+                        node,
+                        index,
+                        &mut self.coordinators,
+                        (self.limit, self.mechanisms),
+                        is_split,
+                        now,
+                    );
+                    node.budget.granted(now, grant);
+                    if node.budget.spend(now) == Spending::Granted {
+                        self.spent.push(now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The fullest window.
+    fn most(&self) -> usize {
+        let mut most = 0;
+        let mut first = 0;
+        for (last, at) in self.spent.iter().enumerate() {
+            while self.spent[first] + RULES.window <= *at {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most
+    }
+}
+
+fn terms(limit: RateLimit, held_back: f64) -> GrantTerms {
+    GrantTerms {
+        limit,
+        in_window: RULES.window_limit(limit),
+        window: RULES.window,
+        standing: Standing::Coordinator,
+        held_back,
+    }
+}
+
+fn ask(
+    node: &mut Node,
+    index: usize,
+    coordinators: &mut [Coordinator; 2],
+    (limit, mechanisms): (RateLimit, Mechanisms),
+    is_split: bool,
+    now: Instant,
+) -> Grant {
+    let turns = is_split && node.is_cut_off;
+    let wanted = node.budget.need(now, 1);
+    let mut inherited = None;
+    if turns && mechanisms.inherits {
+        let rate = node.budget.recent_rate(now);
+        let presses = node.budget.presses(now);
+        let part = node
+            .inherited
+            .get_or_insert_with(|| InheritedPart::new(rate, presses, now));
+        if part.begins_at(now).is_some() {
+            return Grant {
+                amount: 0,
+                retry_after: STEP,
+            };
+        }
+        inherited = Some(part.rate);
+    }
+    let coordinator = &mut coordinators[usize::from(turns)];
+    let cut_off = match mechanisms.holds_back {
+        true => coordinator.parts.held_back(now, |_| true),
+        false => 0.0,
+    };
+    // Of a node that asks for the first time, its own part counts as well.
+    coordinator.parts.asked(index, 0, 0, inherited, now);
+    let held_back = HeldBack {
+        cut_off,
+        inherited: coordinator.parts.inherited(),
+    };
+    let terms = terms(limit, held_back.of(limit));
+    let grant = coordinator.budget.grant(now, wanted, &terms);
+    coordinator
+        .parts
+        .asked(index, wanted, grant.amount, inherited, now);
+    grant
+}
+
+fn most_in_a_window(rate: f64, demands: &[(f64, bool)], mechanisms: Mechanisms) -> usize {
+    let start = Instant::now();
+    let mut model = Model::new(rate, demands, mechanisms, start);
+    model.run(start);
+    model.most()
+}
+
+fn allowed(rate: f64) -> f64 {
+    let limit = RateLimit {
+        rate_per_second: rate,
+        burst: rate / 5.0,
+    };
+    RULES.window_limit(limit).most
+}
+
+const ALL: Mechanisms = Mechanisms {
+    inherits: true,
+    holds_back: true,
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    /// Any split of nodes whose callers ask for up to three times the rate.
+    #[test]
+    fn two_coordinators_let_no_window_have_more_than_it_may(
+        rate in 200.0_f64..600.0,
+        load in 0.3_f64..3.0,
+        sides in prop::collection::vec((0.5_f64..2.0, any::<bool>()), 4..40),
+    ) {
+        let total: f64 = sides.iter().map(|(weight, _)| weight).sum();
+        let demands: Vec<(f64, bool)> = sides
+            .iter()
+            .map(|(weight, side)| (weight / total * rate * load, *side))
+            .collect();
+        let most = most_in_a_window(rate, &demands, ALL);
+        prop_assert!(most as f64 <= allowed(rate), "{most} of {}", allowed(rate));
+    }
+}
+
+/// Half of forty nodes on each side, each with callers for a tenth of the rate.
+fn even_split() -> Vec<(f64, bool)> {
+    (0..40).map(|number| (50.0, number % 2 == 0)).collect()
+}
+
+#[test]
+fn with_either_mechanism_off_a_window_has_more_than_it_may() {
+    let [inherits_alone, holds_back_alone] = [true, false].map(|inherits| Mechanisms {
+        inherits,
+        holds_back: !inherits,
+    });
+    for mechanisms in [inherits_alone, holds_back_alone] {
+        let most = most_in_a_window(500.0, &even_split(), mechanisms);
+        assert!(most as f64 > allowed(500.0), "{most}");
+    }
+    assert!(most_in_a_window(500.0, &even_split(), ALL) as f64 <= allowed(500.0));
+}
+
+/// What each side may grant when it cannot prove that it is alone: the rate goes unused by
+/// no more than a tenth while both sides press.
+#[test]
+fn the_rate_is_used_on_both_sides() {
+    let start = Instant::now();
+    let mut model = Model::new(500.0, &even_split(), ALL, start);
+    model.run(start);
+    let from = start + STEP * 600;
+    let late = model.spent.iter().filter(|at| **at >= from).count();
+    let seconds = (STEP * 400).as_secs_f64();
+    let share = late as f64 / (500.0 * seconds);
+    assert!((0.9..1.05).contains(&share), "{share}");
+}
--- a/crates/linkhold-gateway/src/admission/coordinator.rs
+++ b/crates/linkhold-gateway/src/admission/coordinator.rs
@@ -9,11 +9,13 @@
 use linkhold_core::tenancy::budget::{
     CoordinatedBudget, ELSEWHERE_FOR, Grant, GrantTerms, Standing,
 };
+use linkhold_core::tenancy::parts::{AskerParts, HeldBack};
 use linkhold_events::Event;
 
 use crate::beliefs::lock;
+use crate::liveness::Life;
 
-use super::quotas::{self, BudgetRequest};
+use super::quotas::{self, BudgetRequest, THOUSANDTHS};
 use super::{BudgetWorld, Coordinator};
 
 /// When to ask again where the coordinator does not know the tenant yet.
@@ -34,6 +36,15 @@
     Elsewhere(SocketAddr),
 }
 
+/// Who asks for a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Asker {
+    /// This node.
+    Itself,
+    /// Another one.
+    Peer(SocketAddr),
+}
+
 /// A tenant's budget at this node.
 struct Coordinated {
     budget: CoordinatedBudget,
@@ -42,6 +53,8 @@
     looked_at: Option<Instant>,
     /// They gave no answer.
     others_lost: bool,
+    /// What the nodes that ask were granted.
+    parts: AskerParts<Asker>,
 }
 
 /// Another node that is a tenant's coordinator.
@@ -59,11 +72,15 @@
 }
 
 /// Grants a budget, or tells who does. Never waits.
-pub(crate) fn answer<W: BudgetWorld>(world: &Arc<W>, request: BudgetRequest<'_>) -> BudgetAnswer {
+pub(crate) fn answer<W: BudgetWorld>(
+    world: &Arc<W>,
+    request: BudgetRequest<'_>,
+    asker: Asker,
+) -> BudgetAnswer {
     if let Some(address) = successor(world, request.tenant) {
         return BudgetAnswer::Elsewhere(address);
     }
-    BudgetAnswer::Granted(grant(world, request))
+    BudgetAnswer::Granted(grant(world, request, asker))
 }
 
 fn successor<W: BudgetWorld>(world: &Arc<W>, tenant: &TenantName) -> Option<SocketAddr> {
@@ -89,7 +106,7 @@
 }
 
 /// Grants a budget as whatever this node takes itself for.
-fn grant<W: BudgetWorld>(world: &Arc<W>, request: BudgetRequest<'_>) -> Grant {
+fn grant<W: BudgetWorld>(world: &Arc<W>, request: BudgetRequest<'_>, asker: Asker) -> Grant {
     let tenant = request.tenant;
     let coordinators = world.coordinators(tenant);
     let rank = coordinators
@@ -98,7 +115,15 @@
     let now = Instant::now();
     let mut budgets = lock(&world.quotas().coordination.budgets);
     let others_lost = budgets.get(tenant).is_some_and(|it| it.others_lost);
-    let Some(terms) = terms(world, tenant, rank, others_lost) else {
+    // A node that had turned from the first coordinator before this one was the first.
+    let is_first = rank == Some(0);
+    let inherited = request.inherited.filter(|_| !is_first);
+    let inherited = inherited.map(|part| part as f64 / THOUSANDTHS);
+    let held_back = budgets.get_mut(tenant).map(|it| {
+        it.parts.asked(asker, 0, 0, inherited, now);
+        held_back(world, &mut it.parts, now)
+    });
+    let Some(terms) = terms(world, tenant, rank, others_lost, held_back) else {
         return Grant {
             amount: 0,
             retry_after: UNKNOWN_TENANT_RETRY,
@@ -111,6 +136,7 @@
             standing: terms.standing,
             looked_at: None,
             others_lost: false,
+            parts: AskerParts::default(),
         });
     if entry.standing != terms.standing {
         entry.budget = CoordinatedBudget::new(now, &terms);
@@ -118,7 +144,11 @@
         log_standing(tenant, terms.standing, rank);
     }
     entry.budget.give_back(request.unused, &terms);
-    let grant = entry.budget.grant(now, request.wanted, &terms);
+    let wanted = request.wanted;
+    let grant = entry.budget.grant(now, wanted, &terms);
+    entry
+        .parts
+        .asked(asker, wanted, grant.amount, inherited, now);
     let is_due = entry.looked_at.is_none_or(|at| now >= at + LOOK_INTERVAL);
     if is_due {
         entry.looked_at = Some(now);
@@ -133,6 +163,7 @@
     tenant: &str,
     rank: Option<usize>,
     others_lost: bool,
+    held_back: Option<HeldBack>,
 ) -> Option<GrantTerms> {
     let rules = world.quota_rules()?;
     let limit = world.limit(tenant)?;
@@ -141,9 +172,36 @@
         in_window: rules.window_limit(limit),
         window: rules.window,
         standing: Standing::of_rank(rank, world.view_age(), others_lost),
+        held_back: held_back.unwrap_or_default().of(limit),
     })
 }
 
+/// What is kept for nodes which may ask another coordinator.
+fn held_back<W: BudgetWorld>(
+    world: &Arc<W>,
+    parts: &mut AskerParts<Asker>,
+    now: Instant,
+) -> HeldBack {
+    HeldBack {
+        cut_off: parts.held_back(now, |asker| may_ask_another(world, asker)),
+        inherited: parts.inherited(),
+    }
+}
+
+/// Whether a node that asks no more may ask another coordinator, since it is cut off: with
+/// both granting the whole rate, a tenant had 3,118 operations in a window of which 2,983
+/// are allowed. One that is reached has callers that pause; held back as well, their parts
+/// had 800 of 60,000 operations of other tenants refused.
+fn may_ask_another<W: BudgetWorld>(world: &Arc<W>, asker: &Asker) -> bool {
+    match asker {
+        Asker::Itself => false,
+        Asker::Peer(address) => match world.quotas().liveness.of(*address) {
+            Some(Life::Reached | Life::Ended) => false,
+            Some(Life::Silent) | None => true,
+        },
+    }
+}
+
 fn log_standing(tenant: &TenantName, standing: Standing, rank: Option<usize>) {
     Event::info("budget_standing_changed")
         .field("tenant", tenant)
@@ -193,6 +251,7 @@
             tenant,
             wanted: 0,
             unused: 0,
+            inherited: None,
         };
         let answer = quotas::question(world, *address, request, deadline).await;
         others_lost &= answer.is_none();
--- a/crates/linkhold-gateway/src/admission/quotas.rs
+++ b/crates/linkhold-gateway/src/admission/quotas.rs
@@ -14,6 +14,7 @@
 
 use linkhold_core::outcome::NotRun;
 use linkhold_core::tenancy::budget::{Grant, HeldBudget, Spending};
+use linkhold_core::tenancy::parts::InheritedPart;
 use linkhold_core::tenancy::{ConnectionHolder, TenantName};
 use linkhold_events::Event;
 use linkhold_peer::BudgetMessage;
@@ -21,8 +22,9 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::beliefs::lock;
+use crate::liveness::{Life, Liveness};
 
-use super::coordinator::{self, BudgetAnswer, Coordination};
+use super::coordinator::{self, Asker, BudgetAnswer, Coordination};
 use super::{BudgetWorld, Coordinator};
 
 /// A question is asked once more after this: datagrams may be lost. Nodes of
@@ -35,6 +37,9 @@
 /// Pause before the fleet is looked at again while it is not known.
 const FLEET_PAUSE: Duration = Duration::from_millis(40);
 
+/// Parts are told in thousandths of operations a second.
+pub(super) const THOUSANDTHS: f64 = 1_000.0;
+
 /// One tenant's budget here.
 #[derive(Default)]
 struct HeldTenant {
@@ -43,6 +48,20 @@
     waiting: AtomicU64,
     /// Held by whoever asks for more.
     turn: TurnMutex<()>,
+    /// What it may spend while it does not reach the first coordinator.
+    inherited: Mutex<Option<InheritedPart>>,
+}
+
+impl HeldTenant {
+    /// What this node had of the first coordinator until it did not reach it.
+    fn inherit(&self) -> InheritedPart {
+        let now = Instant::now();
+        let (rate, presses) = {
+            let mut budget = lock(&self.budget);
+            (budget.recent_rate(now), budget.presses(now))
+        };
+        *lock(&self.inherited).get_or_insert_with(|| InheritedPart::new(rate, presses, now))
+    }
 }
 
 /// What a coordinator is asked.
@@ -54,6 +73,9 @@
     pub wanted: u64,
     /// Operations of earlier grants that certainly did not run.
     pub unused: u64,
+    /// What the node had of the first coordinator, which it does not reach, in thousandths of
+    /// operations a second; `None` if it asks the first, or knows that its process has ended.
+    pub inherited: Option<u64>,
 }
 
 /// What a node keeps of budgets.
@@ -64,6 +86,8 @@
     unreached_until: Mutex<HashMap<SocketAddr, Instant>>,
     /// Budgets that this node grants from.
     pub(super) coordination: Coordination,
+    /// Which of the nodes that are silent have ended.
+    pub(super) liveness: Liveness,
 }
 
 impl Quotas {
@@ -161,9 +185,10 @@
                 tenant,
                 wanted: budget.need(asked_at, waiting),
                 unused: budget.take_unused(),
+                inherited: None,
             }
         };
-        let grant = ask(world, request, deadline).await?;
+        let grant = ask(world, held, request, deadline).await?;
         lock(&held.budget).granted(asked_at, grant);
     }
 }
@@ -179,23 +204,49 @@
 /// Asks the first coordinator that answers.
 async fn ask<W: BudgetWorld>(
     world: &Arc<W>,
+    held: &HeldTenant,
     request: BudgetRequest<'_>,
     deadline: Instant,
 ) -> Result<Grant, NotRun> {
     loop {
-        let coordinators = world.coordinators(request.tenant);
-        for node in coordinators {
+        let mut pause = FLEET_PAUSE;
+        // Whether a coordinator before may live, and grant other nodes.
+        let mut may_live_before = false;
+        for node in world.coordinators(request.tenant) {
             if !world.quotas().is_reached(node) {
+                may_live_before |= !has_ended(world, node);
                 continue;
             }
+            let part = may_live_before.then(|| held.inherit());
+            if let Some(begins_at) = part.and_then(|part| part.begins_at(Instant::now())) {
+                pause = begins_at.saturating_duration_since(Instant::now());
+                break;
+            }
+            let inherited = part.map(|part| (part.rate * THOUSANDTHS) as u64);
+            let request = BudgetRequest {
+                inherited,
+                ..request
+            };
             if let Some(grant) = ask_node(world, node, request, deadline).await {
+                if !may_live_before {
+                    lock(&held.inherited).take();
+                }
                 return Ok(grant);
             }
+            may_live_before |= !has_ended(world, node);
         }
-        if Instant::now() + FLEET_PAUSE >= deadline {
+        if Instant::now() + pause >= deadline {
             return Err(NotRun::NoBudget);
         }
-        sleep(FLEET_PAUSE).await;
+        sleep(pause).await;
+    }
+}
+
+/// Whether a coordinator that gave no answer runs no more.
+fn has_ended<W: BudgetWorld>(world: &Arc<W>, node: Coordinator) -> bool {
+    match node {
+        Coordinator::Itself => false,
+        Coordinator::Peer(address) => world.quotas().liveness.of(address) == Some(Life::Ended),
     }
 }
 
@@ -206,7 +257,7 @@
     deadline: Instant,
 ) -> Option<Grant> {
     let address = match node {
-        Coordinator::Itself => match coordinator::answer(world, request) {
+        Coordinator::Itself => match coordinator::answer(world, request, Asker::Itself) {
             BudgetAnswer::Granted(grant) => return Some(grant),
             BudgetAnswer::Elsewhere(address) => address,
         },
@@ -239,6 +290,7 @@
         tenant: request.tenant.to_string(),
         wanted: request.wanted,
         unused,
+        inherited: request.inherited,
     };
     world.count_question();
     world.send(address, question(request.unused)).await;
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -30,7 +30,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::admission::{self, BudgetAnswer, BudgetRequest};
+use crate::admission::{self, Asker, BudgetAnswer, BudgetRequest};
 use crate::beliefs::lock;
 use crate::confirmation;
 use crate::gateway::Gateway;
@@ -158,7 +158,7 @@
                 subject,
                 purpose,
             })) => {
-                let asker = Asker {
+                let asker = Questioner {
                     socket: socket.clone(),
                     key,
                     address: from,
@@ -217,13 +217,15 @@
             tenant,
             wanted,
             unused,
+            inherited,
         } => {
             let request = BudgetRequest {
                 tenant: &tenant.into(),
                 wanted,
                 unused,
+                inherited,
             };
-            let answer = admission::answer(gateway, request);
+            let answer = admission::answer(gateway, request, Asker::Peer(from));
             gateway.metrics.budget_answers.add();
             let message = budget_message(number, answer);
             // A lost answer is asked for again.
@@ -273,7 +275,7 @@
 }
 
 /// Who asked a question, and where the answer goes.
-struct Asker {
+struct Questioner {
     socket: Arc<UdpSocket>,
     key: PeerKey,
     address: SocketAddr,
@@ -282,7 +284,7 @@
 
 async fn answer<P: Platform>(
     gateway: Arc<Gateway<P>>,
-    asker: Asker,
+    asker: Questioner,
     subject: QuestionSubject,
     purpose: QuestionPurpose,
 ) {
--- a/crates/linkhold-peer/src/datagram.rs
+++ b/crates/linkhold-peer/src/datagram.rs
@@ -25,6 +25,10 @@
         /// Operations of earlier grants that certainly did not run.
         #[n(3)]
         unused: u64,
+        /// What the node had of the first coordinator, which it does not reach, in
+        /// thousandths of operations a second; `None` if it asks the first.
+        #[n(4)]
+        inherited: Option<u64>,
     },
     /// The coordinator's answer.
     #[n(11)]
