Keep a quarter of an owner's connections open

Cause: where services are many, each owner of an instance is asked less than once in the two seconds after which an unused connection is closed, so that most requests open one. Ruled out: keeping all (connections of a node that lost power stand for three seconds, and the next lives of all owners need room).

--- a/crates/linkhold-core/src/service/connection_share.rs
+++ b/crates/linkhold-core/src/service/connection_share.rs
@@ -20,6 +20,12 @@
 /// stand idle, the more nodes get one.
 const WITHOUT_OWNER_IDLE: Duration = Duration::from_millis(50);
 
+/// Part of its share that an owner keeps open, as a divisor: where services are many, each is
+/// asked for less than once in the time after which an unused connection is closed, and two
+/// requests of three opened a new one. What stands after a loss of all nodes leaves room for
+/// three times as many.
+const KEPT_DIVISOR: usize = 4;
+
 /// What a node may hold to one instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
@@ -27,6 +33,8 @@
     pub limit: usize,
     /// After which time without use one is closed; `None`: never.
     pub idle_for: Option<Duration>,
+    /// Connections that stay all the same, the last that were used.
+    pub kept: usize,
 }
 
 /// Whether so many nodes share a limit that connections cannot be held ready
@@ -45,14 +53,17 @@
     Share {
         limit: most,
         idle_for: None,
+        kept: most,
     }
 }
 
 /// The share of one of `owners` nodes that hold connections for all.
 pub fn of_owner(limit: usize, owners: usize) -> Share {
+    let limit = owners::share(limit, owners);
     Share {
-        limit: owners::share(limit, owners),
+        limit,
         idle_for: Some(owners::OWNER_IDLE),
+        kept: limit / KEPT_DIVISOR,
     }
 }
 
@@ -61,6 +72,7 @@
     Share {
         limit: WITHOUT_OWNER.min(limit),
         idle_for: Some(WITHOUT_OWNER_IDLE),
+        kept: 0,
     }
 }
 
--- a/crates/linkhold-core/tests/service_placement.rs
+++ b/crates/linkhold-core/tests/service_placement.rs
@@ -133,6 +133,9 @@
     assert_eq!(others.limit, 3);
     let owner = connection_share::of_owner(36, 4);
     assert!(owner.limit > others.limit && owner.idle_for > others.idle_for);
+    // What owners keep open leaves room for the next lives of all of them.
+    assert!(owner.kept > 0 && owner.kept * 2 < owner.limit);
+    assert_eq!(others.kept, 0);
     assert_eq!(connection_share::without_owner(1).limit, 1);
 }
 
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool.rs
@@ -428,17 +428,23 @@
     }
 
     /// Closes connections that have not been in use for as long as the share
-    /// tells.
+    /// tells, but for those that it keeps.
     pub fn close_unused(&self) {
-        let Some(idle_for) = lock(&self.share).idle_for else {
+        let share = *lock(&self.share);
+        let Some(idle_for) = share.idle_for else {
             return;
         };
         let mut state = lock(&self.state);
-        let before = state.idle.len();
-        state
+        let closable = state.idle.len().saturating_sub(share.kept);
+        // The first were given back first.
+        let unused = state
             .idle
-            .retain(|pooled| pooled.given_back_at.elapsed() < idle_for);
-        state.open -= before - state.idle.len();
+            .iter()
+            .take(closable)
+            .take_while(|pooled| pooled.given_back_at.elapsed() >= idle_for)
+            .count();
+        state.idle.drain(..unused);
+        state.open -= unused;
     }
 
     /// Connections open or being opened.
