--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -237,9 +237,12 @@
     subject: QuestionSubject,
 ) -> Result<Agreement, Vec<SocketAddr>> {
     ask_watchers_first(gateway, service, &subject).await?;
-    let Some(audience) = Audience::everyone(gateway).await else {
-        log_withheld(service, "fleet_not_known");
-        return Err(Vec::new());
+    let audience = match Audience::everyone(gateway).await {
+        Ok(audience) => audience,
+        Err(reason) => {
+            log_withheld(service, reason);
+            return Err(Vec::new());
+        }
     };
     let number = rand::random();
     gateway.beliefs.permission.agree(&subject, number);
--- a/crates/linkhold-gateway/src/peers.rs
+++ b/crates/linkhold-gateway/src/peers.rs
@@ -433,25 +433,24 @@
     }
 
     /// Everyone: as the store lists them now or, if it gives no answer and the
-    /// authority itself refuses old tokens, as this node knows them. `None` if it then
-    /// knows a part of the fleet only.
-    pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Option<Self> {
+    /// authority itself refuses old tokens, as this node knows them. An error tells why not
+    /// all of them are known.
+    pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Result<Self, &'static str> {
         match registration::list_nodes(gateway).await {
             Ok(listed) => {
-                return Some(Self {
+                return Ok(Self {
                     nodes: listed.present,
                     former: listed.former,
                 });
             }
             // The store does not list all nodes, and this one may not know them either.
-            Err(StoreError::OtherEra) => return None,
+            Err(StoreError::OtherEra) => return Err("store_was_restored"),
             Err(_) => {}
         }
-        if !gateway.platform.checks_tokens() {
-            return None;
-        }
-        let nodes = gateway.fleet.all_peers(&gateway.settings.node)?;
-        Some(Self {
+        let known = gateway.fleet.all_peers(&gateway.settings.node);
+        let nodes = known.filter(|_| gateway.platform.checks_tokens());
+        let nodes = nodes.ok_or("fleet_not_known")?;
+        Ok(Self {
             nodes,
             former: Vec::new(),
         })
