--- a/crates/linkhold-gateway/src/confirmation.rs
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -3,17 +3,13 @@
 //!
 //! Only nodes that would read the store ask; a follower is told by its reader.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::permission::confirmations_needed;
 use linkhold_peer::{ReachabilityMessage, encode_reachability};
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout_at};
 
-use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::peers;
 use crate::ports::Platform;
@@ -29,25 +25,6 @@
 /// has agreed to more confirms nothing.
 const MOST_SUBJECTS: usize = 12;
 
-/// What other nodes have agreed to, or `None` from one that may not tell.
-type Told = Option<Vec<String>>;
-
-/// Questions for confirmations that wait for answers, by number.
-#[derive(Debug, Default)]
-pub(crate) struct Confirmations {
-    waiting: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Told)>>>,
-}
-
-impl Confirmations {
-    /// Another node has answered.
-    pub fn answered(&self, number: u64, from: SocketAddr, agreed: Told) {
-        if let Some(sender) = lock(&self.waiting).get(&number) {
-            // Whoever asked may have stopped waiting.
-            let _ = sender.send((from, agreed));
-        }
-    }
-}
-
 /// This node's answer to a question for a confirmation.
 pub(crate) fn answer<P: Platform>(gateway: &Gateway<P>, number: u64) -> ReachabilityMessage {
     let agreed = gateway.beliefs.permission.confirm();
@@ -85,8 +62,7 @@
         return false;
     };
     let number = rand::random();
-    let (answered, mut answers) = mpsc::unbounded_channel();
-    lock(&gateway.confirmations.waiting).insert(number, answered);
+    let mut answers = gateway.confirmations.asked(number);
     let mut pending = gateway.fleet.peers(&gateway.settings.node);
     let question = ReachabilityMessage::ConfirmationQuestion { number };
     // A lost question is made up for by the next one.
@@ -106,6 +82,6 @@
             confirmed += 1;
         }
     }
-    lock(&gateway.confirmations.waiting).remove(&number);
+    gateway.confirmations.ended(number);
     confirmed >= needed
 }
--- a/crates/linkhold-gateway/src/evidence_probe.rs
+++ b/crates/linkhold-gateway/src/evidence_probe.rs
@@ -5,8 +5,7 @@
 //! when it is sent is answered by it. Starting a writing transaction and
 //! rolling it back proves the primary and takes none of its slots.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::position::Position;
@@ -17,7 +16,6 @@
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::timeout_at;
 
-use crate::beliefs::lock;
 use crate::forward;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
@@ -29,25 +27,6 @@
 /// How long one question may take.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Questions under way: when each was asked for.
-#[derive(Debug, Default)]
-pub(crate) struct Questions(Mutex<HashMap<ServiceName, Instant>>);
-
-impl Questions {
-    fn start(&self, service: &ServiceName) -> bool {
-        let mut running = lock(&self.0);
-        if running.contains_key(service) {
-            return false;
-        }
-        running.insert(service.clone(), Instant::now());
-        true
-    }
-
-    fn end(&self, service: &ServiceName) {
-        lock(&self.0).remove(service);
-    }
-}
-
 /// A position that covers everything acknowledged before `moment`; waits for
 /// it until `deadline`.
 pub(crate) async fn fence<P: Platform>(
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -16,7 +16,7 @@
 use crate::gateway::Gateway;
 use crate::peers::{self, Audience};
 use crate::ports::Platform;
-use crate::relay::RelayPeer;
+use crate::state::RelayPeer;
 use crate::survey;
 
 /// What is wrong with the primary; `None` if nothing is, or if it cannot be
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
-use crate::lease_format::{decode_lease, encode_lease};
+use crate::lease_format::{KnownClaims, decode_lease, encode_lease};
 use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
 use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
@@ -198,27 +198,6 @@
     Ok(written.then_some(lease))
 }
 
-/// Claims of leases as they were read.
-#[derive(Clone, Debug)]
-pub(crate) struct KnownClaims {
-    /// Those under which a promotion may still take effect.
-    pub claims: Vec<RecentClaim>,
-    /// When they were read; their ages count from no later.
-    pub read_at: Instant,
-}
-
-impl KnownClaims {
-    /// The same with their ages as of now.
-    pub fn aged(&self) -> Vec<RecentClaim> {
-        let since = self.read_at.elapsed();
-        let aged = |claim: &RecentClaim| RecentClaim {
-            age: claim.age + since,
-            ..claim.clone()
-        };
-        self.claims.iter().map(aged).collect()
-    }
-}
-
 /// Reads which leases were claimed lately. Those that are only held ready are left out: with
 /// 1,000 services they were 0.3 MB for each group of nodes that came to follow a reader, most
 /// of 0.33 GB read in a day on which the store turned a third of 985 nodes away.
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -29,7 +29,7 @@
 use misplaced::MisplacedPrimaries;
 use promotion::replace;
 
-pub(crate) use lease::{KnownClaims, recent_claims};
+pub(crate) use lease::recent_claims;
 pub(crate) use ready_leases::hold_leases_ready;
 
 /// How often primaries that leave are looked for.
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -18,12 +18,13 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
-use super::{read_length, write_message};
+use super::framing::{read_length, write_message};
 use crate::beliefs::lock;
 use crate::confirmation::CONFIRMATION_INTERVAL;
-use crate::fleet::{self, FleetSource};
+use crate::fleet;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::state::FleetSource;
 
 /// Longest time without a byte of a message that has begun: a reader's link may be
 /// shared by the first words to many followers.
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -10,9 +10,9 @@
 use linkhold_core::service::store_place::StorePlace;
 use linkhold_peer::{FeedEvacuations, FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
 
-use super::frame;
+use super::framing::frame;
 use crate::beliefs::{Beliefs, lock};
-use crate::fleet::Fleet;
+use crate::state::Fleet;
 
 /// How long an encoded fleet is told before it is looked whether it has changed.
 pub(super) const FLEET_INTERVAL: Duration = Duration::from_millis(2_000);
--- /dev/null
+++ b/crates/linkhold-gateway/src/feed/framing.rs
@@ -0,0 +1,77 @@
+//! Messages on streams between nodes, each behind its length.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use linkhold_peer::{FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed, encode_feed};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// How long a follower may take to take a message.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Sends a message.
+pub(crate) async fn write_message<S: AsyncWrite + Unpin>(
+    stream: &mut S,
+    message: &FeedMessage,
+    key: &PeerKey,
+) -> io::Result<()> {
+    write_frame(stream, &frame(message, key)).await
+}
+
+/// A message as it goes on a stream.
+pub(super) fn frame(message: &FeedMessage, key: &PeerKey) -> Arc<[u8]> {
+    framed(&encode_feed(message, key)).into()
+}
+
+/// An encoded message behind its length.
+pub(crate) fn framed(body: &[u8]) -> Vec<u8> {
+    // Longer than any message: the other side refuses it.
+    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.extend_from_slice(body);
+    frame
+}
+
+pub(super) async fn write_frame<S: AsyncWrite + Unpin>(
+    stream: &mut S,
+    frame: &[u8],
+) -> io::Result<()> {
+    timeout(WRITE_TIMEOUT, stream.write_all(frame))
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Receives a message.
+pub(crate) async fn read_message<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    key: &PeerKey,
+) -> io::Result<FeedMessage> {
+    let body = read_body(stream, MAX_FEED_MESSAGE).await?;
+    decode_feed(&body, key).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+}
+
+/// Reads the length of a message of at most `most` bytes.
+pub(crate) async fn read_length<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    most: usize,
+) -> io::Result<usize> {
+    let length = stream.read_u32().await? as usize;
+    if length > most {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    Ok(length)
+}
+
+/// Reads a message of at most `most` bytes as it is on the stream, without its
+/// length.
+pub(crate) async fn read_body<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    most: usize,
+) -> io::Result<Vec<u8>> {
+    let length = read_length(stream, most).await?;
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    Ok(body)
+}
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::frames::{FLEET_INTERVAL, InstanceSnapshot};
-use super::{read_message, write_frame, write_message};
+use super::framing::{read_message, write_frame, write_message};
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
--- a/crates/linkhold-gateway/src/fleet.rs
+++ b/crates/linkhold-gateway/src/fleet.rs
@@ -1,319 +1,24 @@
-//! What a node knows of the fleet: its size, which decides shares of
-//! connections, who reads the store, and whom to ask.
+//! Takes in the fleet: its size, which decides shares of connections, who reads
+//! the store, and whom to ask.
 //!
 //! Nodes that read the store see the rows by which nodes register
 //! ([`crate::registration`]). Followers of a reader are told the same. While the
 //! store cannot be read, the last view stays.
 
 use std::collections::{BTreeMap, HashSet};
-use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use linkhold_core::membership::NodeId;
-use linkhold_core::rendezvous;
-use linkhold_core::service::permission::FleetSizes;
-use linkhold_core::service::readers::{self, ReaderCandidate, Source};
+use linkhold_core::service::readers::{self, ReaderCandidate};
 use linkhold_core::service::regions::RegionName;
 use linkhold_events::Event;
-use linkhold_peer::{FeedFleet, FeedNode, PeerKey};
+use linkhold_peer::{FeedFleet, FeedNode};
 
-use crate::admission::Coordinator;
-use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::places::Places;
 use crate::ports::Platform;
 use crate::registry::{Member, Registration, Registry};
-
-/// What is known of the fleet.
-#[derive(Default)]
-pub(crate) struct Fleet {
-    view: Mutex<View>,
-}
-
-#[derive(Default)]
-struct View {
-    key: Option<PeerKey>,
-    /// Nodes in all, this one included; 0 until anything is known.
-    size: usize,
-    /// Nodes by name.
-    nodes: BTreeMap<String, FeedNode>,
-    /// The nodes that read the store for others, of all regions.
-    readers: Vec<FeedNode>,
-    /// Sizes that it had lately.
-    sizes: FleetSizes,
-    /// Nodes for each reader.
-    followers_a_reader: usize,
-    /// Whether `size` counts all nodes: not while a fleet starts.
-    is_settled: bool,
-    /// Nodes among which duties are dealt out, as of this node's own last
-    /// reading of the fleet: all of a small fleet, the readers of a larger one.
-    duty_nodes: Vec<NodeId>,
-    /// When this node took up reading for others, on the store's clock.
-    reads_since: Option<u64>,
-    /// The store's clock and when it was asked for.
-    store_clock: Option<(u64, Instant)>,
-    /// Whether this node was listed when it first looked.
-    was_listed: Option<bool>,
-    /// When this node last read the fleet itself.
-    read_at: Option<Instant>,
-    /// Until when nodes that are not listed stay in the view.
-    keep_until: Option<Instant>,
-}
-
-/// Nodes that are asked for a tenant's budget, one after the other: with a tenth
-/// of the fleet lost, one in a thousand tenants finds none.
-const MOST_COORDINATORS: usize = 3;
-
-/// A reader that has not read the fleet for so long had lost the store.
-const READING_GAP: Duration = Duration::from_millis(6_000);
-/// How long nodes that are not listed stay in the view after such a gap: their
-/// readers had lost the store too and need time to renew their rows.
-const KEEPING_TIME: Duration = Duration::from_millis(5_000);
-
-impl View {
-    /// Whether nodes that are not listed stay, as of a reading just now.
-    fn keeps_unlisted(&mut self, now: Instant) -> bool {
-        let has_gap = self.read_at.is_none_or(|at| at + READING_GAP < now);
-        if self.is_settled && has_gap {
-            self.keep_until = Some(now + KEEPING_TIME);
-        }
-        self.read_at = Some(now);
-        self.keep_until.is_some_and(|until| now < until)
-    }
-}
-
-/// Where this node gets configuration and instances from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum FleetSource {
-    /// Not known: nobody is known to read the store.
-    Unknown,
-    /// From the store.
-    Store,
-    /// From one of the nodes at these addresses.
-    Readers(ReaderAddresses),
-}
-
-/// Where readers are reached.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ReaderAddresses {
-    /// Those of the own region.
-    pub near: Vec<SocketAddr>,
-    /// Those of other regions.
-    pub far: Vec<SocketAddr>,
-}
-
-impl ReaderAddresses {
-    fn among(readers: &[FeedNode], places: &Places) -> Self {
-        let own_region = places.own_region();
-        let (near, far): (Vec<&FeedNode>, Vec<&FeedNode>) = readers
-            .iter()
-            .partition(|node| places.region(&node.zone) == own_region);
-        let addresses = |nodes: Vec<&FeedNode>| nodes.iter().filter_map(|it| it.address).collect();
-        Self {
-            near: addresses(near),
-            far: addresses(far),
-        }
-    }
-
-    /// Whether a reader is among them.
-    pub fn contains(&self, address: &SocketAddr) -> bool {
-        self.near.contains(address) || self.far.contains(address)
-    }
-}
-
-impl Fleet {
-    /// The key between nodes.
-    pub fn key(&self) -> Option<PeerKey> {
-        lock(&self.view).key.clone()
-    }
-
-    /// Addresses of the other nodes that are known.
-    pub fn peers(&self, own_name: &str) -> Vec<SocketAddr> {
-        lock(&self.view)
-            .nodes
-            .values()
-            .filter(|node| node.name != own_name)
-            .filter_map(|node| node.address)
-            .collect()
-    }
-
-    /// The region of the node at an address; `None` if it is not known.
-    pub fn region_of(&self, address: SocketAddr, places: &Places) -> Option<RegionName> {
-        let view = lock(&self.view);
-        let mut nodes = view.nodes.values();
-        let node = nodes.find(|node| node.address == Some(address))?;
-        Some(places.region(&node.zone))
-    }
-
-    /// Other nodes' addresses; `None` unless all nodes are known.
-    pub fn all_peers(&self, own_name: &str) -> Option<Vec<SocketAddr>> {
-        self.knows_all().then(|| self.peers(own_name))
-    }
-
-    /// Whether this node knows all nodes.
-    pub fn knows_all(&self) -> bool {
-        let view = lock(&self.view);
-        view.is_settled && view.size > 0 && view.size == view.nodes.len()
-    }
-
-    /// Whether the fleet listed this node when it first looked.
-    pub fn was_listed(&self) -> bool {
-        lock(&self.view).was_listed.unwrap_or(false)
-    }
-
-    /// Whether a node is in the fleet; any is taken to be as long as not all are
-    /// known.
-    pub fn knows(&self, name: &str) -> bool {
-        let view = lock(&self.view);
-        view.nodes.contains_key(name) || !view.is_settled || view.size > view.nodes.len()
-    }
-
-    /// Nodes of the fleet, this one included.
-    pub fn size(&self) -> usize {
-        lock(&self.view).size
-    }
-
-    /// The most nodes that the fleet had while those that have gone since may still
-    /// count for others.
-    pub fn largest_size_lately(&self) -> usize {
-        let view = lock(&self.view);
-        view.sizes.largest(Instant::now()).max(view.size)
-    }
-
-    /// Nodes for each reader.
-    pub fn followers_a_reader(&self) -> usize {
-        lock(&self.view).followers_a_reader
-    }
-
-    /// What followers are told; `None` as long as not all nodes are known.
-    pub fn for_followers(&self) -> Option<FeedFleet> {
-        let view = lock(&self.view);
-        view.is_settled.then(|| FeedFleet {
-            size: view.size,
-            readers: view.readers.clone(),
-            nodes: view.nodes.values().cloned().collect(),
-        })
-    }
-
-    /// Where this node gets configuration and instances from.
-    pub fn source(&self, own_name: &str, places: &Places) -> FleetSource {
-        let view = lock(&self.view);
-        let names: Vec<&str> = view.readers.iter().map(|node| node.name.as_str()).collect();
-        let mut addresses = ReaderAddresses::among(&view.readers, places);
-        if view.key.is_none() {
-            // Nothing can be said to them.
-            addresses = ReaderAddresses::default();
-        }
-        if names.contains(&own_name) {
-            return FleetSource::Store;
-        }
-        let has_addresses = !addresses.near.is_empty() || !addresses.far.is_empty();
-        if !view.is_settled {
-            return if has_addresses {
-                FleetSource::Readers(addresses)
-            } else {
-                FleetSource::Unknown
-            };
-        }
-        match readers::source(own_name, &names, view.size) {
-            Source::Readers if has_addresses => FleetSource::Readers(addresses),
-            Source::Store if !readers::has_readers(view.size) => FleetSource::Store,
-            Source::Readers | Source::Store => FleetSource::Unknown,
-        }
-    }
-
-    /// How long ago this node itself read the fleet last; without end if never.
-    pub fn reading_age(&self) -> Duration {
-        let read_at = lock(&self.view).read_at;
-        read_at.map_or(Duration::MAX, |at| at.elapsed())
-    }
-
-    /// Whether few nodes of the fleet read the store, as far as is known.
-    pub fn has_readers(&self) -> bool {
-        readers::has_readers(self.size())
-    }
-
-    /// Whether all nodes are known.
-    pub fn is_settled(&self) -> bool {
-        lock(&self.view).is_settled
-    }
-
-    /// The store's clock, carried on from when it was asked for.
-    pub fn store_time(&self) -> Option<u64> {
-        let (time, read_at) = lock(&self.view).store_clock?;
-        Some(time + u64::try_from(read_at.elapsed().as_millis()).ok()?)
-    }
-
-    /// Takes in the key between nodes.
-    pub fn set_key(&self, key: PeerKey) {
-        lock(&self.view).key = Some(key);
-    }
-
-    /// When this node took up reading for others.
-    pub fn reads_since(&self) -> Option<u64> {
-        lock(&self.view).reads_since
-    }
-
-    /// This node takes up reading for others, unless it does already.
-    pub fn take_up_reading(&self, own: FeedNode) {
-        let now = self.store_time();
-        let mut view = lock(&self.view);
-        view.reads_since = view.reads_since.or(now);
-        if !view.readers.iter().any(|reader| reader.name == own.name) {
-            view.readers.push(own);
-        }
-    }
-
-    /// This node does not read for others.
-    pub fn give_up_reading(&self) {
-        lock(&self.view).reads_since = None;
-    }
-
-    /// Whether this node is the first of those that take up a duty. Followers
-    /// of a reader know too little of the fleet to be, and so does every node
-    /// while not all are known.
-    pub fn is_first(&self, own_name: &str, duty: &str) -> bool {
-        let view = lock(&self.view);
-        if !view.is_settled {
-            return false;
-        }
-        let nodes = view.duty_nodes.iter().copied();
-        rendezvous::owners(duty, nodes, 1) == [NodeId::of_name(own_name)]
-    }
-
-    /// The first nodes in the order in which they coordinate a tenant's budget;
-    /// none while not all are known.
-    pub fn coordinators(&self, own_name: &str, tenant: &str) -> Vec<Coordinator> {
-        if !self.knows_all() {
-            return Vec::new();
-        }
-        let view = lock(&self.view);
-        let ids = view.nodes.keys().map(|name| NodeId::of_name(name));
-        let order = rendezvous::owners(tenant, ids, MOST_COORDINATORS);
-        let coordinator = |id: &NodeId| {
-            let mut nodes = view.nodes.values();
-            let node = nodes.find(|node| NodeId::of_name(&node.name) == *id)?;
-            if node.name == own_name {
-                return Some(Coordinator::Itself);
-            }
-            node.address.map(Coordinator::Peer)
-        };
-        order.iter().filter_map(coordinator).collect()
-    }
-
-    /// This node's place in the order in which nodes take up a duty, among
-    /// those it knows.
-    pub fn rank(&self, own_name: &str, duty: &str) -> usize {
-        let view = lock(&self.view);
-        let own = NodeId::of_name(own_name);
-        let nodes = view.nodes.keys().map(|name| NodeId::of_name(name));
-        rendezvous::owners(duty, nodes, view.nodes.len())
-            .iter()
-            .position(|node| *node == own)
-            .unwrap_or(view.nodes.len())
-    }
-}
+use crate::state::AdoptedFleet;
 
 /// The node itself, as it tells others.
 pub(crate) fn own_node<P: Platform>(gateway: &Gateway<P>) -> FeedNode {
@@ -350,7 +55,7 @@
     let listed = members
         .iter()
         .map(|member| member.registration.node.clone());
-    let kept = kept_nodes(&gateway.fleet);
+    let kept = gateway.fleet.kept_nodes();
     let is_settled = is_settled || !kept.is_empty();
     // Of a node that is listed and kept, what is listed counts.
     let nodes: BTreeMap<String, FeedNode> = kept
@@ -364,7 +69,7 @@
         nodes: nodes.into_values().collect(),
     };
     let has_changed = adopt_fleet(gateway, fleet, is_settled);
-    lock(&gateway.fleet.view).duty_nodes = duty_nodes;
+    gateway.fleet.set_duty_nodes(duty_nodes);
     has_changed
 }
 
@@ -393,32 +98,9 @@
     present
 }
 
-/// Nodes that stay in the view though they may not be listed.
-fn kept_nodes(fleet: &Fleet) -> Vec<FeedNode> {
-    let mut view = lock(&fleet.view);
-    if !view.keeps_unlisted(Instant::now()) {
-        return Vec::new();
-    }
-    view.nodes.values().cloned().collect()
-}
-
 /// Takes in what the registry tells beside the members.
 fn remember_registry<P: Platform>(gateway: &Gateway<P>, registry: &Registry) {
-    let own_name = &gateway.settings.node;
-    let mut view = lock(&gateway.fleet.view);
-    // Counted from before it was told, it runs ahead rather than behind: a renewal
-    // looks no older than it is.
-    view.store_clock = Some((registry.now, registry.asked_at));
-    if let Some(key) = &registry.key {
-        view.key = Some(key.clone());
-    }
-    // This node read for others before it was started again.
-    let own = registry.members.get(own_name);
-    let is_listed = own.is_some_and(Member::is_present);
-    view.was_listed.get_or_insert(is_listed);
-    let reads_since = own.and_then(Member::still_reads_since);
-    view.reads_since = view.reads_since.or(reads_since);
-    drop(view);
+    gateway.fleet.remember(registry, &gateway.settings.node);
     gateway.followers.restore(&registry.own_followers);
 }
 
@@ -488,26 +170,19 @@
         .owners()
         .set_nodes(nodes.values().filter(|node| node.address.is_some()));
     let size = fleet.size.max(nodes.len());
-    let mut view = lock(&gateway.fleet.view);
-    if view.nodes != nodes {
-        gateway.watchers.set_nodes(nodes.values());
-    }
-    let previous = view.size;
-    view.sizes.seen(size, Instant::now());
-    let has_changed =
-        view.nodes != nodes || view.readers != fleet.readers || view.is_settled != is_settled;
-    view.size = size;
-    view.followers_a_reader = nodes.len().div_ceil(fleet.readers.len().max(1));
-    view.nodes = nodes;
-    view.readers = fleet.readers;
-    view.is_settled = is_settled;
-    drop(view);
-    if previous != size {
+    let adopted = AdoptedFleet {
+        nodes,
+        size,
+        readers: fleet.readers,
+        is_settled,
+    };
+    let change = gateway.fleet.adopt(adopted, &gateway.watchers);
+    if change.previous_size != size {
         Event::info("fleet_changed")
             .field("nodes", size)
-            .field("previous", previous)
+            .field("previous", change.previous_size)
             .log();
     }
     gateway.pools.set_nodes(size, &gateway.beliefs);
-    has_changed
+    change.has_changed
 }
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::beliefs::lock;
-use crate::failover::KnownClaims;
+use crate::lease_format::KnownClaims;
 use crate::registry::{MOST_FOLLOWERS, Registration};
 
 /// Orders the arrival of followers and the writing of rows.
--- a/crates/linkhold-gateway/src/forward/link.rs
+++ b/crates/linkhold-gateway/src/forward/link.rs
@@ -18,7 +18,7 @@
 
 use super::translate;
 use crate::beliefs::lock;
-use crate::feed::{framed, read_body, write_message};
+use crate::feed::framing::{framed, read_body, write_message};
 
 /// How long connecting to an owner may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,7 +31,7 @@
 
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallFailure {
+pub(crate) enum CallFailure {
     /// It was not handed to the stream: it certainly ran nowhere.
     NotSent,
     /// The stream broke after it was.
@@ -44,7 +44,7 @@
 
 /// What became of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LinkState {
+pub(crate) enum LinkState {
     /// It is open or being opened.
     Usable,
     /// Its owner gives no sign of life.
@@ -76,7 +76,7 @@
 }
 
 /// The stream and those who wait for answers on it.
-pub(super) struct Link {
+pub(crate) struct Link {
     owner: SocketAddr,
     outbox: mpsc::UnboundedSender<ForwardMessage>,
     shared: Mutex<Shared>,
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -20,14 +20,12 @@
 //!   ends, or nothing is asked for longer than a transaction may rest.
 //! * Time limits are handed on as what is left of them, so clocks need not agree.
 
-mod link;
+pub(crate) mod link;
 mod owner;
 mod translate;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::evidence::Sample;
@@ -38,77 +36,18 @@
 
 use crate::attempt::{Answer, Attempt, Bounds, Held, NotRunCause};
 use crate::batch::{Frame, Work};
-use crate::beliefs::lock;
 use crate::conversation::InFlight;
 use crate::gateway::Gateway;
 use crate::owners::{InstanceOwners, PermittedOwners};
 use crate::ports::{BackendErrorKind, Platform};
 use crate::principal::Principal;
 
-use link::{CallFailure, Link, LinkState};
+use link::{CallFailure, Link};
 pub(crate) use owner::serve;
 
-/// How long an owner that could not be reached, or kept silent, is passed over.
-const OWNER_PAUSE: Duration = Duration::from_millis(1_500);
 /// How long an owner may take to tell evidence.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Streams to owners.
-#[derive(Default)]
-pub(crate) struct Forwarding {
-    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
-    passed_over_until: Mutex<HashMap<SocketAddr, Instant>>,
-    /// Connections lent to other nodes.
-    lent: Arc<AtomicUsize>,
-}
-
-impl Forwarding {
-    fn link<P: Platform>(&self, gateway: &Arc<Gateway<P>>, owner: SocketAddr) -> Option<Arc<Link>> {
-        let key = gateway.fleet.key()?;
-        let mut links = lock(&self.links);
-        if let Some(link) = links.get(&owner)
-            && link.state() != LinkState::Ended
-        {
-            return Some(link.clone());
-        }
-        let link = Link::open(owner, key);
-        links.insert(owner, link.clone());
-        Some(link)
-    }
-
-    /// Connections that are lent to other nodes for their transactions.
-    pub fn lent(&self) -> usize {
-        self.lent.load(Ordering::Relaxed)
-    }
-
-    fn pass_over(&self, owner: SocketAddr, why: &'static str) {
-        let until = Instant::now() + OWNER_PAUSE;
-        lock(&self.passed_over_until).insert(owner, until);
-        lock(&self.links).remove(&owner);
-        Event::info("owner_passed_over")
-            .field("owner", owner)
-            .field("reason", why)
-            .field("for_ms", OWNER_PAUSE.as_millis())
-            .log();
-    }
-
-    /// The first owner that is not passed over and not silent.
-    fn choose(&self, owners: &[SocketAddr]) -> Option<SocketAddr> {
-        let now = Instant::now();
-        let passed_over = lock(&self.passed_over_until);
-        let links = lock(&self.links);
-        let is_silent = |owner: &SocketAddr| {
-            let link = links.get(owner);
-            link.is_some_and(|link| link.state() == LinkState::Silent)
-        };
-        owners
-            .iter()
-            .filter(|owner| !is_silent(owner))
-            .find(|owner| passed_over.get(owner).is_none_or(|until| now >= *until))
-            .copied()
-    }
-}
-
 /// A connection that an owner holds for a transaction of this node.
 pub(crate) struct LentConnection {
     link: Arc<Link>,
@@ -169,7 +108,7 @@
             let cause = NotRunCause::WarmingUp(held_off?);
             return Some(Attempt::NotRun(cause));
         };
-        let link = gateway.forwarding.link(gateway, owner)?;
+        let link = gateway.forwarding.link(owner, gateway.fleet.key()?);
         let statement = ForwardStatement {
             number: rand::random(),
             lent: None,
@@ -375,7 +314,7 @@
     moment: Instant,
 ) -> Option<Sample> {
     let owner = gateway.forwarding.choose(&owners.others())?;
-    let link = gateway.forwarding.link(gateway, owner)?;
+    let link = gateway.forwarding.link(owner, gateway.fleet.key()?);
     let asked_at = Instant::now();
     let max_age = asked_at.saturating_duration_since(moment);
     let answer = link
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -24,7 +24,7 @@
 use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause};
 use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
-use crate::feed::framed;
+use crate::feed::framing::framed;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -15,25 +15,18 @@
 
 use crate::admission::Quotas;
 use crate::beliefs::{Beliefs, lock};
-use crate::confirmation::Confirmations;
-use crate::evidence_probe::Questions;
-use crate::feed::FeedFrames;
-use crate::fleet::{Fleet, FleetSource};
+use crate::feed::frames::FeedFrames;
 use crate::followers::Followers;
-use crate::forward::Forwarding;
-use crate::lead_proof::LeadProofs;
 use crate::lease_format::HeldLeases;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::ports::{BackendConnector, Platform};
-use crate::registration::OwnRow;
-use crate::relay::Relays;
 use crate::settings::GatewaySettings;
-use crate::shared_evidence::ReaderLink;
-use crate::sources::Sources;
+use crate::state::{
+    Confirmations, Fleet, FleetSource, Forwarding, LeadProofs, OwnRow, Peers, Questions,
+    ReaderLink, Relays, Sources, WarmUps,
+};
 use crate::store_era::StoreEra;
-use crate::warm_up::WarmUps;
 use crate::watchers::Watchers;
 
 /// The engine.
@@ -294,7 +287,7 @@
             ),
             ("connections_open", self.pools.open_connections() as u64),
             ("connections_opened_total", self.pools.opened() as u64),
-            ("sessions_open", crate::lifecycle::open_sessions(self)),
+            ("sessions_open", self.metrics.sessions_open()),
             ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
             ("instances_held_off", self.warm_ups.count_cold() as u64),
             ("listing_age_ms", self.beliefs.permission.age_ms()),
--- a/crates/linkhold-gateway/src/lead_proof.rs
+++ b/crates/linkhold-gateway/src/lead_proof.rs
@@ -6,30 +6,15 @@
 //! other instances of its service follow the successor's term, so they are asked once,
 //! before the first answer of such a primary is told.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
-
 use linkhold_core::position::Term;
-use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::InstanceStatus;
 use linkhold_core::service::instance::Instance;
 use linkhold_events::Event;
 
-use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 use crate::survey;
 
-/// One round of questions about a service at a time.
-#[derive(Debug, Default)]
-pub(crate) struct LeadProofs(Mutex<HashMap<ServiceName, Arc<tokio::sync::Mutex<()>>>>);
-
-impl LeadProofs {
-    fn turn(&self, service: &ServiceName) -> Arc<tokio::sync::Mutex<()>> {
-        lock(&self.0).entry(service.clone()).or_default().clone()
-    }
-}
-
 /// Asks the instances of a service for their terms, unless the lead of `primary` is proved.
 /// One that follows an older term than another is not believed to lead any more.
 pub(crate) async fn prove<P: Platform>(gateway: &Gateway<P>, primary: &Instance) {
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -1,11 +1,13 @@
-//! Failover leases as rows, and the last ones this node held.
+//! Failover leases as rows, claims of them that were read, and the last ones this node held.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{FailoverLease, era_of_token};
 use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::store_place::Era;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +47,27 @@
     })
 }
 
+/// Claims of leases as they were read.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownClaims {
+    /// Those under which a promotion may still take effect.
+    pub claims: Vec<RecentClaim>,
+    /// When they were read; their ages count from no later.
+    pub read_at: Instant,
+}
+
+impl KnownClaims {
+    /// The same with their ages as of now.
+    pub fn aged(&self) -> Vec<RecentClaim> {
+        let since = self.read_at.elapsed();
+        let aged = |claim: &RecentClaim| RecentClaim {
+            age: claim.age + since,
+            ..claim.clone()
+        };
+        self.claims.iter().map(aged).collect()
+    }
+}
+
 /// Leases this node claimed last.
 #[derive(Default)]
 pub(crate) struct HeldLeases {
--- a/crates/linkhold-gateway/src/lifecycle.rs
+++ b/crates/linkhold-gateway/src/lifecycle.rs
@@ -66,20 +66,14 @@
             stage.send_replace(Stage::Refusing);
         }
         let served = gateway.relays.serving() + gateway.forwarding.lent();
-        if refused_before && open_sessions(&gateway) == 0 && served == 0 {
+        if refused_before && gateway.metrics.sessions_open() == 0 && served == 0 {
             break;
         }
     }
     registration::deregister(&gateway).await;
     Event::info("node_stopped")
         .field("node", &gateway.settings.node)
-        .field("sessions_left", open_sessions(&gateway))
+        .field("sessions_left", gateway.metrics.sessions_open())
         .field("took_ms", started.elapsed().as_millis())
         .log();
 }
-
-/// Sessions that are open.
-pub fn open_sessions<P: Platform>(gateway: &Gateway<P>) -> u64 {
-    let opened = gateway.metrics.sessions_opened.get();
-    opened.saturating_sub(gateway.metrics.sessions_closed.get())
-}
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -127,6 +127,12 @@
 }
 
 impl Metrics {
+    /// Sessions that are open.
+    pub fn sessions_open(&self) -> u64 {
+        let closed = self.sessions_closed.get();
+        self.sessions_opened.get().saturating_sub(closed)
+    }
+
     /// All figures in the text form that scrapers read.
     pub fn render(&self, gauges: &[(&str, u64)]) -> String {
         let counters = [
--- /dev/null
+++ b/crates/linkhold-gateway/src/peers/questions.rs
@@ -0,0 +1,219 @@
+//! Asks other nodes, and adds up what they answer.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::failover::ReachabilityTally;
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::permission::agreements_needed;
+use linkhold_peer::{
+    QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, encode_reachability,
+};
+use rand::seq::SliceRandom;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::gateway::Gateway;
+use crate::ports::{Platform, StoreError};
+use crate::registration;
+use crate::state::PeerAnswer;
+
+/// How long answers are waited for: a peer tries the instance itself.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(620);
+/// Datagrams may be lost: a question is asked once more after this.
+const REPEAT_AFTER: Duration = Duration::from_millis(120);
+
+/// Whom a question goes to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Audience {
+    /// Nodes whose silence counts.
+    nodes: Vec<SocketAddr>,
+    /// Nodes that have left the fleet's list lately without a word: what they
+    /// say counts, their silence does not.
+    former: Vec<SocketAddr>,
+}
+
+impl Audience {
+    /// For a look: all others of a small fleet, the watchers of the service in a larger
+    /// one.
+    pub fn for_look<P: Platform>(gateway: &Gateway<P>, service: &ServiceName) -> Self {
+        let node = &gateway.settings.node;
+        let nodes = match gateway.watchers.of(node, service) {
+            Some(watchers) => watchers.others.clone(),
+            None => gateway.fleet.peers(node),
+        };
+        Self {
+            nodes,
+            former: Vec::new(),
+        }
+    }
+
+    /// Some of them.
+    pub fn sample(mut self, most: usize) -> Self {
+        self.nodes.shuffle(&mut rand::rng());
+        self.nodes.truncate(most);
+        self
+    }
+
+    /// Everyone: as the store lists them now or, if it gives no answer and the
+    /// authority itself refuses old tokens, as this node knows them. An error tells why not
+    /// all of them are known.
+    pub async fn everyone<P: Platform>(gateway: &Gateway<P>) -> Result<Self, &'static str> {
+        match registration::list_nodes(gateway).await {
+            Ok(listed) => {
+                return Ok(Self {
+                    nodes: listed.present,
+                    former: listed.former,
+                });
+            }
+            // The store does not list all nodes, and this one may not know them either.
+            Err(StoreError::OtherEra) => return Err("store_was_restored"),
+            Err(_) => {}
+        }
+        let known = gateway.fleet.all_peers(&gateway.settings.node);
+        let nodes = known.filter(|_| gateway.platform.checks_tokens());
+        let nodes = nodes.ok_or("fleet_not_known")?;
+        Ok(Self {
+            nodes,
+            former: Vec::new(),
+        })
+    }
+}
+
+/// What other nodes answered.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerFindings {
+    /// How many of the nodes whose silence counts found what; of the others, those
+    /// that reach it.
+    pub tally: ReachabilityTally,
+    /// Nodes that reach the instance as a primary, in the order of their answers.
+    pub reached_by: Vec<SocketAddr>,
+    /// Former nodes that agreed, as those that do not reach it.
+    pub agreed_former: usize,
+    /// Former nodes that did not answer.
+    pub silent_former: usize,
+    /// Instances that nodes reach as the primary of the service they were asked about.
+    pub leaders: Vec<InstanceId>,
+}
+
+impl PeerFindings {
+    /// Whether enough of all who were asked agreed, the one that asks included, so that
+    /// nobody goes on by confirmations alone.
+    pub fn have_enough_agreed(&self) -> bool {
+        let tally = self.tally;
+        let agreed = 1 + tally.unreached + tally.not_primary + self.agreed_former;
+        let asked = tally.nodes + self.agreed_former + self.silent_former;
+        agreed >= agreements_needed(asked)
+    }
+
+    fn take(&mut self, answer: PeerAnswer, is_former: bool) {
+        match answer.found {
+            Reachability::Reached => {
+                self.tally.reached += 1;
+                self.reached_by.push(answer.from);
+                self.leaders.extend(answer.leader);
+            }
+            // It stands for nobody who is waited for.
+            Reachability::Unreached | Reachability::NotPrimary if is_former => {
+                self.agreed_former += 1;
+            }
+            Reachability::Unreached => self.tally.unreached += 1,
+            Reachability::NotPrimary => self.tally.not_primary += 1,
+        }
+    }
+}
+
+/// Tells everyone who was asked to agree that nothing is ordered; a lost word costs the
+/// time for which they agreed.
+pub(crate) async fn release<P: Platform>(gateway: &Gateway<P>, number: u64, audience: &Audience) {
+    gateway.beliefs.release(number);
+    let (Some(key), Some(socket)) = (gateway.fleet.key(), gateway.peers.socket()) else {
+        return;
+    };
+    let datagram = encode_reachability(&ReachabilityMessage::Release { number }, &key);
+    let nodes: Vec<SocketAddr> = audience
+        .nodes
+        .iter()
+        .chain(&audience.former)
+        .copied()
+        .collect();
+    send(&socket, &nodes, &datagram).await;
+}
+
+/// Asks other nodes whether they reach an instance, or whichever they believe in,
+/// as a primary. Nothing is counted while the fleet is not known.
+pub(crate) async fn ask<P: Platform>(
+    gateway: &Gateway<P>,
+    number: u64,
+    subject: QuestionSubject,
+    purpose: QuestionPurpose,
+    audience: &Audience,
+) -> PeerFindings {
+    let (Some(key), Some(socket)) = (gateway.fleet.key(), gateway.peers.socket()) else {
+        return PeerFindings::default();
+    };
+    let mut findings = PeerFindings::default();
+    findings.tally.nodes = audience.nodes.len() + 1;
+    let receiver = gateway.peers.asked(number);
+    let message = ReachabilityMessage::Question {
+        number,
+        subject,
+        purpose,
+    };
+    let datagram = encode_reachability(&message, &key);
+    let silent = collect(&socket, audience, &datagram, receiver, &mut findings).await;
+    let is_former = |peer: &&SocketAddr| audience.former.contains(peer);
+    findings.silent_former = silent.iter().filter(is_former).count();
+    gateway.peers.ended(number);
+    findings
+}
+
+/// Takes in answers until all have come or the time is over; returns who gave none.
+async fn collect(
+    socket: &UdpSocket,
+    audience: &Audience,
+    datagram: &[u8],
+    mut receiver: mpsc::UnboundedReceiver<PeerAnswer>,
+    findings: &mut PeerFindings,
+) -> HashSet<SocketAddr> {
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
+    let repeat_at = Instant::now() + REPEAT_AFTER;
+    let asked = audience.nodes.iter().chain(&audience.former);
+    let mut pending: HashSet<SocketAddr> = asked.copied().collect();
+    send(socket, &pending, datagram).await;
+    let mut repeated = false;
+    while !pending.is_empty() {
+        let until = if repeated { deadline } else { repeat_at };
+        match timeout_at(until, receiver.recv()).await {
+            Ok(Some(answer)) => {
+                if !pending.remove(&answer.from) {
+                    continue;
+                }
+                let is_former = audience.former.contains(&answer.from);
+                findings.take(answer, is_former);
+            }
+            Ok(None) => break,
+            Err(_) if repeated => break,
+            Err(_) => {
+                repeated = true;
+                send(socket, &pending, datagram).await;
+            }
+        }
+    }
+    pending
+}
+
+/// Sends a datagram to each of some nodes.
+pub(crate) async fn send<'a>(
+    socket: &UdpSocket,
+    peers: impl IntoIterator<Item = &'a SocketAddr>,
+    datagram: &[u8],
+) {
+    for peer in peers {
+        // A peer that cannot be reached does not answer.
+        let _ = socket.send_to(datagram, peer).await;
+    }
+}
--- a/crates/linkhold-gateway/src/permission.rs
+++ b/crates/linkhold-gateway/src/permission.rs
@@ -1,20 +1,14 @@
 //! This node's permission to speak for primaries, and what it has agreed to.
 
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Mutex;
+use std::time::Instant;
 
 use linkhold_core::service::instance::Instance;
 use linkhold_core::service::permission::{Consents, Permission, RecentClaim, Renewed};
 use linkhold_events::Event;
 use linkhold_peer::{QuestionSubject, milliseconds};
-use tokio::time::sleep;
 
 use crate::beliefs::lock;
-use crate::gateway::Gateway;
-use crate::ports::Platform;
-
-/// How often it is looked whether the permission has lapsed, for the log alone.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// This node's permission to speak for primaries, and what it has agreed to.
 #[derive(Debug, Default)]
@@ -118,18 +112,3 @@
     let age = renewed_at.map(|at| now.saturating_duration_since(at));
     age.map_or(u64::MAX, milliseconds)
 }
-
-/// Logs when the permission has lapsed. Runs until the process ends.
-pub(crate) async fn watch<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let permission = &gateway.beliefs.permission;
-    let mut held = false;
-    loop {
-        sleep(LOOK_INTERVAL).await;
-        let holds = permission.holds();
-        if std::mem::replace(&mut held, holds) && !holds {
-            Event::warn("permission_lapsed")
-                .field("renewed_ms_ago", permission.age_ms())
-                .log();
-        }
-    }
-}
--- a/crates/linkhold-gateway/src/pool.rs
+++ b/crates/linkhold-gateway/src/pool/mod.rs
@@ -12,6 +12,10 @@
 //!   been idle longest is closed to make room. A holder with waiters keeps its
 //!   connections from other holders for [`OTHERS_PATIENCE`] at most.
 
+mod lease;
+mod opener;
+mod pooled;
+
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -20,7 +24,7 @@
 use linkhold_core::service::concurrency::ConcurrencyLimit;
 use linkhold_core::service::connection_share::Share;
 use linkhold_core::service::instance::Instance;
-use linkhold_core::service::regions::{AllowedRegions, RegionName};
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::session::ConnectionState;
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::sync::oneshot;
@@ -28,10 +32,13 @@
 
 use crate::beliefs::lock;
 use crate::gate::{Gate, Urgency};
-use crate::gateway::Gateway;
-use crate::ports::{BackendConnection, Command, ConnectError, Platform};
+use crate::ports::{BackendConnection, ConnectError};
 use crate::principal::Principal;
-use crate::relay;
+
+pub use lease::Lease;
+pub(crate) use opener::{Connected, LONGEST_REUSE, Opener};
+pub use pooled::Pooled;
+use pooled::Relayed;
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -41,10 +48,6 @@
 /// so that a place changes hands only where that is less than the wait.
 const OTHERS_PATIENCE: Duration = Duration::from_millis(40);
 
-/// How long a connection that may be silent for good has to answer: six times the
-/// way between regions, there and back.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Why no connection was had. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckoutError {
@@ -54,49 +57,6 @@
     Connect(ConnectError),
 }
 
-/// A connection and what it was told.
-pub struct Pooled<C> {
-    /// The connection.
-    pub connection: C,
-    /// Whose statements it carries.
-    holder: ConnectionHolder,
-    /// Values and prepared statements on it.
-    pub state: ConnectionState,
-    /// A transaction of the last user is still to be rolled back.
-    pub needs_rollback: bool,
-    /// Through which region it is relayed, and until when it may be used again;
-    /// `None` if it goes straight to the instance.
-    relayed: Option<Relayed>,
-    /// When it was given back last.
-    given_back_at: Instant,
-    /// When it had been opened.
-    opened_at: Instant,
-}
-
-/// What a relayed connection is bound by.
-struct Relayed {
-    region: RegionName,
-    reuse_until: Instant,
-}
-
-impl<C> Pooled<C> {
-    fn may_be_reused(&self) -> bool {
-        let relayed = self.relayed.as_ref();
-        relayed.is_none_or(|relayed| Instant::now() < relayed.reuse_until)
-    }
-
-    /// Whether no node on its way stands outside the regions.
-    fn is_within(&self, regions: &AllowedRegions) -> bool {
-        let relayed = self.relayed.as_ref();
-        relayed.is_none_or(|relayed| regions.permits(&relayed.region))
-    }
-
-    /// Whether it may carry a principal's statements.
-    fn suits(&self, holder: &ConnectionHolder, regions: &AllowedRegions) -> bool {
-        self.holder == *holder && self.is_within(regions)
-    }
-}
-
 /// What a waiter gets.
 enum Grant<C> {
     Connection(Box<Pooled<C>>),
@@ -228,9 +188,9 @@
     /// Takes a connection for a principal, preferably one that has its values; waits
     /// until `deadline` for one. A connection that is being opened goes on being
     /// opened when nobody waits for it any more.
-    pub(crate) async fn checkout<P: Platform<Connection = C>>(
+    pub(crate) async fn checkout<O: Opener<C>>(
         self: &Arc<Self>,
-        gateway: &Arc<Gateway<P>>,
+        opener: &Arc<O>,
         principal: Principal<'_>,
         urgency: Urgency,
         deadline: Instant,
@@ -250,7 +210,7 @@
             if has_place {
                 let holder = principal.holder.clone();
                 let regions = principal.regions.clone();
-                tokio::spawn(self.clone().open(gateway.clone(), holder, regions));
+                tokio::spawn(self.clone().open(opener.clone(), holder, regions));
             }
             let (sender, receiver) = oneshot::channel();
             let waiter = Waiter {
@@ -315,13 +275,13 @@
     }
 
     /// Opens a connection on a place that is reserved and hands it on.
-    async fn open<P: Platform<Connection = C>>(
+    async fn open<O: Opener<C>>(
         self: Arc<Self>,
-        gateway: Arc<Gateway<P>>,
+        opener: Arc<O>,
         holder: ConnectionHolder,
         regions: AllowedRegions,
     ) {
-        let connecting = relay::connect(&gateway, &self.instance, &holder, &regions);
+        let connecting = opener.open(&self.instance, &holder, &regions);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .unwrap_or(Err(ConnectError::Unreachable));
@@ -330,7 +290,7 @@
                 self.opened.fetch_add(1, Ordering::Relaxed);
                 let relayed = connected.relayed_through.map(|region| Relayed {
                     region,
-                    reuse_until: Instant::now() + relay::LONGEST_REUSE,
+                    reuse_until: Instant::now() + LONGEST_REUSE,
                 });
                 self.put_back(Pooled {
                     connection: connected.connection,
@@ -343,7 +303,7 @@
                 });
             }
             Err(error) => {
-                gateway.connect_failed(&self.instance, error);
+                opener.open_failed(&self.instance, error);
                 self.fail_waiters(&holder, error);
             }
         }
@@ -496,86 +456,3 @@
         .rposition(|pooled| suits(pooled) && pooled.state.values == *principal.values)
         .or_else(|| idle.iter().rposition(suits))
 }
-
-/// A connection in use. Dropped without [`Lease::release`], it is closed.
-pub struct Lease<C: BackendConnection> {
-    pool: Arc<Pool<C>>,
-    pooled: Option<Pooled<C>>,
-}
-
-impl<C: BackendConnection> Lease<C> {
-    fn new(pool: Arc<Pool<C>>, pooled: Pooled<C>) -> Self {
-        Self {
-            pool,
-            pooled: Some(pooled),
-        }
-    }
-
-    /// Statements under way at the instance.
-    pub(crate) fn gate(&self) -> &Arc<Gate> {
-        &self.pool.gate
-    }
-
-    /// The instance it leads to.
-    pub fn instance(&self) -> &Arc<Instance> {
-        &self.pool.instance
-    }
-
-    /// Whose statements it carries.
-    pub fn holder(&self) -> &ConnectionHolder {
-        &self.present().holder
-    }
-
-    /// Whether no node on its way stands outside the regions.
-    pub fn is_within(&self, regions: &AllowedRegions) -> bool {
-        self.present().is_within(regions)
-    }
-
-    /// When the connection had been opened.
-    pub fn opened_at(&self) -> std::time::Instant {
-        self.present().opened_at.into_std()
-    }
-
-    fn present(&self) -> &Pooled<C> {
-        self.pooled
-            .as_ref()
-            .expect("a lease has its connection until it is released")
-    }
-
-    /// The connection. Present until release or drop.
-    pub fn pooled(&mut self) -> &mut Pooled<C> {
-        self.pooled
-            .as_mut()
-            .expect("a lease has its connection until it is released")
-    }
-
-    /// Statements fell silent on another connection: those that are as old are asked
-    /// before they are used.
-    pub(crate) fn suspect_elders(&self, sent_at: Instant) {
-        self.pool.suspect_elders(sent_at);
-    }
-
-    /// Whether the connection still answers. What is open on it is rolled back.
-    async fn answers(&mut self) -> bool {
-        let pooled = self.pooled();
-        let asking = pooled.connection.exchange(&[Command::Rollback]);
-        let has_answered = matches!(tokio::time::timeout(PROOF_TIMEOUT, asking).await, Ok(Ok(_)));
-        pooled.needs_rollback &= !has_answered;
-        has_answered
-    }
-
-    /// Gives the connection back for others to use.
-    pub fn release(mut self) {
-        if let Some(pooled) = self.pooled.take() {
-            self.pool.put_back(pooled);
-        }
-    }
-}
-
-impl<C: BackendConnection> Drop for Lease<C> {
-    fn drop(&mut self) {
-        if self.pooled.take().is_some() {
-            self.pool.closed();
-        }
-    }
-}
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -5,8 +5,7 @@
 //! that they live, and its row lists them ([`crate::registry`]).
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::permission::{FORMER_TIME, Renewed};
@@ -16,7 +15,6 @@
 use linkhold_peer::{FeedMessage, PeerKey};
 use tokio::time::{sleep, timeout_at};
 
-use crate::beliefs::lock;
 use crate::failover;
 use crate::fleet::{self, Reading};
 use crate::gateway::Gateway;
@@ -182,38 +180,6 @@
     write_row(gateway).await
 }
 
-/// What this node knows of its own row.
-#[derive(Debug, Default)]
-pub(crate) struct OwnRow {
-    /// Its version as it was read last, unless it was written since.
-    version: Mutex<Option<StorePlace>>,
-    /// This process has written it.
-    was_written: AtomicBool,
-    /// One write is under way at a time.
-    writing: tokio::sync::Mutex<()>,
-}
-
-impl OwnRow {
-    /// The row was read with this version; the default if it is not there.
-    fn read(&self, version: StorePlace) {
-        *lock(&self.version) = Some(version);
-    }
-
-    fn is_written(&self) {
-        self.was_written.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether this process has written it before.
-    fn was_written(&self) -> bool {
-        self.was_written.load(Ordering::Relaxed)
-    }
-
-    /// Its version, which is not known any more once it is used.
-    fn take_version(&self) -> Option<StorePlace> {
-        lock(&self.version).take()
-    }
-}
-
 /// Times that a row is written in a call: once more if a write of this node's own, which
 /// had got no answer, came in between.
 const WRITE_TRIES: usize = 2;
@@ -235,7 +201,7 @@
         let call = gateway.platform.write_rows(&rows);
         gateway.metrics.store_calls.count(CallReason::Register);
         if let WriteResult::Written(version) = bounded(call, CALL_TIMEOUT).await? {
-            gateway.own_row.is_written();
+            gateway.own_row.written();
             // If it is not that, the next write is refused, and the row is read.
             gateway.own_row.read(version);
             return Ok(());
@@ -298,7 +264,7 @@
 /// seconds later would take followers off the list that came meanwhile. Whoever is listed anew
 /// learns which leases were claimed by then: it was not asked under these.
 async fn write_row<P: Platform>(gateway: &Gateway<P>) -> Result<(), StoreError> {
-    let _writing = gateway.own_row.writing.lock().await;
+    let _writing = gateway.own_row.turn_to_write().await;
     // What is counted from here is older than the row says, never younger.
     let sent_at = Instant::now();
     // The clock is known from the first look.
--- a/crates/linkhold-gateway/src/shared_evidence.rs
+++ b/crates/linkhold-gateway/src/shared_evidence.rs
@@ -8,17 +8,14 @@
 //! asked, which is earlier. Time on the way, or in a process that was paused,
 //! makes evidence older, never younger.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::evidence::Sample;
-use linkhold_peer::{EvidenceAnswer, EvidenceQuestion, FeedMessage};
-use tokio::sync::{mpsc, oneshot};
+use linkhold_peer::{EvidenceAnswer, EvidenceQuestion};
 use tokio::time::timeout;
 
-use crate::beliefs::lock;
 use crate::evidence_probe;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
@@ -29,52 +26,6 @@
 /// often than this for reads that accept old data.
 const FRESH: Duration = Duration::from_millis(300);
 
-/// A follower's side: the way to its reader, and the questions under way.
-#[derive(Default)]
-pub(crate) struct ReaderLink {
-    outbox: Mutex<Option<mpsc::UnboundedSender<FeedMessage>>>,
-    waiting: Mutex<HashMap<u64, oneshot::Sender<EvidenceAnswer>>>,
-}
-
-impl ReaderLink {
-    /// A reader is followed; what it is to be told comes out of the receiver.
-    pub fn open(&self) -> mpsc::UnboundedReceiver<FeedMessage> {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        *lock(&self.outbox) = Some(sender);
-        receiver
-    }
-
-    /// The reader is lost.
-    pub fn close(&self) {
-        *lock(&self.outbox) = None;
-        lock(&self.waiting).clear();
-    }
-
-    /// The reader has answered.
-    pub fn answered(&self, answer: EvidenceAnswer) {
-        if let Some(waiting) = lock(&self.waiting).remove(&answer.number) {
-            // Whoever asked may have stopped waiting.
-            let _ = waiting.send(answer);
-        }
-    }
-
-    /// Tells the reader something, if one is followed.
-    pub fn tell(&self, message: FeedMessage) {
-        if let Some(outbox) = &*lock(&self.outbox) {
-            // A reader that is lost need not be told.
-            let _ = outbox.send(message);
-        }
-    }
-
-    fn send(&self, question: EvidenceQuestion) -> Option<oneshot::Receiver<EvidenceAnswer>> {
-        let outbox = lock(&self.outbox).clone()?;
-        let (sender, receiver) = oneshot::channel();
-        lock(&self.waiting).insert(question.number, sender);
-        outbox.send(FeedMessage::EvidenceQuestion(question)).ok()?;
-        Some(receiver)
-    }
-}
-
 /// Asks the reader that is followed for evidence that covers `moment`, or newer
 /// than [`FRESH`] if that is enough; `None` if it has none or none is followed.
 pub(crate) async fn ask_reader<P: Platform>(
@@ -92,9 +43,9 @@
         service: service.clone(),
         max_age: asked_at.saturating_duration_since(moment).min(FRESH),
     };
-    let receiver = gateway.reader_link.send(question)?;
+    let receiver = gateway.reader_link.ask(question)?;
     let answer = timeout(ANSWER_TIMEOUT, receiver).await;
-    lock(&gateway.reader_link.waiting).remove(&number);
+    gateway.reader_link.ended(number);
     let answer = answer.ok()?.ok()?;
     Some(Sample {
         sent_at: asked_at.checked_sub(answer.age)?,
--- /dev/null
+++ b/crates/linkhold-gateway/src/state/mod.rs
@@ -0,0 +1,28 @@
+//! What a node holds for the tasks and requests that share it.
+//!
+//! Nothing here uses [`crate::Gateway`], which owns one of each: what acts on them
+//! (asks, tells, decides) stands in modules that do.
+
+mod confirmations;
+mod fleet;
+mod forwarding;
+mod lead_proofs;
+mod own_row;
+mod peers;
+mod questions;
+mod reader_link;
+mod relays;
+mod sources;
+mod warm_ups;
+
+pub(crate) use confirmations::Confirmations;
+pub(crate) use fleet::{AdoptedFleet, Fleet, FleetSource, ReaderAddresses};
+pub(crate) use forwarding::Forwarding;
+pub(crate) use lead_proofs::LeadProofs;
+pub(crate) use own_row::OwnRow;
+pub(crate) use peers::{PeerAnswer, Peers};
+pub(crate) use questions::Questions;
+pub(crate) use reader_link::ReaderLink;
+pub(crate) use relays::{RelayPeer, Relays};
+pub(crate) use sources::{ReadReason, Sources};
+pub(crate) use warm_ups::{EntryKnown, WarmUps};
--- a/crates/linkhold-gateway/src/warm_up/mod.rs
+++ b/crates/linkhold-gateway/src/warm_up/mod.rs
@@ -6,21 +6,15 @@
 
 mod watch;
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::instance::{Instance, InstanceId};
-use linkhold_core::service::warm_up::{
-    self, SecondCount, SpenderStanding, WarmUpLimit, WarmUpRules, Warmth,
-};
-use linkhold_events::Event;
-use tokio::sync::Notify;
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::warm_up::{self, SpenderStanding, WarmUpLimit};
 use tokio::time::sleep;
 
-use crate::beliefs::lock;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::state::EntryKnown;
 
 pub(crate) use watch::keep_watching;
 
@@ -32,81 +26,6 @@
 /// When to come back where this node will not be one that sends.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
 
-/// What is known of one instance.
-#[derive(Default)]
-struct Known {
-    warmth: Warmth,
-    sent: SecondCount,
-    /// Whether it was not known warm when it was looked at last.
-    is_held_off: bool,
-    /// Asks the one who watches it for a new answer.
-    doubt: Arc<Notify>,
-}
-
-impl Known {
-    /// Whether a statement may be sent uncounted on a connection.
-    fn is_warm_on(
-        &self,
-        opened_at: Instant,
-        rules: &WarmUpRules,
-        entry: EntryKnown,
-        now: Instant,
-    ) -> bool {
-        self.may_be_warm(rules, entry, now) && self.warmth.is_proved_since(opened_at)
-    }
-
-    /// Whether it is warm but for the age of the last proof. With the list of instances
-    /// unread while an instance was started again, its last life's entry let 97 statements
-    /// in a second through where 14 are allowed.
-    fn may_be_warm(&self, rules: &WarmUpRules, entry: EntryKnown, now: Instant) -> bool {
-        self.warmth.is_life_listed(rules, entry.as_of)
-            && self.warmth.is_warm(rules, entry.says_cold, now)
-    }
-}
-
-/// What an instance's entry says of its warmth.
-#[derive(Clone, Copy, Debug)]
-struct EntryKnown {
-    says_cold: bool,
-    /// The last moment as of which the entries are known.
-    as_of: Option<Instant>,
-}
-
-/// What this node knows of the warmth of instances.
-#[derive(Default)]
-pub(crate) struct WarmUps {
-    instances: Mutex<HashMap<InstanceId, Known>>,
-}
-
-impl WarmUps {
-    fn update<T>(&self, id: &InstanceId, update: impl FnOnce(&mut Known) -> T) -> T {
-        let mut instances = lock(&self.instances);
-        update(instances.entry(id.clone()).or_default())
-    }
-
-    /// Forgets all instances but these.
-    fn retain(&self, present: &[Arc<Instance>]) {
-        let is_present = |id: &InstanceId| present.iter().any(|it| it.id == *id);
-        lock(&self.instances).retain(|id, _| is_present(id));
-    }
-
-    /// Another connection to an instance broke, or could not be made.
-    pub fn doubted(&self, id: &InstanceId) {
-        let mut instances = lock(&self.instances);
-        if let Some(known) = instances.get_mut(id)
-            && known.warmth.doubted(Instant::now())
-        {
-            known.doubt.notify_one();
-        }
-    }
-
-    /// Instances that this node has sent to and that were not known warm then.
-    pub fn count_cold(&self) -> usize {
-        let instances = lock(&self.instances);
-        instances.values().filter(|it| it.is_held_off).count()
-    }
-}
-
 impl<P: Platform> Gateway<P> {
     /// What the service of an instance allows it while it is cold.
     fn warm_up_limit(&self, instance: &Instance) -> Option<WarmUpLimit> {
@@ -137,7 +56,7 @@
         let entry = self.entry_known(instance);
         let admitted = self.warm_ups.update(&instance.id, |known| {
             let is_warm = known.is_warm_on(opened_at, rules, entry, now);
-            note_warmth(known, instance, is_warm, entry.says_cold);
+            known.note_warmth(instance, is_warm, entry.says_cold);
             if is_warm {
                 return Ok(());
             }
@@ -222,16 +141,3 @@
         }
     }
 }
-
-/// Logs that an instance is taken for warm, or no longer.
-fn note_warmth(known: &mut Known, instance: &Instance, is_warm: bool, says_cold: bool) {
-    if std::mem::replace(&mut known.is_held_off, !is_warm) != is_warm {
-        return;
-    }
-    Event::info("instance_warmth_changed")
-        .field("instance", &instance.id)
-        .field("service", &instance.service)
-        .field("is_warm", is_warm)
-        .field("says_cold", says_cold)
-        .log();
-}
