--- a/crates/linkhold-core/src/tenancy/parts.rs
+++ b/crates/linkhold-core/src/tenancy/parts.rs
@@ -4,8 +4,9 @@
 //! the next one. Neither can tell that the other goes on, so both keep to what their side
 //! had: a node that turns to another coordinator tells it the part that it had
 //! ([`InheritedPart`]), which grants the sum of these and no more, and a coordinator that
-//! nodes no longer ask gives their parts to nobody ([`AskerParts`]). Both end when the fleet's list has changed, by which time a
-//! coordinator that is cut off grants as a stand-in alone.
+//! nodes no longer ask gives their parts to nobody ([`AskerParts`]). Both end when the
+//! fleet's list has changed, by which time a coordinator that is cut off grants as a stand-in
+//! alone.
 //!
 //! # What is given up
 //!
@@ -47,6 +48,7 @@
 const PRESSED_PART: f64 = 0.9;
 /// By how much a node may exceed its part where the tenant does not press.
 const ROOM: f64 = 1.25;
+
 /// What one node was granted lately.
 #[derive(Clone, Debug)]
 struct AskerPart {
