Keep awaited answers of several nodes in one type

Questions about primaries and questions for confirmations each kept their own map of senders by number, with the same three methods; taking both out of the gateway's circle had left two copies side by side. One type serves both, and both stand with the other state of questions between nodes.

No behaviour is changed; lints clean.

--- a/crates/linkhold-gateway/src/confirmation.rs
+++ b/crates/linkhold-gateway/src/confirmation.rs
@@ -13,6 +13,7 @@
 use crate::gateway::Gateway;
 use crate::peers;
 use crate::ports::Platform;
+use crate::state::Confirmation;
 
 /// How often confirmations are asked for: a lost one is made up for before a
 /// permission that rests on them has run out.
@@ -62,7 +63,7 @@
         return false;
     };
     let number = rand::random();
-    let mut answers = gateway.confirmations.asked(number);
+    let mut answers = gateway.peers.confirmations.asked(number);
     let mut pending = gateway.fleet.peers(&gateway.settings.node);
     let question = ReachabilityMessage::ConfirmationQuestion { number };
     // A lost question is made up for by the next one.
@@ -70,7 +71,8 @@
     let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     let mut confirmed = 1;
     while confirmed < needed && !pending.is_empty() {
-        let Ok(Some((from, told))) = timeout_at(deadline, answers.recv()).await else {
+        let Ok(Some(Confirmation { from, agreed })) = timeout_at(deadline, answers.recv()).await
+        else {
             break;
         };
         let Some(index) = pending.iter().position(|peer| *peer == from) else {
@@ -78,10 +80,10 @@
         };
         pending.swap_remove(index);
         let permission = &gateway.beliefs.permission;
-        if told.is_some_and(|agreed| permission.knows(&agreed)) {
+        if agreed.is_some_and(|agreed| permission.knows(&agreed)) {
             confirmed += 1;
         }
     }
-    gateway.confirmations.ended(number);
+    gateway.peers.confirmations.ended(number);
     confirmed >= needed
 }
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::ports::{BackendConnector, Platform};
 use crate::settings::GatewaySettings;
 use crate::state::{
-    Confirmations, Fleet, FleetSource, Forwarding, LeadProofs, OwnRow, Peers, Questions,
-    ReaderLink, Relays, Sources, WarmUps,
+    Fleet, FleetSource, Forwarding, LeadProofs, OwnRow, Peers, Questions, ReaderLink, Relays,
+    Sources, WarmUps,
 };
 use crate::store_era::StoreEra;
 use crate::watchers::Watchers;
@@ -46,7 +46,6 @@
     /// Asks for evidence or a look at a primary.
     pub(crate) attention: Attention,
     pub(crate) questions: Questions,
-    pub(crate) confirmations: Confirmations,
     pub(crate) fleet: Fleet,
     pub(crate) own_row: OwnRow,
     pub(crate) followers: Followers,
@@ -105,7 +104,6 @@
             metrics: Metrics::default(),
             attention: Attention::default(),
             questions: Questions::default(),
-            confirmations: Confirmations::default(),
             fleet: Fleet::default(),
             own_row: OwnRow::default(),
             followers: Followers::default(),
--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -30,7 +30,7 @@
 use crate::confirmation;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
-use crate::state::PeerAnswer;
+use crate::state::{Confirmation, PeerAnswer};
 use crate::survey;
 
 pub(crate) use questions::{Audience, ask, release, send};
@@ -110,7 +110,7 @@
                     found,
                     leader: leader.as_deref().map(instance_id),
                 };
-                gateway.peers.answered(number, answer);
+                gateway.peers.questions.answered(number, answer);
             }
             Ok(Datagram::Reachability(ReachabilityMessage::Release { number })) => {
                 gateway.beliefs.release(number);
@@ -125,7 +125,10 @@
             Ok(Datagram::Reachability(ReachabilityMessage::ConfirmationAnswer {
                 number,
                 agreed,
-            })) => gateway.confirmations.answered(number, from, agreed),
+            })) => {
+                let confirmation = Confirmation { from, agreed };
+                gateway.peers.confirmations.answered(number, confirmation);
+            }
             Err(error) => Event::warn("peer_message_refused")
                 .field("from", from)
                 .field("error", error)
--- a/crates/linkhold-gateway/src/state/mod.rs
+++ b/crates/linkhold-gateway/src/state/mod.rs
@@ -3,7 +3,7 @@
 //! Nothing here uses [`crate::Gateway`], which owns one of each: what acts on them
 //! (asks, tells, decides) stands in modules that do.
 
-mod confirmations;
+mod awaited;
 mod fleet;
 mod forwarding;
 mod lead_proofs;
@@ -15,12 +15,12 @@
 mod sources;
 mod warm_ups;
 
-pub(crate) use confirmations::Confirmations;
+pub(crate) use awaited::AwaitedAnswers;
 pub(crate) use fleet::{AdoptedFleet, Fleet, FleetSource, ReaderAddresses};
 pub(crate) use forwarding::Forwarding;
 pub(crate) use lead_proofs::LeadProofs;
 pub(crate) use own_row::OwnRow;
-pub(crate) use peers::{PeerAnswer, Peers};
+pub(crate) use peers::{Confirmation, PeerAnswer, Peers};
 pub(crate) use questions::Questions;
 pub(crate) use reader_link::ReaderLink;
 pub(crate) use relays::{RelayPeer, Relays};
--- a/crates/linkhold-gateway/src/state/peers.rs
+++ b/crates/linkhold-gateway/src/state/peers.rs
@@ -8,13 +8,10 @@
 use linkhold_core::service::instance::InstanceId;
 use linkhold_peer::Reachability;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
 
+use super::AwaitedAnswers;
 use crate::beliefs::lock;
 
-/// Answers by the number of their question.
-type Waiting = Mutex<HashMap<u64, mpsc::UnboundedSender<PeerAnswer>>>;
-
 /// What a node answered.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerAnswer {
@@ -26,6 +23,15 @@
     pub leader: Option<InstanceId>,
 }
 
+/// A node's answer to a question for a confirmation.
+#[derive(Clone, Debug)]
+pub(crate) struct Confirmation {
+    /// Who answered.
+    pub from: SocketAddr,
+    /// What it has agreed to, or `None` from one that may not tell.
+    pub agreed: Option<Vec<String>>,
+}
+
 /// What was found when an instance was tried last, and when. Held while it is tried.
 pub(crate) type Probe = Arc<tokio::sync::Mutex<Option<(Instant, Reachability)>>>;
 
@@ -35,7 +41,10 @@
     socket: Mutex<Option<Arc<UdpSocket>>>,
     /// Takes streams under the same number, until [`Peers::take_listener`].
     listener: Mutex<Option<TcpListener>>,
-    waiting: Waiting,
+    /// Questions about the reachability of primaries.
+    pub questions: AwaitedAnswers<PeerAnswer>,
+    /// Questions for confirmations.
+    pub confirmations: AwaitedAnswers<Confirmation>,
     /// When this node last failed to reach an instance it was asked about.
     failures: Mutex<HashMap<InstanceId, Instant>>,
     /// Tries of instances that this node watches.
@@ -50,26 +59,6 @@
         *lock(&self.socket) = Some(socket);
     }
 
-    /// A question with a number is asked; its answers come out of the receiver.
-    pub fn asked(&self, number: u64) -> mpsc::UnboundedReceiver<PeerAnswer> {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        lock(&self.waiting).insert(number, sender);
-        receiver
-    }
-
-    /// A node answered the question with a number.
-    pub fn answered(&self, number: u64, answer: PeerAnswer) {
-        if let Some(sender) = lock(&self.waiting).get(&number) {
-            // Whoever asked may have stopped waiting.
-            let _ = sender.send(answer);
-        }
-    }
-
-    /// Nobody waits for answers to a question any more.
-    pub fn ended(&self, number: u64) {
-        lock(&self.waiting).remove(&number);
-    }
-
     /// What was found when an instance was tried last; held by whoever tries it.
     pub fn probe(&self, id: &InstanceId) -> Probe {
         lock(&self.probes).entry(id.clone()).or_default().clone()
