Look up a proved position only where an answer may need it

Every statement, reads at replicas among them, took the lock of the beliefs once more for a position that only answers of a primary are held against.

--- a/crates/linkhold-gateway/src/attempt.rs
+++ b/crates/linkhold-gateway/src/attempt.rs
@@ -290,7 +290,8 @@
     if needs_permission && !gateway.beliefs.may_speak_for(lease.instance(), sent_at) {
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
-    let proved = gateway.beliefs.newest_position(&lease.instance().service);
+    let service = &lease.instance().service;
+    let proved = needs_permission.then(|| gateway.beliefs.newest_position(service));
     match converse(gateway, &mut lease, &batch.commands, answer_by).await {
         Conversation::Silent => {
             log_unanswered(work, &lease, sent_at, "silent");
@@ -301,7 +302,8 @@
             broken(lease, &error, batch.main)
         }
         Conversation::Answered(replies)
-            if needs_permission && !may_tell(gateway, lease.instance(), work, &replies, proved) =>
+            if needs_permission
+                && !may_tell(gateway, lease.instance(), work, &replies, proved.flatten()) =>
         {
             log_unanswered(work, &lease, sent_at, "primary_may_be_replaced");
             if work.may_commit() {
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -19,7 +19,7 @@
 use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
 
 /// How long a claim, a read and a write, may take.
-pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Claims tried in a row when the store gives no answer.
 const CLAIM_TRIES: u32 = 2;
 
--- a/crates/linkhold-gateway/src/state/questions.rs
+++ b/crates/linkhold-gateway/src/state/questions.rs
@@ -1,26 +1,20 @@
 //! Questions for evidence that are under way.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Mutex;
-use std::time::Instant;
 
 use linkhold_core::service::configuration::ServiceName;
 
 use crate::beliefs::lock;
 
-/// Questions under way: when each was asked for.
+/// Services about which a question is under way.
 #[derive(Debug, Default)]
-pub(crate) struct Questions(Mutex<HashMap<ServiceName, Instant>>);
+pub(crate) struct Questions(Mutex<HashSet<ServiceName>>);
 
 impl Questions {
     /// A question is asked unless one is under way; whether it is.
     pub fn start(&self, service: &ServiceName) -> bool {
-        let mut running = lock(&self.0);
-        if running.contains_key(service) {
-            return false;
-        }
-        running.insert(service.clone(), Instant::now());
-        true
+        lock(&self.0).insert(service.clone())
     }
 
     /// The question was answered, or given up.
