Let lives of instances stand in a module of their own

The directory of instances held a second job: which life of each instance is there. It asks the new module now, which tells the first life that is known and the present one alike, since both were treated the same.

--- a/crates/linkhold-core/src/service/directory.rs
+++ b/crates/linkhold-core/src/service/directory.rs
@@ -18,12 +18,13 @@
 //!   in. A later life that announces being primary holds nothing of what the earlier
 //!   one acknowledged, so it is not believed for that.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::configuration::ServiceName;
 use super::instance::{Instance, InstanceId, Lifecycle, Role};
+use super::lives::{KnownLives, LifeNews};
 
 /// Where a belief about a primary comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,18 +57,6 @@
     pub source: PrimarySource,
 }
 
-/// What an announcement tells of the life of its instance.
-enum LifeNews {
-    /// It is the first that is known.
-    First,
-    /// It is the present one.
-    Known,
-    /// It is one that has ended.
-    Former,
-    /// It takes the place of this one.
-    Later(InstanceId),
-}
-
 #[derive(Debug)]
 struct Entry {
     instance: Arc<Instance>,
@@ -113,37 +102,6 @@
     }
 }
 
-/// Earlier lives of an instance that are remembered: a list tells of one no longer than
-/// a copy of it may be old, in which an instance starts a few times at the most.
-const MOST_FORMER_LIVES: usize = 16;
-
-/// The lives of one instance.
-#[derive(Debug)]
-struct Lives {
-    present: InstanceId,
-    /// Those that have ended, the latest last.
-    former: VecDeque<InstanceId>,
-}
-
-impl Lives {
-    fn new(present: InstanceId) -> Self {
-        Self {
-            present,
-            former: VecDeque::new(),
-        }
-    }
-
-    /// Another life takes the place of the present one, which is returned.
-    fn begin(&mut self, id: &InstanceId) -> InstanceId {
-        let ended = std::mem::replace(&mut self.present, id.clone());
-        self.former.push_back(ended.clone());
-        if self.former.len() > MOST_FORMER_LIVES {
-            self.former.pop_front();
-        }
-        ended
-    }
-}
-
 /// All instances known to a node.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -151,8 +109,7 @@
     /// The instances of each service, in the order of their identities: a statement looks
     /// at those of its own service alone.
     by_service: BTreeMap<ServiceName, BTreeSet<InstanceId>>,
-    /// Lives by the instances' names.
-    lives: HashMap<Arc<str>, Lives>,
+    lives: KnownLives,
     /// Lives that have ended and were not returned by [`Directory::expire`] yet.
     ended: Vec<InstanceId>,
     primaries: HashMap<ServiceName, PrimaryBelief>,
@@ -180,10 +137,10 @@
         let service = instance.service.clone();
         let id = instance.id.clone();
         let role = instance.role;
-        match self.take_life(&id) {
+        match self.lives.announce(&id) {
             LifeNews::Former => return None,
             LifeNews::Later(ended) => self.end_life(&ended, &id),
-            LifeNews::Known | LifeNews::First => {}
+            LifeNews::Present => {}
         }
         let known = self.entries.get(&id);
         let previous = known.map(|entry| entry.instance.role);
@@ -257,21 +214,6 @@
         }
     }
 
-    /// Takes in which life of an instance is there.
-    fn take_life(&mut self, id: &InstanceId) -> LifeNews {
-        let Some(lives) = self.lives.get_mut(id.name()) else {
-            self.lives.insert(id.name().into(), Lives::new(id.clone()));
-            return LifeNews::First;
-        };
-        if lives.present == *id {
-            LifeNews::Known
-        } else if lives.former.contains(id) {
-            LifeNews::Former
-        } else {
-            LifeNews::Later(lives.begin(id))
-        }
-    }
-
     /// A life of an instance has ended, and another one has begun. Neither is believed to
     /// lead for what it announces.
     fn end_life(&mut self, ended: &InstanceId, begun: &InstanceId) {
@@ -299,8 +241,7 @@
 
     /// The present life of the instance with a name is no longer listed.
     pub fn vanish_by_name(&mut self, name: &str, now: Instant) {
-        if let Some(lives) = self.lives.get(name) {
-            let present = lives.present.clone();
+        if let Some(present) = self.lives.present(name).cloned() {
             self.vanish(&present, now);
         }
     }
@@ -380,7 +321,7 @@
             .collect();
         for id in &gone {
             self.remove(id);
-            self.lives.remove(id.name());
+            self.lives.forget(id.name());
             for belief in self.primaries.values_mut() {
                 if belief.current.as_ref() == Some(id) {
                     belief.current = None;
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod instance;
 pub mod listing;
+pub mod lives;
 pub mod owners;
 pub mod permission;
 pub mod placement;
