Have an old primary lead again where its successor cannot

Cause: a hand-over tells the old primary to step down and then orders the promotion. A successor that ended in between refused the order; the old primary was left as a replica, and nobody led until the instances' list was settled and all nodes had agreed that none leads. Ruled out: load alone (the node answered every question in milliseconds).

Change: where the order was certainly not carried out, or a misplaced primary's successor lacks what it had, the old one is ordered to lead again under a claim of its own, if its term is still the newest. The mark of an order in the lease's row is settled before, since another order would wait for it where nobody checks tokens.

--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -61,13 +61,22 @@
     }
 }
 
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OrderEnd {
+    /// It was not sent, or was refused.
+    NotCarriedOut,
+    /// It was taken, or may have been.
+    MayBeCarriedOut,
+}
+
 /// Orders a promotion, and waits until the successor leads.
 pub(super) async fn order<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     service: &ServiceName,
     successor: &InstanceStatus,
     mut grounds: Grounds,
-) {
+) -> OrderEnd {
     let Some(claim) = prepare_order(
         gateway,
         service,
@@ -76,12 +85,14 @@
     )
     .await
     else {
-        return grounds.give_up(gateway, service, "lease_lost").await;
+        grounds.give_up(gateway, service, "lease_lost").await;
+        return OrderEnd::NotCarriedOut;
     };
     grounds.claim = claim;
     let order_by = grounds.order_by();
     if Instant::now() >= order_by {
-        return grounds.give_up(gateway, service, "too_late").await;
+        grounds.give_up(gateway, service, "too_late").await;
+        return OrderEnd::NotCarriedOut;
     }
     let lease = &grounds.claim.lease;
     let order = PromoteOrder {
@@ -100,27 +111,30 @@
     log_order(&order, successor.received, &grounds, answer, started);
     let is_settled =
         answer != PromoteAnswer::Unknown && gateway.leases.answered(service, order.token);
-    if is_settled && grounds.claim.lease.ordered_at.is_some() {
-        // Others need not wait for it.
-        tokio::spawn(settle_order(
-            gateway.clone(),
-            service.clone(),
-            grounds.claim.lease.clone(),
-        ));
-    }
-    match answer {
+    // Others need not wait for it, nor this node if it orders another one.
+    let ordered = grounds.claim.lease.clone();
+    let settling = (is_settled && ordered.ordered_at.is_some())
+        .then(|| tokio::spawn(settle_order(gateway.clone(), service.clone(), ordered)));
+    let given_up = match answer {
         PromoteAnswer::Accepted | PromoteAnswer::Unknown => {
             await_lead(gateway, service, &successor.id).await;
+            return OrderEnd::MayBeCarriedOut;
         }
         PromoteAnswer::Refused => {
             // A newer token may have been seen: this one is not used without the
             // store again.
             gateway.leases.lost(service);
-            grounds.give_up(gateway, service, "refused").await;
+            "refused"
         }
-        PromoteAnswer::Throttled => grounds.give_up(gateway, service, "throttled").await,
-        PromoteAnswer::NotSent => grounds.give_up(gateway, service, "too_late").await,
+        PromoteAnswer::Throttled => "throttled",
+        PromoteAnswer::NotSent => "too_late",
+    };
+    grounds.give_up(gateway, service, given_up).await;
+    if let Some(settling) = settling {
+        // One that failed leaves the row as it was: the next claim waits for it.
+        let _ = settling.await;
     }
+    OrderEnd::NotCarriedOut
 }
 
 fn log_order(
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -14,7 +14,7 @@
 
 use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced};
 use super::lease::{Claim, claim};
-use super::order::{Grounds, order};
+use super::order::{Grounds, OrderEnd, order};
 use super::{Trouble, is_still_subject};
 use crate::gateway::Gateway;
 use crate::ports::Platform;
@@ -60,28 +60,94 @@
     let Some(claimed) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
-    let prepared = match trouble {
+    let grounds = |claim, agreement| Grounds {
+        trouble,
+        claim,
+        agreement,
+    };
+    match trouble {
         Trouble::Leaving | Trouble::Misplaced => {
-            let caught_up = hand_over(gateway, &situation, &successor.status, trouble).await;
-            caught_up.map(|caught_up| (caught_up, claimed, None))
+            let grounds = grounds(claimed, None);
+            switch_over(gateway, &situation, &successor.status, grounds).await;
         }
         Trouble::Lost | Trouble::Unknown => {
             let agreed = agree(gateway, trouble, &situation, claimed).await;
-            agreed.map(|(claimed, agreement)| (successor.status, claimed, Some(agreement)))
+            let Some((claimed, agreement)) = agreed else {
+                return;
+            };
+            let grounds = grounds(claimed, Some(agreement));
+            if !is_still_subject(gateway, service, subject) {
+                return grounds.give_up(gateway, service, "primary_changed").await;
+            }
+            order(gateway, service, &successor.status, grounds).await;
         }
+    }
+}
+
+/// Ends the term of a primary that still serves and has its successor lead; or has the old
+/// one lead again if the successor cannot.
+async fn switch_over<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    situation: &Situation,
+    successor: &InstanceStatus,
+    grounds: Grounds,
+) {
+    let (Some(old), Some(instance)) = (&situation.old, gateway.beliefs.instance(&successor.id))
+    else {
+        return;
+    };
+    let trouble = grounds.trouble;
+    let Some(ended) = end_term(gateway, situation, old, successor, trouble).await else {
+        return;
+    };
+    let service = &situation.service;
+    let caught_up = catch_up(gateway, &instance, successor, &ended, trouble).await;
+    if !is_still_subject(gateway, service, Some(&old.id)) {
+        return grounds.give_up(gateway, service, "primary_changed").await;
+    }
+    let end = match caught_up {
+        Some(caught_up) => order(gateway, service, &caught_up, grounds).await,
+        None => OrderEnd::NotCarriedOut,
+    };
+    if end == OrderEnd::NotCarriedOut {
+        lead_again(gateway, old, &ended, trouble).await;
+    }
+}
+
+/// Has an old primary lead again that stepped down for a successor which does not lead. A
+/// service whose successor ended just then had no primary for 2.5 s, until the nodes had
+/// agreed that none leads.
+async fn lead_again<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    old: &Arc<Instance>,
+    ended: &InstanceStatus,
+    trouble: Trouble,
+) {
+    let Some(present) = survey::status(gateway, old).await else {
+        return;
     };
-    let Some((chosen, claim, agreement)) = prepared else {
+    // Its term is newer if somebody else has ordered a promotion since.
+    if present.role == Role::Primary || present.term != ended.term {
+        return;
+    }
+    let service = &old.service;
+    Event::info("hand_over_undone")
+        .field("service", service)
+        .field("old", &old.id)
+        .field("term", present.term)
+        .log();
+    let Some(claim) = claim(gateway, service, &old.id).await else {
         return;
     };
     let grounds = Grounds {
         trouble,
         claim,
-        agreement,
+        agreement: None,
     };
-    if !is_still_subject(gateway, service, subject) {
+    if !is_still_subject(gateway, service, None) {
         return grounds.give_up(gateway, service, "primary_changed").await;
     }
-    order(gateway, service, &chosen, grounds).await;
+    order(gateway, service, &present, grounds).await;
 }
 
 /// Has all nodes agree, and those that cannot be asked stop; with the claim under which
@@ -236,17 +302,15 @@
     status.role == Role::Primary && Some(status.term) >= newest
 }
 
-/// Ends the term of a primary that leaves, or is misplaced, and waits until the successor has
-/// everything that it had, so that no commit is rolled back. `None` if that is
-/// not possible yet.
-async fn hand_over<P: Platform>(
+/// Ends the term of a primary that leaves, or is misplaced; what it says afterwards. `None`
+/// if that is not possible yet.
+async fn end_term<P: Platform>(
     gateway: &Gateway<P>,
     situation: &Situation,
+    old: &Arc<Instance>,
     successor: &InstanceStatus,
     trouble: Trouble,
 ) -> Option<InstanceStatus> {
-    let old = situation.old.as_ref()?;
-    let instance = gateway.beliefs.instance(&successor.id)?;
     let present = survey::status(gateway, old).await?;
     // A node that stood still during another's hand-over did it once more when it woke,
     // from the old primary's log: 3 to 5 commits of the new one were undone.
@@ -265,34 +329,46 @@
     let drain = gateway.settings.drain;
     if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
         Event::info("hand_over_postponed")
-            .field("service", &old.service)
+            .field("service", &situation.service)
             .field("position", present.received)
             .field("successor_position", successor.received)
             .log();
         return None;
     }
     let term = Term(successor.term.max(present.term).0 + 1);
-    let last = survey::step_down(gateway, old, term).await?;
+    let ended = survey::step_down(gateway, old, term).await?;
     gateway.beliefs.deny_primary(&old.id);
+    Some(ended)
+}
+
+/// Waits until a successor has everything that the old primary had, so that no commit is
+/// rolled back; what it says then. `None` if it has not, and the old primary may as well
+/// lead again.
+async fn catch_up<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+    successor: &InstanceStatus,
+    ended: &InstanceStatus,
+    trouble: Trouble,
+) -> Option<InstanceStatus> {
     let limit = match trouble {
         Trouble::Misplaced => MISPLACED_CATCH_UP_TIMEOUT,
         Trouble::Unknown | Trouble::Lost | Trouble::Leaving => CATCH_UP_TIMEOUT,
     };
     let deadline = Instant::now() + limit;
     let mut latest = successor.clone();
-    while latest.received < last.received && Instant::now() < deadline {
+    while latest.received < ended.received && Instant::now() < deadline {
         sleep(CATCH_UP_PAUSE).await;
-        latest = survey::status(gateway, &instance).await.unwrap_or(latest);
+        latest = survey::status(gateway, instance).await.unwrap_or(latest);
     }
     Event::info("primary_stepped_down")
-        .field("service", &old.service)
-        .field("old", &old.id)
-        .field("position", last.received)
+        .field("service", &instance.service)
+        .field("old", &ended.id)
+        .field("position", ended.received)
         .field("successor", &successor.id)
         .field("successor_position", latest.received)
         .log();
-    // The old one lives and keeps what the successor lacks: whoever has received
-    // most leads next, which may be the old one again.
-    let undoes = trouble == Trouble::Misplaced && latest.received < last.received;
+    // A leaving one is replaced all the same: it may be gone before it could lead again.
+    let undoes = trouble == Trouble::Misplaced && latest.received < ended.received;
     (!undoes).then_some(latest)
 }
