--- /dev/null
+++ b/crates/linkhold-peer/src/feed/mod.rs
@@ -0,0 +1,196 @@
+//! Streams between nodes: what a node that reads the store tells those that
+//! follow it, and the opening of a connection that one relays for another.
+//!
+//! Messages are framed on a stream by their length; see [`MAX_FEED_MESSAGE`].
+
+mod configuration;
+mod fleet;
+mod instances;
+mod message;
+mod position;
+
+use std::time::Duration;
+
+use linkhold_core::service::evacuation::ZoneName;
+use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::store_place::StorePlace;
+use minicbor::{Decode, Encode};
+
+use crate::packing::{pack, unpack};
+use crate::{PeerError, PeerKey, milliseconds};
+use configuration::{WireConfiguration, configuration_from_wire, configuration_to_wire};
+use fleet::{
+    WireClaim, WireFleet, WireNode, claim_from_wire, claim_to_wire, node_from_wire, node_to_wire,
+    nodes_from_wire,
+};
+use instances::{WireInstance, instances_from_wire, instances_to_wire};
+use position::{WirePosition, position_from_wire, position_to_wire};
+
+pub use message::{
+    EvidenceAnswer, EvidenceQuestion, FeedEvacuations, FeedFleet, FeedInstanceChanges,
+    FeedInstances, FeedMessage, FeedNode,
+};
+
+/// Longest message, in bytes.
+pub const MAX_FEED_MESSAGE: usize = 8 * 1024 * 1024;
+
+#[derive(Encode, Decode)]
+enum WireMessage {
+    #[n(0)]
+    Subscribe,
+    #[n(1)]
+    Configuration(#[n(0)] WireConfiguration),
+    #[n(2)]
+    Instances(#[n(0)] u64, #[n(1)] Vec<WireInstance>),
+    #[n(3)]
+    Fleet(#[n(0)] WireFleet),
+    #[n(4)]
+    Beat(#[n(0)] u64),
+    #[n(5)]
+    Renewal(#[n(0)] WireNode, #[n(1)] Option<u64>),
+    #[n(6)]
+    Relay(#[n(0)] String),
+    #[n(7)]
+    Relayed,
+    #[n(10)]
+    Forward,
+    #[n(11)]
+    Leaving,
+    #[n(12)]
+    InstanceChanges(#[n(0)] u64, #[n(1)] Vec<WireInstance>, #[n(2)] Vec<String>),
+    #[n(13)]
+    Evacuations(#[n(0)] u64, #[n(1)] Vec<String>),
+    #[n(14)]
+    Listed(#[n(0)] u64, #[n(1)] Option<Vec<WireClaim>>),
+    #[n(15)]
+    Confirmed(#[n(0)] u64, #[n(1)] Vec<String>),
+    #[n(8)]
+    EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
+    #[n(9)]
+    EvidenceAnswer(#[n(0)] u64, #[n(1)] u64, #[n(2)] Option<WirePosition>),
+}
+
+/// Encodes a message, without its length.
+pub fn encode_feed(message: &FeedMessage, key: &PeerKey) -> Vec<u8> {
+    let wire = to_wire(message);
+    let body = minicbor::to_vec(&wire).expect("encoding to a vector does not fail");
+    key.seal(&pack(&body))
+}
+
+/// Decodes a message.
+pub fn decode_feed(bytes: &[u8], key: &PeerKey) -> Result<FeedMessage, PeerError> {
+    let body = unpack(key.open(bytes, MAX_FEED_MESSAGE)?, MAX_FEED_MESSAGE)?;
+    let wire: WireMessage = minicbor::decode(&body).map_err(|_| PeerError::Malformed)?;
+    from_wire(wire).ok_or(PeerError::Malformed)
+}
+
+fn to_wire(message: &FeedMessage) -> WireMessage {
+    match message {
+        FeedMessage::Subscribe => WireMessage::Subscribe,
+        FeedMessage::Renewal { node, number } => WireMessage::Renewal(node_to_wire(node), *number),
+        FeedMessage::Listed { number, claims } => {
+            let claims = claims
+                .as_ref()
+                .map(|claims| claims.iter().map(claim_to_wire).collect());
+            WireMessage::Listed(*number, claims)
+        }
+        FeedMessage::Confirmed { number, agreed } => {
+            WireMessage::Confirmed(*number, agreed.clone())
+        }
+        FeedMessage::Relay(id) => WireMessage::Relay(id.0.to_string()),
+        FeedMessage::Leaving => WireMessage::Leaving,
+        FeedMessage::Relayed => WireMessage::Relayed,
+        FeedMessage::Forward => WireMessage::Forward,
+        FeedMessage::EvidenceQuestion(question) => WireMessage::EvidenceQuestion(
+            question.number,
+            question.service.to_string(),
+            milliseconds(question.max_age),
+        ),
+        FeedMessage::EvidenceAnswer(answer) => WireMessage::EvidenceAnswer(
+            answer.number,
+            milliseconds(answer.age),
+            answer.position.map(position_to_wire),
+        ),
+        FeedMessage::Configuration(configuration) => {
+            WireMessage::Configuration(configuration_to_wire(configuration))
+        }
+        FeedMessage::Evacuations(known) => WireMessage::Evacuations(
+            known.place.to_bits(),
+            known.zones.iter().map(ToString::to_string).collect(),
+        ),
+        FeedMessage::Instances(known) => {
+            WireMessage::Instances(known.place.to_bits(), instances_to_wire(&known.instances))
+        }
+        FeedMessage::InstanceChanges(changes) => WireMessage::InstanceChanges(
+            changes.place.to_bits(),
+            instances_to_wire(&changes.changed),
+            changes.gone.iter().map(ToString::to_string).collect(),
+        ),
+        FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
+            size: fleet.size as u64,
+            readers: fleet.readers.iter().map(node_to_wire).collect(),
+            nodes: fleet.nodes.iter().map(node_to_wire).collect(),
+        }),
+        FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
+    }
+}
+
+fn from_wire(wire: WireMessage) -> Option<FeedMessage> {
+    Some(match wire {
+        WireMessage::Subscribe => FeedMessage::Subscribe,
+        WireMessage::Renewal(wire, number) => FeedMessage::Renewal {
+            node: node_from_wire(wire)?,
+            number,
+        },
+        WireMessage::Listed(number, claims) => FeedMessage::Listed {
+            number,
+            claims: claims.map(|claims| claims.into_iter().map(claim_from_wire).collect()),
+        },
+        WireMessage::Confirmed(number, agreed) => FeedMessage::Confirmed { number, agreed },
+        WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
+        WireMessage::Leaving => FeedMessage::Leaving,
+        WireMessage::Relayed => FeedMessage::Relayed,
+        WireMessage::Forward => FeedMessage::Forward,
+        WireMessage::EvidenceQuestion(number, service, max_age) => {
+            FeedMessage::EvidenceQuestion(EvidenceQuestion {
+                number,
+                service: service.into(),
+                max_age: Duration::from_millis(max_age),
+            })
+        }
+        WireMessage::EvidenceAnswer(number, age, position) => {
+            FeedMessage::EvidenceAnswer(EvidenceAnswer {
+                number,
+                age: Duration::from_millis(age),
+                position: position.map(position_from_wire),
+            })
+        }
+        WireMessage::Configuration(wire) => {
+            FeedMessage::Configuration(configuration_from_wire(wire)?)
+        }
+        WireMessage::Evacuations(place, zones) => FeedMessage::Evacuations(FeedEvacuations {
+            place: StorePlace::from_bits(place),
+            zones: zones.into_iter().map(ZoneName::from).collect(),
+        }),
+        WireMessage::Instances(place, wire) => FeedMessage::Instances(FeedInstances {
+            place: StorePlace::from_bits(place),
+            instances: instances_from_wire(wire)?,
+        }),
+        WireMessage::InstanceChanges(place, changed, gone) => {
+            let gone = gone.into_iter().map(|id| InstanceId(id.into()));
+            FeedMessage::InstanceChanges(FeedInstanceChanges {
+                place: StorePlace::from_bits(place),
+                changed: instances_from_wire(changed)?,
+                gone: gone.collect(),
+            })
+        }
+        WireMessage::Fleet(wire) => FeedMessage::Fleet(FeedFleet {
+            size: wire.size as usize,
+            readers: nodes_from_wire(wire.readers)?,
+            nodes: nodes_from_wire(wire.nodes)?,
+        }),
+        WireMessage::Beat(age) => FeedMessage::Beat {
+            age: Duration::from_millis(age),
+        },
+    })
+}
