Put the way of a request into one folder, and a try into four modules

Statement, marks, try, batch, conversation, answers of primaries and transaction stood among fifty modules of the crate's root; `request/` holds them now, with a page that says in which order a request passes them. What proves things about instances stands in `evidence/`.

No behaviour is changed; the tests pass as they were.

--- a/crates/linkhold-gateway/src/evidence/lead_proof.rs
+++ b/crates/linkhold-gateway/src/evidence/lead_proof.rs
@@ -11,9 +11,9 @@
 use linkhold_core::service::instance::Instance;
 use linkhold_events::Event;
 
+use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
-use crate::survey;
 
 /// Asks the instances of a service for their terms, unless the lead of `primary` is proved.
 /// One that follows an older term than another is not believed to lead any more.
--- a/crates/linkhold-gateway/src/evidence/probe.rs
+++ b/crates/linkhold-gateway/src/evidence/probe.rs
@@ -16,13 +16,13 @@
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::timeout_at;
 
+use crate::evidence::lead_proof;
+use crate::evidence::sharing;
 use crate::forward;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
-use crate::lead_proof;
 use crate::ports::{BackendConnection, BackendErrorKind, Command, Platform};
-use crate::principal::Principal;
-use crate::shared_evidence;
+use crate::request::principal::Principal;
 
 /// How long one question may take.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(600);
@@ -67,7 +67,7 @@
         let shared = if owns_primary(&gateway, &service) {
             None
         } else {
-            shared_evidence::ask_reader(&gateway, &service, moment).await
+            sharing::ask_reader(&gateway, &service, moment).await
         };
         match shared {
             Some(sample) => gateway.beliefs.record_evidence(&service, sample),
--- a/crates/linkhold-gateway/src/evidence/sharing.rs
+++ b/crates/linkhold-gateway/src/evidence/sharing.rs
@@ -16,7 +16,7 @@
 use linkhold_peer::{EvidenceAnswer, EvidenceQuestion};
 use tokio::time::timeout;
 
-use crate::evidence_probe;
+use crate::evidence::probe;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
@@ -63,7 +63,7 @@
         .checked_sub(question.max_age)
         .unwrap_or(received_at);
     let deadline = received_at + ANSWER_TIMEOUT;
-    let covered = evidence_probe::fence(gateway, &question.service, moment, deadline).await;
+    let covered = probe::fence(gateway, &question.service, moment, deadline).await;
     let newest = covered.and_then(|_| gateway.beliefs.latest_sample(&question.service));
     let age = newest.map_or(Duration::ZERO, |sample| age_at(received_at, sample.sent_at));
     EvidenceAnswer {
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -13,11 +13,11 @@
 
 use super::Trouble;
 use super::promotion::Situation;
+use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::peers::{self, Audience};
 use crate::ports::Platform;
 use crate::state::RelayPeer;
-use crate::survey;
 
 /// What is wrong with the primary; `None` if nothing is, or if it cannot be
 /// told yet.
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -15,9 +15,9 @@
 use super::Trouble;
 use super::diagnosis::Agreement;
 use super::lease::{Claim, prepare_order, settle_order};
+use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
-use crate::survey;
 
 /// How long a successor may take to lead after the order was accepted.
 const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -16,9 +16,9 @@
 use super::lease::{Claim, claim};
 use super::order::{Grounds, OrderEnd, order};
 use super::{Trouble, is_still_subject};
+use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
-use crate::survey;
 
 /// How long replicas may take to receive what a primary that stepped down had.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -13,10 +13,10 @@
 
 use super::frames::{FLEET_INTERVAL, InstanceSnapshot};
 use super::framing::{read_message, write_frame, write_message};
+use crate::evidence::sharing;
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
-use crate::shared_evidence;
 
 /// How often a reader says that it lives.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -122,7 +122,7 @@
     writing: SharedWriter,
     key: PeerKey,
 ) {
-    let answer = shared_evidence::answer(&gateway, &question, received_at).await;
+    let answer = sharing::answer(&gateway, &question, received_at).await;
     let message = FeedMessage::EvidenceAnswer(answer);
     // A follower that is gone needs no answer; `tell` finds out.
     let _ = write_message(&mut *writing.lock().await, &message, &key).await;
--- a/crates/linkhold-gateway/src/forward/mod.rs
+++ b/crates/linkhold-gateway/src/forward/mod.rs
@@ -3,7 +3,7 @@
 //! Where few nodes own the connections to an instance
 //! ([`linkhold_core::service::owners`]), a node that is none of them has an
 //! owner make the whole try: take a connection, bring it to the session's state,
-//! run the statement. The owner runs the same code ([`crate::attempt`]) as for
+//! run the statement. The owner runs the same code ([`crate::request::attempt`]) as for
 //! its own callers and tells how the try ended; what is tried again, and what a
 //! caller is told, is decided by the node that the caller is connected to.
 //!
@@ -34,13 +34,13 @@
 use linkhold_events::Event;
 use linkhold_peer::{ForwardMessage, ForwardOutcome, ForwardStatement, milliseconds};
 
-use crate::attempt::{Answer, Attempt, Bounds, Held, NotRunCause};
-use crate::batch::{Frame, Work};
-use crate::conversation::InFlight;
 use crate::gateway::Gateway;
 use crate::owners::{InstanceOwners, PermittedOwners};
 use crate::ports::{BackendErrorKind, Platform};
-use crate::principal::Principal;
+use crate::request::attempt::{Answer, Attempt, Bounds, Held, NotRunCause};
+use crate::request::batch::{Frame, Work};
+use crate::request::conversation::InFlight;
+use crate::request::principal::Principal;
 
 use link::{CallFailure, Link};
 pub(crate) use owner::serve;
--- a/crates/linkhold-gateway/src/forward/owner.rs
+++ b/crates/linkhold-gateway/src/forward/owner.rs
@@ -21,17 +21,17 @@
 
 use super::link::read_forward;
 use super::{session_values, translate};
-use crate::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause};
-use crate::batch::{Frame, Work};
 use crate::beliefs::lock;
+use crate::evidence::sharing;
 use crate::feed::framing::framed;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
 use crate::ports::Platform;
-use crate::principal::Principal;
-use crate::shared_evidence;
-use crate::transaction::roll_back;
+use crate::request::attempt::{self, Answer, Attempt, Bounds, ConnectionOf, Held, NotRunCause};
+use crate::request::batch::{Frame, Work};
+use crate::request::principal::Principal;
+use crate::request::transaction::roll_back;
 
 /// How long the asking node may take to take in an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -157,7 +157,7 @@
             let outbox = lent.outbox.clone();
             let received_at = Instant::now();
             tokio::spawn(async move {
-                let answer = shared_evidence::answer(&gateway, &question, received_at).await;
+                let answer = sharing::answer(&gateway, &question, received_at).await;
                 // Whoever asked may be gone.
                 let _ = outbox.send(ForwardMessage::EvidenceAnswer {
                     number,
--- a/crates/linkhold-gateway/src/forward/translate.rs
+++ b/crates/linkhold-gateway/src/forward/translate.rs
@@ -11,8 +11,8 @@
 };
 use minicbor::bytes::ByteVec;
 
-use crate::batch::{Frame, Work};
 use crate::ports::{BackendErrorKind, BackendOutcome, BackendReply};
+use crate::request::batch::{Frame, Work};
 
 fn pack(bytes: &Bytes) -> ByteVec {
     bytes.to_vec().into()
--- a/crates/linkhold-gateway/src/owners.rs
+++ b/crates/linkhold-gateway/src/owners.rs
@@ -14,7 +14,7 @@
 
 use crate::beliefs::lock;
 use crate::places::Places;
-use crate::principal::Principal;
+use crate::request::principal::Principal;
 
 /// The owners of one instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -28,10 +28,10 @@
 
 use crate::admission::{self, Asker, BudgetAnswer, BudgetRequest};
 use crate::confirmation;
+use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 use crate::state::{Confirmation, PeerAnswer};
-use crate::survey;
 
 pub(crate) use questions::{Audience, ask, release, send};
 
--- a/crates/linkhold-gateway/src/pool/mod.rs
+++ b/crates/linkhold-gateway/src/pool/mod.rs
@@ -33,7 +33,7 @@
 use crate::beliefs::lock;
 use crate::gate::{Gate, Urgency};
 use crate::ports::{BackendConnection, ConnectError};
-use crate::principal::Principal;
+use crate::request::principal::Principal;
 
 pub use lease::Lease;
 pub(crate) use opener::{Connected, LONGEST_REUSE, Opener};
--- a/crates/linkhold-gateway/src/relay.rs
+++ b/crates/linkhold-gateway/src/relay.rs
@@ -33,11 +33,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::evidence::survey;
 use crate::feed::framing::{read_message, write_message};
 use crate::gateway::Gateway;
 use crate::pool::{Connected, Opener};
 use crate::ports::{BackendConnector, ConnectError, Platform};
-use crate::survey;
 
 /// How long a peer may take to connect to the instance and say so.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/linkhold-gateway/src/request/attempt/exchange.rs
@@ -0,0 +1,195 @@
+//! Sends a statement on a connection of this node's own.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linkhold_core::service::eligibility::{Engagement, Ineligible};
+use linkhold_core::service::session::TransactionStatus;
+use linkhold_events::Event;
+
+use super::ending::{answered, broken};
+use super::{Attempt, BeginReply, ConnectionOf, NotRunCause};
+use crate::gateway::Gateway;
+use crate::pool::Lease;
+use crate::ports::{BackendConnection, BackendErrorKind, Platform};
+use crate::request::batch::{self, Batch, Frame, Work};
+use crate::request::conversation::{Conversation, converse};
+use crate::request::primary_answer::{may_tell, speaks_for_primary};
+use crate::request::principal::Principal;
+
+/// Runs `work` on a connection of this node's own that is held. Whatever a caller
+/// asks is sent to an instance here and nowhere else, so this is where it is looked
+/// once more whether it may be.
+pub(crate) async fn run_on_own<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut lease: Lease<ConnectionOf<P>>,
+    principal: Principal<'_>,
+    work: &Work,
+    frame: Frame,
+    answer_by: Instant,
+) -> Attempt<P> {
+    if is_withheld(gateway, &lease) {
+        // The connection is closed, which undoes what is open on it.
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
+    if let Err(reason) = may_send(gateway, &lease, principal) {
+        return ineligible(work, &lease, reason);
+    }
+    let batch = batch::build(lease.pooled(), principal.values, work, frame);
+    let mut begin = None;
+    if !batch.setup.is_empty() {
+        (lease, begin) = match set_up(gateway, lease, &batch, answer_by).await {
+            Ok(prepared) => prepared,
+            Err(attempt) => return attempt,
+        };
+    }
+    let opened_at = lease.opened_at();
+    gateway.prove_warm(lease.instance(), opened_at).await;
+    // Preparing the connection may have taken its time.
+    if let Err(reason) = may_send(gateway, &lease, principal) {
+        return ineligible(work, &lease, reason);
+    }
+    let is_urgent = work.may_commit() || frame == Frame::Inside;
+    if let Err(after) = gateway.admit_to_instance(lease.instance(), opened_at, is_urgent) {
+        return held_off(lease, frame, after);
+    }
+    let sent_at = Instant::now();
+    let needs_permission = speaks_for_primary(gateway, lease.instance(), work, frame);
+    // Whoever may have been left out when the primary was replaced acknowledged 20
+    // commits of the old one in a cut of 26 s.
+    if needs_permission && !gateway.beliefs.may_speak_for(lease.instance(), sent_at) {
+        return Attempt::NotRun(NotRunCause::Unreachable);
+    }
+    let service = &lease.instance().service;
+    let proved = needs_permission.then(|| gateway.beliefs.newest_position(service));
+    match converse(gateway, &mut lease, &batch.commands, answer_by).await {
+        Conversation::Silent => {
+            log_unanswered(work, &lease, sent_at, "silent");
+            Attempt::TimedOut
+        }
+        Conversation::Broken(error) => {
+            log_unanswered(work, &lease, sent_at, "connection_lost");
+            broken(lease, &error, batch.main)
+        }
+        Conversation::Answered(replies)
+            if needs_permission
+                && !may_tell(gateway, lease.instance(), work, &replies, proved.flatten()) =>
+        {
+            log_unanswered(work, &lease, sent_at, "primary_may_be_replaced");
+            if work.may_commit() {
+                Attempt::Lost
+            } else {
+                // Nothing of a read is kept: it is told by whoever leads.
+                Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::ReadOnly))
+            }
+        }
+        Conversation::Answered(replies) => {
+            if frame == Frame::ProvingPrimary {
+                begin = Some((sent_at, replies[0].clone()));
+            }
+            answered(gateway, lease, &replies, batch.main, begin, sent_at)
+        }
+    }
+}
+
+/// Has a connection take over the session's state and start the transaction.
+/// Nothing of the statement is sent before all of it was acknowledged.
+async fn set_up<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    mut lease: Lease<ConnectionOf<P>>,
+    batch: &Batch,
+    answer_by: Instant,
+) -> Result<(Lease<ConnectionOf<P>>, Option<BeginReply>), Attempt<P>> {
+    let sent_at = Instant::now();
+    let replies = match converse(gateway, &mut lease, &batch.setup, answer_by).await {
+        Conversation::Answered(replies) => replies,
+        Conversation::Broken(_) | Conversation::Silent => {
+            return Err(Attempt::NotRun(NotRunCause::Unreachable));
+        }
+    };
+    let Some(refused) = replies.iter().position(|reply| reply.error().is_some()) else {
+        let begin = replies.into_iter().next_back().filter(|_| batch.opens);
+        return Ok((lease, begin.map(|reply| (sent_at, reply))));
+    };
+    let kind = replies[refused].error().unwrap_or(BackendErrorKind::Ran);
+    let instance = lease.instance().clone();
+    let only_begin_failed = batch.opens && refused + 1 == batch.setup.len();
+    if only_begin_failed {
+        lease.pooled().needs_rollback = replies[refused].status != TransactionStatus::Idle;
+        lease.release();
+    } else {
+        // What was recorded as told to the connection is not true.
+        drop(lease);
+    }
+    gateway.note_refusal(&instance, kind);
+    Err(Attempt::NotRun(NotRunCause::Refused(kind)))
+}
+
+/// Whether a statement may be sent on a connection, as things stand now.
+fn may_send<P: Platform>(
+    gateway: &Gateway<P>,
+    lease: &Lease<ConnectionOf<P>>,
+    principal: Principal<'_>,
+) -> Result<(), Ineligible> {
+    if !lease.is_within(principal.regions) {
+        return Err(Ineligible::OutsideRegions);
+    }
+    let beliefs = &gateway.beliefs;
+    beliefs.eligibility(lease.instance(), principal.regions, Engagement::Bound)
+}
+
+/// A statement that may not be sent. The connection is closed, which undoes what
+/// is open on it.
+fn ineligible<P: Platform>(
+    work: &Work,
+    lease: &Lease<ConnectionOf<P>>,
+    reason: Ineligible,
+) -> Attempt<P> {
+    Event::info("statement_ineligible")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &lease.instance().id)
+        .field("zone", &lease.instance().zone)
+        .field("reason", reason)
+        .log();
+    Attempt::NotRun(NotRunCause::Ineligible(reason))
+}
+
+/// A statement that a cold instance has no room for. What is open on the
+/// connection is undone.
+fn held_off<P: Platform>(
+    mut lease: Lease<ConnectionOf<P>>,
+    frame: Frame,
+    after: Duration,
+) -> Attempt<P> {
+    match frame {
+        // Its transaction ends with the connection.
+        Frame::Inside => drop(lease),
+        Frame::Opening { .. } => {
+            lease.pooled().needs_rollback = true;
+            lease.release();
+        }
+        Frame::Bare { .. } | Frame::ProvingPrimary => lease.release(),
+    }
+    Attempt::NotRun(NotRunCause::WarmingUp(after))
+}
+
+/// Whether nothing that comes on a connection may be acknowledged, be it through a
+/// peer.
+fn is_withheld<P: Platform>(gateway: &Gateway<P>, lease: &Lease<ConnectionOf<P>>) -> bool {
+    gateway.beliefs.is_withheld(&lease.instance().id)
+}
+
+/// Logs a statement that was sent and got no whole answer.
+fn log_unanswered<C: BackendConnection>(
+    work: &Work,
+    lease: &Lease<C>,
+    sent_at: Instant,
+    reason: &'static str,
+) {
+    Event::warn("statement_unanswered")
+        .field("request", String::from_utf8_lossy(work.id()))
+        .field("instance", &lease.instance().id)
+        .field("reason", reason)
+        .field("waited_ms", sent_at.elapsed().as_millis())
+        .log();
+}
--- /dev/null
+++ b/crates/linkhold-gateway/src/request/attempt/held.rs
@@ -0,0 +1,69 @@
+//! Connections that are held for a session.
+
+use std::sync::Arc;
+
+use linkhold_core::service::instance::Instance;
+use linkhold_core::service::regions::AllowedRegions;
+use linkhold_core::service::session::TransactionStatus;
+
+use crate::forward::LentConnection;
+use crate::gateway::Gateway;
+use crate::pool::Lease;
+use crate::ports::{BackendConnection, BackendConnector, Platform};
+use crate::request::batch;
+
+/// The connection type of a platform.
+pub(crate) type ConnectionOf<P> = <P as BackendConnector>::Connection;
+
+/// A connection that is held for a session.
+pub(crate) enum Held<P: Platform> {
+    /// One of this node's own.
+    Own(Lease<ConnectionOf<P>>),
+    /// One that an owner holds for this node.
+    Lent(LentConnection),
+}
+
+impl<P: Platform> Held<P> {
+    /// The instance it leads to.
+    pub fn instance(&self) -> &Arc<Instance> {
+        match self {
+            Self::Own(lease) => lease.instance(),
+            Self::Lent(lent) => lent.instance(),
+        }
+    }
+
+    /// Whether neither its instance nor a node on the way to it stands outside the
+    /// allowed regions.
+    pub fn is_within(&self, gateway: &Gateway<P>, regions: &AllowedRegions) -> bool {
+        let permits_zone = |zone: &str| regions.permits(&gateway.settings.places.region(zone));
+        match self {
+            Self::Own(lease) => lease.is_within(regions) && permits_zone(&lease.instance().zone),
+            Self::Lent(lent) => {
+                let owner = gateway
+                    .fleet
+                    .region_of(lent.owner(), &gateway.settings.places);
+                let sees = owner.is_some_and(|region| regions.permits(&region));
+                (!regions.is_bound() || sees) && permits_zone(&lent.instance().zone)
+            }
+        }
+    }
+
+    /// Gives the connection back. What is still open on it in `status` is rolled
+    /// back before its next use.
+    pub fn finish(self, status: TransactionStatus) {
+        match self {
+            Self::Own(lease) => finish_own(lease, status),
+            Self::Lent(lent) => lent.release(),
+        }
+    }
+}
+
+/// Gives a connection of this node's own back, noting what its next user must
+/// undo first.
+pub(crate) fn finish_own<C: BackendConnection>(mut lease: Lease<C>, status: TransactionStatus) {
+    if batch::is_worn(lease.pooled()) {
+        return;
+    }
+    lease.pooled().needs_rollback = status != TransactionStatus::Idle;
+    lease.release();
+}
--- a/crates/linkhold-gateway/src/request/conversation.rs
+++ b/crates/linkhold-gateway/src/request/conversation.rs
@@ -7,10 +7,10 @@
 use linkhold_core::service::instance::Instance;
 use tokio::time::{sleep_until, timeout_at};
 
-use crate::attempt::ConnectionOf;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
 use crate::ports::{BackendConnection, BackendReply, Command, ExchangeError, Platform};
+use crate::request::attempt::ConnectionOf;
 
 /// Silence after which an instance is looked at, at the least.
 const LEAST_SILENCE: Duration = Duration::from_millis(220);
--- a/crates/linkhold-gateway/src/request/primary_answer.rs
+++ b/crates/linkhold-gateway/src/request/primary_answer.rs
@@ -5,10 +5,10 @@
 use linkhold_core::position::Position;
 use linkhold_core::service::instance::Instance;
 
-use crate::attempt::Attempt;
-use crate::batch::{Frame, Work};
 use crate::gateway::Gateway;
 use crate::ports::{BackendReply, Platform};
+use crate::request::attempt::Attempt;
+use crate::request::batch::{Frame, Work};
 
 /// Whether what an instance answered as a primary may be told: its log ends in no older
 /// term than is known and not before `proved`, up to which it was proved to reach when it
--- a/crates/linkhold-gateway/src/request/statement.rs
+++ b/crates/linkhold-gateway/src/request/statement.rs
@@ -24,14 +24,14 @@
 use linkhold_core::tenancy::ConnectionHolder;
 use tokio::time::{sleep, timeout_at};
 
-use crate::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
-use crate::batch::{Frame, Work};
-use crate::evidence_probe;
+use crate::evidence::probe;
 use crate::gate::Urgency;
 use crate::gateway::Gateway;
-use crate::marks::SessionMarks;
 use crate::ports::{BackendErrorKind, BackendReply, Platform};
-use crate::principal::Principal;
+use crate::request::attempt::{self, Answer, Attempt, Bounds, NotRunCause};
+use crate::request::batch::{Frame, Work};
+use crate::request::marks::SessionMarks;
+use crate::request::principal::Principal;
 
 /// Pause before an instance that was full is tried again; it doubles up to
 /// [`LONGEST_BUSY_PAUSE`].
@@ -370,10 +370,10 @@
         oldest
     };
     if rounds > 0 {
-        evidence_probe::ask_in_background(gateway, service, Instant::now());
+        probe::ask_in_background(gateway, service, Instant::now());
     }
     refresh_ahead(gateway, service, staleness);
-    let evidence = evidence_probe::fence(gateway, service, moment, unit.wait_until())
+    let evidence = probe::fence(gateway, service, moment, unit.wait_until())
         .await
         .ok_or(Failure::NotRun(NotRun::NoFreshInstance))?;
     if !reads_own_writes {
@@ -396,7 +396,7 @@
     if is_old {
         let moment = Instant::now().checked_sub(staleness / 2);
         let moment = moment.unwrap_or_else(Instant::now);
-        evidence_probe::ask_in_background(gateway, service, moment);
+        probe::ask_in_background(gateway, service, moment);
     }
 }
 
--- a/crates/linkhold-gateway/src/request/transaction.rs
+++ b/crates/linkhold-gateway/src/request/transaction.rs
@@ -21,12 +21,12 @@
 use linkhold_events::Event;
 use tokio::time::timeout;
 
-use crate::attempt::{self, Answer, Attempt, Held, NotRunCause};
-use crate::batch::Work;
 use crate::gateway::Gateway;
 use crate::pool::Lease;
 use crate::ports::{BackendConnection, BackendErrorKind, BackendReply, Command, Platform};
-use crate::principal::Principal;
+use crate::request::attempt::{self, Answer, Attempt, Held, NotRunCause};
+use crate::request::batch::Work;
+use crate::request::principal::Principal;
 
 /// How long an instance may take to roll back before the connection is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/linkhold-gateway/src/session/mod.rs
+++ b/crates/linkhold-gateway/src/session/mod.rs
@@ -17,12 +17,12 @@
 
 use crate::gateway::Gateway;
 use crate::lifecycle::Stage;
-use crate::marks::SessionMarks;
 use crate::ports::{
     CallerConnection, CallerError, CallerReply, CallerRequest, Platform, Startup, Statement,
 };
-use crate::statement::is_success;
-use crate::transaction::{OpenTransaction, log_aborted};
+use crate::request::marks::SessionMarks;
+use crate::request::statement::is_success;
+use crate::request::transaction::{OpenTransaction, log_aborted};
 use activity::Activity;
 
 /// The transaction of a session.
--- a/crates/linkhold-gateway/src/session/operations.rs
+++ b/crates/linkhold-gateway/src/session/operations.rs
@@ -11,13 +11,13 @@
 
 use super::{Session, Transaction};
 use crate::admission;
-use crate::attempt::Answer;
-use crate::batch::Work;
 use crate::ports::{
     BackendReply, CallerConnection, CallerReply, CallerRequest, Platform, Rejection, Statement,
 };
-use crate::statement::{self, Opening, Unit, is_success};
-use crate::transaction::{OpenTransaction, finish_alone};
+use crate::request::attempt::Answer;
+use crate::request::batch::Work;
+use crate::request::statement::{self, Opening, Unit, is_success};
+use crate::request::transaction::{OpenTransaction, finish_alone};
 
 impl<P: Platform, C: CallerConnection> Session<P, C> {
     /// Runs a statement; returns what its caller is told.
