Count the bytes that a reader sends its followers by what they tell

What a reader's link carries was one figure: at 300 nodes the busiest sent 1,556 kB a second, and no metric told of what. `linkhold_feed_bytes_total{kind}` does, and counters with a label are one type for it and the calls to the store.

--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -1,5 +1,6 @@
 //! A reader's side of the feed: it lists a follower and tells it everything.
 
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,10 +13,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::frames::{FLEET_INTERVAL, InstanceSnapshot};
-use super::framing::{read_message, write_frame, write_message};
+use super::framing::{frame, read_message, write_frame};
 use crate::evidence::sharing;
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
+use crate::metrics::FeedKind;
 use crate::ports::Platform;
 
 /// How often a reader says that it lives.
@@ -123,9 +125,24 @@
     key: PeerKey,
 ) {
     let answer = sharing::answer(&gateway, &question, received_at).await;
-    let message = FeedMessage::EvidenceAnswer(answer);
+    let answer = frame(&FeedMessage::EvidenceAnswer(answer), &key);
     // A follower that is gone needs no answer; `tell` finds out.
-    let _ = write_message(&mut *writing.lock().await, &message, &key).await;
+    let _ = send(&gateway, &writing, FeedKind::Evidence, &answer).await;
+}
+
+/// Sends a follower a message, and counts its bytes.
+async fn send<P: Platform>(
+    gateway: &Gateway<P>,
+    writing: &SharedWriter,
+    kind: FeedKind,
+    frame: &[u8],
+) -> io::Result<()> {
+    write_frame(&mut *writing.lock().await, frame).await?;
+    gateway
+        .metrics
+        .feed_bytes
+        .count_many(kind, frame.len() as u64);
+    Ok(())
 }
 
 /// Tells a follower everything as long as this node reads the store. A reader
@@ -153,24 +170,14 @@
             continue;
         }
         changes.mark_unchanged();
-        let news = if is_listed {
+        let mut frames = if is_listed {
             news(gateway, &mut told, key)
         } else {
             Vec::new()
         };
-        for frame in news {
-            if write_frame(&mut *writing.lock().await, &frame)
-                .await
-                .is_err()
-            {
-                return;
-            }
-        }
-        for message in about_permission(gateway, &arrival) {
-            if write_message(&mut *writing.lock().await, &message, key)
-                .await
-                .is_err()
-            {
+        frames.extend(about_permission(gateway, &arrival, key));
+        for (kind, frame) in frames {
+            if send(gateway, writing, kind, &frame).await.is_err() {
                 return;
             }
         }
@@ -179,10 +186,8 @@
         let beat = FeedMessage::Beat {
             age: age + as_of.elapsed(),
         };
-        if write_message(&mut *writing.lock().await, &beat, key)
-            .await
-            .is_err()
-        {
+        let beat = frame(&beat, key);
+        if send(gateway, writing, FeedKind::Beat, &beat).await.is_err() {
             return;
         }
         // Time passing is as good a reason to speak as a change.
@@ -225,7 +230,8 @@
 fn about_permission<P: Platform>(
     gateway: &Gateway<P>,
     arrival: &watch::Receiver<Option<Arrival>>,
-) -> Vec<FeedMessage> {
+    key: &PeerKey,
+) -> Vec<(FeedKind, Arc<[u8]>)> {
     let arrival = arrival.borrow();
     let Some(arrival) = &*arrival else {
         return Vec::new();
@@ -240,7 +246,10 @@
         number,
         agreed: gateway.beliefs.permission.agreed(),
     });
-    listed.into_iter().chain(confirmed).collect()
+    let messages = listed.into_iter().chain(confirmed);
+    messages
+        .map(|message| (FeedKind::Permission, frame(&message, key)))
+        .collect()
 }
 
 /// Whether this follower is to go to another reader of the region, which has
@@ -254,21 +263,27 @@
 }
 
 /// What a follower has not been told yet.
-fn news<P: Platform>(gateway: &Gateway<P>, told: &mut Told, key: &PeerKey) -> Vec<Arc<[u8]>> {
+fn news<P: Platform>(
+    gateway: &Gateway<P>,
+    told: &mut Told,
+    key: &PeerKey,
+) -> Vec<(FeedKind, Arc<[u8]>)> {
     let frames = &gateway.feed_frames;
     let mut news = Vec::new();
     // None at all is what a follower starts with, unless another reader told it some.
     let (evacuated, as_of) = gateway.beliefs.evacuations();
     let has_told = told.revision.is_some();
     if evacuated != told.evacuated || !has_told && as_of != StorePlace::default() {
-        news.push(frames.evacuations(&evacuated, as_of, key));
+        let frame = frames.evacuations(&evacuated, as_of, key);
+        news.push((FeedKind::Evacuations, frame));
         told.evacuated = evacuated;
     }
     if let Some(configuration) = gateway.beliefs.configuration()
         && configuration.version > told.version
     {
         told.version = configuration.version;
-        news.push(frames.configuration(&configuration, key));
+        let frame = frames.configuration(&configuration, key);
+        news.push((FeedKind::Configuration, frame));
     }
     let revision = gateway.beliefs.lists_revision();
     if told.revision != Some(revision) {
@@ -276,7 +291,7 @@
         let (present, frame) =
             frames.instances(revision, told.instances.as_ref(), &gateway.beliefs, key);
         told.instances = Some(present);
-        news.extend(frame);
+        news.extend(frame.map(|frame| (FeedKind::Instances, frame)));
     }
     if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL)
         && let Some(frame) = frames.fleet(&gateway.fleet, key)
@@ -284,7 +299,7 @@
         told.fleet_at = Some(Instant::now());
         if told.fleet.as_ref() != Some(&frame) {
             told.fleet = Some(frame.clone());
-            news.push(frame);
+            news.push((FeedKind::Fleet, frame));
         }
     }
     news
--- a/crates/linkhold-gateway/src/metrics.rs
+++ b/crates/linkhold-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms, told as text.
 
 use std::fmt::Write;
+use std::marker::PhantomData;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use hdrhistogram::Histogram;
 
 use crate::beliefs::lock;
-use crate::store_call::{CallReason, REASONS};
+use crate::store_call::CallReason;
 
 /// Longest time the histogram tells apart, in microseconds.
 const LONGEST_MICROSECONDS: u64 = 60_000_000;
@@ -25,32 +26,97 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts several.
+    pub fn add_many(&self, count: u64) {
+        self.0.fetch_add(count, Ordering::Relaxed);
+    }
+
     /// The number.
     pub fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 }
 
-/// Counts calls to the store by reason.
-#[derive(Debug, Default)]
-pub struct StoreCalls {
-    counters: [Counter; REASONS.len()],
+/// What tells counters of one name apart.
+pub trait Label: Copy + 'static {
+    /// How metrics name each, in the order of [`Label::index`].
+    const NAMES: &'static [&'static str];
+
+    /// Its place among the names.
+    fn index(self) -> usize;
 }
 
-impl StoreCalls {
-    /// Counts a call.
-    pub fn count(&self, reason: CallReason) {
-        // Reasons are declared in the order of the table.
-        self.counters[reason as usize].add();
+/// One counter for each value of a label.
+#[derive(Debug)]
+pub struct CountersBy<L: Label> {
+    counters: Vec<Counter>,
+    label: PhantomData<L>,
+}
+
+impl<L: Label> Default for CountersBy<L> {
+    fn default() -> Self {
+        Self {
+            counters: L::NAMES.iter().map(|_| Counter::default()).collect(),
+            label: PhantomData,
+        }
+    }
+}
+
+impl<L: Label> CountersBy<L> {
+    /// Counts one.
+    pub fn count(&self, label: L) {
+        self.counters[label.index()].add();
     }
 
-    /// Each reason and the calls made for it.
-    pub fn totals(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        let counters = self.counters.iter();
-        REASONS
-            .iter()
-            .zip(counters)
-            .map(|((_, name), counter)| (*name, counter.get()))
+    /// Counts several.
+    pub fn count_many(&self, label: L, count: u64) {
+        self.counters[label.index()].add_many(count);
+    }
+
+    fn render(&self, text: &mut String, name: &str, label: &str) {
+        for (value, counter) in L::NAMES.iter().zip(&self.counters) {
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                text,
+                "linkhold_{name}{{{label}=\"{value}\"}} {}",
+                counter.get()
+            );
+        }
+    }
+}
+
+/// What a reader tells its followers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FeedKind {
+    /// A version of the configuration.
+    Configuration,
+    /// Evacuated zones.
+    Evacuations,
+    /// Instances, all of them or what has changed.
+    Instances,
+    /// The nodes of the fleet.
+    Fleet,
+    /// What a follower needs to know to speak for primaries.
+    Permission,
+    /// That the reader lives.
+    Beat,
+    /// How far a log had come.
+    Evidence,
+}
+
+impl Label for FeedKind {
+    const NAMES: &'static [&'static str] = &[
+        "configuration",
+        "evacuations",
+        "instances",
+        "fleet",
+        "permission",
+        "beat",
+        "evidence",
+    ];
+
+    fn index(self) -> usize {
+        self as usize
     }
 }
 
@@ -119,7 +185,9 @@
     /// Calls to the store that failed.
     pub store_failures: Counter,
     /// Calls to the store by reason.
-    pub store_calls: StoreCalls,
+    pub store_calls: CountersBy<CallReason>,
+    /// Bytes sent to followers by what they tell.
+    pub feed_bytes: CountersBy<FeedKind>,
     /// Times of reads.
     pub read_latency: Latencies,
     /// Times of writes and commits.
@@ -162,12 +230,10 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "linkhold_{name} {}", counter.get());
         }
-        for (reason, calls) in self.store_calls.totals() {
-            let _ = writeln!(
-                text,
-                "linkhold_store_calls_total{{reason=\"{reason}\"}} {calls}"
-            );
-        }
+        self.store_calls
+            .render(&mut text, "store_calls_total", "reason");
+        self.feed_bytes
+            .render(&mut text, "feed_bytes_total", "kind");
         for (name, value) in gauges {
             let _ = writeln!(text, "linkhold_{name} {value}");
         }
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -1,10 +1,11 @@
 //! Calls to the platform's store: each is bounded, and counted by its reason
-//! ([`crate::metrics::StoreCalls`]).
+//! ([`crate::metrics::Metrics::store_calls`]).
 
 use std::time::Duration;
 
 use tokio::time::timeout;
 
+use crate::metrics::Label;
 use crate::ports::StoreError;
 
 /// How long the store may take for a call that it need not hold, until the
@@ -38,18 +39,23 @@
     Remove,
 }
 
-/// All reasons, in the order of their declaration, and how metrics name them.
-pub(crate) const REASONS: [(CallReason, &str); 9] = [
-    (CallReason::Look, "look"),
-    (CallReason::Key, "key"),
-    (CallReason::Register, "register"),
-    (CallReason::Fleet, "fleet"),
-    (CallReason::Configuration, "configuration"),
-    (CallReason::Instances, "instances"),
-    (CallReason::Lease, "lease"),
-    (CallReason::List, "list"),
-    (CallReason::Remove, "remove"),
-];
+impl Label for CallReason {
+    const NAMES: &'static [&'static str] = &[
+        "look",
+        "key",
+        "register",
+        "fleet",
+        "configuration",
+        "instances",
+        "lease",
+        "list",
+        "remove",
+    ];
+
+    fn index(self) -> usize {
+        self as usize
+    }
+}
 
 /// Makes a call that must be answered within `limit`.
 pub(crate) async fn bounded<T>(
