--- a/crates/linkhold-core/src/service/readers.rs
+++ b/crates/linkhold-core/src/service/readers.rs
@@ -230,6 +230,25 @@
     Readers,
 }
 
+/// A reader may have this part more followers than its share, as a divisor.
+const UNEVEN_PART: usize = 4;
+/// And this many more in any case.
+const UNEVEN_AT_LEAST: usize = 2;
+/// Part of the followers beyond that which a reader sends away at a beat: at two beats a
+/// second most of them have gone after ten seconds.
+const SHED_PART: f64 = 0.05;
+
+/// How likely a reader sends one of its followers to another reader at a beat, where
+/// `share` is what each reader would have. Few go at a time, and fewer the less there is to
+/// even out: when each of 150 was as likely to go as if all had to, followers of readers
+/// that were lost for 9 s moved to and fro between the others, 200 a second in a fleet of
+/// 985, and 70 of them found no place and read the store.
+pub fn shed_probability(served: usize, share: usize) -> f64 {
+    let most = share + share / UNEVEN_PART + UNEVEN_AT_LEAST;
+    let beyond = served.saturating_sub(most);
+    SHED_PART * beyond as f64 / served.max(1) as f64
+}
+
 /// Whether few nodes of a fleet read the store.
 pub fn has_readers(fleet_size: usize) -> bool {
     fleet_size > SMALL_FLEET
--- a/crates/linkhold-core/tests/service_readers.rs
+++ b/crates/linkhold-core/tests/service_readers.rs
@@ -4,7 +4,7 @@
 
 use linkhold_core::service::readers::{
     FOLLOWER_RENEWAL, Freshness, READER_EXPIRY, RENEWAL, ROW_EXPIRY, ReaderCandidate, SMALL_FLEET,
-    Source, choose_readers, claim_delay, link_delay, source,
+    Source, choose_readers, claim_delay, link_delay, shed_probability, source,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -244,3 +244,45 @@
     assert!(small < MOST_WRITES_A_SECOND);
     assert!(ROW_EXPIRY > RENEWAL * 2);
 }
+
+/// Followers of each reader after some beats, at each of which they are sent away as is
+/// likely and come to the readers in turn; and how many moved.
+fn after_beats(mut served: Vec<f64>, share: usize, beats: usize) -> (Vec<f64>, f64) {
+    let mut moved = 0.0;
+    for _ in 0..beats {
+        let leave = |count: &f64| count * shed_probability(*count as usize, share);
+        let leaving: Vec<f64> = served.iter().map(leave).collect();
+        let all: f64 = leaving.iter().sum();
+        for (count, left) in served.iter_mut().zip(&leaving) {
+            *count += all / leaving.len() as f64 - left;
+        }
+        moved += all;
+    }
+    (served, moved)
+}
+
+#[test]
+fn followers_of_lost_readers_do_not_move_to_and_fro() {
+    // 985 nodes follow ten readers, of which the store refuses four for nine seconds; by
+    // the list they read as before.
+    let (nodes, readers, lost) = (985, 10, 4);
+    let share = nodes / readers;
+    let left = vec![nodes as f64 / (readers - lost) as f64; readers - lost];
+    let (_, moved) = after_beats(left, share, 18);
+    // Nobody has to move more than once for it.
+    assert!(moved < (share * lost) as f64, "{moved} moved");
+}
+
+#[test]
+fn uneven_readers_are_evened_out_within_a_minute() {
+    let (served, _) = after_beats(vec![200.0, 50.0, 50.0], 100, 120);
+    assert!(served[0] <= 130.0, "{served:?}");
+}
+
+#[test]
+fn a_reader_with_its_share_sends_nobody_away() {
+    for served in 0..=127 {
+        assert_eq!(shed_probability(served, 100), 0.0, "{served}");
+    }
+    assert!(shed_probability(128, 100) > 0.0);
+}
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::evacuation::ZoneName;
+use linkhold_core::service::readers::shed_probability;
 use linkhold_core::service::store_place::StorePlace;
 use linkhold_peer::{EvidenceQuestion, FeedMessage, PeerKey};
 use tokio::net::TcpStream;
@@ -29,12 +30,6 @@
 const FIRST_ANSWERS_TIME: Duration = Duration::from_millis(500);
 /// How long a follower waits until a row lists it.
 const LISTING_TIME: Duration = Duration::from_millis(1_000);
-/// A reader may have this part more followers than its share, as a divisor.
-const UNEVEN_PART: usize = 4;
-/// And this many more in any case.
-const UNEVEN_AT_LEAST: usize = 2;
-/// How likely a reader with too many followers sends one away at a beat.
-const SHED_PROBABILITY: f64 = 0.1;
 
 /// What a follower was told last.
 #[derive(Default)]
@@ -157,10 +152,18 @@
     let mut changes = gateway.beliefs.subscribe_to_lists();
     let mut told = Told::default();
     let mut is_listed = false;
+    let mut looked_at = Instant::now();
     while let Some(age) = gateway.sources.age() {
-        if gateway.is_leaving() || is_one_too_many(gateway) {
+        if gateway.is_leaving() {
             return;
         }
+        // Once a beat, however much there is to tell meanwhile.
+        if looked_at.elapsed() >= BEAT_INTERVAL {
+            looked_at = Instant::now();
+            if is_one_too_many(gateway) {
+                return;
+            }
+        }
         let as_of = Instant::now();
         if !is_listed && gateway.freshness.is_trusted(age, Duration::ZERO) {
             if !wait_until_listed(gateway, &mut arrival).await {
@@ -252,14 +255,12 @@
         .collect()
 }
 
-/// Whether this follower is to go to another reader of the region, which has
-/// fewer: some at a time do, since each decides for itself.
+/// Whether this follower is to go to another reader, since this one has too many: some at a
+/// time do, each decides for itself.
 fn is_one_too_many<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let fair = gateway.fleet.followers_a_reader();
-    let most = fair + fair / UNEVEN_PART + UNEVEN_AT_LEAST;
-    gateway.fleet.is_settled()
-        && gateway.followers.served() > most
-        && rand::random_bool(SHED_PROBABILITY)
+    let share = gateway.fleet.followers_a_reader();
+    let probability = shed_probability(gateway.followers.served(), share);
+    gateway.fleet.is_settled() && rand::random_bool(probability)
 }
 
 /// What a follower has not been told yet.
