Tell followers which nodes come and go, not the whole fleet

Cause: a reader told each follower all nodes whenever one had come or gone, every 2 s at the most: 3.2 KB for 335 nodes, to each of a hundred followers. It grows with the square of the fleet.

Change: a follower is told the whole fleet once, then what has changed since it was told last, as it is of instances. A follower of an earlier version does not know the message: a fleet is upgraded whole, as for the table of claims.

What a reader has told stands in a module of its own (feed/told).

--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -9,9 +9,7 @@
 use linkhold_core::service::permission::{RecentClaim, Renewed};
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
-use linkhold_peer::{
-    FeedInstanceChanges, FeedInstances, FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed,
-};
+use linkhold_peer::{FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -19,6 +17,7 @@
 use tokio::time::timeout_at;
 
 use super::framing::{read_length, write_message};
+use super::told::{ToldFleet, ToldInstances};
 use crate::beliefs::lock;
 use crate::confirmation::CONFIRMATION_INTERVAL;
 use crate::fleet;
@@ -105,6 +104,7 @@
         followed_at: Instant::now(),
         told: Vec::new(),
         instances: ToldInstances::default(),
+        fleet: ToldFleet::default(),
     };
     let lost = tokio::select! {
         lost = listener.listen(&mut reading, first_word_until, key) => lost,
@@ -170,32 +170,8 @@
     told: Vec<FeedMessage>,
     /// The same of instances.
     instances: ToldInstances,
-}
-
-/// What a reader has told of instances and not vouched for yet: all of them once, then what
-/// changes.
-#[derive(Default)]
-struct ToldInstances {
-    whole: Option<FeedInstances>,
-    changes: Vec<FeedInstanceChanges>,
-}
-
-impl ToldInstances {
-    fn replace(&mut self, known: FeedInstances) {
-        self.whole = Some(known);
-        self.changes.clear();
-    }
-
-    /// Takes them in. A change costs its own size, not that of the list: with 3,000
-    /// instances each node compared all of them for each one that changed.
-    fn adopt<P: Platform>(&mut self, gateway: &Gateway<P>) {
-        if let Some(known) = self.whole.take() {
-            adopt_instances(gateway, known);
-        }
-        for changes in self.changes.drain(..) {
-            adopt_instance_changes(gateway, changes);
-        }
-    }
+    /// The same of the fleet.
+    fleet: ToldFleet,
 }
 
 impl<P: Platform> Listener<'_, P> {
@@ -277,7 +253,9 @@
     fn take(&mut self, message: FeedMessage) {
         match message {
             FeedMessage::Instances(known) => self.instances.replace(known),
-            FeedMessage::InstanceChanges(changes) => self.instances.changes.push(changes),
+            FeedMessage::InstanceChanges(changes) => self.instances.change(changes),
+            FeedMessage::Fleet(fleet) => self.fleet.replace(fleet),
+            FeedMessage::FleetChanges(changes) => self.fleet.change(changes),
             message => self.told.push(message),
         }
     }
@@ -323,6 +301,7 @@
         for message in self.told.drain(..) {
             adopt(self.gateway, message);
         }
+        self.fleet.adopt(self.gateway);
         self.instances.adopt(self.gateway);
         self.gateway.beliefs.directory_read();
         // Time on the way makes this too late, by less than the bound leaves.
@@ -354,12 +333,11 @@
             let beliefs = &gateway.beliefs;
             beliefs.replace_evacuations(known.zones, known.place, Instant::now());
         }
-        FeedMessage::Fleet(fleet) => {
-            fleet::adopt_fleet(gateway, fleet, true);
-        }
-        // A beat vouches only, instances are kept apart; a follower has no use for
-        // the others.
+        // A beat vouches only, instances and the fleet are kept apart; a follower has no
+        // use for the others.
         FeedMessage::Beat { .. }
+        | FeedMessage::Fleet(_)
+        | FeedMessage::FleetChanges(_)
         | FeedMessage::Instances(_)
         | FeedMessage::InstanceChanges(_)
         | FeedMessage::Subscribe
@@ -388,34 +366,3 @@
         Event::info("reader_followed").field("reader", reader).log();
     }
 }
-
-fn adopt_instances<P: Platform>(gateway: &Gateway<P>, known: FeedInstances) {
-    gateway.store_era.seen(known.place.era());
-    let listed = known
-        .instances
-        .into_iter()
-        .filter(|(_, is_listed)| *is_listed)
-        .map(|(instance, _)| instance);
-    gateway
-        .beliefs
-        .replace_instances(listed.collect(), known.place, Instant::now());
-}
-
-fn adopt_instance_changes<P: Platform>(gateway: &Gateway<P>, changes: FeedInstanceChanges) {
-    let beliefs = &gateway.beliefs;
-    gateway.store_era.seen(changes.place.era());
-    if !beliefs.advance_directory(changes.place) {
-        return;
-    }
-    let now = Instant::now();
-    for (instance, is_listed) in changes.changed {
-        if is_listed {
-            beliefs.announce_instance(instance, now);
-        } else {
-            beliefs.vanish_instance(instance.id.name(), now);
-        }
-    }
-    for id in changes.gone {
-        beliefs.vanish_life(&id, now);
-    }
-}
--- a/crates/linkhold-gateway/src/feed/frames.rs
+++ b/crates/linkhold-gateway/src/feed/frames.rs
@@ -8,9 +8,12 @@
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::store_place::StorePlace;
-use linkhold_peer::{FeedEvacuations, FeedInstanceChanges, FeedInstances, FeedMessage, PeerKey};
+use linkhold_peer::{
+    FeedEvacuations, FeedFleet, FeedFleetChanges, FeedInstanceChanges, FeedInstances, FeedMessage,
+    FeedNode, PeerKey,
+};
 
-use super::framing::frame;
+use super::framing::{Frame, frame};
 use crate::beliefs::{Beliefs, lock};
 use crate::state::Fleet;
 
@@ -20,7 +23,7 @@
 /// An encoded message and the version of what it tells.
 struct VersionedFrame {
     version: u64,
-    frame: Arc<[u8]>,
+    frame: Frame,
 }
 
 /// Messages that are the same for all followers, encoded once.
@@ -29,18 +32,12 @@
     configuration: Mutex<Option<VersionedFrame>>,
     instances: Mutex<InstanceFrames>,
     evacuations: Mutex<Option<VersionedFrame>>,
-    fleet: Mutex<Option<FleetFrame>>,
-}
-
-/// The fleet as it was encoded last.
-struct FleetFrame {
-    encoded_at: Instant,
-    frame: Arc<[u8]>,
+    fleet: Mutex<FleetFrames>,
 }
 
 impl FeedFrames {
     /// The configuration; encoded anew when its version has changed.
-    pub fn configuration(&self, configuration: &Configuration, key: &PeerKey) -> Arc<[u8]> {
+    pub fn configuration(&self, configuration: &Configuration, key: &PeerKey) -> Frame {
         let message = || FeedMessage::Configuration(configuration.clone());
         cached(&self.configuration, configuration.version, key, message)
     }
@@ -54,7 +51,7 @@
         told: Option<&Arc<InstanceSnapshot>>,
         beliefs: &Beliefs,
         key: &PeerKey,
-    ) -> (Arc<InstanceSnapshot>, Option<Arc<[u8]>>) {
+    ) -> (Arc<InstanceSnapshot>, Option<Frame>) {
         let mut frames = lock(&self.instances);
         let present = frames.refresh(revision, beliefs);
         let frame = frames.frame_since(told, &present, key);
@@ -63,7 +60,7 @@
 
     /// The zones that are evacuated as of a place in the store's changes; encoded
     /// anew when that has moved.
-    pub fn evacuations(&self, zones: &[ZoneName], as_of: StorePlace, key: &PeerKey) -> Arc<[u8]> {
+    pub fn evacuations(&self, zones: &[ZoneName], as_of: StorePlace, key: &PeerKey) -> Frame {
         let message = || {
             FeedMessage::Evacuations(FeedEvacuations {
                 place: as_of,
@@ -73,23 +70,19 @@
         cached(&self.evacuations, as_of.to_bits(), key, message)
     }
 
-    /// The fleet, if all its nodes are known. The same frame as before unless it
-    /// has changed.
-    pub fn fleet(&self, fleet: &Fleet, key: &PeerKey) -> Option<Arc<[u8]>> {
-        let mut known = lock(&self.fleet);
-        if let Some(known) = &*known
-            && known.encoded_at.elapsed() < FLEET_INTERVAL
-        {
-            return Some(known.frame.clone());
-        }
-        let encoded = frame(&FeedMessage::Fleet(fleet.for_followers()?), key);
-        let unchanged = known.take().map(|known| known.frame);
-        let frame = unchanged.filter(|old| *old == encoded).unwrap_or(encoded);
-        *known = Some(FleetFrame {
-            encoded_at: Instant::now(),
-            frame: frame.clone(),
-        });
-        Some(frame)
+    /// The fleet for a follower that was told `told`: what has changed since, or all of
+    /// it, with what it is now; no frame if nothing has changed. `None` as long as not all
+    /// nodes are known.
+    pub fn fleet(
+        &self,
+        told: Option<&Arc<FleetSnapshot>>,
+        fleet: &Fleet,
+        key: &PeerKey,
+    ) -> Option<(Arc<FleetSnapshot>, Option<Frame>)> {
+        let mut frames = lock(&self.fleet);
+        let present = frames.refresh(fleet)?;
+        let frame = frames.frame_since(told, &present, key);
+        Some((present, frame))
     }
 }
 
@@ -140,9 +133,9 @@
 #[derive(Default)]
 struct InstanceFrames {
     present: Option<Arc<InstanceSnapshot>>,
-    whole: Option<Arc<[u8]>>,
+    whole: Option<Frame>,
     /// Changes since an older revision; `None` if there are none.
-    since: HashMap<u64, Option<Arc<[u8]>>>,
+    since: HashMap<u64, Option<Frame>>,
 }
 
 impl InstanceFrames {
@@ -164,7 +157,7 @@
         told: Option<&Arc<InstanceSnapshot>>,
         present: &InstanceSnapshot,
         key: &PeerKey,
-    ) -> Option<Arc<[u8]>> {
+    ) -> Option<Frame> {
         let Some(told) = told else {
             let whole = self
                 .whole
@@ -183,12 +176,97 @@
     }
 }
 
+/// The fleet as a reader knew it at one time.
+pub(crate) struct FleetSnapshot {
+    revision: u64,
+    fleet: FeedFleet,
+}
+
+impl FleetSnapshot {
+    fn changes_since(&self, before: &Self) -> FeedFleetChanges {
+        let by_name = |fleet: &'_ FeedFleet| -> HashMap<String, FeedNode> {
+            let nodes = fleet.nodes.iter();
+            nodes
+                .map(|node| (node.name.clone(), node.clone()))
+                .collect()
+        };
+        let (old, new) = (by_name(&before.fleet), by_name(&self.fleet));
+        let nodes = self.fleet.nodes.iter();
+        let changed = nodes.filter(|node| old.get(&node.name) != Some(*node));
+        let gone = old.keys().filter(|name| !new.contains_key(*name));
+        let has_other_readers = self.fleet.readers != before.fleet.readers;
+        FeedFleetChanges {
+            size: self.fleet.size,
+            readers: has_other_readers.then(|| self.fleet.readers.clone()),
+            changed: changed.cloned().collect(),
+            gone: gone.cloned().collect(),
+        }
+    }
+}
+
+/// The present fleet, and frames that tell it.
+#[derive(Default)]
+struct FleetFrames {
+    looked_at: Option<Instant>,
+    present: Option<Arc<FleetSnapshot>>,
+    whole: Option<Frame>,
+    /// Changes since an older revision. All nodes in 300 were told to each of 100 followers
+    /// for every one that came or went.
+    since: HashMap<u64, Frame>,
+}
+
+impl FleetFrames {
+    /// The fleet as it was at most [`FLEET_INTERVAL`] ago; `None` as long as not all nodes
+    /// are known.
+    fn refresh(&mut self, fleet: &Fleet) -> Option<Arc<FleetSnapshot>> {
+        let is_recent = self
+            .looked_at
+            .is_some_and(|at| at.elapsed() < FLEET_INTERVAL);
+        if is_recent && let Some(present) = &self.present {
+            return Some(present.clone());
+        }
+        let fleet = fleet.for_followers()?;
+        self.looked_at = Some(Instant::now());
+        if let Some(present) = self.present.as_ref().filter(|it| it.fleet == fleet) {
+            return Some(present.clone());
+        }
+        let revision = self.present.as_ref().map_or(0, |it| it.revision + 1);
+        let present = Arc::new(FleetSnapshot { revision, fleet });
+        self.present = Some(present.clone());
+        self.whole = None;
+        self.since.clear();
+        Some(present)
+    }
+
+    fn frame_since(
+        &mut self,
+        told: Option<&Arc<FleetSnapshot>>,
+        present: &FleetSnapshot,
+        key: &PeerKey,
+    ) -> Option<Frame> {
+        let Some(told) = told else {
+            let whole = || frame(&FeedMessage::Fleet(present.fleet.clone()), key);
+            return Some(self.whole.get_or_insert_with(whole).clone());
+        };
+        if told.revision == present.revision {
+            return None;
+        }
+        let encode = || frame(&FeedMessage::FleetChanges(present.changes_since(told)), key);
+        Some(
+            self.since
+                .entry(told.revision)
+                .or_insert_with(encode)
+                .clone(),
+        )
+    }
+}
+
 fn cached(
     slot: &Mutex<Option<VersionedFrame>>,
     version: u64,
     key: &PeerKey,
     message: impl FnOnce() -> FeedMessage,
-) -> Arc<[u8]> {
+) -> Frame {
     let mut known = lock(slot);
     if let Some(known) = &*known
         && known.version == version
--- a/crates/linkhold-gateway/src/feed/framing.rs
+++ b/crates/linkhold-gateway/src/feed/framing.rs
@@ -21,7 +21,10 @@
 }
 
 /// A message as it goes on a stream.
-pub(super) fn frame(message: &FeedMessage, key: &PeerKey) -> Arc<[u8]> {
+pub(super) type Frame = Arc<[u8]>;
+
+/// Encodes a message as it goes on a stream.
+pub(super) fn frame(message: &FeedMessage, key: &PeerKey) -> Frame {
     framed(&encode_feed(message, key)).into()
 }
 
--- a/crates/linkhold-gateway/src/feed/mod.rs
+++ b/crates/linkhold-gateway/src/feed/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod frames;
 pub(crate) mod framing;
 mod reader;
+mod told;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::frames::{FLEET_INTERVAL, InstanceSnapshot};
-use super::framing::{frame, read_message, write_frame};
+use super::frames::{FLEET_INTERVAL, FleetSnapshot, InstanceSnapshot};
+use super::framing::{Frame, frame, read_message, write_frame};
 use crate::evidence::sharing;
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
@@ -39,7 +39,7 @@
     instances: Option<Arc<InstanceSnapshot>>,
     revision: Option<u64>,
     fleet_at: Option<Instant>,
-    fleet: Option<Arc<[u8]>>,
+    fleet: Option<Arc<FleetSnapshot>>,
 }
 
 /// Serves a follower until it leaves, is to go elsewhere, or this node no longer
@@ -234,7 +234,7 @@
     gateway: &Gateway<P>,
     arrival: &watch::Receiver<Option<Arrival>>,
     key: &PeerKey,
-) -> Vec<(FeedKind, Arc<[u8]>)> {
+) -> Vec<(FeedKind, Frame)> {
     let arrival = arrival.borrow();
     let Some(arrival) = &*arrival else {
         return Vec::new();
@@ -268,7 +268,7 @@
     gateway: &Gateway<P>,
     told: &mut Told,
     key: &PeerKey,
-) -> Vec<(FeedKind, Arc<[u8]>)> {
+) -> Vec<(FeedKind, Frame)> {
     let frames = &gateway.feed_frames;
     let mut news = Vec::new();
     // None at all is what a follower starts with, unless another reader told it some.
@@ -295,13 +295,11 @@
         news.extend(frame.map(|frame| (FeedKind::Instances, frame)));
     }
     if told.fleet_at.is_none_or(|at| at.elapsed() > FLEET_INTERVAL)
-        && let Some(frame) = frames.fleet(&gateway.fleet, key)
+        && let Some((present, frame)) = frames.fleet(told.fleet.as_ref(), &gateway.fleet, key)
     {
         told.fleet_at = Some(Instant::now());
-        if told.fleet.as_ref() != Some(&frame) {
-            told.fleet = Some(frame.clone());
-            news.push((FeedKind::Fleet, frame));
-        }
+        told.fleet = Some(present);
+        news.extend(frame.map(|frame| (FeedKind::Fleet, frame)));
     }
     news
 }
--- a/crates/linkhold-peer/src/feed/fleet.rs
+++ b/crates/linkhold-peer/src/feed/fleet.rs
@@ -40,6 +40,10 @@
     }
 }
 
+pub(super) fn nodes_to_wire(nodes: &[FeedNode]) -> Vec<WireNode> {
+    nodes.iter().map(node_to_wire).collect()
+}
+
 pub(super) fn nodes_from_wire(wire: Vec<WireNode>) -> Option<Vec<FeedNode>> {
     wire.into_iter().map(node_from_wire).collect()
 }
--- a/crates/linkhold-peer/src/feed/message.rs
+++ b/crates/linkhold-peer/src/feed/message.rs
@@ -34,6 +34,19 @@
     pub nodes: Vec<FeedNode>,
 }
 
+/// What has changed in the fleet since a reader told it last on the same stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedFleetChanges {
+    /// Nodes in all.
+    pub size: usize,
+    /// Nodes that read the store for others, if they are others than before.
+    pub readers: Option<Vec<FeedNode>>,
+    /// Nodes that are new or have changed.
+    pub changed: Vec<FeedNode>,
+    /// Names of nodes that are gone.
+    pub gone: Vec<String>,
+}
+
 /// All instances, as a reader knows them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FeedInstances {
@@ -138,6 +151,8 @@
     InstanceChanges(FeedInstanceChanges),
     /// The nodes of the fleet and the region's readers.
     Fleet(FeedFleet),
+    /// What has changed in it since.
+    FleetChanges(FeedFleetChanges),
     /// The reader lives; its last answer from the store is this old.
     Beat {
         /// Age of the last answer, in milliseconds.
--- a/crates/linkhold-peer/src/feed/mod.rs
+++ b/crates/linkhold-peer/src/feed/mod.rs
@@ -21,14 +21,14 @@
 use configuration::{WireConfiguration, configuration_from_wire, configuration_to_wire};
 use fleet::{
     WireClaim, WireFleet, WireNode, claim_from_wire, claim_to_wire, node_from_wire, node_to_wire,
-    nodes_from_wire,
+    nodes_from_wire, nodes_to_wire,
 };
 use instances::{WireInstance, instances_from_wire, instances_to_wire};
 use position::{WirePosition, position_from_wire, position_to_wire};
 
 pub use message::{
-    EvidenceAnswer, EvidenceQuestion, FeedEvacuations, FeedFleet, FeedInstanceChanges,
-    FeedInstances, FeedMessage, FeedNode,
+    EvidenceAnswer, EvidenceQuestion, FeedEvacuations, FeedFleet, FeedFleetChanges,
+    FeedInstanceChanges, FeedInstances, FeedMessage, FeedNode,
 };
 
 /// Longest message, in bytes.
@@ -64,6 +64,13 @@
     Listed(#[n(0)] u64, #[n(1)] Option<Vec<WireClaim>>),
     #[n(15)]
     Confirmed(#[n(0)] u64, #[n(1)] Vec<String>),
+    #[n(16)]
+    FleetChanges(
+        #[n(0)] u64,
+        #[n(1)] Option<Vec<WireNode>>,
+        #[n(2)] Vec<WireNode>,
+        #[n(3)] Vec<String>,
+    ),
     #[n(8)]
     EvidenceQuestion(#[n(0)] u64, #[n(1)] String, #[n(2)] u64),
     #[n(9)]
@@ -128,9 +135,15 @@
         ),
         FeedMessage::Fleet(fleet) => WireMessage::Fleet(WireFleet {
             size: fleet.size as u64,
-            readers: fleet.readers.iter().map(node_to_wire).collect(),
-            nodes: fleet.nodes.iter().map(node_to_wire).collect(),
+            readers: nodes_to_wire(&fleet.readers),
+            nodes: nodes_to_wire(&fleet.nodes),
         }),
+        FeedMessage::FleetChanges(changes) => WireMessage::FleetChanges(
+            changes.size as u64,
+            changes.readers.as_deref().map(nodes_to_wire),
+            nodes_to_wire(&changes.changed),
+            changes.gone.clone(),
+        ),
         FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
     }
 }
@@ -189,6 +202,18 @@
             readers: nodes_from_wire(wire.readers)?,
             nodes: nodes_from_wire(wire.nodes)?,
         }),
+        WireMessage::FleetChanges(size, readers, changed, gone) => {
+            let readers = match readers {
+                Some(readers) => Some(nodes_from_wire(readers)?),
+                None => None,
+            };
+            FeedMessage::FleetChanges(FeedFleetChanges {
+                size: size as usize,
+                readers,
+                changed: nodes_from_wire(changed)?,
+                gone,
+            })
+        }
         WireMessage::Beat(age) => FeedMessage::Beat {
             age: Duration::from_millis(age),
         },
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -12,9 +12,10 @@
 use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
-    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedInstanceChanges, FeedInstances, FeedMessage,
-    FeedNode, PeerError, PeerKey, QuestionPurpose, QuestionSubject, Reachability,
-    ReachabilityMessage, decode_feed, decode_reachability, encode_feed, encode_reachability,
+    EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedFleetChanges, FeedInstanceChanges,
+    FeedInstances, FeedMessage, FeedNode, PeerError, PeerKey, QuestionPurpose, QuestionSubject,
+    Reachability, ReachabilityMessage, decode_feed, decode_reachability, encode_feed,
+    encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -141,7 +142,19 @@
         FeedMessage::Fleet(FeedFleet {
             size: 300,
             readers: vec![node.clone()],
-            nodes: vec![node],
+            nodes: vec![node.clone()],
+        }),
+        FeedMessage::FleetChanges(FeedFleetChanges {
+            size: 301,
+            readers: None,
+            changed: vec![node.clone()],
+            gone: vec!["gone".to_owned()],
+        }),
+        FeedMessage::FleetChanges(FeedFleetChanges {
+            size: 302,
+            readers: Some(vec![node]),
+            changed: Vec::new(),
+            gone: Vec::new(),
         }),
         FeedMessage::Beat {
             age: Duration::from_millis(250),
