Undo a hand-over only if nobody has claimed the lease since

Found by reading the change that has an old primary lead again: a node that stood still between the two orders may wake when another node's claim and its promotion are over; an old primary that is cut off does not hear of them, so its term does not tell, and leading again it would undo what was acknowledged since.

Change: the lease to lead again has to follow directly on the one that the successor was ordered under: the same holder, the next token. A property over random claims of three nodes holds that nobody has claimed in between then, and a test that the holder alone does not tell.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -8,6 +8,9 @@
 //! * A lease of one era of the store gives no order in another: a store that comes back
 //!   from an older copy may have lost a claim. Tokens of a later era are higher than all of
 //!   an earlier one ([`next_token`]), whichever of them the copy knows.
+//! * An old primary is ordered to lead again under a lease that directly follows the one
+//!   for its successor ([`FailoverLease::directly_follows`]): a node that stood still between
+//!   the two may wake after somebody else's promotion.
 //! * A holder keeps other nodes from claiming for [`LEASE`], counted on the
 //!   store's clock from the write that claimed.
 //! * An order leaves only while its lease lasts for [`ORDER_TIMEOUT`] more, by its
@@ -174,6 +177,12 @@
         })
     }
 
+    /// Whether it was claimed right after an earlier one of the same holder: nobody else
+    /// has claimed in between, so nobody else has ordered a promotion.
+    pub fn directly_follows(&self, earlier: &Self) -> bool {
+        self.holder == earlier.holder && self.token == earlier.token + 1
+    }
+
     /// Whether its token may be used for this successor.
     pub fn may_promote(&self, successor: &InstanceId) -> bool {
         self.successor
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -231,3 +231,49 @@
     let candidates = candidates_to_wait_for(vec![cold, leaving, close], 1);
     assert_eq!(candidates.len(), 3);
 }
+
+/// All leases that nodes write who claim at any times for any successors.
+fn written_leases(claims: &[(u8, u8, u64)]) -> Vec<FailoverLease> {
+    let mut now = 1_000;
+    let mut written: Vec<FailoverLease> = Vec::new();
+    for (node, successor, pause) in claims {
+        now += pause;
+        let successor = id(&format!("instance-{successor}"));
+        let node = format!("node-{node}");
+        if let ClaimDecision::Write(lease) = claim(written.last(), &node, &successor, at(now)) {
+            written.push(lease);
+        }
+    }
+    written
+}
+
+proptest! {
+    /// Of any two leases of a holder of which one directly follows the other, nobody else
+    /// has claimed one in between.
+    #[test]
+    fn nobody_has_claimed_between_leases_that_follow_each_other(
+        claims in prop::collection::vec((0_u8..3, 0_u8..3, 0_u64..6_000), 1..40),
+    ) {
+        let written = written_leases(&claims);
+        for (first, earlier) in written.iter().enumerate() {
+            for (second, later) in written.iter().enumerate().skip(first + 1) {
+                if later.directly_follows(earlier) {
+                    let between = &written[first..=second];
+                    prop_assert!(between.iter().all(|it| it.holder == earlier.holder));
+                }
+            }
+        }
+    }
+}
+
+/// The same with the check of tokens left out: the holder alone does not tell.
+#[test]
+fn a_holder_that_claims_again_does_not_follow_another_ones_claim() {
+    let pause = LEASE.as_millis() as u64 + 1;
+    let written = written_leases(&[(0, 1, 0), (1, 2, pause), (0, 0, pause)]);
+    assert_eq!(written.len(), 3);
+    assert_eq!(written[2].holder, written[0].holder);
+    assert!(!written[2].directly_follows(&written[0]));
+    let written = written_leases(&[(0, 1, 0), (0, 0, pause)]);
+    assert!(written[1].directly_follows(&written[0]));
+}
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -6,7 +6,7 @@
 use linkhold_core::position::Term;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
-use linkhold_core::service::failover::{self, InstanceStatus, Successor};
+use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_core::service::permission::CONFIRMATION_LIFE;
 use linkhold_events::Event;
@@ -101,6 +101,7 @@
         return;
     };
     let service = &situation.service;
+    let handed_over = grounds.claim.lease.clone();
     let caught_up = catch_up(gateway, &instance, successor, &ended, trouble).await;
     if !is_still_subject(gateway, service, Some(&old.id)) {
         return grounds.give_up(gateway, service, "primary_changed").await;
@@ -110,17 +111,19 @@
         None => OrderEnd::NotCarriedOut,
     };
     if end == OrderEnd::NotCarriedOut {
-        lead_again(gateway, old, &ended, trouble).await;
+        lead_again(gateway, old, &ended, &handed_over, trouble).await;
     }
 }
 
-/// Has an old primary lead again that stepped down for a successor which does not lead. A
+/// Has an old primary lead again that stepped down for a successor which does not lead,
+/// unless somebody else may have ordered a promotion since `handed_over` was claimed. A
 /// service whose successor ended just then had no primary for 2.5 s, until the nodes had
 /// agreed that none leads.
 async fn lead_again<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     old: &Arc<Instance>,
     ended: &InstanceStatus,
+    handed_over: &FailoverLease,
     trouble: Trouble,
 ) {
     let Some(present) = survey::status(gateway, old).await else {
@@ -131,14 +134,22 @@
         return;
     }
     let service = &old.service;
+    let Some(claim) = claim(gateway, service, &old.id).await else {
+        return;
+    };
+    // One that is cut off does not hear of a promotion, so its term does not tell.
+    let leads_again = claim.lease.directly_follows(handed_over);
     Event::info("hand_over_undone")
         .field("service", service)
         .field("old", &old.id)
         .field("term", present.term)
+        .field("token", claim.lease.token)
+        .field("handed_over_under", handed_over.token)
+        .field("leads_again", leads_again)
         .log();
-    let Some(claim) = claim(gateway, service, &old.id).await else {
+    if !leads_again {
         return;
-    };
+    }
     let grounds = Grounds {
         trouble,
         claim,
