Say in which order a request passes its modules without relying on theirs

The formatter sorts the modules by name, so the page of the folder promised an order that the file does not have. The numbered list tells it. A comment alone; format and lints of the crate pass.

--- a/crates/linkhold-gateway/src/request/mod.rs
+++ b/crates/linkhold-gateway/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! The way of a request from its session to an instance and back.
 //!
 //! A session ([`crate::session`]) accepts and identifies its caller and has each request
-//! admitted ([`crate::admission`]). From there it goes, in the order of the modules:
+//! admitted ([`crate::admission`]). From there it goes this way:
 //!
 //! 1. [`statement`] decides where it is placed, how often it is tried, and what a failure
 //!    may truthfully be called; [`marks`] keep what its session must see;
