List processes, not names, before a primary is replaced

What callers saw: a follower stood still, a second process was started under its name, and the first acknowledged a write 7 ms after it woke, while its reader's row named the second. Whoever replaces a primary asks the second, so that write can be undone.

Cause: permissions belong to a process, the list of those who are asked was kept by name. A reader replaced one address by the other; of processes in two readers' rows only the last one was asked; a process whose row had expired, but which goes on by confirmations, was overwritten.

Change: the list is kept by name and address. A process is listed only when no other one counts under its name that may still run; readers look for that too when somebody comes to follow them. One that counted lately stays listed. Ruled out: to tell the first process that its name is taken, which it may hear later than its next caller.

--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -19,7 +19,9 @@
 use crate::followers::Ticket;
 use crate::gateway::Gateway;
 use crate::metrics::FeedKind;
+use crate::names;
 use crate::ports::Platform;
+use crate::registry::Process;
 
 /// How often a reader says that it lives.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -62,7 +64,7 @@
 /// A follower that has said who it is.
 #[derive(Clone, Debug)]
 struct Arrival {
-    name: String,
+    process: Process,
     ticket: Ticket,
 }
 
@@ -77,22 +79,25 @@
     arrived: &watch::Sender<Option<Arrival>>,
     key: &PeerKey,
 ) {
-    let mut name = None;
+    let mut follower = None;
     while let Ok(message) = read_message(stream, key).await {
         match message {
             FeedMessage::Renewal { node, number } => {
-                let is_first = name.replace(node.name.clone()).is_none();
-                if is_first {
-                    let name = node.name.clone();
+                if names::is_held_by_another(gateway, &node).await {
+                    return;
+                }
+                let process = Process::of(&node);
+                let has_arrived = follower.replace(process.clone()).as_ref() != Some(&process);
+                if has_arrived {
                     let ticket = gateway.followers.arrived(node, number);
-                    arrived.send_replace(Some(Arrival { name, ticket }));
+                    arrived.send_replace(Some(Arrival { process, ticket }));
                 } else {
                     gateway.followers.heard(node, number);
                 }
             }
             FeedMessage::Leaving => {
-                if let Some(name) = &name {
-                    gateway.followers.left(name);
+                if let Some(process) = &follower {
+                    gateway.followers.left(process);
                 }
                 return;
             }
@@ -239,12 +244,12 @@
     let Some(arrival) = &*arrival else {
         return Vec::new();
     };
-    let listed = gateway.followers.take_listed(&arrival.name);
+    let listed = gateway.followers.take_listed(&arrival.process);
     let listed = listed.map(|listed| FeedMessage::Listed {
         number: listed.number,
         claims: listed.claims.map(|known| known.aged()),
     });
-    let confirmed = gateway.followers.take_confirmed(&arrival.name);
+    let confirmed = gateway.followers.take_confirmed(&arrival.process);
     let confirmed = confirmed.map(|number| FeedMessage::Confirmed {
         number,
         agreed: gateway.beliefs.permission.agreed(),
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -5,6 +5,9 @@
 //! A node that follows is told nothing before the row that lists it is written:
 //! whoever replaces a primary asks all nodes that are listed, so a node that
 //! knows instances must be.
+//!
+//! A process that stood still stays listed beside another one of its name until nobody
+//! asks it any more.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -12,8 +15,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::permission::FORMER_TIME;
-use linkhold_core::service::readers::ROW_EXPIRY;
 use linkhold_events::Event;
 use linkhold_peer::FeedNode;
 use tokio::sync::{Notify, watch};
@@ -21,7 +22,7 @@
 
 use crate::beliefs::lock;
 use crate::lease_format::KnownClaims;
-use crate::registry::{MOST_FOLLOWERS, Registration};
+use crate::registry::{MOST_FOLLOWERS, Process, Registration};
 
 /// Orders the arrival of followers and the writing of rows.
 pub(crate) type Ticket = u64;
@@ -52,6 +53,13 @@
             confirmed: None,
         }
     }
+
+    fn registration(&self) -> Registration {
+        Registration {
+            node: self.node.clone(),
+            age: self.heard_at.elapsed(),
+        }
+    }
 }
 
 /// A written row lists a follower.
@@ -65,7 +73,7 @@
 
 #[derive(Debug, Default)]
 struct Known {
-    followers: BTreeMap<String, Follower>,
+    followers: BTreeMap<Process, Follower>,
     /// Followers that have come so far.
     arrivals: Ticket,
 }
@@ -73,10 +81,9 @@
 impl Known {
     /// A follower lives.
     fn heard(&mut self, node: FeedNode, renewal: Option<u64>) -> &mut Follower {
-        let name = node.name.clone();
         let follower = self
             .followers
-            .entry(name)
+            .entry(Process::of(&node))
             .or_insert_with(|| Follower::new(node.clone(), Instant::now()));
         // What it was not told on an earlier stream tells it nothing: numbers start
         // anew there.
@@ -137,7 +144,7 @@
 
 /// A follower's last renewal that a row covers.
 struct CoveredRenewal {
-    name: String,
+    process: Process,
     number: u64,
     /// The follower's arrival, if no row covered it before.
     arrival: Option<Ticket>,
@@ -181,14 +188,18 @@
     }
 
     /// That a written row lists a follower, unless it was told so already.
-    pub fn take_listed(&self, name: &str) -> Option<Listed> {
-        lock(&self.known).followers.get_mut(name)?.listed.take()
+    pub fn take_listed(&self, process: &Process) -> Option<Listed> {
+        lock(&self.known).followers.get_mut(process)?.listed.take()
     }
 
     /// A renewal of a follower that came before this node asked others, unless it was
     /// told so already.
-    pub fn take_confirmed(&self, name: &str) -> Option<u64> {
-        lock(&self.known).followers.get_mut(name)?.confirmed.take()
+    pub fn take_confirmed(&self, process: &Process) -> Option<u64> {
+        lock(&self.known)
+            .followers
+            .get_mut(process)?
+            .confirmed
+            .take()
     }
 
     /// Others confirmed to this node that it may go on, to a question that was
@@ -202,8 +213,8 @@
     }
 
     /// A follower has ended in good order: nobody needs to wait for its answers.
-    pub fn left(&self, name: &str) {
-        lock(&self.known).followers.remove(name);
+    pub fn left(&self, process: &Process) {
+        lock(&self.known).followers.remove(process);
         self.changed.notify_one();
     }
 
@@ -218,7 +229,7 @@
             let node = registration.node.clone();
             known
                 .followers
-                .entry(node.name.clone())
+                .entry(Process::of(&node))
                 .or_insert_with(|| Follower::new(node, heard_at));
         }
     }
@@ -226,29 +237,46 @@
     /// Followers that count as present.
     pub fn live(&self) -> Vec<Registration> {
         let mut list = self.list().followers;
-        list.retain(|registration| registration.age < ROW_EXPIRY);
+        list.retain(Registration::is_present);
         list
     }
 
+    /// Whether a process follows this one and counts as present.
+    pub fn has_live(&self, process: &Process) -> bool {
+        let known = lock(&self.known);
+        let follower = known.followers.get(process);
+        follower.is_some_and(|follower| follower.registration().is_present())
+    }
+
+    /// The other processes of a follower's name.
+    pub fn others_of_its_name(&self, process: &Process) -> Vec<Registration> {
+        let known = lock(&self.known);
+        let same_name = known
+            .followers
+            .iter()
+            .filter(|(it, _)| it.name == process.name);
+        let others = same_name.filter(|(it, _)| it.address != process.address);
+        others
+            .map(|(_, follower)| follower.registration())
+            .collect()
+    }
+
     /// What the row is to list: nodes that were heard of long ago are left out.
     pub fn list(&self) -> FollowerList {
         let mut known = lock(&self.known);
         known
             .followers
-            .retain(|_, follower| follower.heard_at.elapsed() < ROW_EXPIRY + FORMER_TIME);
+            .retain(|_, follower| follower.registration().is_asked());
         let mut listed: Vec<&Follower> = known.followers.values().collect();
+        listed.sort_by_key(|follower| Reverse(follower.heard_at));
         if listed.len() > MOST_FOLLOWERS {
             log_not_listed(listed.len());
-            listed.sort_by_key(|follower| Reverse(follower.heard_at));
             listed.truncate(MOST_FOLLOWERS);
         }
-        let followers = listed.iter().map(|follower| Registration {
-            node: follower.node.clone(),
-            age: follower.heard_at.elapsed(),
-        });
+        let followers = listed.iter().map(|follower| follower.registration());
         let renewals = listed.iter().filter_map(|follower| {
             Some(CoveredRenewal {
-                name: follower.node.name.clone(),
+                process: Process::of(&follower.node),
                 number: follower.renewal?,
                 arrival: follower.arrival,
             })
@@ -267,7 +295,7 @@
         let claims = claims.map(Arc::new);
         let mut known = lock(&self.known);
         for renewal in covered.renewals {
-            let Some(follower) = known.followers.get_mut(&renewal.name) else {
+            let Some(follower) = known.followers.get_mut(&renewal.process) else {
                 continue;
             };
             let told_later = follower.listed.take().and_then(|listed| listed.claims);
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod lifecycle;
 mod liveness;
 pub mod metrics;
+mod names;
 mod observations;
 mod owners;
 mod peers;
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -4,12 +4,13 @@
 //! renewed for long on the store's clock is gone. Followers of a reader tell it
 //! that they live, and its row lists them ([`crate::registry`]).
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::permission::{FORMER_TIME, Renewed};
-use linkhold_core::service::readers::{self, ROW_EXPIRY};
+use linkhold_core::service::permission::Renewed;
+use linkhold_core::service::readers;
 use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_events::Event;
 use linkhold_peer::{FeedMessage, PeerKey};
@@ -18,9 +19,9 @@
 use crate::failover;
 use crate::fleet::{self, Reading};
 use crate::gateway::Gateway;
-use crate::liveness::{self, Life};
+use crate::names::Namesakes;
 use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
-use crate::registry::{self, ERA_ROW, EraRow, Member, PEER_KEY_ROW, Registry};
+use crate::registry::{self, ERA_ROW, EraRow, PEER_KEY_ROW, Process, Registry};
 use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, bounded};
 
 /// Pause before registering is tried again after a failure, at the least.
@@ -188,10 +189,10 @@
 async fn write_own<P: Platform>(
     gateway: &Gateway<P>,
     row: &registry::NewRow,
-    address: Option<SocketAddr>,
+    own: &Process,
 ) -> Result<(), StoreError> {
     for _ in 0..WRITE_TRIES {
-        let version = own_version(gateway, &row.key, address).await?;
+        let version = own_version(gateway, &row.key, own).await?;
         let rows = [RowWrite {
             table: FleetTable::Nodes,
             key: &row.key,
@@ -215,48 +216,45 @@
 async fn own_version<P: Platform>(
     gateway: &Gateway<P>,
     key: &str,
-    address: Option<SocketAddr>,
+    own: &Process,
 ) -> Result<StorePlace, StoreError> {
     if let Some(version) = gateway.own_row.take_version() {
         return Ok(version);
     }
-    gateway.metrics.store_calls.count(CallReason::Register);
-    let asked_at = Instant::now();
-    let call = gateway
-        .platform
-        .read_rows(FleetTable::Nodes, RowRange::Key(key));
-    let rows = bounded(call, CALL_TIMEOUT).await?;
-    let node = &gateway.settings.node;
-    let registry = Registry::decode(&rows, asked_at, node);
-    let writer = registry.members.get(node);
-    let other = writer.filter(|it| it.registration.node.address != address);
-    if gateway.own_row.was_written() && other.is_some() {
+    if !gateway.own_row.was_written() {
+        return claim_name(gateway, own).await;
+    }
+    let registry = read_rows(
+        gateway,
+        RowRange::Key(key),
+        CALL_TIMEOUT,
+        CallReason::Register,
+    )
+    .await?;
+    let writer = registry.own_writer.as_ref();
+    if writer.is_some_and(|writer| writer != own) {
         Event::warn("name_taken_by_another").log();
         gateway.beliefs.permission.revoke();
         return Err(StoreError::Refused);
     }
-    if let Some(other) = other.filter(|it| it.is_present())
-        && may_live(other).await
-    {
-        Event::warn("name_held_by_another")
-            .field(
-                "address",
-                format_args!("{:?}", other.registration.node.address),
-            )
-            .log();
-        return Err(StoreError::Refused);
-    }
     Ok(registry.own_version)
 }
 
-/// Whether another process that is listed under this node's name may still run. It was
-/// listed to be asked before a primary is replaced: while it may wake and speak for one,
-/// nobody takes its place. A machine that refuses the connection runs no such process.
-async fn may_live(other: &Member) -> bool {
-    let Some(address) = other.registration.node.address else {
-        return false;
-    };
-    liveness::look(address).await != Life::Ended
+/// Makes sure that no other process has this node's name, wherever it is listed; the
+/// version of the node's own row. One that had the name lately stays listed as a follower
+/// of this node: it may speak for primaries by what others confirm to it.
+async fn claim_name<P: Platform>(
+    gateway: &Gateway<P>,
+    own: &Process,
+) -> Result<StorePlace, StoreError> {
+    let registry = read_registry(gateway, CallReason::Register).await?;
+    let others = registry.other_processes(own).cloned().collect();
+    let namesakes = Namesakes::look(others).await;
+    if namesakes.hold_name_of(own) {
+        return Err(StoreError::Refused);
+    }
+    gateway.followers.restore(&namesakes.former);
+    Ok(registry.own_version)
 }
 
 /// Writes the row of this node and of those that follow it, under the condition that
@@ -269,13 +267,18 @@
     let sent_at = Instant::now();
     // The clock is known from the first look.
     let now = gateway.fleet.store_time().ok_or(StoreError::NoAnswer)?;
+    let own = fleet::own_node(gateway);
+    let process = Process::of(&own);
+    if !gateway.own_row.was_written() {
+        // Who had the name before is listed with it.
+        let version = claim_name(gateway, &process).await?;
+        gateway.own_row.read(version);
+    }
     let list = gateway.followers.list();
     let reads_since = gateway.fleet.reads_since();
-    let own = fleet::own_node(gateway);
-    let address = own.address;
-    let is_reached = address.is_some() || gateway.settings.peer_address.is_none();
+    let is_reached = own.address.is_some() || gateway.settings.peer_address.is_none();
     let row = registry::encode_row(own, reads_since, &list.followers, now)?;
-    write_own(gateway, &row, address).await?;
+    write_own(gateway, &row, &process).await?;
     if !is_reached {
         // Nobody can ask it.
         return Ok(());
@@ -302,11 +305,21 @@
         CallReason::List => LIST_TIMEOUT,
         _ => READ_TIMEOUT,
     };
-    let call = gateway.platform.read_rows(FleetTable::Nodes, RowRange::All);
+    let registry = read_rows(gateway, RowRange::All, limit, reason).await?;
+    gateway.store_era.seen(registry.era);
+    Ok(registry)
+}
+
+async fn read_rows<P: Platform>(
+    gateway: &Gateway<P>,
+    range: RowRange<'_>,
+    limit: Duration,
+    reason: CallReason,
+) -> Result<Registry, StoreError> {
+    let call = gateway.platform.read_rows(FleetTable::Nodes, range);
     gateway.metrics.store_calls.count(reason);
     let asked_at = Instant::now();
     let rows = bounded(call, limit).await?;
-    gateway.store_era.seen(rows.era);
     Ok(Registry::decode(&rows, asked_at, &gateway.settings.node))
 }
 
@@ -324,10 +337,13 @@
         sleep(FAREWELL_TIME).await;
         return;
     }
+    if !gateway.own_row.was_written() {
+        return;
+    }
     let key = registry::row_key(&gateway.settings.places.zone, &gateway.settings.node);
+    let own = Process::of(&fleet::own_node(gateway));
     let removal = async {
-        let address = gateway.peers.address();
-        let version = own_version(gateway, &key, address).await?;
+        let version = own_version(gateway, &key, &own).await?;
         gateway.metrics.store_calls.count(CallReason::Remove);
         // One that is done late removes no row that this node's next life has written.
         gateway
@@ -394,21 +410,30 @@
     if registry.may_lack_nodes() {
         return Err(StoreError::OtherEra);
     }
+    let own = Process::of(&fleet::own_node(gateway));
     let mut listed = ListedNodes {
         present: Vec::new(),
         former: Vec::new(),
     };
-    for member in registry.members.values() {
-        let registration = &member.registration;
-        let is_own = registration.node.name == gateway.settings.node;
-        let Some(address) = registration.node.address.filter(|_| !is_own) else {
+    let ended = ended_namesakes(&registry).await;
+    let processes = registry.processes.iter();
+    for (process, registration) in processes.filter(|(process, _)| **process != own) {
+        let Some(address) = process.address.filter(|_| !ended.contains(process)) else {
             continue;
         };
-        if member.is_present() {
+        if registration.is_present() {
             listed.present.push(address);
-        } else if registration.age < ROW_EXPIRY + FORMER_TIME {
+        } else if registration.is_asked() {
             listed.former.push(address);
         }
     }
     Ok(listed)
 }
+
+/// Processes that have ended and whose names others have taken since.
+async fn ended_namesakes(registry: &Registry) -> BTreeSet<Process> {
+    let replaced = registry.replaced_processes().cloned().collect();
+    let namesakes = Namesakes::look(replaced).await;
+    let ended = namesakes.ended.iter();
+    ended.map(|it| Process::of(&it.node)).collect()
+}
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::permission::FORMER_TIME;
 use linkhold_core::service::readers::{READER_EXPIRY, ROW_EXPIRY, SETTLING_TIME};
 use linkhold_core::service::store_place::{Era, StorePlace};
 use linkhold_events::Event;
@@ -37,6 +38,26 @@
     pub since: u64,
 }
 
+/// A process that runs as a node. One that stood still may wake after another one has
+/// been started under its name, so a name alone does not tell which of them is meant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Process {
+    /// Name of its node.
+    pub name: String,
+    /// Where other nodes reach it; `None` if they do not.
+    pub address: Option<SocketAddr>,
+}
+
+impl Process {
+    /// The process that a node's description tells of.
+    pub fn of(node: &FeedNode) -> Self {
+        Self {
+            name: node.name.clone(),
+            address: node.address,
+        }
+    }
+}
+
 /// A node that registers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -46,6 +67,18 @@
     pub age: Duration,
 }
 
+impl Registration {
+    /// Whether it counts as a node of the fleet.
+    pub fn is_present(&self) -> bool {
+        self.age < ROW_EXPIRY
+    }
+
+    /// Whether it is asked before a primary is replaced: it counts, or did lately.
+    pub fn is_asked(&self) -> bool {
+        self.age < ROW_EXPIRY + FORMER_TIME
+    }
+}
+
 /// A node's row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct NodeRow {
@@ -172,7 +205,7 @@
 impl Member {
     /// Whether it counts.
     pub fn is_present(&self) -> bool {
-        self.registration.age < ROW_EXPIRY
+        self.registration.is_present()
     }
 
     /// When it took up reading for others, if it still does.
@@ -191,12 +224,17 @@
     pub asked_at: Instant,
     /// The key between nodes, once a node has made it.
     pub key: Option<PeerKey>,
-    /// Nodes by name, present and former.
+    /// Nodes by name, present and former; of several processes of one name, the one that
+    /// gave the last sign of life.
     pub members: BTreeMap<String, Member>,
+    /// All processes, present and former, and how long ago each was known to live.
+    pub processes: BTreeMap<Process, Registration>,
     /// What this node's own row lists as its followers.
     pub own_followers: Vec<Registration>,
     /// Version of this node's own row; the default if it has none.
     pub own_version: StorePlace,
+    /// The process that wrote it.
+    pub own_writer: Option<Process>,
     /// The store's era.
     pub era: Era,
     /// What the table tells of it.
@@ -214,8 +252,10 @@
             asked_at,
             key: None,
             members: BTreeMap::new(),
+            processes: BTreeMap::new(),
             own_followers: Vec::new(),
             own_version: StorePlace::default(),
+            own_writer: None,
             era: rows.era,
             era_row: None,
             era_version: StorePlace::default(),
@@ -247,6 +287,7 @@
         };
         if row.name == own {
             self.own_version = version;
+            self.own_writer = Some(Process::of(&row.registration(self.now).node));
         }
         for follower in &row.followers {
             let registration = follower.registration(self.now);
@@ -260,6 +301,7 @@
 
     /// Takes in what one row tells of a node; a later sign of life counts more.
     fn insert(&mut self, registration: Registration, reads_since: Option<u64>) {
+        self.insert_process(&registration);
         let known = self.members.get(&registration.node.name);
         if known.is_some_and(|known| known.registration.age <= registration.age) {
             return;
@@ -272,6 +314,35 @@
         self.members.insert(name, member);
     }
 
+    fn insert_process(&mut self, registration: &Registration) {
+        let process = Process::of(&registration.node);
+        let known = self.processes.get(&process);
+        if known.is_none_or(|known| registration.age < known.age) {
+            self.processes.insert(process, registration.clone());
+        }
+    }
+
+    /// The other processes of a process's name.
+    pub fn other_processes(&self, process: &Process) -> impl Iterator<Item = &Registration> {
+        let is_other = |it: &Process| it.name == process.name && it.address != process.address;
+        let processes = self.processes.iter();
+        processes
+            .filter(move |(it, _)| is_other(it))
+            .map(|(_, registration)| registration)
+    }
+
+    /// Processes of whose names another one gave a later sign of life.
+    pub fn replaced_processes(&self) -> impl Iterator<Item = &Registration> {
+        let is_replaced = |process: &Process| {
+            let member = self.members.get(&process.name);
+            member.is_some_and(|it| it.registration.node.address != process.address)
+        };
+        let processes = self.processes.iter();
+        processes
+            .filter(move |(process, _)| is_replaced(process))
+            .map(|(_, registration)| registration)
+    }
+
     /// Whether the row of the store's era is to be written: it tells of another one.
     pub fn lacks_era(&self) -> bool {
         let told = self.era_row.map(|row| Era(row.era));
--- a/crates/linkhold-gateway/src/state/fleet.rs
+++ b/crates/linkhold-gateway/src/state/fleet.rs
@@ -15,7 +15,7 @@
 use crate::admission::Coordinator;
 use crate::beliefs::lock;
 use crate::places::Places;
-use crate::registry::{Member, Registry};
+use crate::registry::{Member, Process, Registration, Registry};
 use crate::watchers::Watchers;
 
 /// What is known of the fleet.
@@ -48,6 +48,9 @@
     store_clock: Option<(u64, Instant)>,
     /// Whether this node was listed when it first looked.
     was_listed: Option<bool>,
+    /// Processes that the rows listed when they were read last, and when that was.
+    processes: Vec<Registration>,
+    processes_as_of: Option<Instant>,
     /// When this node last read the fleet itself.
     read_at: Option<Instant>,
     /// Until when nodes that are not listed stay in the view.
@@ -304,6 +307,22 @@
         view.nodes.values().cloned().collect()
     }
 
+    /// The other processes of a name that the rows listed when they were read last.
+    pub fn others_of_its_name(&self, process: &Process) -> Vec<Registration> {
+        let view = lock(&self.view);
+        let since = view
+            .processes_as_of
+            .map_or(Duration::ZERO, |at| at.elapsed());
+        let same_name = view.processes.iter();
+        let same_name = same_name.filter(|it| it.node.name == process.name);
+        let others = same_name.filter(|it| it.node.address != process.address);
+        let aged = |it: &Registration| Registration {
+            age: it.age + since,
+            ..it.clone()
+        };
+        others.map(aged).collect()
+    }
+
     /// The nodes among which duties are dealt out from now on.
     pub fn set_duty_nodes(&self, nodes: Vec<NodeId>) {
         lock(&self.view).duty_nodes = nodes;
@@ -315,6 +334,8 @@
         // Counted from before it was told, it runs ahead rather than behind: a renewal
         // looks no older than it is.
         view.store_clock = Some((registry.now, registry.asked_at));
+        view.processes = registry.processes.values().cloned().collect();
+        view.processes_as_of = Some(registry.asked_at);
         if let Some(key) = &registry.key {
             view.key = Some(key.clone());
         }
