Keep silent followers listed when their reader leaves

What callers could see: a follower that stood still while its reader was stopped woke with its permission, and nobody had asked it before a promotion; what it acknowledges then can be undone.

Cause: the reader removed its row, which listed the follower. Followers that run are listed by another reader within two seconds, before the row goes; one that stands still is not.

Change: a node that leaves looks at the other rows, and writes its row with those followers alone that none of them lists. Ruled out: to leave the row until it expires, since promotions would wait 13 s for each node that was stopped as planned.

--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -340,23 +340,55 @@
     if !gateway.own_row.was_written() {
         return;
     }
-    let key = registry::row_key(&gateway.settings.places.zone, &gateway.settings.node);
-    let own = Process::of(&fleet::own_node(gateway));
-    let removal = async {
-        let version = own_version(gateway, &key, &own).await?;
-        gateway.metrics.store_calls.count(CallReason::Remove);
-        // One that is done late removes no row that this node's next life has written.
-        gateway
-            .platform
-            .remove_row(FleetTable::Nodes, &key, version)
-            .await
-    };
-    if let Err(error) = bounded(removal, DEREGISTER_TIMEOUT).await {
+    if let Err(error) = bounded(withdraw_row(gateway), DEREGISTER_TIMEOUT).await {
         // Without it, the row expires by itself.
         log_failure(gateway, error);
     }
 }
 
+/// Removes this node's own row. Followers that no other row lists may stand still and speak
+/// for primaries when they wake: as long as they are to be asked, the row lists them alone.
+async fn withdraw_row<P: Platform>(gateway: &Gateway<P>) -> Result<WriteResult, StoreError> {
+    let own = fleet::own_node(gateway);
+    let key = registry::row_key(&own.zone, &own.name);
+    let version = own_version(gateway, &key, &Process::of(&own)).await?;
+    let mut followers = gateway.followers.list().followers;
+    if !followers.is_empty() {
+        let others = read_other_rows(gateway, &key).await?;
+        followers.retain(|follower| !others.lists_as_present(&Process::of(&follower.node)));
+    }
+    gateway.metrics.store_calls.count(CallReason::Remove);
+    // What is done late changes no row that this node's next life has written.
+    if followers.is_empty() {
+        let removal = gateway
+            .platform
+            .remove_row(FleetTable::Nodes, &key, version);
+        return removal.await;
+    }
+    let now = gateway.fleet.store_time().ok_or(StoreError::NoAnswer)?;
+    let row = registry::encode_followers_alone(own, &followers, now)?;
+    let rows = [RowWrite {
+        table: FleetTable::Nodes,
+        key: &row.key,
+        value: row.value,
+        expected: Some(version),
+    }];
+    gateway.platform.write_rows(&rows).await
+}
+
+/// Reads all rows but one.
+async fn read_other_rows<P: Platform>(
+    gateway: &Gateway<P>,
+    key: &str,
+) -> Result<Registry, StoreError> {
+    gateway.metrics.store_calls.count(CallReason::List);
+    let asked_at = Instant::now();
+    let call = gateway.platform.read_rows(FleetTable::Nodes, RowRange::All);
+    let mut rows = bounded(call, LIST_TIMEOUT).await?;
+    rows.rows.retain(|row| row.key != key);
+    Ok(Registry::decode(&rows, asked_at, &gateway.settings.node))
+}
+
 /// The key between nodes; made by whichever node comes first.
 async fn shared_key<P: Platform>(gateway: &Gateway<P>) -> Result<PeerKey, StoreError> {
     let own: [u8; PEER_KEY_LENGTH] = rand::random();
--- a/crates/linkhold-gateway/src/registry.rs
+++ b/crates/linkhold-gateway/src/registry.rs
@@ -162,6 +162,27 @@
     };
     let mut row = NodeRow::new(&registration, now);
     row.reads_since = reads_since;
+    encode(row, followers, now)
+}
+
+/// The row of a node that has left, with those of its followers that are still to be asked,
+/// written at `now` on the store's clock.
+pub fn encode_followers_alone(
+    own: FeedNode,
+    followers: &[Registration],
+    now: u64,
+) -> Result<NewRow, StoreError> {
+    let gone = Registration {
+        node: FeedNode {
+            address: None,
+            ..own
+        },
+        age: ROW_EXPIRY + FORMER_TIME,
+    };
+    encode(NodeRow::new(&gone, now), followers, now)
+}
+
+fn encode(mut row: NodeRow, followers: &[Registration], now: u64) -> Result<NewRow, StoreError> {
     row.followers = followers
         .iter()
         .map(|follower| NodeRow::new(follower, now))
@@ -322,6 +343,12 @@
         }
     }
 
+    /// Whether a process is listed and counts as a node of the fleet.
+    pub fn lists_as_present(&self, process: &Process) -> bool {
+        let listed = self.processes.get(process);
+        listed.is_some_and(Registration::is_present)
+    }
+
     /// The other processes of a process's name.
     pub fn other_processes(&self, process: &Process) -> impl Iterator<Item = &Registration> {
         let is_other = |it: &Process| it.name == process.name && it.address != process.address;
