Use a lease held ready only while this process is certainly listed

What callers could see: two promotions under one token. A lease that is held ready belongs to a node's name; a process that stood still until another one may have had its name used it without the store when it woke, perhaps for another successor than the other process had.

Cause: a lease without the store was used on the authority's check alone, which refuses lower tokens and not the same one.

Change: it needs the permission to speak for primaries, which runs out before another process is listed under the name. Without one it could acknowledge nothing of the successor either. Ruled out: a holder's address in the lease, which each restart at another port would have to wait for.

--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -61,15 +61,16 @@
         }
     }
     let asked_at = Instant::now();
-    let checks_tokens = gateway.platform.checks_tokens();
-    let held = gateway.leases.use_without_store(
-        service,
-        successor,
-        checks_tokens,
-        gateway.store_era.known(),
-    );
+    let is_listed = gateway.beliefs.permission.holds();
+    // Another process may have had this node's name since, and used the lease.
+    let may_use = gateway.platform.checks_tokens() && is_listed;
+    let era = gateway.store_era.known();
+    let held = gateway
+        .leases
+        .use_without_store(service, successor, may_use, era);
     Event::warn("lease_unconfirmed")
         .field("service", service)
+        .field("is_listed", is_listed)
         .field("acts_on_old_lease", held.is_some())
         .log();
     held.map(|lease| Claim { lease, asked_at })
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -147,17 +147,18 @@
     }
 
     /// A lease on which this node may act although the store does not answer:
-    /// its own last one, unused or for the same successor, where the authority
-    /// itself refuses tokens that are no longer the newest, if it was claimed in the
-    /// store's era. From then on its token belongs to this successor.
+    /// its own last one, unused or for the same successor, if it was claimed in the store's
+    /// era. `may_use`: the authority itself refuses tokens that are no longer the newest,
+    /// and this process is certainly listed. From then on its token belongs to this
+    /// successor.
     pub fn use_without_store(
         &self,
         service: &str,
         successor: &InstanceId,
-        authority_checks_tokens: bool,
+        may_use: bool,
         era: Era,
     ) -> Option<FailoverLease> {
-        if !authority_checks_tokens {
+        if !may_use {
             return None;
         }
         let mut leases = lock(&self.leases);
