Take no answer for no proof that a primary leads

What callers saw: a node that started while the successor of a replaced primary was away told old data, and took writes at the replaced primary.

Cause: an entry tells a role and no term. The other instances were asked once, and where nobody answered, not even the primary, its lead counted as proved from then on. The same step was taken by whoever looks for a primary, and other nodes answered that question with what they believed for an entry alone.

Change: the instance has to answer, and the lease's row keeps the newest proved term and for whom the lease was claimed since. It is read with the claims when a node is listed, so it costs no call; a promotion costs one reading and one writing call. Without word of a claimed successor the others are asked, who answer with what they proved; else the most advanced instance is promoted. Ruled out: asking nodes alone, who may all have started together; counting instances.

A follower of an earlier version reads the longer message and passes the record over.

--- a/crates/linkhold-core/src/service/evidence.rs
+++ b/crates/linkhold-core/src/service/evidence.rs
@@ -65,6 +65,15 @@
         }
     }
 
+    /// A primary's log was proved to end in a term, as is known from elsewhere; what was
+    /// observed in an older one proves nothing any more.
+    pub fn term_proved(&mut self, term: Term) {
+        if Some(term) > self.newest_term {
+            self.newest_term = Some(term);
+            self.samples.clear();
+        }
+    }
+
     /// Drops the newest sample when it lies close behind the one before it
     /// and `next`, which is of the same term, takes its place.
     fn drop_crowded(&mut self, next: &Sample) {
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -183,6 +183,11 @@
         self.holder == earlier.holder && self.token == earlier.token + 1
     }
 
+    /// Whether an order under it may still be carried out at a moment of the store's clock.
+    pub fn may_take_effect(&self, now: u64) -> bool {
+        left_of(LEASE + ORDER_MEMORY, self.claimed_at, now).is_some()
+    }
+
     /// Whether its token may be used for this successor.
     pub fn may_promote(&self, successor: &InstanceId) -> bool {
         self.successor
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -12,6 +12,7 @@
 pub mod following;
 pub mod health;
 pub mod instance;
+pub mod lead;
 pub mod listing;
 pub mod lives;
 pub mod owners;
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -5,7 +5,7 @@
 mod eligibility;
 mod primaries;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -67,6 +67,11 @@
     directory_read_at: Mutex<Option<Instant>>,
     instances: Mutex<InstanceBeliefs>,
     directory_place: Mutex<StorePlace>,
+    /// Terms in which logs were proved to end after another one, newest of each service; the
+    /// store is to keep them.
+    risen_terms: Mutex<BTreeMap<ServiceName, Term>>,
+    /// Services of which the store does not keep whether a claimed successor was promoted.
+    unsettled: Mutex<HashSet<ServiceName>>,
     changes: watch::Sender<u64>,
     /// Counts changes of the configuration and of the list of instances alone.
     told: watch::Sender<u64>,
@@ -87,6 +92,8 @@
             directory_read_at: Mutex::default(),
             instances: Mutex::default(),
             directory_place: Mutex::default(),
+            risen_terms: Mutex::default(),
+            unsettled: Mutex::default(),
             changes: watch::channel(0).0,
             told: watch::channel(0).0,
             permission: OwnPermission::default(),
@@ -415,10 +422,15 @@
         self.term_seen(service, sample.position.term);
         let mut instances = lock(&self.instances);
         let evidence = instances.evidence.entry(service.clone()).or_default();
-        let previous = evidence.newest();
+        let previous = evidence.newest_term();
         evidence.record(sample);
         drop(instances);
-        if previous.is_some_and(|previous| previous.position.term < sample.position.term) {
+        let is_settled_now = lock(&self.unsettled).remove(service);
+        let has_risen = previous.is_some_and(|previous| previous < sample.position.term);
+        if has_risen || is_settled_now {
+            lock(&self.risen_terms).insert(service.clone(), sample.position.term);
+        }
+        if has_risen {
             Event::info("term_changed")
                 .field("service", service)
                 .field("position", sample.position)
@@ -427,6 +439,25 @@
         self.announce_change();
     }
 
+    /// The store does not keep whether a claimed successor was promoted: the next proof of who
+    /// leads is to be kept.
+    pub fn lead_unsettled(&self, service: &ServiceName) {
+        lock(&self.unsettled).insert(service.clone());
+    }
+
+    /// A primary's log was proved to end in a term, as the store keeps.
+    pub fn term_proved(&self, service: &ServiceName, term: Term) {
+        self.term_seen(service, term);
+        let mut instances = lock(&self.instances);
+        let evidence = instances.evidence.entry(service.clone()).or_default();
+        evidence.term_proved(term);
+    }
+
+    /// Takes the terms that the store is to keep.
+    pub fn take_risen_terms(&self) -> BTreeMap<ServiceName, Term> {
+        std::mem::take(&mut lock(&self.risen_terms))
+    }
+
     /// The lowest position that covers everything acknowledged before `moment`.
     pub fn fence(&self, service: &str, moment: Instant) -> Option<Position> {
         lock(&self.instances).evidence.get(service)?.fence(moment)
--- a/crates/linkhold-gateway/src/evidence/lead_proof.rs
+++ b/crates/linkhold-gateway/src/evidence/lead_proof.rs
@@ -1,52 +1,114 @@
 //! Makes sure that an instance which is believed to lead for its entry alone was not
 //! replaced before this node knew of it.
 //!
-//! An entry tells a role and no term. A primary that was replaced while it was cut off
-//! goes on saying that it leads, and nobody contradicts it while its successor is away. The
-//! other instances of its service follow the successor's term, so they are asked once,
-//! before the first answer of such a primary is told.
+//! Before the first answer of such a primary is told, the instances of its service are asked
+//! once for their terms, and what the store keeps of earlier promotions is looked at
+//! ([`linkhold_core::service::lead`]).
+
+use std::sync::Arc;
 
-use linkhold_core::position::Term;
 use linkhold_core::service::failover::InstanceStatus;
-use linkhold_core::service::instance::Instance;
+use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::lead::{self, LeadVerdict};
 use linkhold_events::Event;
+use linkhold_peer::Reachability;
 
 use crate::evidence::survey;
+use crate::failover;
 use crate::gateway::Gateway;
-use crate::ports::Platform;
+use crate::ports::{BackendErrorKind, Platform};
+use crate::request::attempt::NotRunCause;
 
-/// Asks the instances of a service for their terms, unless the lead of `primary` is proved.
-/// One that follows an older term than another is not believed to lead any more.
-pub(crate) async fn prove<P: Platform>(gateway: &Gateway<P>, primary: &Instance) {
+/// Makes sure that `primary` leads, unless that is proved; an error tells why nothing may be
+/// sent to it as one.
+pub(crate) async fn prove<P: Platform>(
+    gateway: &Gateway<P>,
+    primary: &Arc<Instance>,
+) -> Result<(), NotRunCause> {
     if !gateway.beliefs.needs_lead_proof(&primary.id) {
-        return;
+        return unless_denied(gateway, primary);
     }
     let turn = gateway.lead_proofs.turn(&primary.service);
     let _turn = turn.lock().await;
     // Somebody else may have asked meanwhile.
     if !gateway.beliefs.needs_lead_proof(&primary.id) {
-        return;
+        return unless_denied(gateway, primary);
     }
     let instances = gateway.beliefs.instances(&primary.service);
-    let statuses = survey::statuses(gateway, &instances).await;
+    let statuses = survey::statuses_by_any_way(gateway, &instances).await;
     for status in &statuses {
         gateway.beliefs.term_seen(&primary.service, status.term);
     }
-    let own = statuses.iter().find(|status| status.id == primary.id);
-    match own.and_then(|own| newer_term(&statuses, own.term)) {
-        Some(term) => {
-            Event::warn("primary_outdated")
-                .field("service", &primary.service)
-                .field("instance", &primary.id)
-                .field("newest_term", term)
-                .log();
+    match judge(gateway, primary, &statuses).await {
+        LeadVerdict::Leads => {
+            gateway.beliefs.prove_lead(&primary.id);
+            Ok(())
+        }
+        LeadVerdict::Silent => Err(look_at_silent(gateway, primary).await),
+        verdict @ (LeadVerdict::Replaced(_) | LeadVerdict::Unknown) => {
+            log_not_proved(primary, &statuses, verdict);
+            gateway.instance_denied_primary(primary);
+            Err(NotRunCause::Refused(BackendErrorKind::ReadOnly))
+        }
+    }
+}
+
+fn unless_denied<P: Platform>(gateway: &Gateway<P>, primary: &Instance) -> Result<(), NotRunCause> {
+    if gateway.beliefs.is_denied(&primary.id) {
+        return Err(NotRunCause::Refused(BackendErrorKind::ReadOnly));
+    }
+    Ok(())
+}
+
+/// Judges an instance that says it leads by what the instances of its service told and by
+/// what the store keeps, which is read again if it does not tell.
+pub(crate) async fn judge<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    statuses: &[InstanceStatus],
+) -> LeadVerdict {
+    let service = &instance.service;
+    if let Some(record) = gateway.lead_records.of(service) {
+        let verdict = lead::judge(&instance.id, statuses, &record);
+        if verdict != LeadVerdict::Unknown {
+            return verdict;
+        }
+    }
+    match failover::read_lead_record(gateway, service).await {
+        Ok(record) => {
+            let verdict = lead::judge(&instance.id, statuses, &record);
+            gateway.lead_records.update(service, record);
+            verdict
+        }
+        Err(_) => LeadVerdict::Unknown,
+    }
+}
+
+/// Why nothing may be sent to an instance that tells no status: it may be busy.
+async fn look_at_silent<P: Platform>(gateway: &Gateway<P>, primary: &Arc<Instance>) -> NotRunCause {
+    if gateway.relays.is_relayed(&primary.id) {
+        return NotRunCause::Unreachable;
+    }
+    match survey::reach_primary(gateway, primary).await {
+        Reachability::Reached => NotRunCause::Refused(BackendErrorKind::Busy),
+        Reachability::NotPrimary => {
             gateway.instance_denied_primary(primary);
+            NotRunCause::Refused(BackendErrorKind::ReadOnly)
+        }
+        Reachability::Unreached => {
+            gateway.instance_failed(primary, "unreachable");
+            NotRunCause::Unreachable
         }
-        None => gateway.beliefs.prove_lead(&primary.id),
     }
 }
 
-fn newer_term(statuses: &[InstanceStatus], own: Term) -> Option<Term> {
-    let newest = statuses.iter().map(|status| status.term).max()?;
-    (newest > own).then_some(newest)
+fn log_not_proved(primary: &Instance, statuses: &[InstanceStatus], verdict: LeadVerdict) {
+    let told: Vec<&InstanceId> = statuses.iter().map(|status| &status.id).collect();
+    let told: Vec<String> = told.iter().map(ToString::to_string).collect();
+    Event::warn("primary_outdated")
+        .field("service", &primary.service)
+        .field("instance", &primary.id)
+        .field("verdict", format_args!("{verdict:?}"))
+        .field("told_by", told.join(","))
+        .log();
 }
--- a/crates/linkhold-gateway/src/evidence/probe.rs
+++ b/crates/linkhold-gateway/src/evidence/probe.rs
@@ -101,12 +101,13 @@
         && !owners.includes_self
         && let Some(sample) = forward::ask_evidence(gateway, &owners, &primary, moment).await
     {
+        // The owner has proved that it leads.
+        gateway.beliefs.prove_lead(&primary.id);
         gateway.primary_proved(&primary, sample);
         return;
     }
     gateway.metrics.evidence_probes.add();
-    lead_proof::prove(gateway, &primary).await;
-    if gateway.beliefs.is_denied(&primary.id) {
+    if lead_proof::prove(gateway, &primary).await.is_err() {
         return;
     }
     let deadline = tokio::time::Instant::from_std(started + QUESTION_TIMEOUT);
--- a/crates/linkhold-gateway/src/evidence/survey.rs
+++ b/crates/linkhold-gateway/src/evidence/survey.rs
@@ -9,11 +9,13 @@
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::failover::InstanceStatus;
 use linkhold_core::service::instance::Instance;
+use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::Reachability;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::pool::Opener;
 use crate::ports::{
     BackendConnection, BackendErrorKind, BackendReply, Command, ConnectError, Platform,
 };
@@ -46,7 +48,10 @@
     match (replies[0].error(), replies[0].position) {
         (Some(BackendErrorKind::ReadOnly), _) => Reachability::NotPrimary,
         (None, Some(position)) => {
-            gateway.primary_proved(instance, Sample { sent_at, position });
+            // One that may have been replaced proves nothing of its service's log.
+            if !gateway.beliefs.needs_lead_proof(&instance.id) {
+                gateway.primary_proved(instance, Sample { sent_at, position });
+            }
             Reachability::Reached
         }
         _ => Reachability::Reached,
@@ -62,6 +67,25 @@
     join_all(questions).await.into_iter().flatten().collect()
 }
 
+/// The statuses of those instances that answer, directly or through a peer that serves this
+/// node's connections to them.
+pub(crate) async fn statuses_by_any_way<P: Platform>(
+    gateway: &Gateway<P>,
+    instances: &[Arc<Instance>],
+) -> Vec<InstanceStatus> {
+    let questions = instances.iter().map(|instance| async {
+        let connecting = gateway.open(
+            instance,
+            &ConnectionHolder::NoTenant,
+            &AllowedRegions::Everywhere,
+        );
+        let connecting = async { Ok(connecting.await?.connection) };
+        let replies = ask_over(connecting, &[Command::Status]).await.ok()?;
+        gateway.platform.read_status(&instance.id, &replies[0])
+    });
+    join_all(questions).await.into_iter().flatten().collect()
+}
+
 /// The status of an instance; `None` if it does not tell it.
 pub(crate) async fn status<P: Platform>(
     gateway: &Gateway<P>,
@@ -87,13 +111,20 @@
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
     commands: &[Command],
+) -> Result<Vec<BackendReply>, ConnectError> {
+    let connecting = gateway
+        .platform
+        .connect(instance, &ConnectionHolder::NoTenant);
+    ask_over(connecting, commands).await
+}
+
+async fn ask_over<C: BackendConnection>(
+    connecting: impl Future<Output = Result<C, ConnectError>>,
+    commands: &[Command],
 ) -> Result<Vec<BackendReply>, ConnectError> {
     let exchange = async {
-        let mut connection = gateway
-            .platform
-            .connect(instance, &ConnectionHolder::NoTenant)
-            .await?;
-        connection
+        connecting
+            .await?
             .exchange(commands)
             .await
             .map_err(|_| ConnectError::Unreachable)
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::position::Term;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{
     self, ClaimDecision, ClaimTime, FailoverLease, LEASE, ORDER_TIMEOUT, era_of_token,
 };
 use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
@@ -16,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::lease_format::{KnownClaims, decode_lease, encode_lease};
 use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
-use crate::store_call::{CallReason, READ_TIMEOUT, bounded};
+use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, bounded};
 
 /// How long a claim, a read and a write, may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -79,6 +81,7 @@
 /// A lease's row as it is.
 struct LeaseRead {
     lease: Option<FailoverLease>,
+    record: LeadRecord,
     version: StorePlace,
     read_at: ClaimTime,
 }
@@ -97,8 +100,10 @@
     let current = row
         .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
         .transpose()?;
+    let (lease, record) = current.unzip();
     Ok(LeaseRead {
-        lease: current,
+        lease,
+        record: record.unwrap_or_default(),
         version: row.map_or_else(StorePlace::default, |row| row.version),
         read_at: ClaimTime {
             now: rows.now,
@@ -107,23 +112,27 @@
     })
 }
 
-/// Writes a lease if its row still has `version`; whether it was written.
+/// Writes a lease if its row is still as it was read; whether it was written.
 async fn write_lease<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
     lease: &FailoverLease,
-    version: StorePlace,
+    read: &LeaseRead,
 ) -> Result<bool, StoreError> {
     gateway.metrics.store_calls.count(CallReason::Lease);
+    let mut record = read.record.clone();
+    if let Some(successor) = &lease.successor {
+        record.claim(successor);
+    }
     let row = |table, expected| RowWrite {
         table,
         key: service,
-        value: encode_lease(lease),
+        value: encode_lease(lease, &record),
         expected,
     };
     // Whoever comes to be listed reads the claims alone.
     let rows = [
-        row(FleetTable::Leases, Some(version)),
+        row(FleetTable::Leases, Some(read.version)),
         row(FleetTable::Claims, None),
     ];
     let written = gateway.platform.write_rows(&rows).await?;
@@ -168,16 +177,14 @@
 ) {
     let settling = async {
         let read = read_lease(&gateway, &service).await?;
-        match read.lease.filter(|row| *row == ordered) {
-            Some(row) => {
-                let settled = FailoverLease {
-                    ordered_at: None,
-                    ..row
-                };
-                write_lease(&gateway, &service, &settled, read.version).await
-            }
-            None => Ok(false),
+        if read.lease.as_ref() != Some(&ordered) {
+            return Ok(false);
         }
+        let settled = FailoverLease {
+            ordered_at: None,
+            ..ordered
+        };
+        write_lease(&gateway, &service, &settled, &read).await
     };
     // Without an answer, others wait for the order's whole time.
     let _ = timeout(STORE_TIMEOUT, settling).await;
@@ -191,11 +198,11 @@
     let read = read_lease(gateway, service).await?;
     let now = read.read_at.now;
     let is_of_era = era_of_token(claimed.token) == read.read_at.era;
-    let current = read.lease.filter(|_| is_of_era);
+    let current = read.lease.as_ref().filter(|_| is_of_era);
     let Some(lease) = current.and_then(|row| row.about_to_order(claimed, now)) else {
         return Ok(None);
     };
-    let written = write_lease(gateway, service, &lease, read.version).await?;
+    let written = write_lease(gateway, service, &lease, &read).await?;
     Ok(written.then_some(lease))
 }
 
@@ -212,16 +219,58 @@
     let rows = bounded(call, READ_TIMEOUT).await?;
     let read_at = Instant::now();
     let mut claims = Vec::new();
+    let mut records = Vec::new();
     for row in &rows.rows {
-        let lease = decode_lease(&row.value).ok_or(StoreError::Malformed)?;
+        let (lease, record) = decode_lease(&row.value).ok_or(StoreError::Malformed)?;
+        let service: ServiceName = row.key.as_str().into();
+        records.push((service.clone(), record));
         claims.push(RecentClaim {
-            service: row.key.as_str().into(),
+            service,
             successor: lease.successor,
             age: Duration::from_millis(rows.now.saturating_sub(lease.claimed_at)),
         });
     }
     claims.retain(RecentClaim::may_take_effect);
-    Ok(KnownClaims { claims, read_at })
+    Ok(KnownClaims {
+        claims,
+        records,
+        read_at,
+    })
+}
+
+/// Reads what is kept of a service's promotions.
+pub(crate) async fn read_lead_record<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> Result<LeadRecord, StoreError> {
+    bounded(read_lease(gateway, service), CALL_TIMEOUT)
+        .await
+        .map(|read| read.record)
+}
+
+/// Keeps that a primary's log was proved to end in a term, unless a newer one is kept;
+/// `false` if somebody else wrote the row meanwhile.
+pub(crate) async fn record_proved_term<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    term: Term,
+) -> Result<bool, StoreError> {
+    let mut read = bounded(read_lease(gateway, service), CALL_TIMEOUT).await?;
+    let now = read.read_at.now;
+    let claimed = read.lease.as_ref();
+    let pending = claimed.filter(|it| it.may_take_effect(now));
+    if !read
+        .record
+        .prove(term, pending.and_then(|it| it.successor.as_ref()))
+    {
+        return Ok(true);
+    }
+    let node = &gateway.settings.node;
+    let unused = || failover::hold_ready(None, node, |_| false, read.read_at);
+    let Some(lease) = read.lease.clone().or_else(unused) else {
+        return Ok(false);
+    };
+    bounded(write_lease(gateway, service, &lease, &read), CALL_TIMEOUT).await
 }
 
 async fn try_claim<P: Platform>(
@@ -231,7 +280,7 @@
 ) -> Result<Option<FailoverLease>, StoreError> {
     let read = read_lease(gateway, service).await?;
     let node = &gateway.settings.node;
-    let current = read.lease.map(|row| match row.holder == *node {
+    let current = read.lease.clone().map(|row| match row.holder == *node {
         true => gateway.leases.completed(service, row),
         false => row,
     });
@@ -246,6 +295,6 @@
             return Ok(None);
         }
     };
-    let written = write_lease(gateway, service, &lease, read.version).await?;
+    let written = write_lease(gateway, service, &lease, &read).await?;
     Ok(written.then_some(lease))
 }
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -11,6 +11,7 @@
 mod order;
 mod promotion;
 mod ready_leases;
+mod recorder;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -29,8 +30,9 @@
 use misplaced::MisplacedPrimaries;
 use promotion::replace;
 
-pub(crate) use lease::recent_claims;
+pub(crate) use lease::{read_lead_record, recent_claims};
 pub(crate) use ready_leases::hold_leases_ready;
+pub(crate) use recorder::keep_lead_records;
 
 /// How often primaries that leave are looked for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -55,6 +55,11 @@
             .field("service", service)
             .field("reason", reason)
             .log();
+        self.release(gateway).await;
+    }
+
+    /// Tells whoever agreed that nothing of it comes any more.
+    async fn release<P: Platform>(self, gateway: &Gateway<P>) {
         if let Some(agreement) = self.agreement {
             agreement.release(gateway).await;
         }
@@ -118,6 +123,10 @@
     let given_up = match answer {
         PromoteAnswer::Accepted | PromoteAnswer::Unknown => {
             await_lead(gateway, service, &successor.id).await;
+            if answer == PromoteAnswer::Accepted && successor.role == Role::Primary {
+                // It said that it led: nobody else is replaced, and those who agreed may use it.
+                grounds.release(gateway).await;
+            }
             return OrderEnd::MayBeCarriedOut;
         }
         PromoteAnswer::Refused => {
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -3,20 +3,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use linkhold_core::position::Term;
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::lead::LeadVerdict;
 use linkhold_core::service::permission::CONFIRMATION_LIFE;
 use linkhold_events::Event;
 use tokio::time::{sleep, sleep_until};
 
-use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced};
+use super::diagnosis::{Agreement, confirm_none_leads, confirm_not_replaced, learn_leader};
 use super::lease::{Claim, claim};
 use super::order::{Grounds, OrderEnd, order};
 use super::{Trouble, is_still_subject};
-use crate::evidence::survey;
+use crate::evidence::{lead_proof, survey};
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
@@ -46,12 +47,7 @@
         return;
     }
     let situation = survey_service(gateway, service).await;
-    if trouble == Trouble::Unknown
-        && let Some(primary) = find_primary(gateway, service, &situation.statuses)
-    {
-        gateway
-            .beliefs
-            .confirm_primary(&primary.id, PrimarySource::Asked);
+    if trouble == Trouble::Unknown && find_primary(gateway, &situation).await {
         return;
     }
     let Some(successor) = successor(gateway, service, trouble, &situation) else {
@@ -228,10 +224,30 @@
     }
 }
 
+/// Finds an instance that says it is primary and was not replaced, by what is known here or,
+/// if that does not tell, by what others know; whether one is believed now.
+async fn find_primary<P: Platform>(gateway: &Gateway<P>, situation: &Situation) -> bool {
+    let service = &situation.service;
+    let Some(claimant) = claimant(gateway, service, &situation.statuses) else {
+        return false;
+    };
+    let Some(instance) = gateway.beliefs.instance(&claimant.id) else {
+        return false;
+    };
+    let verdict = lead_proof::judge(gateway, &instance, &situation.statuses).await;
+    if verdict == LeadVerdict::Leads {
+        gateway
+            .beliefs
+            .confirm_primary(&claimant.id, PrimarySource::Asked);
+        return true;
+    }
+    learn_leader(gateway, service).await
+}
+
 /// An instance that says it is primary in the newest term that is known. Where several
 /// announce that they lead, all have to tell their term: the one that is silent may be
 /// the newest.
-fn find_primary<'a, P: Platform>(
+fn claimant<'a, P: Platform>(
     gateway: &Gateway<P>,
     service: &str,
     statuses: &'a [InstanceStatus],
@@ -264,7 +280,7 @@
         .limits(service)
         .map_or(0, |limits| limits.synchronous_replicas);
     let required = failover::statuses_required(situation.others.len(), synchronous);
-    let evidence = gateway.beliefs.newest_position(service);
+    let evidence = newest_evidence(gateway, service);
     let candidates: Vec<Successor> = situation
         .statuses
         .iter()
@@ -298,6 +314,13 @@
     chosen.cloned()
 }
 
+/// Where a log has to end at least to lack nothing of a newer term than its own.
+fn newest_evidence<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Position> {
+    let proved_term = gateway.beliefs.newest_proved_term(service);
+    let start_of_term = proved_term.map(|term| Position { term, index: 0 });
+    start_of_term.max(gateway.beliefs.newest_position(service))
+}
+
 fn is_well_placed<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) -> bool {
     let instance = gateway.beliefs.instance(id);
     instance.is_some_and(|instance| gateway.beliefs.is_well_placed(&instance))
--- a/crates/linkhold-gateway/src/failover/ready_leases.rs
+++ b/crates/linkhold-gateway/src/failover/ready_leases.rs
@@ -12,6 +12,7 @@
 
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{self, ClaimTime, FailoverLease};
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::store_place::StorePlace;
 use linkhold_events::Event;
 use tokio::time::sleep;
@@ -78,6 +79,7 @@
 struct NewLease {
     service: ServiceName,
     lease: FailoverLease,
+    record: LeadRecord,
     version: StorePlace,
 }
 
@@ -90,7 +92,7 @@
         let rows = together.iter().map(|new| RowWrite {
             table: FleetTable::Leases,
             key: &new.service,
-            value: encode_lease(&new.lease),
+            value: encode_lease(&new.lease, &new.record),
             expected: Some(new.version),
         });
         gateway.metrics.store_calls.count(CallReason::Lease);
@@ -134,12 +136,13 @@
             // A row that cannot be read may hold any token: none is handed out over it.
             continue;
         }
-        let current = current.flatten();
+        let (current, record) = current.flatten().unzip();
         let is_in_fleet = |holder: &str| gateway.fleet.knows(holder);
         let lease = failover::hold_ready(current.as_ref(), node, is_in_fleet, time);
         new.extend(lease.map(|lease| NewLease {
             service: service.clone(),
             lease,
+            record: record.unwrap_or_default(),
             version: row.map_or_else(StorePlace::default, |row| row.version),
         }));
     }
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -23,6 +23,7 @@
 use crate::fleet;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
+use crate::registration;
 use crate::state::FleetSource;
 
 /// Longest time without a byte of a message that has begun: a reader's link may be
@@ -194,7 +195,14 @@
                     self.gateway.reader_link.answered(answer);
                     continue;
                 }
-                FeedMessage::Listed { number, claims } => {
+                FeedMessage::Listed {
+                    number,
+                    claims,
+                    records,
+                } => {
+                    if claims.is_some() {
+                        registration::adopt_lead_records(self.gateway, &records);
+                    }
                     if let Err(lost) = self.listed(number, claims) {
                         return lost;
                     }
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -247,7 +247,10 @@
     let listed = gateway.followers.take_listed(&arrival.process);
     let listed = listed.map(|listed| FeedMessage::Listed {
         number: listed.number,
-        claims: listed.claims.map(|known| known.aged()),
+        claims: listed.claims.as_ref().map(|known| known.aged()),
+        records: listed
+            .claims
+            .map_or_else(Vec::new, |known| known.records.clone()),
     });
     let confirmed = gateway.followers.take_confirmed(&arrival.process);
     let confirmed = confirmed.map(|number| FeedMessage::Confirmed {
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::ports::{BackendConnector, Platform};
 use crate::settings::GatewaySettings;
 use crate::state::{
-    Fleet, FleetSource, Forwarding, LeadProofs, OwnRow, Peers, Questions, ReaderLink, Relays,
-    Sources, WarmUps,
+    Fleet, FleetSource, Forwarding, LeadProofs, LeadRecords, OwnRow, Peers, Questions, ReaderLink,
+    Relays, Sources, WarmUps,
 };
 use crate::store_era::StoreEra;
 use crate::watchers::Watchers;
@@ -58,6 +58,7 @@
     pub(crate) leases: HeldLeases,
     pub(crate) watchers: Watchers,
     pub(crate) lead_proofs: LeadProofs,
+    pub(crate) lead_records: LeadRecords,
     pub(crate) store_era: StoreEra,
     pub(crate) quotas: Quotas,
     pub(crate) warm_ups: WarmUps,
@@ -116,6 +117,7 @@
             leases: HeldLeases::default(),
             watchers: Watchers::default(),
             lead_proofs: LeadProofs::default(),
+            lead_records: LeadRecords::default(),
             store_era: StoreEra::default(),
             quotas: Quotas::default(),
             warm_ups: WarmUps::default(),
--- a/crates/linkhold-gateway/src/lease_format.rs
+++ b/crates/linkhold-gateway/src/lease_format.rs
@@ -1,12 +1,16 @@
 //! Failover leases as rows, claims of them that were read, and the last ones this node held.
+//!
+//! A row also tells what the store keeps of the service's promotions ([`LeadRecord`]).
 
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Instant;
 
+use linkhold_core::position::Term;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{FailoverLease, era_of_token};
 use linkhold_core::service::instance::InstanceId;
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::store_place::Era;
 use serde::{Deserialize, Serialize};
@@ -21,30 +25,42 @@
     successor: Option<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     ordered_at: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    proved_term: Option<u64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    claimed: Vec<String>,
 }
 
-/// A lease as a row's value.
-pub(crate) fn encode_lease(lease: &FailoverLease) -> Vec<u8> {
+/// A lease as a row's value, with what is kept of the service's promotions.
+pub(crate) fn encode_lease(lease: &FailoverLease, record: &LeadRecord) -> Vec<u8> {
     let row = LeaseRow {
         holder: lease.holder.clone(),
         token: lease.token,
         claimed_at: lease.claimed_at,
         successor: lease.successor.as_ref().map(ToString::to_string),
         ordered_at: lease.ordered_at,
+        proved_term: record.proved_term.map(|term| term.0),
+        claimed: record.claimed.iter().map(ToString::to_string).collect(),
     };
     serde_json::to_vec(&row).expect("a lease has nothing that cannot be written")
 }
 
 /// Reads a row's value; `None` if it is not a lease.
-pub(crate) fn decode_lease(value: &[u8]) -> Option<FailoverLease> {
+pub(crate) fn decode_lease(value: &[u8]) -> Option<(FailoverLease, LeadRecord)> {
     let row: LeaseRow = serde_json::from_slice(value).ok()?;
-    Some(FailoverLease {
+    let instance = |id: String| InstanceId(id.into());
+    let record = LeadRecord {
+        proved_term: row.proved_term.map(Term),
+        claimed: row.claimed.into_iter().map(instance).collect(),
+    };
+    let lease = FailoverLease {
         holder: row.holder,
         token: row.token,
         claimed_at: row.claimed_at,
-        successor: row.successor.map(|id| InstanceId(id.into())),
+        successor: row.successor.map(instance),
         ordered_at: row.ordered_at,
-    })
+    };
+    Some((lease, record))
 }
 
 /// Claims of leases as they were read.
@@ -52,6 +68,8 @@
 pub(crate) struct KnownClaims {
     /// Those under which a promotion may still take effect.
     pub claims: Vec<RecentClaim>,
+    /// What is kept of the promotions of each service that ever had one.
+    pub records: Vec<(ServiceName, LeadRecord)>,
     /// When they were read; their ages count from no later.
     pub read_at: Instant,
 }
--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -227,9 +227,11 @@
         QuestionSubject::PrimaryOf(service) => gateway.beliefs.primary(service),
     };
     let found = match &instance {
-        Some(instance) => find(&gateway, instance, purpose).await,
+        Some(instance) if believes_in(&gateway, instance, &subject) => {
+            find(&gateway, instance, purpose).await
+        }
         // What it does not know, it does not use.
-        None => Reachability::Unreached,
+        Some(_) | None => Reachability::Unreached,
     };
     if found != Reachability::Reached && purpose == QuestionPurpose::Replace {
         gateway.beliefs.permission.agree(&subject, asker.number);
@@ -258,6 +260,17 @@
         .await;
 }
 
+/// Whether this node's word on an instance counts: of a service's primary, what is believed
+/// for its entry alone tells nothing.
+fn believes_in<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    subject: &QuestionSubject,
+) -> bool {
+    let is_any_primary = matches!(subject, QuestionSubject::PrimaryOf(_));
+    !is_any_primary || !gateway.beliefs.needs_lead_proof(&instance.id)
+}
+
 fn instance_id(id: &str) -> InstanceId {
     InstanceId(id.into())
 }
--- a/crates/linkhold-gateway/src/registration.rs
+++ b/crates/linkhold-gateway/src/registration.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::permission::Renewed;
 use linkhold_core::service::readers;
 use linkhold_core::service::store_place::{Era, StorePlace};
@@ -285,7 +287,9 @@
     }
     let renewed = gateway.beliefs.permission.renewed(sent_at);
     let claims = if renewed == Renewed::ToBeAdmitted || list.covers.has_arrivals() {
-        Some(failover::recent_claims(gateway).await?)
+        let known = failover::recent_claims(gateway).await?;
+        adopt_lead_records(gateway, &known.records);
+        Some(known)
     } else {
         None
     };
@@ -376,6 +380,22 @@
     gateway.platform.write_rows(&rows).await
 }
 
+/// Takes in what the store keeps of earlier promotions.
+pub(crate) fn adopt_lead_records<P: Platform>(
+    gateway: &Gateway<P>,
+    records: &[(ServiceName, LeadRecord)],
+) {
+    for (service, record) in records {
+        if let Some(term) = record.proved_term {
+            gateway.beliefs.term_proved(service, term);
+        }
+        if !record.claimed.is_empty() {
+            gateway.beliefs.lead_unsettled(service);
+        }
+    }
+    gateway.lead_records.replace(records);
+}
+
 /// Reads all rows but one.
 async fn read_other_rows<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/linkhold-gateway/src/request/attempt/mod.rs
+++ b/crates/linkhold-gateway/src/request/attempt/mod.rs
@@ -98,6 +98,9 @@
         };
         let attempt = forward::run(gateway, &asked, instance, principal, work, frame, bounds).await;
         if let Some(attempt) = attempt {
+            if is_proved_by_owner(gateway, instance, work, frame, &attempt) {
+                gateway.beliefs.prove_lead(&instance.id);
+            }
             return acknowledged(gateway, instance, work, frame, attempt);
         }
     }
@@ -105,6 +108,18 @@
     acknowledged(gateway, instance, work, frame, attempt)
 }
 
+/// Whether an owner ran `work` on an instance as a primary: it has proved that it leads.
+fn is_proved_by_owner<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    frame: Frame,
+    attempt: &Attempt<P>,
+) -> bool {
+    let is_answered = matches!(attempt, Attempt::Answered(_));
+    is_answered && speaks_for_primary(gateway, instance, work, frame)
+}
+
 /// Runs `work` on a connection of this node's own.
 pub(crate) async fn run_here<P: Platform>(
     gateway: &Arc<Gateway<P>>,
@@ -117,11 +132,10 @@
     if gateway.relays.bars(&instance.id, principal.regions) {
         return Attempt::NotRun(NotRunCause::Unreachable);
     }
-    if speaks_for_primary(gateway, instance, work, frame) {
-        lead_proof::prove(gateway, instance).await;
-        if gateway.beliefs.is_denied(&instance.id) {
-            return Attempt::NotRun(NotRunCause::Refused(BackendErrorKind::ReadOnly));
-        }
+    if speaks_for_primary(gateway, instance, work, frame)
+        && let Err(cause) = lead_proof::prove(gateway, instance).await
+    {
+        return Attempt::NotRun(cause);
     }
     let pool = gateway.pools.pool(instance, &gateway.beliefs);
     let entered = pool
--- /dev/null
+++ b/crates/linkhold-gateway/src/state/lead_records.rs
@@ -0,0 +1,34 @@
+//! What the store keeps of earlier promotions, as it was read last.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::lead::LeadRecord;
+
+use crate::beliefs::lock;
+
+/// What the store keeps of earlier promotions; nothing is known until it was read.
+#[derive(Debug, Default)]
+pub(crate) struct LeadRecords(Mutex<Option<HashMap<ServiceName, LeadRecord>>>);
+
+impl LeadRecords {
+    /// All records were read.
+    pub fn replace(&self, records: &[(ServiceName, LeadRecord)]) {
+        *lock(&self.0) = Some(records.iter().cloned().collect());
+    }
+
+    /// The record of a service was read.
+    pub fn update(&self, service: &ServiceName, record: LeadRecord) {
+        if let Some(known) = &mut *lock(&self.0) {
+            known.insert(service.clone(), record);
+        }
+    }
+
+    /// The record of a service, which may be empty; `None` if none were read.
+    pub fn of(&self, service: &str) -> Option<LeadRecord> {
+        let known = lock(&self.0);
+        let records = known.as_ref()?;
+        Some(records.get(service).cloned().unwrap_or_default())
+    }
+}
--- a/crates/linkhold-peer/src/feed/fleet.rs
+++ b/crates/linkhold-peer/src/feed/fleet.rs
@@ -1,13 +1,8 @@
-//! Nodes, and the leases that they claimed, as they are encoded.
+//! Nodes as they are encoded.
 
-use std::time::Duration;
-
-use linkhold_core::service::instance::InstanceId;
-use linkhold_core::service::permission::RecentClaim;
 use minicbor::{Decode, Encode};
 
 use super::message::FeedNode;
-use crate::milliseconds;
 
 #[derive(Encode, Decode)]
 pub(super) struct WireNode {
@@ -60,28 +55,3 @@
         bandwidth: wire.bandwidth.unwrap_or_default(),
     })
 }
-#[derive(Encode, Decode)]
-pub(super) struct WireClaim {
-    #[n(0)]
-    service: String,
-    #[n(1)]
-    successor: Option<String>,
-    #[n(2)]
-    age_ms: u64,
-}
-
-pub(super) fn claim_to_wire(claim: &RecentClaim) -> WireClaim {
-    WireClaim {
-        service: claim.service.to_string(),
-        successor: claim.successor.as_ref().map(ToString::to_string),
-        age_ms: milliseconds(claim.age),
-    }
-}
-
-pub(super) fn claim_from_wire(wire: WireClaim) -> RecentClaim {
-    RecentClaim {
-        service: wire.service.into(),
-        successor: wire.successor.map(|id| InstanceId(id.into())),
-        age: Duration::from_millis(wire.age_ms),
-    }
-}
--- a/crates/linkhold-peer/src/feed/message.rs
+++ b/crates/linkhold-peer/src/feed/message.rs
@@ -7,6 +7,7 @@
 use linkhold_core::service::configuration::{Configuration, ServiceName};
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::instance::{Instance, InstanceId};
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::store_place::StorePlace;
 
@@ -120,6 +121,9 @@
         /// The leases that were claimed lately, if they were read since the row was
         /// written: a follower that has just come needs to know.
         claims: Option<Vec<RecentClaim>>,
+        /// What the store keeps of earlier promotions, read with the claims; empty without
+        /// them.
+        records: Vec<(ServiceName, LeadRecord)>,
     },
     /// Enough nodes confirmed, to a question that the reader sent after a renewal had
     /// come, that they have agreed to no other replacements than these.
--- a/crates/linkhold-peer/src/feed/mod.rs
+++ b/crates/linkhold-peer/src/feed/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod fleet;
 mod instances;
+mod leases;
 mod message;
 mod position;
 
@@ -19,11 +20,12 @@
 use crate::packing::{pack, unpack};
 use crate::{PeerError, PeerKey, milliseconds};
 use configuration::{WireConfiguration, configuration_from_wire, configuration_to_wire};
-use fleet::{
-    WireClaim, WireFleet, WireNode, claim_from_wire, claim_to_wire, node_from_wire, node_to_wire,
-    nodes_from_wire, nodes_to_wire,
-};
+use fleet::{WireFleet, WireNode, node_from_wire, node_to_wire, nodes_from_wire, nodes_to_wire};
 use instances::{WireInstance, instances_from_wire, instances_to_wire};
+use leases::{
+    WireClaim, WireLeadRecord, claim_from_wire, claim_to_wire, lead_record_from_wire,
+    lead_record_to_wire,
+};
 use position::{WirePosition, position_from_wire, position_to_wire};
 
 pub use message::{
@@ -61,7 +63,11 @@
     #[n(13)]
     Evacuations(#[n(0)] u64, #[n(1)] Vec<String>),
     #[n(14)]
-    Listed(#[n(0)] u64, #[n(1)] Option<Vec<WireClaim>>),
+    Listed(
+        #[n(0)] u64,
+        #[n(1)] Option<Vec<WireClaim>>,
+        #[n(2)] Option<Vec<WireLeadRecord>>,
+    ),
     #[n(15)]
     Confirmed(#[n(0)] u64, #[n(1)] Vec<String>),
     #[n(16)]
@@ -95,11 +101,16 @@
     match message {
         FeedMessage::Subscribe => WireMessage::Subscribe,
         FeedMessage::Renewal { node, number } => WireMessage::Renewal(node_to_wire(node), *number),
-        FeedMessage::Listed { number, claims } => {
+        FeedMessage::Listed {
+            number,
+            claims,
+            records,
+        } => {
             let claims = claims
                 .as_ref()
                 .map(|claims| claims.iter().map(claim_to_wire).collect());
-            WireMessage::Listed(*number, claims)
+            let records = records.iter().map(lead_record_to_wire).collect();
+            WireMessage::Listed(*number, claims, Some(records))
         }
         FeedMessage::Confirmed { number, agreed } => {
             WireMessage::Confirmed(*number, agreed.clone())
@@ -155,9 +166,14 @@
             node: node_from_wire(wire)?,
             number,
         },
-        WireMessage::Listed(number, claims) => FeedMessage::Listed {
+        WireMessage::Listed(number, claims, records) => FeedMessage::Listed {
             number,
             claims: claims.map(|claims| claims.into_iter().map(claim_from_wire).collect()),
+            records: records
+                .unwrap_or_default()
+                .into_iter()
+                .map(lead_record_from_wire)
+                .collect(),
         },
         WireMessage::Confirmed(number, agreed) => FeedMessage::Confirmed { number, agreed },
         WireMessage::Relay(id) => FeedMessage::Relay(InstanceId(id.into())),
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -7,6 +7,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
 use linkhold_core::service::instance::{Instance, InstanceId, Lifecycle, Role};
+use linkhold_core::service::lead::LeadRecord;
 use linkhold_core::service::permission::RecentClaim;
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::store_place::{Era, StorePlace};
@@ -96,6 +97,7 @@
         FeedMessage::Listed {
             number: 12,
             claims: None,
+            records: Vec::new(),
         },
         FeedMessage::Listed {
             number: 13,
@@ -104,6 +106,13 @@
                 successor: Some(InstanceId("two".into())),
                 age: Duration::from_millis(1_200),
             }]),
+            records: vec![(
+                "ledger".into(),
+                LeadRecord {
+                    proved_term: Some(Term(3)),
+                    claimed: vec![InstanceId("two@7".into())],
+                },
+            )],
         },
         FeedMessage::Confirmed {
             number: 14,
