Have an entry that proves warmth be written after the connection that does

What callers saw: an instance that started again behind a cut from the store got 160 requests in a second where 10 are allowed.

Cause: an instance counted as warm once the entries were known as of 1.8 s after the connection that watches it was opened. One that does not reach the store writes no entry: its last life's stands for three heartbeats, and after that nothing said that it is cold.

The property over restarts and writes fails with the look at the listing switched off.

Change: the instance has to have been seen listed as of three and a half heartbeats after the connection was opened; an entry that is not written goes after three. That stays proved while the connection stands. Ruled out: the birth in the entry, since a connection does not tell to which life it leads; reading `sequence`, one call for each instance.

--- a/crates/linkhold-core/src/service/directory/mod.rs
+++ b/crates/linkhold-core/src/service/directory/mod.rs
@@ -336,6 +336,12 @@
         draining.max(self.absence(entry, now))
     }
 
+    /// Whether an instance's entry is there.
+    pub fn is_listed(&self, id: &InstanceId) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.missing_since.is_none())
+    }
+
     /// Whether an instance is cold, by what it said last.
     pub fn is_cold(&self, id: &InstanceId, now: Instant) -> bool {
         let cold_until = self.entries.get(id).and_then(|entry| entry.cold_until);
--- a/crates/linkhold-core/src/service/warm_up.rs
+++ b/crates/linkhold-core/src/service/warm_up.rs
@@ -10,8 +10,9 @@
 //! # Invariants
 //!
 //! * An owner that sends without counting has a connection that was opened at
-//!   least the settling time ago, longer than a new entry takes to be seen, and knows the
-//!   entries as of later than that ([`Warmth::is_life_listed`]); and that
+//!   least the settling time ago, and has seen the instance listed as of later than that
+//!   ([`Warmth::entry_known`]): whoever was listed then had written its entry since, so the
+//!   entry is that of the life to which the connection leads. And that connection
 //!   has answered a question sent after the last doubt and within [`ANSWER_LIFE`].
 //!   The connection on which it sends was opened before that question was sent: a
 //!   restart since then would have broken it as well.
@@ -30,9 +31,9 @@
 pub const QUESTION_INTERVAL: Duration = Duration::from_millis(500);
 /// How long an answer tells that the connection stands: a question may be missed.
 pub const ANSWER_LIFE: Duration = Duration::from_millis(1_300);
-/// Intervals of the instances' announcements that an entry may be old: one until
-/// the next is written, and half of one on its way.
-const SETTLING_INTERVALS: f64 = 1.5;
+/// Intervals of the instances' announcements after which an entry that was not written has
+/// gone: three, and half of one for a store that removes it late.
+const SETTLING_INTERVALS: f64 = 3.5;
 /// How long the fleet may not have been heard of: less than the time after which
 /// others take a node for gone.
 const VIEW_TRUST: Duration = Duration::from_millis(6_000);
@@ -78,8 +79,9 @@
         (self.most(limit) / SPENDERS as f64).floor() as usize
     }
 
-    /// How long a connection must have stood before it proves anything: a restart
-    /// just before it was opened would be known by then.
+    /// How long a connection must have stood before it proves anything: an entry from
+    /// before it was opened, of an instance that started again just then and does not reach
+    /// the store, has gone by then.
     pub fn settling_time(&self) -> Duration {
         self.announcement_interval.mul_f64(SETTLING_INTERVALS)
     }
@@ -91,6 +93,8 @@
     opened_at: Instant,
     /// When the last question was sent that was answered.
     answered_as_of: Option<Instant>,
+    /// The entry was seen that the life to which it leads has written.
+    is_life_listed: bool,
 }
 
 /// What a node knows of an instance's warmth.
@@ -106,6 +110,7 @@
         self.watch = Some(Watch {
             opened_at: now,
             answered_as_of: None,
+            is_life_listed: false,
         });
     }
 
@@ -137,13 +142,19 @@
         as_of.is_some_and(|as_of| as_of >= moment)
     }
 
-    /// Whether the entries that are known as of a moment tell of the life to which the
-    /// connection leads: a list that was not read since may be that of an earlier one.
-    pub fn is_life_listed(&self, rules: &WarmUpRules, entries_as_of: Option<Instant>) -> bool {
-        let settled_at = self
-            .watch
-            .map(|watch| watch.opened_at + rules.settling_time());
-        settled_at.is_some_and(|at| entries_as_of >= Some(at))
+    /// Whether the instance is listed is known as of a moment. An entry that stood for the
+    /// settling time after the connection was opened is that of the life to which it leads;
+    /// that stays so while the connection stands.
+    pub fn entry_known(&mut self, rules: &WarmUpRules, is_listed: bool, as_of: Option<Instant>) {
+        if let Some(watch) = &mut self.watch {
+            let settled_at = watch.opened_at + rules.settling_time();
+            watch.is_life_listed |= is_listed && as_of >= Some(settled_at);
+        }
+    }
+
+    /// Whether the entry is known to be that of the life to which the connection leads.
+    pub fn is_life_listed(&self) -> bool {
+        self.watch.is_some_and(|watch| watch.is_life_listed)
     }
 
     /// Whether it is certainly warm. `says_cold`: so does its entry.
--- a/crates/linkhold-core/tests/service_warm_up.rs
+++ b/crates/linkhold-core/tests/service_warm_up.rs
@@ -201,6 +201,53 @@
     assert!(warmth.is_warm(&rules, false, settled + milliseconds(4)));
 }
 
+/// How long an entry stands that is not written, in milliseconds: three intervals.
+const ENTRY_LIFE: u64 = 3_600;
+
+/// Whether an entry from before a restart is taken for that of the new life. The last life
+/// wrote it before `restarted`, the new one writes after `cut_for`, and the node opens its
+/// connection `opened_after` the restart. `looks_at_listing`: the mechanism.
+fn takes_an_old_entry(
+    restarted: u64,
+    written_before: u64,
+    cut_for: u64,
+    opened_after: u64,
+    looks_at_listing: bool,
+) -> bool {
+    let start = Instant::now();
+    let rules = rules(1.5, 5.0);
+    let mut warmth = Warmth::default();
+    warmth.watched(start + milliseconds(restarted + opened_after));
+    let gone_at = restarted.saturating_sub(written_before) + ENTRY_LIFE;
+    let first_written = restarted + cut_for;
+    for moment in (restarted..first_written).step_by(50) {
+        let is_listed = moment < gone_at || !looks_at_listing;
+        warmth.entry_known(&rules, is_listed, Some(start + milliseconds(moment)));
+    }
+    warmth.is_life_listed()
+}
+
+proptest! {
+    /// An instance starts again, and does not reach the store for a while.
+    #[test]
+    fn an_entry_from_before_a_restart_proves_nothing(
+        restarted in 5_000_u64..6_000,
+        written_before in 0_u64..1_300,
+        cut_for in 0_u64..10_000,
+        opened_after in 0_u64..3_000,
+    ) {
+        let takes = takes_an_old_entry(restarted, written_before, cut_for, opened_after, true);
+        prop_assert!(!takes);
+    }
+}
+
+/// The property with its mechanism switched off.
+#[test]
+fn without_a_look_at_the_listing_an_old_entry_is_taken() {
+    assert!(takes_an_old_entry(5_000, 0, 9_000, 100, false));
+    assert!(!takes_an_old_entry(5_000, 0, 9_000, 100, true));
+}
+
 #[test]
 fn some_room_is_kept_for_what_is_urgent() {
     let now = Instant::now();
--- a/crates/linkhold-gateway/src/beliefs/eligibility.rs
+++ b/crates/linkhold-gateway/src/beliefs/eligibility.rs
@@ -115,6 +115,11 @@
             .collect()
     }
 
+    /// Whether an instance's entry is there.
+    pub fn is_listed(&self, id: &InstanceId) -> bool {
+        lock(&self.instances).directory.is_listed(id)
+    }
+
     /// Whether an instance says that it has just started.
     pub fn is_cold(&self, id: &InstanceId) -> bool {
         lock(&self.instances).directory.is_cold(id, Instant::now())
--- a/crates/linkhold-gateway/src/state/warm_ups.rs
+++ b/crates/linkhold-gateway/src/state/warm_ups.rs
@@ -27,7 +27,7 @@
 impl Known {
     /// Whether a statement may be sent uncounted on a connection.
     pub fn is_warm_on(
-        &self,
+        &mut self,
         opened_at: Instant,
         rules: &WarmUpRules,
         entry: EntryKnown,
@@ -38,10 +38,11 @@
 
     /// Whether it is warm but for the age of the last proof. With the list of instances
     /// unread while an instance was started again, its last life's entry let 97 statements
-    /// in a second through where 14 are allowed.
-    pub fn may_be_warm(&self, rules: &WarmUpRules, entry: EntryKnown, now: Instant) -> bool {
-        self.warmth.is_life_listed(rules, entry.as_of)
-            && self.warmth.is_warm(rules, entry.says_cold, now)
+    /// in a second through where 14 are allowed; with the instance cut off from the store, 160
+    /// where 10 are.
+    pub fn may_be_warm(&mut self, rules: &WarmUpRules, entry: EntryKnown, now: Instant) -> bool {
+        self.warmth.entry_known(rules, entry.is_listed, entry.as_of);
+        self.warmth.is_life_listed() && self.warmth.is_warm(rules, entry.says_cold, now)
     }
 
     /// Logs that an instance is taken for warm, or no longer.
@@ -61,6 +62,8 @@
 /// What an instance's entry says of its warmth.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EntryKnown {
+    /// It is there.
+    pub is_listed: bool,
     /// It says that the instance is cold.
     pub says_cold: bool,
     /// The last moment as of which the entries are known.
--- a/crates/linkhold-gateway/src/warm_up/mod.rs
+++ b/crates/linkhold-gateway/src/warm_up/mod.rs
@@ -34,6 +34,7 @@
 
     fn entry_known(&self, instance: &Instance) -> EntryKnown {
         EntryKnown {
+            is_listed: self.beliefs.is_listed(&instance.id),
             says_cold: self.beliefs.is_cold(&instance.id),
             as_of: self.beliefs.directory_as_of(),
         }
