Take a list of instances for whole only once lapsed entries are back

What callers could see: after the store came back, from a pause or from an older copy, a list that lacks entries counted as the list as of that moment. An instance known to be cold became warm by an entry from before it started, and a node that had regained its permission took a list without the successor's entry for proof that nobody was replaced.

Cause: the moment as of which a list is known counted from the first reading on, though entries that lapsed, or that a copy lacks, are back within two seconds only.

Evidence: without the two checks service_lives fails (a copy makes a cold instance warm; a list counts at once).

Change: such a moment counts once the directory was readable for 2.5 s, a copy counts as a disturbance, and an instance stays cold for as long as it said. Ruled out: waiting for all entries that are known, since some are gone for good.

It costs 2.5 s after a pause of the store in which agreements do not end.

--- a/crates/linkhold-core/src/service/directory/mod.rs
+++ b/crates/linkhold-core/src/service/directory/mod.rs
@@ -236,8 +236,9 @@
     }
 
     /// An instance is listed in a copy of the list that may be older than what is known.
-    /// One that was known to drain goes on doing so. One that was known as a replica may
-    /// have been the primary then: it is believed to lead only when it says so.
+    /// One that was known to drain goes on doing so, and one that was known to be cold stays
+    /// cold for as long as it said. One that was known as a replica may have been the primary
+    /// then: it is believed to lead only when it says so.
     fn announce_from_copy(
         &mut self,
         mut instance: Instance,
@@ -250,6 +251,7 @@
             if known.instance.role == Role::Replica && instance.role == Role::Primary {
                 instance.role = Role::Replica;
             }
+            instance.warm_up_left = known.instance.warm_up_left;
         }
         self.announce(instance, now)
     }
@@ -324,6 +326,15 @@
         }
     }
 
+    /// Whether a list as of a moment tells all entries: those that lapsed with the directory,
+    /// or that an older copy of it lacks, are back by then.
+    pub fn is_whole_as_of(&self, moment: Instant) -> bool {
+        match self.contact {
+            Contact::Lost => false,
+            Contact::Since(at) => moment >= at + Self::LAPSE,
+        }
+    }
+
     /// How long an instance has been leaving, if it is. One that was leaving
     /// before this node knew it counts as having left long ago.
     pub fn leaving_for(&self, id: &InstanceId, now: Instant) -> Option<Duration> {
--- a/crates/linkhold-core/tests/service_lives.rs
+++ b/crates/linkhold-core/tests/service_lives.rs
@@ -120,6 +120,42 @@
     assert!(directory.is_leaving(&one, now));
 }
 
+/// A copy from before an instance told that it is cold; it has written that since.
+#[test]
+fn a_copy_of_the_list_makes_no_cold_instance_warm() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    let cold = Instance {
+        warm_up_left: Duration::from_millis(3_000),
+        ..life("one", 7, Role::Replica)
+    };
+    directory.announce(cold, now);
+    let copy = vec![life("one", 7, Role::Replica)];
+    directory.replace(copy, Currency::MayBeOlder, now);
+    let one = InstanceId::of_life("one", Some(7));
+    assert!(directory.is_cold(&one, now + Duration::from_millis(2_900)));
+    assert!(!directory.is_cold(&one, now + Duration::from_millis(3_000)));
+    // The present list tells otherwise.
+    directory.announce(life("one", 7, Role::Replica), now);
+    assert!(!directory.is_cold(&one, now));
+}
+
+/// Entries that lapsed with the directory, or that a copy lacks, are back after a while.
+#[test]
+fn a_list_is_whole_once_the_directory_was_readable_for_long_enough() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    assert!(!directory.is_whole_as_of(start));
+    directory.read(start);
+    assert!(!directory.is_whole_as_of(start + Directory::LAPSE - Duration::from_millis(1)));
+    assert!(directory.is_whole_as_of(start + Directory::LAPSE));
+    directory.disturbed();
+    assert!(!directory.is_whole_as_of(start + Directory::LAPSE));
+    directory.read(start + Directory::LAPSE);
+    assert!(!directory.is_whole_as_of(start + Directory::LAPSE));
+    assert!(directory.is_whole_as_of(start + Directory::LAPSE * 2));
+}
+
 proptest! {
     /// Lives that are announced in any order, and again, leave one of each name, the one
     /// that came last as news; whoever was replaced by a later life never leads.
--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -170,6 +170,9 @@
             Currency::Present
         };
         let mut instances = lock(&self.instances);
+        if is_copy {
+            instances.directory.disturbed();
+        }
         let changes = instances.directory.replace(listed, currency, now);
         if self.has_replaced_nobody(now) {
             instances.directory.prove_all_leads();
@@ -261,10 +264,13 @@
         *lock(&self.directory_read_at) = Some(now);
     }
 
-    /// What is known of the list of instances was true at a moment.
+    /// What is known of the list of instances was true at a moment. As long as entries may
+    /// be missing that lapsed with the store, or that a copy lacks, that tells nothing.
     pub fn directory_vouched(&self, moment: Instant) {
         let mut known = lock(&self.instances);
-        known.directory_as_of = known.directory_as_of.max(Some(moment));
+        if known.directory.is_whole_as_of(moment) {
+            known.directory_as_of = known.directory_as_of.max(Some(moment));
+        }
     }
 
     /// The last moment as of which the list of instances is known; `None` if never.
