Tell followers as of when their reader knows the list of instances

What callers could see: a follower took a list for newer than it was, and with it an instance that had started again for warm, or a replaced primary for one that nobody has replaced.

Cause: it counted from the arrival of the reader's word, which counted from the arrival of the store's answer. The time of both on the way was left out, and all the time for which the reader or the follower stood still with the message unread.

Change: a beat tells the reader's own moment, from before it asked, or from the end of the time for which the store held a question without news. It is told against the follower's last renewal, and counts from before that was sent. The property holds for any time on the way.

--- a/crates/linkhold-core/src/service/listing.rs
+++ b/crates/linkhold-core/src/service/listing.rs
@@ -55,6 +55,8 @@
     next: u64,
     /// Those that were not confirmed yet, oldest first.
     sent: VecDeque<(u64, Instant)>,
+    /// The one that was confirmed last.
+    last_confirmed: Option<(u64, Instant)>,
 }
 
 /// Renewals whose confirmation is waited for, at the most: more than are sent while
@@ -67,6 +69,7 @@
         Self {
             next: number,
             sent: VecDeque::new(),
+            last_confirmed: None,
         }
     }
 
@@ -87,6 +90,14 @@
         let index = self.sent.iter().position(|(sent, _)| *sent == number)?;
         let (_, sent_at) = self.sent[index];
         self.sent.drain(..=index);
+        self.last_confirmed = Some((number, sent_at));
         Some(sent_at)
     }
+
+    /// When a renewal was sent; `None` if that is not known any more.
+    pub fn sent_at(&self, number: u64) -> Option<Instant> {
+        let mut known = self.sent.iter().chain(&self.last_confirmed);
+        let (_, sent_at) = known.find(|(sent, _)| *sent == number)?;
+        Some(*sent_at)
+    }
 }
--- a/crates/linkhold-gateway/src/feed/follower.rs
+++ b/crates/linkhold-gateway/src/feed/follower.rs
@@ -9,7 +9,7 @@
 use linkhold_core::service::permission::{RecentClaim, Renewed};
 use linkhold_core::service::readers::FOLLOWER_RENEWAL;
 use linkhold_events::Event;
-use linkhold_peer::{FeedMessage, MAX_FEED_MESSAGE, PeerKey, decode_feed};
+use linkhold_peer::{FeedMessage, ListMoment, MAX_FEED_MESSAGE, PeerKey, decode_feed};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -190,7 +190,7 @@
                 Err(lost) => return lost,
             };
             let next = match message {
-                FeedMessage::Beat { age } => self.vouched(age),
+                FeedMessage::Beat { age, list } => self.vouched(age, list),
                 FeedMessage::EvidenceAnswer(answer) => {
                     self.gateway.reader_link.answered(answer);
                     continue;
@@ -257,6 +257,12 @@
         }
     }
 
+    /// A moment that the reader told, by this node's clock.
+    fn moment_of(&self, list: Option<ListMoment>) -> Option<Instant> {
+        let list = list?;
+        list.after(lock(self.renewals).sent_at(list.renewal)?)
+    }
+
     /// Keeps what is told until it is vouched for.
     fn take(&mut self, message: FeedMessage) {
         match message {
@@ -297,7 +303,7 @@
     }
 
     /// The reader vouches for what it told before; until when it may be silent.
-    fn vouched(&mut self, age: Duration) -> Result<Instant, Lost> {
+    fn vouched(&mut self, age: Duration, list: Option<ListMoment>) -> Result<Instant, Lost> {
         let now = Instant::now();
         let freshness = self.gateway.freshness;
         if !freshness.is_trusted(age, Duration::ZERO) {
@@ -315,6 +321,8 @@
         // Time on the way makes this too late, by less than the bound leaves.
         if let Some(moment) = now.checked_sub(age) {
             self.gateway.beliefs.evacuations_vouched(moment);
+        }
+        if let Some(moment) = self.moment_of(list) {
             self.gateway.beliefs.directory_vouched(moment);
         }
         let silent_at = now + (freshness.trust - age);
--- a/crates/linkhold-gateway/src/feed/reader.rs
+++ b/crates/linkhold-gateway/src/feed/reader.rs
@@ -7,7 +7,7 @@
 use linkhold_core::service::evacuation::ZoneName;
 use linkhold_core::service::readers::shed_probability;
 use linkhold_core::service::store_place::StorePlace;
-use linkhold_peer::{EvidenceQuestion, FeedMessage, PeerKey};
+use linkhold_peer::{EvidenceQuestion, FeedMessage, ListMoment, PeerKey};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
@@ -178,6 +178,8 @@
             continue;
         }
         changes.mark_unchanged();
+        // Known before what is told: that is as new at the least.
+        let list = list_moment(gateway, &arrival);
         let mut frames = if is_listed {
             news(gateway, &mut told, key)
         } else {
@@ -193,6 +195,7 @@
         // that may have taken its time.
         let beat = FeedMessage::Beat {
             age: age + as_of.elapsed(),
+            list,
         };
         let beat = frame(&beat, key);
         if send(gateway, writing, FeedKind::Beat, &beat).await.is_err() {
@@ -204,6 +207,17 @@
     }
 }
 
+/// As of when this node knows the list of instances, as a follower is told.
+fn list_moment<P: Platform>(
+    gateway: &Gateway<P>,
+    arrival: &watch::Receiver<Option<Arrival>>,
+) -> Option<ListMoment> {
+    let moment = gateway.beliefs.directory_as_of()?;
+    let process = arrival.borrow().as_ref()?.process.clone();
+    let (renewal, heard_at) = gateway.followers.last_renewal(&process)?;
+    Some(ListMoment::new(moment, renewal, heard_at))
+}
+
 /// Waits until a node that has just taken up reading knows what it is to tell.
 async fn wait_for_first_answers<P: Platform>(gateway: &Gateway<P>) {
     let deadline = Instant::now() + FIRST_ANSWERS_TIME;
--- a/crates/linkhold-gateway/src/followers.rs
+++ b/crates/linkhold-gateway/src/followers.rs
@@ -241,6 +241,13 @@
         list
     }
 
+    /// The number of a follower's last renewal, and when it was heard.
+    pub fn last_renewal(&self, process: &Process) -> Option<(u64, Instant)> {
+        let known = lock(&self.known);
+        let follower = known.followers.get(process)?;
+        Some((follower.renewal?, follower.heard_at))
+    }
+
     /// Whether a process follows this one and counts as present.
     pub fn has_live(&self, process: &Process) -> bool {
         let known = lock(&self.known);
--- a/crates/linkhold-gateway/src/keeper.rs
+++ b/crates/linkhold-gateway/src/keeper.rs
@@ -200,7 +200,11 @@
     }
     gateway.beliefs.advance_directory(next);
     gateway.beliefs.directory_read();
-    gateway.beliefs.directory_vouched(asked_at);
+    // A question without news was held for the whole time.
+    let held_until = asked_at + wait;
+    let was_held = !has_changes && Instant::now() >= held_until;
+    let as_of = if was_held { held_until } else { asked_at };
+    gateway.beliefs.directory_vouched(as_of);
     if has_changes {
         sleep(GATHER_TIME).await;
     }
--- a/crates/linkhold-peer/src/feed/message.rs
+++ b/crates/linkhold-peer/src/feed/message.rs
@@ -1,7 +1,7 @@
 //! The messages of a feed.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linkhold_core::position::Position;
 use linkhold_core::service::configuration::{Configuration, ServiceName};
@@ -161,5 +161,43 @@
     Beat {
         /// Age of the last answer, in milliseconds.
         age: Duration,
+        /// As of when what it told of instances was the store's; `None` if it knows no such
+        /// moment, or has not heard of the follower.
+        list: Option<ListMoment>,
     },
 }
+
+/// A moment as told to a follower: by how much it is later than the arrival of one of the
+/// follower's renewals. The follower counts from when it had sent that, which is earlier, so
+/// time on the way, or in a process that was paused, makes a list older and never younger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListMoment {
+    /// The renewal's number.
+    pub renewal: u64,
+    /// Milliseconds from its arrival to the moment, rounded down; negative if that was before.
+    pub offset_ms: i64,
+}
+
+impl ListMoment {
+    /// Tells a moment by a renewal that arrived at another.
+    pub fn new(moment: Instant, renewal: u64, arrived_at: Instant) -> Self {
+        let offset_ms = match moment.checked_duration_since(arrived_at) {
+            Some(later) => i64::try_from(later.as_millis()).unwrap_or(i64::MAX),
+            None => {
+                let earlier = arrived_at.saturating_duration_since(moment);
+                -1 - i64::try_from(earlier.as_millis()).unwrap_or(i64::MAX - 1)
+            }
+        };
+        Self { renewal, offset_ms }
+    }
+
+    /// The moment, or an earlier one, by the clock of who sent the renewal.
+    pub fn after(self, sent_at: Instant) -> Option<Instant> {
+        let offset = Duration::from_millis(self.offset_ms.unsigned_abs());
+        if self.offset_ms >= 0 {
+            sent_at.checked_add(offset)
+        } else {
+            sent_at.checked_sub(offset)
+        }
+    }
+}
--- a/crates/linkhold-peer/src/feed/mod.rs
+++ b/crates/linkhold-peer/src/feed/mod.rs
@@ -30,7 +30,7 @@
 
 pub use message::{
     EvidenceAnswer, EvidenceQuestion, FeedEvacuations, FeedFleet, FeedFleetChanges,
-    FeedInstanceChanges, FeedInstances, FeedMessage, FeedNode,
+    FeedInstanceChanges, FeedInstances, FeedMessage, FeedNode, ListMoment,
 };
 
 /// Longest message, in bytes.
@@ -47,7 +47,7 @@
     #[n(3)]
     Fleet(#[n(0)] WireFleet),
     #[n(4)]
-    Beat(#[n(0)] u64),
+    Beat(#[n(0)] u64, #[n(1)] Option<u64>, #[n(2)] Option<i64>),
     #[n(5)]
     Renewal(#[n(0)] WireNode, #[n(1)] Option<u64>),
     #[n(6)]
@@ -155,7 +155,11 @@
             nodes_to_wire(&changes.changed),
             changes.gone.clone(),
         ),
-        FeedMessage::Beat { age } => WireMessage::Beat(milliseconds(*age)),
+        FeedMessage::Beat { age, list } => WireMessage::Beat(
+            milliseconds(*age),
+            list.map(|list| list.renewal),
+            list.map(|list| list.offset_ms),
+        ),
     }
 }
 
@@ -230,8 +234,11 @@
                 gone,
             })
         }
-        WireMessage::Beat(age) => FeedMessage::Beat {
+        WireMessage::Beat(age, renewal, offset_ms) => FeedMessage::Beat {
             age: Duration::from_millis(age),
+            list: renewal
+                .zip(offset_ms)
+                .map(|(renewal, offset_ms)| ListMoment { renewal, offset_ms }),
         },
     })
 }
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -22,8 +22,8 @@
 pub use datagram::{BudgetMessage, Datagram, decode_datagram, encode_budget};
 pub use feed::{
     EvidenceAnswer, EvidenceQuestion, FeedEvacuations, FeedFleet, FeedFleetChanges,
-    FeedInstanceChanges, FeedInstances, FeedMessage, FeedNode, MAX_FEED_MESSAGE, decode_feed,
-    encode_feed,
+    FeedInstanceChanges, FeedInstances, FeedMessage, FeedNode, ListMoment, MAX_FEED_MESSAGE,
+    decode_feed, encode_feed,
 };
 pub use forward::{
     ForwardErrorKind, ForwardFrame, ForwardIneligible, ForwardMessage, ForwardOutcome,
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::configuration::{Configuration, Consistency, Route, ServiceLimits};
@@ -14,9 +14,9 @@
 use linkhold_core::tenancy::{Credential, RateLimit, Tenancy, Tenant};
 use linkhold_peer::{
     EvidenceAnswer, EvidenceQuestion, FeedFleet, FeedFleetChanges, FeedInstanceChanges,
-    FeedInstances, FeedMessage, FeedNode, PeerError, PeerKey, QuestionPurpose, QuestionSubject,
-    Reachability, ReachabilityMessage, decode_feed, decode_reachability, encode_feed,
-    encode_reachability,
+    FeedInstances, FeedMessage, FeedNode, ListMoment, PeerError, PeerKey, QuestionPurpose,
+    QuestionSubject, Reachability, ReachabilityMessage, decode_feed, decode_reachability,
+    encode_feed, encode_reachability,
 };
 use proptest::prelude::*;
 
@@ -167,10 +167,35 @@
         }),
         FeedMessage::Beat {
             age: Duration::from_millis(250),
+            list: Some(ListMoment {
+                renewal: 12,
+                offset_ms: -340,
+            }),
         },
     ]
 }
 
+proptest! {
+    /// However long a renewal is on its way, or stays unread, a moment that is told by it is
+    /// no later than the one that was meant, and by no more than that and a rounding earlier.
+    #[test]
+    fn a_moment_that_is_told_is_never_later(
+        sent in 10_000_000_u64..11_000_000,
+        way in 0_u64..9_000_000,
+        moment in 0_u64..30_000_000,
+    ) {
+        let start = Instant::now();
+        let at = |microseconds: u64| start + Duration::from_micros(microseconds);
+        let told = ListMoment::new(at(moment), 3, at(sent + way));
+        let taken = told.after(at(sent));
+        // Before the process started is as good as never.
+        if let Some(taken) = taken {
+            prop_assert!(taken <= at(moment));
+            prop_assert!(taken + Duration::from_micros(way + 1_001) >= at(moment));
+        }
+    }
+}
+
 #[test]
 fn every_message_comes_out_as_it_went_in() {
     for message in messages() {
