--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -290,10 +290,13 @@
             ("sessions_open", self.metrics.sessions_open()),
             ("zones_evacuated", self.beliefs.evacuations().0.len() as u64),
             ("instances_held_off", self.warm_ups.count_cold() as u64),
-            ("listing_age_ms", self.beliefs.permission.age_ms()),
             ("store_era", u64::from(self.store_era.known().0)),
             ("entries_unusable_total", self.platform.unusable_entries()),
         ];
+        // A node that was never listed has no such age.
+        let listing_age = self.beliefs.permission.age_ms();
+        let listing_age = listing_age.map(|age| ("listing_age_ms", age));
+        let gauges: Vec<(&str, u64)> = gauges.into_iter().chain(listing_age).collect();
         self.metrics.render(&gauges)
     }
 }
--- a/crates/linkhold-gateway/src/permission.rs
+++ b/crates/linkhold-gateway/src/permission.rs
@@ -34,7 +34,7 @@
         if !held {
             Event::info("permission_gained")
                 .field("sent_ms_ago", sent_at.elapsed().as_millis())
-                .field("renewed_ms_ago", age)
+                .field("renewed_ms_ago", told_age(age))
                 .field("claims", claims.len())
                 .log();
         }
@@ -101,14 +101,23 @@
     }
 
     /// How long ago the last renewal that the store confirmed was sent, in whole
-    /// milliseconds; the most that there is if none was.
-    pub fn age_ms(&self) -> u64 {
+    /// milliseconds; `None` if none was.
+    pub fn age_ms(&self) -> Option<u64> {
         age_ms(&lock(&self.permission), Instant::now())
     }
+
+    /// The same for the log.
+    pub fn told_age(&self) -> String {
+        told_age(self.age_ms())
+    }
 }
 
-fn age_ms(permission: &Permission, now: Instant) -> u64 {
+fn age_ms(permission: &Permission, now: Instant) -> Option<u64> {
     let renewed_at = permission.listing().renewed_at();
     let age = renewed_at.map(|at| now.saturating_duration_since(at));
-    age.map_or(u64::MAX, milliseconds)
+    age.map(milliseconds)
+}
+
+fn told_age(age_ms: Option<u64>) -> String {
+    age_ms.map_or_else(|| "never".to_owned(), |age| age.to_string())
 }
--- a/crates/linkhold-gateway/src/permission_watch.rs
+++ b/crates/linkhold-gateway/src/permission_watch.rs
@@ -21,7 +21,7 @@
         let holds = permission.holds();
         if std::mem::replace(&mut held, holds) && !holds {
             Event::warn("permission_lapsed")
-                .field("renewed_ms_ago", permission.age_ms())
+                .field("renewed_ms_ago", permission.told_age())
                 .log();
         }
     }
