Ask for no proof of a lead before this node is listed

Cause, by reading: until a node is listed it knows no records of leads, and each statement that another node handed to it as an owner would have read the store once.

Change: it says that it is busy until then; it may speak for no primary anyway.

--- a/crates/linkhold-gateway/src/evidence/lead_proof.rs
+++ b/crates/linkhold-gateway/src/evidence/lead_proof.rs
@@ -34,6 +34,10 @@
     if !gateway.beliefs.needs_lead_proof(&primary.id) {
         return unless_denied(gateway, primary);
     }
+    if gateway.lead_records.of(&primary.service).is_none() {
+        // This node is not listed yet: it may speak for no primary anyway.
+        return Err(NotRunCause::Refused(BackendErrorKind::Busy));
+    }
     let instances = gateway.beliefs.instances(&primary.service);
     let statuses = survey::statuses_by_any_way(gateway, &instances).await;
     for status in &statuses {
