Let a claim that took no effect leave the record of leads, and look at it once a second

Cause, found on reading the change again: each writing of a lease named its successor as claimed once more, so that a claim that was given up stayed in the record for good; and the task that has terms kept looked at who is to do so on every change of what the node believes.

Change: the record names a successor when the lease is claimed for it; the task waits for a term that has risen, or a second.

--- a/crates/linkhold-gateway/src/beliefs.rs
+++ b/crates/linkhold-gateway/src/beliefs.rs
@@ -22,7 +22,7 @@
 use linkhold_core::service::store_place::StorePlace;
 use linkhold_core::service::withholding::Withholdings;
 use linkhold_events::Event;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::permission::OwnPermission;
 use crate::places::Places;
@@ -70,6 +70,8 @@
     /// Terms in which logs were proved to end after another one, newest of each service; the
     /// store is to keep them.
     risen_terms: Mutex<BTreeMap<ServiceName, Term>>,
+    /// A term was added to them.
+    term_risen: Notify,
     /// Services of which the store does not keep whether a claimed successor was promoted.
     unsettled: Mutex<HashSet<ServiceName>>,
     changes: watch::Sender<u64>,
@@ -93,6 +95,7 @@
             instances: Mutex::default(),
             directory_place: Mutex::default(),
             risen_terms: Mutex::default(),
+            term_risen: Notify::new(),
             unsettled: Mutex::default(),
             changes: watch::channel(0).0,
             told: watch::channel(0).0,
@@ -435,6 +438,7 @@
         let has_risen = previous.is_some_and(|previous| previous < sample.position.term);
         if has_risen || is_settled_now {
             lock(&self.risen_terms).insert(service.clone(), sample.position.term);
+            self.term_risen.notify_one();
         }
         if has_risen {
             Event::info("term_changed")
@@ -459,6 +463,11 @@
         evidence.term_proved(term);
     }
 
+    /// Waits until there are terms that the store is to keep.
+    pub async fn term_risen(&self) {
+        self.term_risen.notified().await;
+    }
+
     /// Takes the terms that the store is to keep.
     pub fn take_risen_terms(&self) -> BTreeMap<ServiceName, Term> {
         std::mem::take(&mut lock(&self.risen_terms))
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -112,7 +112,8 @@
     })
 }
 
-/// Writes a lease if its row is still as it was read; whether it was written.
+/// Writes a lease with the record of `read`, if its row is still as it was read; whether it
+/// was written.
 async fn write_lease<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
@@ -120,14 +121,10 @@
     read: &LeaseRead,
 ) -> Result<bool, StoreError> {
     gateway.metrics.store_calls.count(CallReason::Lease);
-    let mut record = read.record.clone();
-    if let Some(successor) = &lease.successor {
-        record.claim(successor);
-    }
     let row = |table, expected| RowWrite {
         table,
         key: service,
-        value: encode_lease(lease, &record),
+        value: encode_lease(lease, &read.record),
         expected,
     };
     // Whoever comes to be listed reads the claims alone.
@@ -278,7 +275,7 @@
     service: &ServiceName,
     successor: &InstanceId,
 ) -> Result<Option<FailoverLease>, StoreError> {
-    let read = read_lease(gateway, service).await?;
+    let mut read = read_lease(gateway, service).await?;
     let node = &gateway.settings.node;
     let current = read.lease.clone().map(|row| match row.holder == *node {
         true => gateway.leases.completed(service, row),
@@ -295,6 +292,7 @@
             return Ok(None);
         }
     };
+    read.record.claim(successor);
     let written = write_lease(gateway, service, &lease, &read).await?;
     Ok(written.then_some(lease))
 }
--- a/crates/linkhold-gateway/src/failover/recorder.rs
+++ b/crates/linkhold-gateway/src/failover/recorder.rs
@@ -33,9 +33,7 @@
 /// ends.
 pub(crate) async fn keep_lead_records<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut known: BTreeMap<ServiceName, Risen> = BTreeMap::new();
-    let mut changes = gateway.beliefs.subscribe();
     loop {
-        changes.mark_unchanged();
         for (service, term) in gateway.beliefs.take_risen_terms() {
             known.insert(
                 service,
@@ -51,8 +49,8 @@
                 risen.kept_in = record(&gateway, service, risen.term).await.then_some(era);
             }
         }
-        // Time passing is as good a reason to look again as a change.
-        let _ = timeout(RETRY_INTERVAL, changes.changed()).await;
+        // Time passing is as good a reason to look again as a new term.
+        let _ = timeout(RETRY_INTERVAL, gateway.beliefs.term_risen()).await;
     }
 }
 
