Say why a primary told no term, and ask it again after a pause

What callers saw: nothing else; on call, a statement refused for want of connections was logged as refused by a busy instance, and each such statement asked all instances of the service anew.

Cause: the proof of a lead told every primary that answers no status as busy.

--- a/crates/linkhold-gateway/src/evidence/lead_proof.rs
+++ b/crates/linkhold-gateway/src/evidence/lead_proof.rs
@@ -11,13 +11,14 @@
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::lead::{self, LeadVerdict};
 use linkhold_events::Event;
-use linkhold_peer::Reachability;
 
 use crate::evidence::survey;
 use crate::failover;
 use crate::gateway::Gateway;
+use crate::pool::CheckoutError;
 use crate::ports::{BackendErrorKind, Platform};
-use crate::request::attempt::NotRunCause;
+use crate::request::attempt::{NotRunCause, of_checkout};
+use crate::state::SilentRound;
 
 /// Makes sure that `primary` leads, unless that is proved; an error tells why nothing may be
 /// sent to it as one.
@@ -29,7 +30,7 @@
         return unless_denied(gateway, primary);
     }
     let turn = gateway.lead_proofs.turn(&primary.service);
-    let _turn = turn.lock().await;
+    let mut last_silent = turn.lock().await;
     // Somebody else may have asked meanwhile.
     if !gateway.beliefs.needs_lead_proof(&primary.id) {
         return unless_denied(gateway, primary);
@@ -38,6 +39,9 @@
         // This node is not listed yet: it may speak for no primary anyway.
         return Err(NotRunCause::Refused(BackendErrorKind::Busy));
     }
+    if let Some(cause) = last_silent.as_ref().and_then(SilentRound::present_cause) {
+        return Err(cause);
+    }
     let instances = gateway.beliefs.instances(&primary.service);
     let statuses = survey::statuses_by_any_way(gateway, &instances).await;
     for status in &statuses {
@@ -48,7 +52,11 @@
             gateway.beliefs.prove_lead(&primary.id);
             Ok(())
         }
-        LeadVerdict::Silent => Err(look_at_silent(gateway, primary).await),
+        LeadVerdict::Silent => {
+            let cause = look_at_silent(gateway, primary).await;
+            *last_silent = Some(SilentRound::ended(cause));
+            Err(cause)
+        }
         verdict @ (LeadVerdict::Replaced(_) | LeadVerdict::Unknown) => {
             log_not_proved(primary, &statuses, verdict);
             gateway.instance_denied_primary(primary);
@@ -93,15 +101,18 @@
     if gateway.relays.is_relayed(&primary.id) {
         return NotRunCause::Unreachable;
     }
-    match survey::reach_primary(gateway, primary).await {
-        Reachability::Reached => NotRunCause::Refused(BackendErrorKind::Busy),
-        Reachability::NotPrimary => {
+    match survey::begin(gateway, primary).await {
+        Ok(reply) if reply.error() == Some(BackendErrorKind::ReadOnly) => {
             gateway.instance_denied_primary(primary);
             NotRunCause::Refused(BackendErrorKind::ReadOnly)
         }
-        Reachability::Unreached => {
-            gateway.instance_failed(primary, "unreachable");
-            NotRunCause::Unreachable
+        Ok(_) => NotRunCause::Refused(BackendErrorKind::Busy),
+        Err(error) => {
+            let cause = of_checkout(gateway, primary, CheckoutError::Connect(error));
+            if cause == NotRunCause::Unreachable {
+                gateway.instance_failed(primary, "unreachable");
+            }
+            cause
         }
     }
 }
--- a/crates/linkhold-gateway/src/evidence/survey.rs
+++ b/crates/linkhold-gateway/src/evidence/survey.rs
@@ -28,16 +28,9 @@
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
 ) -> Reachability {
-    let commands = [
-        Command::Begin {
-            read_only: false,
-            fence: None,
-        },
-        Command::Rollback,
-    ];
     let sent_at = Instant::now();
-    let replies = match ask(gateway, instance, &commands).await {
-        Ok(replies) => replies,
+    let reply = match begin(gateway, instance).await {
+        Ok(reply) => reply,
         // It lives, and has all the connections it can take.
         Err(ConnectError::Rejected) => return Reachability::Reached,
         Err(ConnectError::Closed) if gateway.answered_lately(instance) => {
@@ -45,7 +38,7 @@
         }
         Err(_) => return Reachability::Unreached,
     };
-    match (replies[0].error(), replies[0].position) {
+    match (reply.error(), reply.position) {
         (Some(BackendErrorKind::ReadOnly), _) => Reachability::NotPrimary,
         (None, Some(position)) => {
             // One that may have been replaced proves nothing of its service's log.
@@ -58,6 +51,23 @@
     }
 }
 
+/// Begins a writing transaction and rolls it back, which takes no slot; the reply to the
+/// beginning.
+pub(crate) async fn begin<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+) -> Result<BackendReply, ConnectError> {
+    let commands = [
+        Command::Begin {
+            read_only: false,
+            fence: None,
+        },
+        Command::Rollback,
+    ];
+    let mut replies = ask(gateway, instance, &commands).await?;
+    Ok(replies.swap_remove(0))
+}
+
 /// The statuses of those instances that answer.
 pub(crate) async fn statuses<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/linkhold-gateway/src/request/attempt/mod.rs
+++ b/crates/linkhold-gateway/src/request/attempt/mod.rs
@@ -22,6 +22,7 @@
 use crate::request::primary_answer::{acknowledged, speaks_for_primary};
 use crate::request::principal::Principal;
 
+pub(crate) use ending::of_checkout;
 pub(crate) use exchange::run_on_own;
 pub(crate) use held::{ConnectionOf, Held, finish_own};
 
--- a/crates/linkhold-gateway/src/state/mod.rs
+++ b/crates/linkhold-gateway/src/state/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use awaited::AwaitedAnswers;
 pub(crate) use fleet::{AdoptedFleet, Fleet, FleetSource, ReaderAddresses};
 pub(crate) use forwarding::Forwarding;
-pub(crate) use lead_proofs::LeadProofs;
+pub(crate) use lead_proofs::{LeadProofs, SilentRound};
 pub(crate) use lead_records::LeadRecords;
 pub(crate) use own_row::OwnRow;
 pub(crate) use peers::{Confirmation, PeerAnswer, Peers};
