Answer a look at a primary that is reached, and name a leader only with proof

What callers could see: a primary that a node which has just started reaches counted as reached by fewer nodes, and so as lost sooner.

Cause: with the proof of leads a node answered every question about a service's primary as if it knew none, until it had proved who leads. That is right for whoever is about to replace it, and for the name of the leader; a look asks what is reached.

Change: a look is answered by trying; the leader is named with proof alone, as before this.

--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -227,7 +227,9 @@
         QuestionSubject::PrimaryOf(service) => gateway.beliefs.primary(service),
     };
     let found = match &instance {
-        Some(instance) if believes_in(&gateway, instance, &subject) => {
+        Some(instance)
+            if purpose == QuestionPurpose::Look || believes_in(&gateway, instance, &subject) =>
+        {
             find(&gateway, instance, purpose).await
         }
         // What it does not know, it does not use.
@@ -247,7 +249,9 @@
     }
     let is_leader =
         found == Reachability::Reached && matches!(subject, QuestionSubject::PrimaryOf(_));
-    let leader = instance.filter(|_| is_leader).map(|it| it.id.to_string());
+    let is_proved = |it: &Arc<Instance>| believes_in(&gateway, it, &subject);
+    let leader = instance.filter(|it| is_leader && is_proved(it));
+    let leader = leader.map(|it| it.id.to_string());
     let message = ReachabilityMessage::Answer {
         number: asker.number,
         found,
