Review, case 3: play it with fences checked as well

The script now plays the case in both settings, one after the other, and the primary returns after 3.2 s, before another node can claim.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -79,12 +79,17 @@
     max_conns: 23,
     drain_ms: 7_000,
     config_apply_ms: 3_000,
-    clients: 4,
-    pause_ms: 20,
+    clients: 3,
+    pause_ms: 30,
     // 12 ms between regions, and 5 ms for the call.
     announcement_ms: 17,
 };
 
+const LATE_ORDER_FENCED: Plan = Plan {
+    enforce_fencing: true,
+    ..LATE_ORDER
+};
+
 const FLAP: Plan = Plan {
     name: "flap",
     ..HANDOVER
@@ -1352,7 +1357,7 @@
     world.changed.notify_all();
 }
 
-/// The primary goes dark for 4.5 s. The order to replace it gets no answer and is carried
+/// The primary goes dark for 3.2 s. The order to replace it gets no answer and is carried
 /// out 9.5 s later. In between, five of the nine nodes are killed and start again.
 fn play_late_order(world: &Shared, fleet: &mut Fleet, has_trouble: bool) -> Result<(), String> {
     thread::sleep(Duration::from_secs(6));
@@ -1362,9 +1367,9 @@
     }
     world.lock().late_order = Some(Duration::from_millis(9_500));
     set_dark(world, 0, true);
-    thread::sleep(Duration::from_millis(4_500));
+    thread::sleep(Duration::from_millis(3_200));
     set_dark(world, 0, false);
-    thread::sleep(Duration::from_millis(3_800));
+    thread::sleep(Duration::from_millis(5_100));
     let restarted = fleet.restart(world.plan, 5, Duration::from_millis(500), world);
     restarted.map_err(|error| error.to_string())?;
     world.wait(Duration::from_secs(8), |state| !state.promotions.is_empty());
@@ -1482,7 +1487,8 @@
     {
         let mut state = world.lock();
         let state = &mut *state;
-        world.note(state, &format!("case {} trouble={has_trouble}", plan.name));
+        let fences = if plan.enforce_fencing { "checked" } else { "ignored" };
+        world.note(state, &format!("case {} trouble={has_trouble} fences={fences}", plan.name));
         for index in 0..3 {
             world.announce(state, index);
         }
@@ -1560,7 +1566,9 @@
         }
     }
     let served = state.served;
-    std::fs::write(record, text).map_err(|error| error.to_string())?;
+    let written = std::fs::OpenOptions::new().create(true).append(true).open(record);
+    let written = written.and_then(|mut file| file.write_all(text.as_bytes()));
+    written.map_err(|error| error.to_string())?;
     result?;
     if served == 0 {
         return Err("nothing was served".to_owned());
@@ -1570,12 +1578,13 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let plan = match arguments.get(1).map(String::as_str) {
-        Some("handover") => &HANDOVER,
-        Some("late-order") => &LATE_ORDER,
-        Some("flap") => &FLAP,
+    let plans: &[&'static Plan] = match arguments.get(1).map(String::as_str) {
+        Some("handover") => &[&HANDOVER],
+        Some("flap") => &[&FLAP],
+        // As on pk-trails, and where the platform checks fences.
+        Some("late-order") => &[&LATE_ORDER, &LATE_ORDER_FENCED],
         _ => {
-            eprintln!("usage: standin handover|late-order|flap RECORD");
+            eprintln!("usage: standin handover|flap|late-order RECORD");
             std::process::exit(2);
         }
     };
@@ -1583,28 +1592,31 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     // The nodes end with this process.
     thread::spawn(|| {
-        thread::sleep(Duration::from_secs(100));
+        thread::sleep(Duration::from_secs(112));
         eprintln!("the case took too long");
         std::process::exit(2);
     });
-    let folder = std::env::temp_dir().join(format!("linkhold-review-{}", std::process::id()));
-    if std::fs::create_dir_all(&folder).is_err() {
-        std::process::exit(2);
-    }
-    let result = play(plan, has_trouble, &folder, &record);
-    if std::env::var("KEEP").is_err() {
+    let _ = std::fs::remove_file(&record);
+    let mut code = 0;
+    for (number, plan) in plans.iter().enumerate() {
+        let folder = std::env::temp_dir().join(format!("linkhold-review-{}-{number}", std::process::id()));
+        let created = std::fs::create_dir_all(&folder).map_err(|error| error.to_string());
+        let result = created.and_then(|()| play(plan, has_trouble, &folder, &record));
         let _ = std::fs::remove_dir_all(&folder);
-    }
-    match result {
-        Ok(verdict) => {
-            for line in &verdict.lines {
-                println!("{line}");
+        match result {
+            Ok(verdict) => {
+                for line in &verdict.lines {
+                    println!("{line}");
+                }
+                if !verdict.held && code == 0 {
+                    code = 1;
+                }
+            }
+            Err(problem) => {
+                eprintln!("the case could not run: {problem}");
+                code = 2;
             }
-            std::process::exit(i32::from(!verdict.held));
-        }
-        Err(problem) => {
-            eprintln!("the case could not run: {problem}");
-            std::process::exit(2);
         }
     }
+    std::process::exit(code);
 }
