--- a/review/standin.rs
+++ b/review/standin.rs
@@ -134,10 +134,13 @@
     is_primary: bool,
     term: u64,
     state: &'static str,
-    dark: bool,
+    /// Partitioned from all nodes.
+    is_cut: bool,
+    /// Partitioned from the other instances and the store until then.
+    is_apart_until: Option<Instant>,
     /// Receives nothing from the primary until then.
     deaf_until: Option<Instant>,
-    /// Rises when the instance loses power: connections from before are dead.
+    /// Rises with each cut and its end: connections from before are dead.
     life: u64,
     connections: usize,
     sequence: u64,
@@ -147,6 +150,12 @@
     queue: usize,
 }
 
+impl Instance {
+    fn is_apart(&self, now: Instant) -> bool {
+        self.is_apart_until.is_some_and(|until| now < until)
+    }
+}
+
 struct Row {
     value: String,
     ver: u64,
@@ -190,9 +199,10 @@
     sent: u64,
     served: u64,
     ran: HashMap<String, Ran>,
-    /// Called when an instance has answered STATUS.
-    status_answered: HashMap<&'static str, u32>,
-    deaf_on_status: Option<(&'static str, Duration)>,
+    /// Length of the log that each instance told with its last status.
+    status_answered: HashMap<&'static str, usize>,
+    /// How long the replica that is ahead receives nothing once both have told their status.
+    deaf_on_statuses: Option<Duration>,
     record: String,
     is_over: bool,
 }
@@ -279,6 +289,17 @@
         self.put(state, "servers", id, base64(body.as_bytes()));
     }
 
+    fn remove_entry(&self, index: usize) {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let place = ("servers".to_owned(), state.instances[index].id.to_owned());
+        state.rows.remove(&place);
+        state.ver += 1;
+        state.changes.push((state.ver, place.0, place.1));
+        self.note(state, "the entry of the cut primary lapses");
+        self.changed.notify_all();
+    }
+
     /// Carries out a promotion: the instance leads the next term with what it received.
     fn promote(&self, id: &str) {
         let mut state = self.lock();
@@ -301,15 +322,14 @@
                 it.is_primary = true;
                 it.term = term;
             } else if it.is_primary && goes_on {
-                it.loses_lead_at = Some(now + Duration::from_millis(1_000));
+                let reaches_new_one = it.is_apart_until.map_or(now, |until| until.max(now));
+                it.loses_lead_at = Some(reaches_new_one + Duration::from_millis(1_000));
             } else {
                 it.is_primary = false;
-                if !it.dark {
-                    it.term = term;
-                    let shared = shared_length(&it.log, &log);
-                    it.log.truncate(shared);
-                    it.at.truncate(shared);
-                }
+                it.term = term;
+                let shared = shared_length(&it.log, &log);
+                it.log.truncate(shared);
+                it.at.truncate(shared);
             }
         }
         let instance = state.instances[index].id;
@@ -332,8 +352,9 @@
         thread::sleep(Duration::from_millis(self.plan.announcement_ms));
         let mut state = self.lock();
         let state = &mut *state;
+        let now = Instant::now();
         for other in 0..state.instances.len() {
-            if !state.instances[other].dark {
+            if !state.instances[other].is_apart(now) {
                 self.announce(state, other);
             }
         }
@@ -380,14 +401,14 @@
             let Some(source) = leader.or_else(longest) else {
                 continue;
             };
-            if state.instances[source].dark {
+            if state.instances[source].is_apart(now) {
                 continue;
             }
             let mut received = false;
             for index in 0..state.instances.len() {
                 let (from, to) = (&state.instances[source], &state.instances[index]);
                 let is_deaf = to.deaf_until.is_some_and(|until| now < until);
-                if index == source || to.dark || is_deaf || to.loses_lead_at.is_some() {
+                if index == source || is_deaf || to.is_apart(now) || to.loses_lead_at.is_some() {
                     continue;
                 }
                 let is_prefix = match to.log.last() {
@@ -449,10 +470,10 @@
     }
 }
 
-/// Waits while the instance is dark; false if the connection died with it.
+/// Waits while the instance is cut off; false if the connection died in the cut.
 fn is_alive(world: &World, index: usize, life: u64) -> bool {
     world.wait(Duration::from_secs(60), |state| {
-        !state.instances[index].dark || state.is_over
+        !state.instances[index].is_cut || state.is_over
     });
     world.lock().instances[index].life == life
 }
@@ -521,7 +542,7 @@
             return Ok(());
         };
         let (id, text) = rest.split_once(' ').unwrap_or((rest, ""));
-        let Some(result) = run(world, index, life, &mut transaction, id, text) else {
+        let Some(result) = run(world, index, &mut transaction, id, text) else {
             // The answer is lost with the connection.
             return Ok(());
         };
@@ -555,23 +576,22 @@
         answer.push_str(&ready_line(&world.lock(), index, status));
         out.write_all(answer.as_bytes())?;
         if text == "STATUS" {
-            after_status(world, index);
+            after_status(world);
         }
     }
     Ok(())
 }
 
-fn after_status(world: &World, index: usize) {
+fn after_status(world: &World) {
     let mut state = world.lock();
     let state = &mut *state;
-    let id = state.instances[index].id;
-    *state.status_answered.entry(id).or_default() += 1;
-    if let Some((deaf, length)) = state.deaf_on_status
-        && deaf == id
-    {
-        state.deaf_on_status = None;
-        state.instances[index].deaf_until = Some(Instant::now() + length);
-        self::note_deaf(world, state, id, length);
+    let ids = [world.plan.instances[1].0, world.plan.instances[2].0];
+    let told = ids.map(|id| state.status_answered.get(id).copied());
+    if let ([Some(first), Some(second)], Some(length)) = (told, state.deaf_on_statuses) {
+        state.deaf_on_statuses = None;
+        let ahead = if second > first { 2 } else { 1 };
+        state.instances[ahead].deaf_until = Some(Instant::now() + length);
+        note_deaf(world, state, ids[ahead - 1], length);
     }
     world.changed.notify_all();
 }
@@ -595,7 +615,6 @@
 fn run(
     world: &Shared,
     index: usize,
-    life: u64,
     transaction: &mut Option<Transaction>,
     id: &str,
     text: &str,
@@ -655,7 +674,7 @@
             let row = status_row(&state.instances[index]);
             Some(Ok(vec![row]))
         }
-        "FETCH" | "STORE" => data_statement(world, index, life, transaction, id, word == "STORE"),
+        "FETCH" | "STORE" => data_statement(world, index, transaction, id, word == "STORE"),
         "COMMIT" => {
             let Some(open) = transaction.take() else {
                 return Some(Err("MALFORMED"));
@@ -666,14 +685,18 @@
             if !open.writes {
                 return Some(Ok(Vec::new()));
             }
-            commit(world, index, life, id)
+            commit(world, index, id)
         }
         _ => Some(Err("MALFORMED")),
     }
 }
 
 fn status(world: &World, index: usize) -> String {
-    status_row(&world.lock().instances[index])
+    let mut state = world.lock();
+    let state = &mut *state;
+    let it = &state.instances[index];
+    state.status_answered.insert(it.id, it.log.len());
+    status_row(&state.instances[index])
 }
 
 fn status_row(it: &Instance) -> String {
@@ -692,7 +715,6 @@
 fn data_statement(
     world: &Shared,
     index: usize,
-    life: u64,
     transaction: &mut Option<Transaction>,
     id: &str,
     writes: bool,
@@ -729,26 +751,17 @@
     if !writes {
         return Some(Ok(vec!["row".to_owned()]));
     }
-    commit(world, index, life, id)
+    commit(world, index, id)
 }
 
 /// Commits. With `sync_replicas`, it is answered once one replica has received it.
-fn commit(
-    world: &Shared,
-    index: usize,
-    life: u64,
-    id: &str,
-) -> Option<Result<Vec<String>, &'static str>> {
+fn commit(world: &Shared, index: usize, id: &str) -> Option<Result<Vec<String>, &'static str>> {
     let (number, made) = {
         let mut state = world.lock();
         let state = &mut *state;
         let it = &mut state.instances[index];
-        if !it.is_primary || it.dark || it.life != life {
-            return if it.dark || it.life != life {
-                None
-            } else {
-                Some(Err("READONLY"))
-            };
+        if !it.is_primary {
+            return Some(Err("READONLY"));
         }
         let made = Commit {
             term: it.term,
@@ -783,7 +796,7 @@
             .enumerate()
             .filter(|(other, _)| *other != index);
         // A primary that has lost the lead answers nothing more.
-        if !it.is_primary || it.life != life || it.log.get(number - 1) != Some(&made) {
+        if !it.is_primary || it.log.get(number - 1) != Some(&made) {
             return true;
         }
         holds = others.filter(|(_, other)| has(other)).count() >= world.plan.sync_replicas;
@@ -1058,7 +1071,7 @@
         let mut state = world.lock();
         let state = &mut *state;
         let is_old = world.plan.enforce_fencing && token < state.highest_token;
-        let runs = state.instances.iter().any(|it| it.id == id && !it.dark);
+        let runs = state.instances.iter().any(|it| it.id == id);
         let outcome = if is_old || !runs { "409" } else { "200" };
         world.note(
             state,
@@ -1557,15 +1570,16 @@
     }
 }
 
-/// The primary is to be replaced (`release`). With trouble, the replica that is nearest
-/// to it receives nothing for 3 s from just after the nodes have asked it for its status.
+/// The primary is to be replaced (`release`). With trouble, the replica that is ahead
+/// receives nothing for 3 s from just after both have told the nodes their status.
 fn play_handover(world: &Shared, has_trouble: bool) {
     thread::sleep(Duration::from_secs(5));
     {
         let mut state = world.lock();
         let state = &mut *state;
         if has_trouble {
-            state.deaf_on_status = Some((world.plan.instances[1].0, Duration::from_secs(3)));
+            state.status_answered.clear();
+            state.deaf_on_statuses = Some(Duration::from_secs(3));
         }
         state.instances[0].state = "draining";
         world.note(state, "plan release: the primary i-3c11 states draining");
@@ -1577,36 +1591,26 @@
     thread::sleep(Duration::from_secs(2));
 }
 
-fn set_dark(world: &World, index: usize, dark: bool) {
+/// Partitions an instance from all nodes, or ends that. It runs on, and reaches the other
+/// instances and the store. Connections to nodes do not outlive the cut.
+fn set_cut(world: &World, index: usize, is_cut: bool) {
     let mut state = world.lock();
     let state = &mut *state;
-    state.instances[index].dark = dark;
-    let id = state.instances[index].id;
-    let text = if dark {
-        "trouble srv_crash dark primary: goes dark"
-    } else {
-        "returns with its log"
+    let it = &mut state.instances[index];
+    it.is_cut = is_cut;
+    it.life += 1;
+    let id = it.id;
+    let text = match is_cut {
+        true => "trouble primary_cut: is partitioned from all nodes",
+        false => "the cut heals",
     };
-    if dark {
-        state.instances[index].life += 1;
-    }
     world.note(state, &format!("{text} {id}"));
-    if !dark {
-        // It had no power: connections from before are gone, and it is a replica if
-        // another was promoted.
-        let newest = state.instances.iter().map(|it| it.term).max().unwrap_or(0);
-        if state.instances[index].term < newest {
-            state.instances[index].is_primary = false;
-            state.instances[index].term = newest;
-        }
-        state.instances[index].life += 1;
-        world.announce(state, index);
-    }
     world.changed.notify_all();
 }
 
-/// The primary goes dark for 3.2 s. The order to replace it gets no answer and is carried
-/// out 9.5 s later. In between, five of the nine nodes are killed and start again.
+/// The primary is cut off from all nodes for 3.2 s. The order to replace it gets no answer and is carried
+/// out 9.5 s later. In between, five of the nine nodes are killed and start again, and the
+/// primary is cut off from its replicas and the store.
 fn play_late_order(world: &Shared, fleet: &mut Fleet, has_trouble: bool) -> Result<(), String> {
     thread::sleep(Duration::from_secs(6));
     if !has_trouble {
@@ -1614,19 +1618,35 @@
         return Ok(());
     }
     world.lock().late_order = Some(Duration::from_millis(9_500));
-    set_dark(world, 0, true);
+    set_cut(world, 0, true);
     thread::sleep(Duration::from_millis(3_200));
-    set_dark(world, 0, false);
+    set_cut(world, 0, false);
     thread::sleep(Duration::from_millis(5_100));
+    let apart_until = Instant::now() + Duration::from_secs(6);
+    {
+        let mut state = world.lock();
+        state.instances[0].is_apart_until = Some(apart_until);
+        world.note(
+            &mut state,
+            "trouble primary_cut replicas core: i-3c11 is partitioned from them for 6000 ms",
+        );
+    }
     let restarted = fleet.restart(world.plan, 5, Duration::from_millis(500), world);
     restarted.map_err(|error| error.to_string())?;
     world.wait(Duration::from_secs(8), |state| !state.promotions.is_empty());
-    thread::sleep(Duration::from_secs(3));
+    // Its entry lapses, as it can't write it anew.
+    let lapse = apart_until.checked_sub(Duration::from_millis(2_400));
+    let lapse = lapse.unwrap_or(apart_until);
+    thread::sleep(lapse.saturating_duration_since(Instant::now()));
+    world.remove_entry(0);
+    // A second after it reaches the new primary, the old one has lost the lead for good.
+    let end = apart_until + Duration::from_millis(1_600);
+    thread::sleep(end.saturating_duration_since(Instant::now()));
     Ok(())
 }
 
-/// The primary goes dark, returns for 0.4 s and goes dark again; a replica receives
-/// nothing meanwhile, and the store is slow.
+/// The primary is cut off from all nodes, reached again for 0.4 s and cut off again; a
+/// replica receives nothing meanwhile, and the store is slow.
 fn play_flap(world: &Shared, has_trouble: bool) {
     thread::sleep(Duration::from_secs(5));
     if !has_trouble {
@@ -1641,7 +1661,9 @@
             "trouble platform_slow: an answer takes 240 ms, for 4.5 s",
         );
     }
-    set_dark(world, 0, true);
+    set_cut(world, 0, true);
+    // What the primary had received before the cut is on both replicas by then.
+    thread::sleep(Duration::from_millis(150));
     {
         let mut state = world.lock();
         let state = &mut *state;
@@ -1655,9 +1677,9 @@
         let ids = [world.plan.instances[1].0, world.plan.instances[2].0];
         ids.iter().all(|id| state.status_answered.contains_key(id))
     });
-    set_dark(world, 0, false);
+    set_cut(world, 0, false);
     thread::sleep(Duration::from_millis(400));
-    set_dark(world, 0, true);
+    set_cut(world, 0, true);
     thread::sleep(Duration::from_millis(2_500));
     world.lock().store_delay = Duration::from_millis(4);
     world.wait(Duration::from_secs(6), |state| !state.promotions.is_empty());
@@ -1726,7 +1748,8 @@
             is_primary: index == 0,
             term: 1,
             state: "ready",
-            dark: false,
+            is_cut: false,
+            is_apart_until: None,
             deaf_until: None,
             life: 0,
             connections: 0,
@@ -1753,7 +1776,7 @@
             served: 0,
             ran: HashMap::new(),
             status_answered: HashMap::new(),
-            deaf_on_status: None,
+            deaf_on_statuses: None,
             record: String::new(),
             is_over: false,
         }),
