--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -12,7 +12,7 @@
 use linkhold_peer::{QuestionPurpose, QuestionSubject, Reachability};
 
 use super::FailoverReason;
-use super::promotion::ServiceSurvey;
+use super::service_survey::ServiceSurvey;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::peers::{self, Audience};
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -12,6 +12,8 @@
 mod order;
 mod promotion;
 mod recorder;
+mod service_survey;
+mod switch_over;
 
 use std::collections::HashSet;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -0,0 +1,164 @@
+//! Surveys the instances of a service, and chooses a primary or a successor among them.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use linkhold_core::position::Position;
+use linkhold_core::service::configuration::ServiceName;
+use linkhold_core::service::directory::PrimarySource;
+use linkhold_core::service::failover::{self, InstanceStatus, Successor};
+use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::primary_verification::PrimaryVerdict;
+use linkhold_events::Event;
+
+use super::FailoverReason;
+use super::diagnosis::learn_primary;
+use crate::evidence::{primary_verification, survey};
+use crate::gateway::Gateway;
+use crate::ports::Platform;
+
+/// Instances of a service and their statuses, as surveyed before its primary is
+/// replaced.
+pub(super) struct ServiceSurvey {
+    pub(super) service: ServiceName,
+    /// All instances except the old primary.
+    pub(super) others: Vec<Arc<Instance>>,
+    /// Statuses of those of `others` that answered.
+    pub(super) statuses: Vec<InstanceStatus>,
+    pub(super) old: Option<Arc<Instance>>,
+}
+
+/// Asks all instances of a service but its primary for their statuses.
+pub(super) async fn survey_service<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+) -> ServiceSurvey {
+    let old = gateway.cluster.primary(service);
+    let others: Vec<Arc<Instance>> = gateway
+        .cluster
+        .instances(service)
+        .into_iter()
+        .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
+        .collect();
+    let statuses = survey::statuses(gateway, &others).await;
+    for status in &statuses {
+        gateway.cluster.observe_term(service, status.term);
+    }
+    ServiceSurvey {
+        service: service.clone(),
+        others,
+        statuses,
+        old,
+    }
+}
+
+/// Looks for an instance that reports being primary and was not replaced, as far as
+/// this node can verify, or else for one that other nodes name. Returns whether a
+/// primary is known now.
+pub(super) async fn find_primary<P: Platform>(
+    gateway: &Gateway<P>,
+    surveyed: &ServiceSurvey,
+) -> bool {
+    let service = &surveyed.service;
+    let Some(claimant) = newest_claimant(gateway, service, &surveyed.statuses) else {
+        return false;
+    };
+    let Some(instance) = gateway.cluster.instance(&claimant.id) else {
+        return false;
+    };
+    let verdict =
+        primary_verification::determine_verdict(gateway, &instance, &surveyed.statuses).await;
+    if verdict == PrimaryVerdict::Leads {
+        gateway
+            .cluster
+            .confirm_primary(&claimant.id, PrimarySource::Asked);
+        return true;
+    }
+    learn_primary(gateway, service).await
+}
+
+/// An instance that reports being primary in the newest known term. Where several
+/// announce the role, all of them have to report their terms: one that does not answer
+/// may be the newest.
+fn newest_claimant<'a, P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    statuses: &'a [InstanceStatus],
+) -> Option<&'a InstanceStatus> {
+    let has_answered = |id: &InstanceId| statuses.iter().any(|status| status.id == *id);
+    let claimants = gateway.cluster.claimants(service);
+    if claimants.len() > 1 && !claimants.iter().all(has_answered) {
+        return None;
+    }
+    let newest = gateway.cluster.newest_term(service)?;
+    // An instance that has restarted holds nothing, but may still report being primary.
+    let proved = gateway.cluster.newest_position(service);
+    let holds_proved = |status: &&InstanceStatus| Some(status.received) >= proved;
+    statuses
+        .iter()
+        .filter(holds_proved)
+        .find(|status| status.role == Role::Primary && status.term >= newest)
+}
+
+/// The instance to promote; `None` if too few statuses are known to choose one.
+pub(super) fn select_successor<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    reason: FailoverReason,
+    surveyed: &ServiceSurvey,
+) -> Option<Successor> {
+    let now = Instant::now();
+    let synchronous = gateway
+        .cluster
+        .limits(service)
+        .map_or(0, |limits| limits.synchronous_replicas);
+    let required = failover::statuses_required(surveyed.others.len(), synchronous);
+    let evidence = newest_evidence(gateway, service);
+    let candidates: Vec<Successor> = surveyed
+        .statuses
+        .iter()
+        .filter(|status| failover::has_current_term(status, evidence))
+        .map(|status| Successor {
+            status: status.clone(),
+            is_leaving: gateway.cluster.is_leaving(&status.id, now),
+            is_in_primary_region: is_well_placed(gateway, &status.id),
+            is_warm: !gateway.cluster.is_cold(&status.id),
+        })
+        // A misplaced primary still serves: its successor must be well placed and not
+        // leaving.
+        .filter(|it| {
+            reason != FailoverReason::Misplaced || it.is_in_primary_region && !it.is_leaving
+        })
+        .collect();
+    let candidates = match reason {
+        FailoverReason::Leaving | FailoverReason::Misplaced => {
+            failover::switchover_candidates(candidates, synchronous)
+        }
+        FailoverReason::Unknown | FailoverReason::Lost => candidates,
+    };
+    let chosen = failover::choose_successor(&candidates, synchronous);
+    if chosen.is_none() || surveyed.statuses.len() < required {
+        Event::warn("no_successor")
+            .field("service", service)
+            .field("replicas", surveyed.others.len())
+            .field("statuses", surveyed.statuses.len())
+            .field("candidates", candidates.len())
+            .field("required", required)
+            .log();
+        return None;
+    }
+    chosen.cloned()
+}
+
+/// The lowest position at which a log lacks nothing that is proved, nor the newest
+/// proved term.
+fn newest_evidence<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Position> {
+    let proved_term = gateway.cluster.newest_proved_term(service);
+    let start_of_term = proved_term.map(|term| Position { term, index: 0 });
+    start_of_term.max(gateway.cluster.newest_position(service))
+}
+
+fn is_well_placed<P: Platform>(gateway: &Gateway<P>, id: &InstanceId) -> bool {
+    let instance = gateway.cluster.instance(id);
+    instance.is_some_and(|instance| gateway.cluster.is_well_placed(&instance))
+}
