Hand over only to a replica that has the log of the old primary

Cause: the successor was chosen by positions from before the lease was claimed and the primary had stepped down. A replica that stopped receiving in between stayed the successor. After 600 ms of waiting for it, the node promoted it whatever it had received; only misplaced primaries were spared that.

Evidence: primary_stepped_down position=1/1699 successor_position=1/1685 and the order 4 ms later, on this code.

Now the position at which the primary stepped down is the end of its log. All other instances are asked from then on, any of them that has received that log takes over, and the lease is claimed again for it if it is not the first choice. If none has, and enough answered to prove that the most advanced has all acknowledged commits, that one does; otherwise the old primary leads again. A service without synchronous replicas may lose commits only once its primary has been leaving for so long that it may be gone before a better successor is there.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -254,7 +254,13 @@
 ) -> bool {
     let is_close = primary.term == successor.term
         && primary.index.saturating_sub(successor.index) <= SMALL_GAP;
-    is_close || leaving_for > drain * FORCE_PERCENT / 100
+    is_close || must_hand_over(leaving_for, drain)
+}
+
+/// Whether a leaving primary is replaced even if that undoes commits: it may be gone
+/// before a better successor is there.
+pub fn must_hand_over(leaving_for: Duration, drain: Duration) -> bool {
+    leaving_for > drain * FORCE_PERCENT / 100
 }
 
 /// Replicas that must have reported their position before one may be promoted.
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -13,6 +13,7 @@
 pub mod incarnations;
 pub mod instance;
 pub mod listing;
+pub mod log_completeness;
 pub mod owners;
 pub mod permission;
 pub mod placement;
--- a/crates/linkhold-gateway/src/evidence/survey.rs
+++ b/crates/linkhold-gateway/src/evidence/survey.rs
@@ -9,6 +9,7 @@
 use linkhold_core::service::evidence::Sample;
 use linkhold_core::service::failover::InstanceStatus;
 use linkhold_core::service::instance::Instance;
+use linkhold_core::service::log_completeness::StatusReport;
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::tenancy::ConnectionHolder;
 use linkhold_peer::Reachability;
@@ -106,6 +107,17 @@
     gateway.platform.read_status(&instance.id, &replies[0])
 }
 
+/// The status of an instance with the time of the question; `None` if it does not
+/// answer with one.
+pub(crate) async fn report<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+) -> Option<StatusReport> {
+    let asked_at = Instant::now();
+    let status = status(gateway, instance).await?;
+    Some(StatusReport { status, asked_at })
+}
+
 /// Turns a primary into a replica; returns its status afterwards, if it answers with
 /// one.
 pub(crate) async fn step_down<P: Platform>(
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -14,7 +14,7 @@
 
 use super::FailoverReason;
 use super::diagnosis::Agreement;
-use super::lease::{Claim, prepare_order, settle_order};
+use super::lease::{Claim, claim, prepare_order, settle_order};
 use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
@@ -45,6 +45,34 @@
         }
     }
 
+    /// The same grounds under a lease for this successor. If that is not the one for
+    /// which the lease was claimed, the lease is claimed again. Gives up and returns
+    /// `None` if another node may have claimed it in between.
+    pub async fn claim_for<P: Platform>(
+        mut self,
+        gateway: &Gateway<P>,
+        service: &ServiceName,
+        successor: &InstanceId,
+    ) -> Option<Self> {
+        let claimed = &self.claim.lease;
+        if claimed.may_promote(successor) {
+            return Some(self);
+        }
+        let next = claim(gateway, service, successor).await;
+        let Some(next) = next.filter(|next| next.lease.directly_follows(claimed)) else {
+            self.give_up(gateway, service, "lease_lost").await;
+            return None;
+        };
+        Event::info("successor_changed")
+            .field("service", service)
+            .field("from", claimed.successor.as_ref().map_or("", |it| &it.0))
+            .field("to", successor)
+            .field("token", next.lease.token)
+            .log();
+        self.claim = next;
+        Some(self)
+    }
+
     /// Logs why nothing is ordered on these grounds, and releases the nodes that
     /// agreed.
     pub async fn give_up<P: Platform>(
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -8,6 +8,7 @@
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::{self, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::log_completeness::{LogHolders, StatusReport, StatusReports};
 use linkhold_core::service::primary_verification::PrimaryVerdict;
 use linkhold_events::Event;
 
@@ -23,11 +24,27 @@
     pub(super) service: ServiceName,
     /// All instances except the old primary.
     pub(super) others: Vec<Arc<Instance>>,
+    /// When the instances were asked.
+    asked_at: Instant,
     /// Statuses of those of `others` that answered.
     pub(super) statuses: Vec<InstanceStatus>,
     pub(super) old: Option<Arc<Instance>>,
 }
 
+impl ServiceSurvey {
+    /// The statuses with the time of the question.
+    pub(super) fn reports(&self) -> StatusReports {
+        let mut reports = StatusReports::default();
+        for status in &self.statuses {
+            reports.record(StatusReport {
+                status: status.clone(),
+                asked_at: self.asked_at,
+            });
+        }
+        reports
+    }
+}
+
 /// Asks all instances of a service but its primary for their statuses.
 pub(super) async fn survey_service<P: Platform>(
     gateway: &Gateway<P>,
@@ -40,6 +57,7 @@
         .into_iter()
         .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
         .collect();
+    let asked_at = Instant::now();
     let statuses = survey::statuses(gateway, &others).await;
     for status in &statuses {
         gateway.cluster.observe_term(service, status.term);
@@ -47,6 +65,7 @@
     ServiceSurvey {
         service: service.clone(),
         others,
+        asked_at,
         statuses,
         old,
     }
@@ -100,23 +119,17 @@
         .find(|status| status.role == Role::Primary && status.term >= newest)
 }
 
-/// The instance to promote; `None` if too few statuses are known to choose one.
-pub(super) fn select_successor<P: Platform>(
+/// The instances with these statuses that may be promoted.
+pub(super) fn candidates<'a, P: Platform>(
     gateway: &Gateway<P>,
     service: &str,
     reason: FailoverReason,
-    surveyed: &ServiceSurvey,
-) -> Option<Successor> {
+    statuses: impl IntoIterator<Item = &'a InstanceStatus>,
+) -> Vec<Successor> {
     let now = Instant::now();
-    let synchronous = gateway
-        .cluster
-        .limits(service)
-        .map_or(0, |limits| limits.synchronous_replicas);
-    let required = failover::statuses_required(surveyed.others.len(), synchronous);
     let evidence = newest_evidence(gateway, service);
-    let candidates: Vec<Successor> = surveyed
-        .statuses
-        .iter()
+    statuses
+        .into_iter()
         .filter(|status| failover::has_current_term(status, evidence))
         .map(|status| Successor {
             status: status.clone(),
@@ -129,7 +142,20 @@
         .filter(|it| {
             reason != FailoverReason::Misplaced || it.is_in_primary_region && !it.is_leaving
         })
-        .collect();
+        .collect()
+}
+
+/// The instance to promote; `None` if too few statuses are known to choose one.
+pub(super) fn select_successor<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    reason: FailoverReason,
+    surveyed: &ServiceSurvey,
+) -> Option<Successor> {
+    let holders = log_holders(gateway, surveyed);
+    let synchronous = holders.synchronous;
+    let required = failover::statuses_required(surveyed.others.len(), synchronous);
+    let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
             failover::switchover_candidates(candidates, synchronous)
@@ -150,6 +176,18 @@
     chosen.cloned()
 }
 
+/// The instances that may hold commits of a surveyed service.
+pub(super) fn log_holders<P: Platform>(
+    gateway: &Gateway<P>,
+    surveyed: &ServiceSurvey,
+) -> LogHolders {
+    let limits = gateway.cluster.limits(&surveyed.service);
+    LogHolders {
+        instances: surveyed.others.len() + usize::from(surveyed.old.is_some()),
+        synchronous: limits.map_or(0, |limits| limits.synchronous_replicas),
+    }
+}
+
 /// The lowest position at which a log lacks nothing that is proved, nor the newest
 /// proved term.
 fn newest_evidence<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Position> {
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -1,18 +1,22 @@
 //! Hands a primary's role over to a successor while the primary still serves.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use linkhold_core::position::Term;
-use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus};
-use linkhold_core::service::instance::{Instance, Role};
+use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
+use linkhold_core::service::instance::{Instance, InstanceId, Role};
+use linkhold_core::service::log_completeness::{LogCompleteness, StatusReports, TermEnd};
 use linkhold_events::Event;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout_at};
 
 use super::lease::claim;
 use super::order::{Grounds, OrderOutcome, order};
-use super::service_survey::ServiceSurvey;
+use super::service_survey::{ServiceSurvey, candidates, log_holders};
 use super::{FailoverReason, is_diagnosis_current};
+use crate::cluster_state::lock;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
@@ -21,19 +25,22 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same where the old primary is not leaving: none of its commits may be undone.
 const MISPLACED_CATCH_UP_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Pause between status requests to a successor that catches up.
+/// How long the successor that was chosen first is preferred to others that have received
+/// as much.
+const PREFERENCE_TIME: Duration = Duration::from_millis(150);
+/// Pause between status requests to an instance that catches up.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
 
-/// Ends the term of a primary that still serves and promotes its successor, or restores
-/// the old primary if the successor cannot be promoted.
+/// Ends the term of a primary that still serves and promotes an instance that has
+/// received its log, or restores the old primary if there is none or it cannot be
+/// promoted.
 pub(super) async fn switch_over<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     surveyed: &ServiceSurvey,
     successor: &InstanceStatus,
     grounds: Grounds,
 ) {
-    let (Some(old), Some(instance)) = (&surveyed.old, gateway.cluster.instance(&successor.id))
-    else {
+    let Some(old) = &surveyed.old else {
         return;
     };
     let reason = grounds.reason;
@@ -41,15 +48,18 @@
         return;
     };
     let service = &surveyed.service;
-    let handed_over = grounds.claim.lease.clone();
-    let caught_up = catch_up(gateway, &instance, successor, &ended, reason).await;
+    let chosen = choose_caught_up(gateway, surveyed, &successor.id, &ended, reason).await;
     if !is_diagnosis_current(gateway, service, Some(&old.id)) {
         return grounds.give_up(gateway, service, "primary_changed").await;
     }
-    let outcome = match caught_up {
-        Some(caught_up) => order(gateway, service, &caught_up, grounds).await,
-        None => OrderOutcome::NotCarriedOut,
-    };
+    let mut handed_over = grounds.claim.lease.clone();
+    let mut outcome = OrderOutcome::NotCarriedOut;
+    if let Some(chosen) = chosen
+        && let Some(grounds) = grounds.claim_for(gateway, service, &chosen.id).await
+    {
+        handed_over = grounds.claim.lease.clone();
+        outcome = order(gateway, service, &chosen, grounds).await;
+    }
     if outcome == OrderOutcome::NotCarriedOut {
         restore_old_primary(gateway, old, &ended, &handed_over, reason).await;
     }
@@ -139,6 +149,12 @@
         }
     };
     let drain = gateway.settings.drain;
+    // With synchronous replicas, a successor that lacks commits is not promoted however
+    // long the primary has been leaving.
+    let leaving_for = match log_holders(gateway, surveyed).synchronous {
+        0 => leaving_for,
+        _ => Duration::ZERO,
+    };
     if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
         Event::info("hand_over_postponed")
             .field("service", &surveyed.service)
@@ -153,38 +169,158 @@
     Some(ended)
 }
 
-/// Waits until a successor has received the whole log of the old primary, so that no
-/// commit is rolled back; returns its latest status. `None` if it has not caught up and
-/// the old primary can be restored.
-async fn catch_up<P: Platform>(
+/// Waits until an instance has received the whole log of a primary that stepped down,
+/// and returns its status. Any candidate may take over: the one that was ahead before
+/// may have stopped receiving since. `None` if the old primary is to be restored.
+async fn choose_caught_up<P: Platform>(
     gateway: &Gateway<P>,
-    instance: &Arc<Instance>,
-    successor: &InstanceStatus,
+    surveyed: &ServiceSurvey,
+    preferred: &InstanceId,
     ended: &InstanceStatus,
     reason: FailoverReason,
 ) -> Option<InstanceStatus> {
+    let service = &surveyed.service;
+    let end = TermEnd {
+        at: Instant::now(),
+        log_end: Some(ended.received),
+    };
+    let reports = wait_for_whole_log(gateway, surveyed, preferred, &end, reason).await;
+    let holders = log_holders(gateway, surveyed);
+    let candidates = candidates(gateway, service, reason, reports.latest());
+    let is_whole = |it: &&Successor| {
+        reports.completeness(&it.status.id, &end, &holders) == LogCompleteness::Whole
+    };
+    let whole: Vec<Successor> = candidates.iter().filter(is_whole).cloned().collect();
+    let considered = if whole.is_empty() {
+        &candidates
+    } else {
+        &whole
+    };
+    let chosen = considered
+        .iter()
+        .find(|it| it.status.id == *preferred && !whole.is_empty())
+        .or_else(|| failover::choose_successor(considered, holders.synchronous));
+    let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
+        reports.completeness(&it.status.id, &end, &holders)
+    });
+    let may_promote = may_promote(
+        gateway,
+        &ended.id,
+        reason,
+        holders.synchronous,
+        completeness,
+    );
+    let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
+    Event::info("primary_stepped_down")
+        .field("service", service)
+        .field("old", &ended.id)
+        .field("position", ended.received)
+        .field("successor", chosen.map_or(preferred, |it| &it.status.id))
+        .field("successor_position", position)
+        .field("log", format_args!("{completeness:?}"))
+        .field("may_promote", may_promote)
+        .log();
+    chosen
+        .filter(|_| may_promote)
+        .map(|chosen| chosen.status.clone())
+}
+
+/// Whether an instance of which this is known may replace a primary that stepped down,
+/// or the old primary is rather restored.
+fn may_promote<P: Platform>(
+    gateway: &Gateway<P>,
+    old: &InstanceId,
+    reason: FailoverReason,
+    synchronous: usize,
+    completeness: LogCompleteness,
+) -> bool {
+    match (completeness, reason) {
+        (LogCompleteness::Whole, _) => true,
+        // A misplaced primary would stay, so nothing is given up for its successor.
+        (_, FailoverReason::Misplaced) => false,
+        (LogCompleteness::HasAcknowledged, _) => true,
+        // Callers of a service without synchronous replicas may lose commits with their
+        // primary, which may be gone before a better successor is there.
+        (LogCompleteness::MayLackCommits, _) => {
+            let leaving_for = gateway.cluster.leaving_for(old, Instant::now());
+            let leaving_for = leaving_for.unwrap_or(Duration::MAX);
+            synchronous == 0 && failover::must_hand_over(leaving_for, gateway.settings.drain)
+        }
+    }
+}
+
+/// Asks the instances of a service for their statuses until one that may be promoted
+/// has received the whole log of a primary that stepped down, or for as long as callers
+/// may wait. For [`PREFERENCE_TIME`] only the preferred one ends the wait.
+async fn wait_for_whole_log<P: Platform>(
+    gateway: &Gateway<P>,
+    surveyed: &ServiceSurvey,
+    preferred: &InstanceId,
+    end: &TermEnd,
+    reason: FailoverReason,
+) -> StatusReports {
     let limit = match reason {
         FailoverReason::Misplaced => MISPLACED_CATCH_UP_TIMEOUT,
         FailoverReason::Unknown | FailoverReason::Lost | FailoverReason::Leaving => {
             CATCH_UP_TIMEOUT
         }
     };
-    let deadline = Instant::now() + limit;
-    let mut latest = successor.clone();
-    while latest.received < ended.received && Instant::now() < deadline {
+    let earlier = surveyed.reports();
+    let holders = log_holders(gateway, surveyed);
+    if earlier.completeness(preferred, end, &holders) == LogCompleteness::Whole {
+        return earlier;
+    }
+    let deadline = end.at + limit;
+    let prefers_until = end.at + PREFERENCE_TIME;
+    let reports = Mutex::new(earlier);
+    let polls = surveyed.others.iter();
+    let mut polls: FuturesUnordered<_> = polls
+        .map(|instance| poll_until_whole(gateway, instance, end, &reports))
+        .collect();
+    let may_follow = |status: &InstanceStatus| {
+        !candidates(gateway, &surveyed.service, reason, [status]).is_empty()
+    };
+    let mut has_whole = false;
+    loop {
+        let wake_at = if Instant::now() < prefers_until {
+            prefers_until
+        } else {
+            deadline
+        };
+        match timeout_at(wake_at.into(), polls.next()).await {
+            Ok(Some(status)) => {
+                let may_follow = may_follow(&status);
+                has_whole |= may_follow;
+                let is_preferred = status.id == *preferred;
+                if may_follow && (is_preferred || Instant::now() >= prefers_until) {
+                    break;
+                }
+            }
+            Ok(None) => break,
+            Err(_) if has_whole || Instant::now() >= deadline => break,
+            Err(_) => {}
+        }
+    }
+    drop(polls);
+    reports.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Asks an instance for its status until it has received the whole log of a primary
+/// that stepped down; returns that status.
+async fn poll_until_whole<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Arc<Instance>,
+    end: &TermEnd,
+    reports: &Mutex<StatusReports>,
+) -> InstanceStatus {
+    loop {
+        if let Some(report) = survey::report(gateway, instance).await {
+            let status = report.status.clone();
+            lock(reports).record(report);
+            if end.log_end.is_some_and(|end| status.received >= end) {
+                return status;
+            }
+        }
         sleep(CATCH_UP_PAUSE).await;
-        latest = survey::status(gateway, instance).await.unwrap_or(latest);
     }
-    Event::info("primary_stepped_down")
-        .field("service", &instance.service)
-        .field("old", &ended.id)
-        .field("position", ended.received)
-        .field("successor", &successor.id)
-        .field("successor_position", latest.received)
-        .log();
-    // A leaving primary is replaced all the same: it may be gone before it could be
-    // restored.
-    let would_lose_commits =
-        reason == FailoverReason::Misplaced && latest.received < ended.received;
-    (!would_lose_commits).then_some(latest)
 }
