Choose the successor of a lost primary by positions after the agreement

Cause: the instances were asked for their positions and the successor was chosen first; the lease was claimed and the nodes agreed to acknowledge nothing more of the primary after that. What they acknowledged in between was received by one replica, and the order went to the other, which had the same position when it was asked and had stopped receiving since. The number of statuses that suffices holds only for statuses from after the last acknowledgement.

Evidence: promotion_ordered received=1/1605 agreed_ms_ago=451 with 80 to 83 commits missing, on this code.

Now the instances are asked again once all nodes have agreed and silent ones have certainly stopped, and the lease is claimed again if another instance has more. With synchronous replicas nothing is ordered unless enough of them answered after the agreement. Without, positions that do not come within 250 ms are not waited for, since none is a proof. Two more cases rested on statuses from before the agreement and are given up and tried again: an instance that has become primary meanwhile, and, where no primary is known, one that had answered and does not any more, so that no node was asked whether it reaches it.

--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -6,6 +6,7 @@
 //! rank of a node only spreads their tries.
 
 mod advance_claims;
+mod choice;
 mod diagnosis;
 mod lease;
 mod misplaced;
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -37,7 +37,7 @@
 
 impl Grounds {
     /// The latest moment to send an order on these grounds.
-    fn order_by(&self) -> Instant {
+    pub fn order_by(&self) -> Instant {
         let by_lease = self.claim.order_by();
         match &self.agreement {
             Some(agreement) => by_lease.min(agreement.asked_at + ORDER_WINDOW),
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -8,6 +8,7 @@
 use linkhold_events::Event;
 use tokio::time::sleep_until;
 
+use super::choice::choose_after_agreement;
 use super::diagnosis::{Agreement, confirm_no_primary, confirm_not_replaced};
 use super::lease::{Claim, claim};
 use super::order::{Grounds, order};
@@ -38,30 +39,53 @@
     let Some(claimed) = claim(gateway, service, &successor.status.id).await else {
         return;
     };
-    let grounds = |claim, agreement| Grounds {
-        reason,
-        claim,
-        agreement,
-    };
     match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
-            let grounds = grounds(claimed, None);
+            let grounds = Grounds {
+                reason,
+                claim: claimed,
+                agreement: None,
+            };
             switch_over(gateway, &surveyed, &successor.status, grounds).await;
         }
         FailoverReason::Lost | FailoverReason::Unknown => {
-            let agreed = obtain_agreement(gateway, reason, &surveyed, claimed).await;
-            let Some((claimed, agreement)) = agreed else {
-                return;
-            };
-            let grounds = grounds(claimed, Some(agreement));
-            if !is_diagnosis_current(gateway, service, diagnosed) {
-                return grounds.give_up(gateway, service, "primary_changed").await;
-            }
-            order(gateway, service, &successor.status, grounds).await;
+            replace_unreached(gateway, &surveyed, reason, claimed, diagnosed).await;
         }
     }
 }
 
+/// Replaces a primary that cannot be asked to step down, once no node acknowledges its
+/// commits any more.
+async fn replace_unreached<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    surveyed: &ServiceSurvey,
+    reason: FailoverReason,
+    claimed: Claim,
+    diagnosed: Option<&InstanceId>,
+) {
+    let service = &surveyed.service;
+    let agreed = obtain_agreement(gateway, reason, surveyed, claimed).await;
+    let Some((claim, agreement)) = agreed else {
+        return;
+    };
+    let grounds = Grounds {
+        reason,
+        claim,
+        agreement: Some(agreement),
+    };
+    let chosen = choose_after_agreement(gateway, surveyed, &grounds).await;
+    if !is_diagnosis_current(gateway, service, diagnosed) {
+        return grounds.give_up(gateway, service, "primary_changed").await;
+    }
+    let successor = match chosen {
+        Ok(successor) => successor,
+        Err(unsuitable) => return grounds.give_up(gateway, service, unsuitable.name()).await,
+    };
+    if let Some(grounds) = grounds.claim_for(gateway, service, &successor.id).await {
+        order(gateway, service, &successor, grounds).await;
+    }
+}
+
 /// Obtains the agreement of all nodes, and waits until those that cannot be asked have
 /// stopped acknowledging. Returns it with the claim under which the nodes were last
 /// asked.
