Promote no replica that lacks the end of a log that has ended

After a primary had stepped down, the most advanced of enough replicas was taken to have every acknowledged commit. The new property over orders of commits, acknowledgements, statuses, agreements and orders refutes that: the old primary still sends the commits before the end of its log, a replica receives one after it was asked, and the commit is acknowledged to its caller, since no node has agreed to anything. The smallest case has a commit, the step-down, both replicas asked, and then one of them receiving.

With synchronous replicas only a log that reaches the end is promoted now, and otherwise the old primary leads again. The property holds over 4,096 random runs and fails with each of its three rules switched off: statuses from before the agreement, enough statuses in place of the end of the log, and instances that are not listed.

--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -4,8 +4,11 @@
 //! # Invariants
 //!
 //! * A status shows only what an instance had received when it was asked. Commits may
-//!   be acknowledged until the [`TermEnd`] of the primary, so only statuses asked for
-//!   after that count.
+//!   be acknowledged until the nodes have agreed to acknowledge nothing more of the
+//!   primary, so only statuses asked for after that count.
+//! * A primary that steps down knows the end of its log. Commits before that end may
+//!   still be received by replicas, and acknowledged, so that only a log which reaches
+//!   the end lacks nothing.
 //! * With synchronous replicas, an acknowledged commit is in the logs of the primary
 //!   and of that many others. It is therefore in one of any `instances - synchronous`
 //!   logs, and the longest of these has all such commits, because the log of an
@@ -27,14 +30,20 @@
     pub asked_at: Instant,
 }
 
-/// From when on no commit of a primary is acknowledged any more.
+/// How the term of a primary ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TermEnd {
-    /// No node acknowledges a commit of the primary after this moment, unless the
-    /// instance that is promoted has the commit.
-    pub at: Instant,
-    /// End of the primary's log, if the primary itself has ended its term.
-    pub log_end: Option<Position>,
+pub enum TermEnd {
+    /// The primary stepped down with this position as the end of its log.
+    SteppedDown {
+        /// End of its log.
+        log_end: Position,
+    },
+    /// All nodes agreed to acknowledge none of its commits after this moment, unless an
+    /// instance that has them is promoted.
+    Agreed {
+        /// When the last node had agreed.
+        at: Instant,
+    },
 }
 
 /// The instances that may hold commits of a service.
@@ -87,12 +96,11 @@
         }
     }
 
-    /// The statuses that were asked for after the end of a term.
-    pub fn since<'a>(&'a self, end: &TermEnd) -> impl Iterator<Item = &'a InstanceStatus> {
-        let asked_from = end.at;
+    /// The statuses that were asked for at a moment or after it.
+    pub fn since(&self, moment: Instant) -> impl Iterator<Item = &InstanceStatus> {
         self.reports
             .iter()
-            .filter(move |report| report.asked_at >= asked_from)
+            .filter(move |report| report.asked_at >= moment)
             .map(|report| &report.status)
     }
 
@@ -108,21 +116,29 @@
         end: &TermEnd,
         holders: &LogHolders,
     ) -> LogCompleteness {
-        let Some(own) = self.latest().find(|status| status.id == *id) else {
-            return LogCompleteness::MayLackCommits;
+        let is_complete = match end {
+            TermEnd::SteppedDown { log_end } => self.has_reached(id, *log_end),
+            TermEnd::Agreed { at } => self.is_longest_of_enough(id, *at, holders),
         };
-        // A log that has once reached the end still has it.
-        if end.log_end.is_some_and(|log_end| own.received >= log_end) {
-            return LogCompleteness::Whole;
-        }
-        let reports = self.since(end).count();
-        let longest = self.since(end).max_by_key(|status| status.received);
-        let is_longest = longest.is_some_and(|longest| longest.received == own.received);
-        let is_current = self.since(end).any(|status| status.id == *id);
-        if is_current && is_longest && reports >= holders.reports_needed() {
-            LogCompleteness::HasAcknowledged
-        } else {
-            LogCompleteness::MayLackCommits
+        match (is_complete, end) {
+            (true, TermEnd::SteppedDown { .. }) => LogCompleteness::Whole,
+            (true, TermEnd::Agreed { .. }) => LogCompleteness::HasAcknowledged,
+            (false, _) => LogCompleteness::MayLackCommits,
         }
     }
+
+    /// Whether the log of an instance has reached a position. It then still has it.
+    fn has_reached(&self, id: &InstanceId, position: Position) -> bool {
+        let own = self.latest().find(|status| status.id == *id);
+        own.is_some_and(|own| own.received >= position)
+    }
+
+    /// Whether enough instances have been asked since a moment, and none of them has
+    /// received more than this one.
+    fn is_longest_of_enough(&self, id: &InstanceId, since: Instant, holders: &LogHolders) -> bool {
+        let longest = self.since(since).map(|status| status.received).max();
+        let own = self.since(since).find(|status| status.id == *id);
+        let is_longest = own.is_some_and(|own| Some(own.received) == longest);
+        is_longest && self.since(since).count() >= holders.reports_needed()
+    }
 }
--- /dev/null
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -0,0 +1,336 @@
+//! Whether an instance that is promoted has every acknowledged commit.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use linkhold_core::position::{Position, Term};
+use linkhold_core::service::failover::InstanceStatus;
+use linkhold_core::service::instance::{InstanceId, Role};
+use linkhold_core::service::log_completeness::{
+    LogCompleteness, LogHolders, StatusReport, StatusReports, TermEnd,
+};
+use proptest::prelude::*;
+
+const NODES: usize = 3;
+const MAX_INSTANCES: usize = 5;
+
+fn id(index: usize) -> InstanceId {
+    InstanceId(format!("instance-{index}").into())
+}
+
+/// A step of a service whose primary is instance 0, and of the nodes that use it.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The primary commits for a node.
+    Commit(usize),
+    /// A replica receives what the primary has, if it receives.
+    Receive(usize),
+    /// A replica stops receiving, or starts again.
+    ToggleReceiving(usize),
+    /// An instance is asked for its status.
+    Ask(usize),
+    /// A node agrees to acknowledge nothing more of the primary.
+    Agree(usize),
+    /// The primary ends its term.
+    EndTerm,
+    /// A replica loses its entry and is not asked any more; it goes on receiving.
+    Unlist(usize),
+    /// An instance is promoted, if the rules permit one.
+    Order,
+}
+
+/// The rule that is switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Without {
+    Nothing,
+    /// Statuses count whenever they were asked for.
+    Agreement,
+    /// Enough statuses count as a proof although the primary still sends its commits.
+    LogEnd,
+    /// Instances that are not listed do not count as ones that may hold commits.
+    Unlisted,
+}
+
+/// A service, and what the node that replaces its primary knows of it.
+struct Run {
+    without: Without,
+    synchronous: usize,
+    now: Instant,
+    received: Vec<u64>,
+    receives: Vec<bool>,
+    is_listed: Vec<bool>,
+    /// Commits that a node has not been told of as done, by position.
+    unanswered: BTreeMap<u64, usize>,
+    acknowledged: u64,
+    has_agreed: [bool; NODES],
+    reports: StatusReports,
+    end: Option<TermEnd>,
+    /// When the last node agreed or the primary stepped down.
+    ended_at: Instant,
+}
+
+impl Run {
+    fn new(instances: usize, synchronous: usize, without: Without) -> Self {
+        Self {
+            without,
+            synchronous,
+            now: Instant::now(),
+            received: vec![0; instances],
+            receives: vec![true; instances],
+            is_listed: vec![true; instances],
+            unanswered: BTreeMap::new(),
+            acknowledged: 0,
+            has_agreed: [false; NODES],
+            reports: StatusReports::default(),
+            end: None,
+            ended_at: Instant::now(),
+        }
+    }
+
+    fn has_stepped_down(&self) -> bool {
+        matches!(self.end, Some(TermEnd::SteppedDown { .. }))
+    }
+
+    /// Acknowledges the commits that enough replicas have, through nodes that have not
+    /// agreed.
+    fn acknowledge(&mut self) {
+        let (received, synchronous) = (&self.received, self.synchronous);
+        let is_replicated = |position: &u64| {
+            let replicas = received[1..].iter().filter(|it| *it >= position).count();
+            replicas >= synchronous
+        };
+        let has_agreed = self.has_agreed;
+        let answered = |position: &u64, node: &usize| is_replicated(position) && !has_agreed[*node];
+        let newest = self.unanswered.iter().rev();
+        let newest = newest
+            .filter(|(position, node)| answered(position, node))
+            .map(|(position, _)| *position)
+            .next();
+        self.acknowledged = self.acknowledged.max(newest.unwrap_or(0));
+        self.unanswered
+            .retain(|position, node| !answered(position, node));
+    }
+
+    fn ask(&mut self, instance: usize) {
+        if !self.is_listed[instance] {
+            return;
+        }
+        self.reports.record(StatusReport {
+            status: InstanceStatus {
+                id: id(instance),
+                role: Role::Replica,
+                term: Term(1),
+                received: Position::new(1, self.received[instance]),
+            },
+            asked_at: self.now,
+        });
+    }
+
+    fn holders(&self) -> LogHolders {
+        let listed = self.is_listed.iter().filter(|is_listed| **is_listed);
+        LogHolders {
+            instances: match self.without {
+                Without::Unlisted => listed.count(),
+                Without::Nothing | Without::Agreement | Without::LogEnd => self.received.len(),
+            },
+            synchronous: self.synchronous,
+        }
+    }
+
+    /// Instances that the rules permit to be promoted.
+    fn permitted(&self) -> Vec<usize> {
+        let Some(mut end) = self.end else {
+            return Vec::new();
+        };
+        match (self.without, &mut end) {
+            (Without::Agreement, TermEnd::Agreed { at }) => *at -= Duration::from_secs(3_600),
+            (Without::LogEnd, TermEnd::SteppedDown { .. }) => {
+                end = TermEnd::Agreed { at: self.ended_at };
+            }
+            _ => {}
+        }
+        let holders = self.holders();
+        let completeness = |instance: &usize| {
+            let id = id(*instance);
+            self.reports.completeness(&id, &end, &holders)
+        };
+        let replicas = 1..self.received.len();
+        replicas
+            .filter(|it| completeness(it) > LogCompleteness::MayLackCommits)
+            .collect()
+    }
+
+    /// Takes a step; returns the permitted instances that lack an acknowledged commit.
+    fn take(&mut self, step: Step) -> Vec<usize> {
+        self.now += Duration::from_millis(10);
+        let replicas = self.received.len() - 1;
+        match step {
+            Step::Commit(node) if !self.has_stepped_down() => {
+                self.received[0] += 1;
+                self.unanswered.insert(self.received[0], node % NODES);
+            }
+            Step::Commit(_) => {}
+            Step::Receive(replica) => {
+                let replica = 1 + replica % replicas;
+                if self.receives[replica] {
+                    self.received[replica] = self.received[0];
+                }
+            }
+            Step::ToggleReceiving(replica) => {
+                let replica = 1 + replica % replicas;
+                self.receives[replica] = !self.receives[replica];
+            }
+            Step::Ask(instance) => self.ask(instance % self.received.len()),
+            Step::Agree(node) => {
+                self.has_agreed[node % NODES] = true;
+                if self.end.is_none() && self.has_agreed.iter().all(|agreed| *agreed) {
+                    self.end = Some(TermEnd::Agreed { at: self.now });
+                    self.ended_at = self.now;
+                }
+            }
+            Step::EndTerm if !self.has_stepped_down() => {
+                self.end = Some(TermEnd::SteppedDown {
+                    log_end: Position::new(1, self.received[0]),
+                });
+                self.ended_at = self.now;
+            }
+            Step::EndTerm => {}
+            Step::Unlist(replica) => self.is_listed[1 + replica % replicas] = false,
+            Step::Order => {
+                let lacks = |instance: &usize| self.received[*instance] < self.acknowledged;
+                return self.permitted().into_iter().filter(lacks).collect();
+            }
+        }
+        self.acknowledge();
+        Vec::new()
+    }
+}
+
+/// The first order that promotes an instance without an acknowledged commit, if any.
+fn first_loss(
+    instances: usize,
+    synchronous: usize,
+    steps: &[Step],
+    without: Without,
+) -> Option<usize> {
+    let mut run = Run::new(instances, synchronous, without);
+    let mut steps = steps.iter().enumerate();
+    steps
+        .find(|(_, step)| !run.take(**step).is_empty())
+        .map(|(index, _)| index)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let instance = 0..MAX_INSTANCES;
+    prop_oneof![
+        6 => (0..NODES).prop_map(Step::Commit),
+        6 => instance.clone().prop_map(Step::Receive),
+        2 => instance.clone().prop_map(Step::ToggleReceiving),
+        5 => instance.clone().prop_map(Step::Ask),
+        4 => (0..NODES).prop_map(Step::Agree),
+        1 => Just(Step::EndTerm),
+        1 => instance.prop_map(Step::Unlist),
+        4 => Just(Step::Order),
+    ]
+}
+
+/// Services with synchronous replicas, and steps in any order.
+fn runs() -> impl Strategy<Value = (usize, usize, Vec<Step>)> {
+    (2..=MAX_INSTANCES).prop_flat_map(|instances| {
+        (
+            Just(instances),
+            1..instances,
+            prop::collection::vec(step(), 1..80),
+        )
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_096, max_shrink_iters: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+    /// Commits, acknowledgements, statuses, agreements and orders in any order.
+    #[test]
+    fn no_instance_is_promoted_that_lacks_an_acknowledged_commit(
+        (instances, synchronous, steps) in runs(),
+    ) {
+        let loss = first_loss(instances, synchronous, &steps, Without::Nothing);
+        prop_assert_eq!(loss, None);
+    }
+}
+
+/// The property with its rules switched off: random steps lose commits then.
+#[test]
+fn commits_are_lost_without_each_of_the_rules() {
+    for without in [Without::Agreement, Without::LogEnd, Without::Unlisted] {
+        let config = ProptestConfig {
+            cases: 65_536,
+            max_shrink_iters: 0,
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        };
+        let mut runner = proptest::test_runner::TestRunner::new_with_rng(
+            config,
+            proptest::test_runner::TestRng::deterministic_rng(
+                proptest::test_runner::RngAlgorithm::ChaCha,
+            ),
+        );
+        let result = runner.run(&runs(), |(instances, synchronous, steps)| {
+            let loss = first_loss(instances, synchronous, &steps, without);
+            prop_assert_eq!(loss, None);
+            Ok(())
+        });
+        assert!(result.is_err(), "{without:?} loses nothing");
+    }
+}
+
+/// A replica is asked, stops receiving, and is promoted after commits that only the
+/// other replica has received.
+#[test]
+fn a_status_from_before_the_agreement_is_no_proof() {
+    let steps = [
+        Step::Ask(1),
+        Step::Ask(2),
+        Step::ToggleReceiving(0),
+        Step::Commit(0),
+        Step::Receive(1),
+        Step::Agree(0),
+        Step::Agree(1),
+        Step::Agree(2),
+        Step::Order,
+    ];
+    assert_eq!(first_loss(3, 1, &steps, Without::Nothing), None);
+    assert_eq!(first_loss(3, 1, &steps, Without::Agreement), Some(8));
+}
+
+/// The replica that has the commit is not listed, and the other one alone answers.
+#[test]
+fn the_status_of_every_listed_instance_is_no_proof() {
+    let steps = [
+        Step::ToggleReceiving(0),
+        Step::Unlist(1),
+        Step::Commit(0),
+        Step::Receive(1),
+        Step::Agree(0),
+        Step::Agree(1),
+        Step::Agree(2),
+        Step::Ask(1),
+        Step::Order,
+    ];
+    assert_eq!(first_loss(3, 1, &steps, Without::Nothing), None);
+    assert_eq!(first_loss(3, 1, &steps, Without::Unlisted), Some(8));
+}
+
+#[test]
+fn enough_instances_must_have_reported_so_that_one_has_every_commit() {
+    let needed = |instances, synchronous| {
+        let holders = LogHolders {
+            instances,
+            synchronous,
+        };
+        holders.reports_needed()
+    };
+    assert_eq!(needed(3, 1), 2);
+    assert_eq!(needed(4, 2), 2);
+    assert_eq!(needed(2, 1), 1);
+    assert_eq!(needed(1, 1), 1);
+    assert_eq!(needed(3, 0), usize::MAX, "no number of replicas is a proof");
+}
--- a/crates/linkhold-gateway/src/failover/choice.rs
+++ b/crates/linkhold-gateway/src/failover/choice.rs
@@ -61,16 +61,15 @@
     surveyed: &ServiceSurvey,
     grounds: &Grounds,
 ) -> Result<InstanceStatus, Unsuitable> {
-    let end = TermEnd {
-        at: Instant::now(),
-        log_end: None,
-    };
+    let agreed_at = Instant::now();
+    let end = TermEnd::Agreed { at: agreed_at };
     let holders = log_holders(gateway, surveyed);
-    let reports = ask_again(gateway, surveyed, &end, &holders, grounds).await;
+    let reports = ask_again(gateway, surveyed, agreed_at, &holders, grounds).await;
     if has_new_primary(surveyed, &reports) {
         return Err(Unsuitable::OtherPrimary);
     }
-    let is_silent = |status: &InstanceStatus| !reports.since(&end).any(|it| it.id == status.id);
+    let is_silent =
+        |status: &InstanceStatus| !reports.since(agreed_at).any(|it| it.id == status.id);
     // Nobody agreed that an instance which had answered is lost.
     if grounds.reason == FailoverReason::Unknown && surveyed.statuses.iter().any(is_silent) {
         return Err(Unsuitable::InstanceSilent);
@@ -83,8 +82,8 @@
     if holders.synchronous > 0 && completeness == LogCompleteness::MayLackCommits {
         Event::warn("no_successor")
             .field("service", service)
-            .field("replicas", surveyed.others.len())
-            .field("statuses", reports.since(&end).count())
+            .field("log_holders", holders.instances)
+            .field("statuses", reports.since(agreed_at).count())
             .field("candidates", candidates.len())
             .field("required", holders.reports_needed())
             .log();
@@ -98,16 +97,16 @@
 async fn ask_again<P: Platform>(
     gateway: &Gateway<P>,
     surveyed: &ServiceSurvey,
-    end: &TermEnd,
+    agreed_at: Instant,
     holders: &LogHolders,
     grounds: &Grounds,
 ) -> StatusReports {
     let latest = grounds.order_by().checked_sub(ORDER_RESERVE);
-    let latest = latest.unwrap_or(end.at);
+    let latest = latest.unwrap_or(agreed_at);
     let is_proof_possible = holders.synchronous > 0;
     let needs_known = grounds.reason == FailoverReason::Unknown || !is_proof_possible;
     let deadline = match grounds.reason {
-        FailoverReason::Lost if !is_proof_possible => latest.min(end.at + MAX_UNPROVED_WAIT),
+        FailoverReason::Lost if !is_proof_possible => latest.min(agreed_at + MAX_UNPROVED_WAIT),
         _ => latest,
     };
     let has_answered_before =
@@ -123,9 +122,11 @@
         .collect();
     let is_enough = || {
         let reports = lock(&reports);
-        let is_known = |status: &InstanceStatus| reports.since(end).any(|it| it.id == status.id);
+        let is_known =
+            |status: &InstanceStatus| reports.since(agreed_at).any(|it| it.id == status.id);
         let known = !needs_known || surveyed.statuses.iter().all(is_known);
-        let proved = !is_proof_possible || reports.since(end).count() >= holders.reports_needed();
+        let proved =
+            !is_proof_possible || reports.since(agreed_at).count() >= holders.reports_needed();
         known && proved
     };
     while !is_enough() {
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -8,7 +8,9 @@
 use linkhold_core::position::Term;
 use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
-use linkhold_core::service::log_completeness::{LogCompleteness, StatusReports, TermEnd};
+use linkhold_core::service::log_completeness::{
+    LogCompleteness, LogHolders, StatusReports, TermEnd,
+};
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout_at};
 
@@ -180,9 +182,8 @@
     reason: FailoverReason,
 ) -> Option<InstanceStatus> {
     let service = &surveyed.service;
-    let end = TermEnd {
-        at: Instant::now(),
-        log_end: Some(ended.received),
+    let end = TermEnd::SteppedDown {
+        log_end: ended.received,
     };
     let reports = wait_for_whole_log(gateway, surveyed, preferred, &end, reason).await;
     let holders = log_holders(gateway, surveyed);
@@ -234,19 +235,18 @@
     synchronous: usize,
     completeness: LogCompleteness,
 ) -> bool {
-    match (completeness, reason) {
-        (LogCompleteness::Whole, _) => true,
-        // A misplaced primary would stay, so nothing is given up for its successor.
-        (_, FailoverReason::Misplaced) => false,
-        (LogCompleteness::HasAcknowledged, _) => true,
-        // Callers of a service without synchronous replicas may lose commits with their
-        // primary, which may be gone before a better successor is there.
-        (LogCompleteness::MayLackCommits, _) => {
-            let leaving_for = gateway.cluster.leaving_for(old, Instant::now());
-            let leaving_for = leaving_for.unwrap_or(Duration::MAX);
-            synchronous == 0 && failover::must_hand_over(leaving_for, gateway.settings.drain)
-        }
+    if completeness != LogCompleteness::MayLackCommits {
+        return true;
+    }
+    // A misplaced primary would stay, so nothing is given up for its successor.
+    if reason == FailoverReason::Misplaced || synchronous > 0 {
+        return false;
     }
+    // Without synchronous replicas, callers may lose commits with a primary that is gone
+    // before a better successor is there.
+    let leaving_for = gateway.cluster.leaving_for(old, Instant::now());
+    let leaving_for = leaving_for.unwrap_or(Duration::MAX);
+    failover::must_hand_over(leaving_for, gateway.settings.drain)
 }
 
 /// Asks the instances of a service for their statuses until one that may be promoted
@@ -270,12 +270,13 @@
     if earlier.completeness(preferred, end, &holders) == LogCompleteness::Whole {
         return earlier;
     }
-    let deadline = end.at + limit;
-    let prefers_until = end.at + PREFERENCE_TIME;
+    let started_at = Instant::now();
+    let deadline = started_at + limit;
+    let prefers_until = started_at + PREFERENCE_TIME;
     let reports = Mutex::new(earlier);
     let polls = surveyed.others.iter();
     let mut polls: FuturesUnordered<_> = polls
-        .map(|instance| poll_until_whole(gateway, instance, end, &reports))
+        .map(|instance| poll_until_whole(gateway, instance, end, &holders, &reports))
         .collect();
     let may_follow = |status: &InstanceStatus| {
         !candidates(gateway, &surveyed.service, reason, [status]).is_empty()
@@ -311,13 +312,16 @@
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
     end: &TermEnd,
+    holders: &LogHolders,
     reports: &Mutex<StatusReports>,
 ) -> InstanceStatus {
     loop {
         if let Some(report) = survey::report(gateway, instance).await {
             let status = report.status.clone();
             lock(reports).record(report);
-            if end.log_end.is_some_and(|end| status.received >= end) {
+            let is_whole =
+                lock(reports).completeness(&status.id, end, holders) == LogCompleteness::Whole;
+            if is_whole {
                 return status;
             }
         }
