Count instances that are not listed as ones that may hold commits

For 6 s nobody was promoted, with statuses=1 required=2; then the instance was forgotten, one status was enough, and the replica that had received nothing was promoted, a second before the other was back.

Cause: the number of statuses that proves a log to have every acknowledged commit was counted from the instances that are listed. An instance without an entry may still receive commits and returns with its log.

--- a/crates/linkhold-core/src/service/directory/mod.rs
+++ b/crates/linkhold-core/src/service/directory/mod.rs
@@ -21,10 +21,12 @@
 mod primaries;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::configuration::ServiceName;
+use super::departed::DepartedInstances;
 use super::incarnations::{IncarnationChange, KnownIncarnations};
 use super::instance::{Instance, InstanceId, Lifecycle, Role};
 use primaries::KnownPrimary;
@@ -69,6 +71,7 @@
     /// statement visits only those of its own service.
     by_service: BTreeMap<ServiceName, BTreeSet<InstanceId>>,
     incarnations: KnownIncarnations,
+    departed: DepartedInstances,
     /// Incarnations that have ended and were not returned by [`Directory::expire`] yet.
     ended: Vec<InstanceId>,
     primaries: HashMap<ServiceName, KnownPrimary>,
@@ -123,6 +126,7 @@
             draining,
             cold_until,
         };
+        self.departed.record_return(&entry.instance);
         self.insert(id.clone(), entry);
         if previous == Some(role) && self.primary_id(&service).is_some() {
             return None;
@@ -282,7 +286,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &forgotten {
-            self.remove(id);
+            if let Some(entry) = self.remove(id) {
+                self.departed.record(&entry.instance, now);
+            }
             self.incarnations.forget(id.name());
             for known_primary in self.primaries.values_mut() {
                 if known_primary.current.as_ref() == Some(id) {
@@ -372,6 +378,16 @@
         ids.filter_map(|id| self.instance(id))
     }
 
+    /// Number of instances that may hold commits of a service: those that are known, and
+    /// those that have departed. An instance has the log of the one that was at its
+    /// address before.
+    pub fn count_log_holders(&self, service: &str, now: Instant) -> usize {
+        let known = self.instances(service).map(|instance| instance.address);
+        let departed = self.departed.addresses(service, now);
+        let addresses: HashSet<SocketAddr> = known.chain(departed).collect();
+        addresses.len()
+    }
+
     /// All instances, and whether each is listed, in the order of identities. An
     /// instance whose absence does not count yet is returned as listed, because the
     /// recipients of this list do not know about the read failure.
--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -263,17 +263,6 @@
     leaving_for > drain * FORCE_PERCENT / 100
 }
 
-/// Replicas that must have reported their position before one may be promoted.
-///
-/// A commit that was answered after `synchronous` replicas had received it is on at
-/// least one of any `replicas - synchronous + 1` of them.
-pub fn statuses_required(replicas: usize, synchronous: usize) -> usize {
-    if synchronous == 0 {
-        return 1;
-    }
-    (replicas + 1).saturating_sub(synchronous).max(1)
-}
-
 /// A replica that may be promoted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Successor {
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -4,6 +4,7 @@
 pub mod concurrency;
 pub mod configuration;
 pub mod connection_share;
+pub mod departed;
 pub mod directory;
 pub mod eligibility;
 pub mod evacuation;
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -5,7 +5,7 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{
     ClaimDecision, ClaimTime, FailoverLease, InstanceStatus, LEASE, ReachabilityTally, Successor,
-    choose_successor, claim, claim_in_advance, has_current_term, may_hand_over, statuses_required,
+    choose_successor, claim, claim_in_advance, has_current_term, may_hand_over,
     switchover_candidates,
 };
 use linkhold_core::service::instance::{InstanceId, Role};
@@ -156,14 +156,6 @@
     );
 }
 
-#[test]
-fn with_synchronous_replicas_enough_must_have_reported_their_position() {
-    assert_eq!(statuses_required(2, 0), 1);
-    assert_eq!(statuses_required(2, 1), 2);
-    assert_eq!(statuses_required(3, 2), 2);
-    assert_eq!(statuses_required(1, 1), 1);
-}
-
 #[test]
 fn a_log_of_an_older_term_than_was_proved_is_not_promoted() {
     let old = candidate("a", Position::new(1, 900), false).status;
--- a/crates/linkhold-gateway/src/cluster_state.rs
+++ b/crates/linkhold-gateway/src/cluster_state.rs
@@ -329,6 +329,13 @@
             .collect()
     }
 
+    /// Number of instances that may hold commits of a service, listed or not.
+    pub fn count_log_holders(&self, service: &str, now: Instant) -> usize {
+        lock(&self.instances)
+            .directory
+            .count_log_holders(service, now)
+    }
+
     /// Services that are configured and have instances. Entries that name other
     /// services are ignored.
     pub fn services(&self) -> Vec<ServiceName> {
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -154,7 +154,10 @@
 ) -> Option<Successor> {
     let holders = log_holders(gateway, surveyed);
     let synchronous = holders.synchronous;
-    let required = failover::statuses_required(surveyed.others.len(), synchronous);
+    let required = match synchronous {
+        0 => 1,
+        _ => holders.reports_needed(),
+    };
     let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
@@ -166,7 +169,7 @@
     if chosen.is_none() || surveyed.statuses.len() < required {
         Event::warn("no_successor")
             .field("service", service)
-            .field("replicas", surveyed.others.len())
+            .field("log_holders", holders.instances)
             .field("statuses", surveyed.statuses.len())
             .field("candidates", candidates.len())
             .field("required", required)
@@ -183,7 +186,9 @@
 ) -> LogHolders {
     let limits = gateway.cluster.limits(&surveyed.service);
     LogHolders {
-        instances: surveyed.others.len() + usize::from(surveyed.old.is_some()),
+        instances: gateway
+            .cluster
+            .count_log_holders(&surveyed.service, Instant::now()),
         synchronous: limits.map_or(0, |limits| limits.synchronous_replicas),
     }
 }
