Promote a replica that reaches every commit the nodes acknowledged

Counting each address that an instance ever had kept services without a primary: a planned replacement comes at another address, so that five instances counted where three were, and four statuses were required of three instances.

Now the number is how many instances are known, or were ready at the same time within the last five minutes. A hand-over needs no number: the primary tells the end of its log.

Nor does a lost primary have to wait for a replica that is gone while the other has everything. A node that agrees to a replacement now reports the newest position that it acknowledged, how long it has run, and how old its latest evidence is. If every node that may have acknowledged a commit reports, or has evidence from after the last node left, a replica that reaches the newest of these positions lacks nothing.

--- a/crates/linkhold-core/src/lib.rs
+++ b/crates/linkhold-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod position;
+pub mod recent_maximum;
 pub mod rendezvous;
 pub mod request_key;
 pub mod retry_budget;
--- a/crates/linkhold-core/src/service/directory/mod.rs
+++ b/crates/linkhold-core/src/service/directory/mod.rs
@@ -21,18 +21,22 @@
 mod primaries;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::configuration::ServiceName;
-use super::departed::DepartedInstances;
 use super::incarnations::{IncarnationChange, KnownIncarnations};
 use super::instance::{Instance, InstanceId, Lifecycle, Role};
+use crate::recent_maximum::RecentMaximum;
 use primaries::KnownPrimary;
 
 pub use primaries::{PrimaryChange, PrimarySource};
 
+/// How long an instance that is not listed any more counts as one that may hold commits:
+/// longer than an instance is usually cut off or down. A service whose instance is gone
+/// for good is not without a primary for ever.
+const LOG_HOLDER_RETENTION: Duration = Duration::from_secs(300);
+
 /// How recent a list of instances is, compared with what is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recency {
@@ -71,7 +75,8 @@
     /// statement visits only those of its own service.
     by_service: BTreeMap<ServiceName, BTreeSet<InstanceId>>,
     incarnations: KnownIncarnations,
-    departed: DepartedInstances,
+    /// How many instances of each service were ready whenever one of them ceased to be.
+    ready_counts: HashMap<ServiceName, RecentMaximum>,
     /// Incarnations that have ended and were not returned by [`Directory::expire`] yet.
     ended: Vec<InstanceId>,
     primaries: HashMap<ServiceName, KnownPrimary>,
@@ -104,6 +109,9 @@
             IncarnationChange::Replaces(ended) => self.end_incarnation(&ended, &id),
             IncarnationChange::Unchanged => {}
         }
+        if instance.lifecycle == Lifecycle::Draining {
+            self.record_ready_count(&service, now);
+        }
         let known = self.entries.get(&id);
         let previous = known.map(|entry| entry.instance.role);
         let draining = match (instance.lifecycle, known) {
@@ -126,7 +134,6 @@
             draining,
             cold_until,
         };
-        self.departed.record_return(&entry.instance);
         self.insert(id.clone(), entry);
         if previous == Some(role) && self.primary_id(&service).is_some() {
             return None;
@@ -197,6 +204,13 @@
 
     /// Marks an instance as no longer listed.
     pub fn mark_missing(&mut self, id: &InstanceId, now: Instant) {
+        let Some(entry) = self.entries.get(id) else {
+            return;
+        };
+        if entry.missing_since.is_none() {
+            let service = entry.instance.service.clone();
+            self.record_ready_count(&service, now);
+        }
         if let Some(entry) = self.entries.get_mut(id) {
             entry.missing_since.get_or_insert(now);
         }
@@ -286,9 +300,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &forgotten {
-            if let Some(entry) = self.remove(id) {
-                self.departed.record(&entry.instance, now);
-            }
+            self.remove(id);
             self.incarnations.forget(id.name());
             for known_primary in self.primaries.values_mut() {
                 if known_primary.current.as_ref() == Some(id) {
@@ -378,14 +390,25 @@
         ids.filter_map(|id| self.instance(id))
     }
 
-    /// Number of instances that may hold commits of a service: those that are known, and
-    /// those that have departed. An instance has the log of the one that was at its
-    /// address before.
+    /// Number of instances that may hold commits of a service: as many as are known, or
+    /// as were ready lately. One that has lost its entry may still receive commits, and
+    /// returns with its log; a new one takes the place of one that has ended.
     pub fn count_log_holders(&self, service: &str, now: Instant) -> usize {
-        let known = self.instances(service).map(|instance| instance.address);
-        let departed = self.departed.addresses(service, now);
-        let addresses: HashSet<SocketAddr> = known.chain(departed).collect();
-        addresses.len()
+        let known = self.by_service.get(service).map_or(0, BTreeSet::len);
+        let ready_counts = self.ready_counts.get(service);
+        known.max(ready_counts.map_or(0, |counts| counts.largest(now)))
+    }
+
+    /// Records how many instances of a service are ready, before one of them ceases to
+    /// be.
+    fn record_ready_count(&mut self, service: &ServiceName, now: Instant) {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        let ready = ids.filter_map(|id| self.entries.get(id)).filter(|entry| {
+            entry.missing_since.is_none() && entry.instance.lifecycle == Lifecycle::Ready
+        });
+        let count = ready.count();
+        let counts = self.ready_counts.entry(service.clone()).or_default();
+        counts.record(count, now, LOG_HOLDER_RETENTION);
     }
 
     /// All instances, and whether each is listed, in the order of identities. An
--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -13,6 +13,8 @@
 //!   and of that many others. It is therefore in one of any `instances - synchronous`
 //!   logs, and the longest of these has all such commits, because the log of an
 //!   instance is a prefix of its primary's.
+//! * A log that reaches the position up to which commits may have been acknowledged
+//!   lacks none of them, however many instances do not answer.
 
 use std::time::Instant;
 
@@ -43,6 +45,9 @@
     Agreed {
         /// When the last node had agreed.
         at: Instant,
+        /// Position up to which the nodes may have acknowledged commits, if they know
+        /// that ([`super::acknowledged`]).
+        acknowledged: Option<Position>,
     },
 }
 
@@ -118,7 +123,10 @@
     ) -> LogCompleteness {
         let is_complete = match end {
             TermEnd::SteppedDown { log_end } => self.has_reached(id, *log_end),
-            TermEnd::Agreed { at } => self.is_longest_of_enough(id, *at, holders),
+            TermEnd::Agreed { at, acknowledged } => {
+                let has_reached = |bound: Position| self.has_reached(id, bound);
+                acknowledged.is_some_and(has_reached) || self.is_longest_of_enough(id, *at, holders)
+            }
         };
         match (is_complete, end) {
             (true, TermEnd::SteppedDown { .. }) => LogCompleteness::Whole,
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -1,10 +1,10 @@
 //! Decisions about services and the instances that announce themselves for them:
 //! routes, instances, evidence of freshness, placement, session state and failover.
 
+pub mod acknowledged;
 pub mod concurrency;
 pub mod configuration;
 pub mod connection_share;
-pub mod departed;
 pub mod directory;
 pub mod eligibility;
 pub mod evacuation;
--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -42,6 +42,7 @@
 use super::instance::InstanceId;
 use super::listing::{LISTING_MARGIN, LISTING_VALIDITY, Listing};
 use super::readers::ROW_EXPIRY;
+use crate::recent_maximum::RecentMaximum;
 
 /// How long after its row has expired a node is still asked before a primary is
 /// replaced, and counts for the quarter that has to agree.
@@ -263,24 +264,17 @@
 /// Fleet sizes that a node saw recently. Nodes that it no longer sees may still count for
 /// others, so confirmations are counted against the largest size.
 #[derive(Clone, Debug, Default)]
-pub struct FleetSizes {
-    /// Sizes in falling order, and until when each counts.
-    sizes: Vec<(usize, Instant)>,
-}
+pub struct FleetSizes(RecentMaximum);
 
 impl FleetSizes {
     /// Records the current size of the fleet.
     pub fn record(&mut self, size: usize, now: Instant) {
-        self.sizes
-            .retain(|(known, until)| now < *until && *known > size);
-        self.sizes
-            .push((size, now + ROW_EXPIRY + EXPIRED_NODE_PERIOD));
+        self.0.record(size, now, ROW_EXPIRY + EXPIRED_NODE_PERIOD);
     }
 
     /// The largest recorded size that still counts.
     pub fn largest(&self, now: Instant) -> usize {
-        let sizes = self.sizes.iter().filter(|(_, until)| now < *until);
-        sizes.map(|(size, _)| *size).max().unwrap_or(0)
+        self.0.largest(now)
     }
 }
 
--- a/crates/linkhold-gateway/src/cluster_state.rs
+++ b/crates/linkhold-gateway/src/cluster_state.rs
@@ -45,6 +45,8 @@
     directory: Directory,
     health: HashMap<InstanceId, InstanceHealth>,
     evidence: HashMap<ServiceName, EvidenceLog>,
+    /// The newest position of each service that this node may have acknowledged.
+    acknowledged: HashMap<ServiceName, Position>,
     /// The newest term of each service that any message or answer named.
     terms: HashMap<ServiceName, Term>,
     withholdings: Withholdings,
@@ -504,6 +506,20 @@
         Some(newest.position)
     }
 
+    /// Records that a commit at a position of a service's log, or before it, is about to
+    /// be acknowledged if this node still may.
+    pub fn record_acknowledged(&self, service: &ServiceName, position: Position) {
+        let mut instances = lock(&self.instances);
+        let newest = instances.acknowledged.entry(service.clone()).or_default();
+        *newest = position.max(*newest);
+    }
+
+    /// The newest position that this node may have acknowledged or has evidence of.
+    pub fn newest_acknowledged(&self, service: &str) -> Option<Position> {
+        let acknowledged = lock(&self.instances).acknowledged.get(service).copied();
+        acknowledged.max(self.newest_position(service))
+    }
+
     /// When the request was sent that yielded the latest evidence.
     pub fn latest_evidence(&self, service: &str) -> Option<Instant> {
         lock(&self.instances)
--- a/crates/linkhold-gateway/src/failover/choice.rs
+++ b/crates/linkhold-gateway/src/failover/choice.rs
@@ -8,6 +8,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use linkhold_core::position::Position;
 use linkhold_core::service::failover::{self, InstanceStatus};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
 use linkhold_core::service::log_completeness::{
@@ -18,7 +19,7 @@
 
 use super::FailoverReason;
 use super::order::Grounds;
-use super::service_survey::{ServiceSurvey, candidates, log_holders};
+use super::service_survey::{ServiceSurvey, candidates, log_holders, required_statuses};
 use crate::cluster_state::lock;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
@@ -62,7 +63,10 @@
     grounds: &Grounds,
 ) -> Result<InstanceStatus, Unsuitable> {
     let agreed_at = Instant::now();
-    let end = TermEnd::Agreed { at: agreed_at };
+    let end = TermEnd::Agreed {
+        at: agreed_at,
+        acknowledged: acknowledged_bound(grounds),
+    };
     let holders = log_holders(gateway, surveyed);
     let reports = ask_again(gateway, surveyed, agreed_at, &holders, grounds).await;
     if has_new_primary(surveyed, &reports) {
@@ -85,13 +89,23 @@
             .field("log_holders", holders.instances)
             .field("statuses", reports.since(agreed_at).count())
             .field("candidates", candidates.len())
-            .field("required", holders.reports_needed())
+            .field("required", required_statuses(&holders))
             .log();
         return Err(Unsuitable::NoSuccessor);
     }
     Ok(chosen.status.clone())
 }
 
+/// Position up to which the old primary's commits may have been acknowledged. While no
+/// primary is known, a node may learn of one later than it reports.
+fn acknowledged_bound(grounds: &Grounds) -> Option<Position> {
+    let agreement = grounds.agreement.as_ref()?;
+    match grounds.reason {
+        FailoverReason::Lost => agreement.acknowledged,
+        FailoverReason::Unknown | FailoverReason::Leaving | FailoverReason::Misplaced => None,
+    }
+}
+
 /// Asks the instances of a service for their statuses until enough have answered, or for
 /// as long as an order may wait.
 async fn ask_again<P: Platform>(
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linkhold_core::position::Position;
+use linkhold_core::service::acknowledged;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::directory::PrimarySource;
 use linkhold_core::service::failover::ReachabilityTally;
@@ -15,7 +17,7 @@
 use super::service_survey::ServiceSurvey;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
-use crate::peers::{self, Audience};
+use crate::peers::{self, Audience, PeerFindings};
 use crate::ports::Platform;
 use crate::state::RelayPeer;
 
@@ -194,6 +196,9 @@
     /// for [`CONFIRMATION_VALIDITY`](linkhold_core::service::permission::CONFIRMATION_VALIDITY)
     /// after `answered_at`, by what the others confirmed before they agreed.
     pub silent_former: usize,
+    /// Position up to which the nodes may have acknowledged commits of the primary;
+    /// `None` if that is not known.
+    pub acknowledged: Option<Position>,
 }
 
 impl Agreement {
@@ -205,6 +210,11 @@
             asked_at: self.asked_at.min(other.asked_at),
             answered_at: self.answered_at.max(other.answered_at),
             silent_former: self.silent_former.max(other.silent_former),
+            // Each node answers both questions, and reports no less in its later answer.
+            acknowledged: self
+                .acknowledged
+                .zip(other.acknowledged)
+                .map(|(one, other)| one.max(other)),
         }
     }
 
@@ -275,7 +285,9 @@
         peers::release(gateway, number, &audience).await;
         return Err(findings.reached_by);
     }
+    let acknowledged = acknowledged_bound(gateway, service, &audience, &findings);
     Ok(Agreement {
+        acknowledged,
         questions: vec![AgreedQuestion { number, audience }],
         asked_at,
         answered_at: Instant::now(),
@@ -283,6 +295,27 @@
     })
 }
 
+/// Position up to which commits may have been acknowledged, by the reports of the nodes
+/// that agreed and of this one; `None` if one that may have acknowledged more was not
+/// asked or did not report.
+fn acknowledged_bound<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    audience: &Audience,
+    findings: &PeerFindings,
+) -> Option<Position> {
+    let known = gateway.fleet.peer_addresses(&gateway.settings.node);
+    let have_all_reported = audience.includes_all(&known)
+        && findings.silent_former == 0
+        && findings.without_report == 0;
+    if !have_all_reported {
+        return None;
+    }
+    let mut reports = findings.acknowledged.clone();
+    reports.push(peers::own_report(gateway, service));
+    acknowledged::acknowledged_bound(&reports, gateway.fleet.departure_at())
+}
+
 /// In a large fleet, asks the watchers before all nodes: if a watcher reaches the
 /// subject, that saves a question to each node and a read of the list of nodes. The
 /// error holds the watchers that reach it.
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -154,10 +154,6 @@
 ) -> Option<Successor> {
     let holders = log_holders(gateway, surveyed);
     let synchronous = holders.synchronous;
-    let required = match synchronous {
-        0 => 1,
-        _ => holders.reports_needed(),
-    };
     let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
@@ -166,19 +162,48 @@
         FailoverReason::Unknown | FailoverReason::Lost => candidates,
     };
     let chosen = failover::choose_successor(&candidates, synchronous);
-    if chosen.is_none() || surveyed.statuses.len() < required {
+    let may_be_proved = chosen
+        .is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &holders, &chosen.status));
+    if !may_be_proved {
         Event::warn("no_successor")
             .field("service", service)
             .field("log_holders", holders.instances)
             .field("statuses", surveyed.statuses.len())
             .field("candidates", candidates.len())
-            .field("required", required)
+            .field("required", required_statuses(&holders))
             .log();
         return None;
     }
     chosen.cloned()
 }
 
+/// Statuses without which no lost primary is replaced.
+pub(super) fn required_statuses(holders: &LogHolders) -> usize {
+    match holders.synchronous {
+        0 => 1,
+        _ => holders.reports_needed(),
+    }
+}
+
+/// Whether it may turn out that the most advanced instance has all acknowledged commits.
+/// A primary that steps down knows the end of its log.
+fn may_be_proved<P: Platform>(
+    gateway: &Gateway<P>,
+    reason: FailoverReason,
+    surveyed: &ServiceSurvey,
+    holders: &LogHolders,
+    most_advanced: &InstanceStatus,
+) -> bool {
+    match reason {
+        FailoverReason::Leaving | FailoverReason::Misplaced => true,
+        FailoverReason::Lost | FailoverReason::Unknown => {
+            let known = gateway.cluster.newest_acknowledged(&surveyed.service);
+            let has_known = reason == FailoverReason::Lost && Some(most_advanced.received) >= known;
+            has_known || surveyed.statuses.len() >= required_statuses(holders)
+        }
+    }
+}
+
 /// The instances that may hold commits of a surveyed service.
 pub(super) fn log_holders<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 //! the watchers of the service try the instance when asked; the other nodes answer from
 //! what they know of it, and agree if they know nothing.
 
+mod acknowledged;
 mod questions;
 
 use std::io;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::instance::{Instance, InstanceId};
 use linkhold_core::service::withholding::FAILURE_REUSE_PERIOD;
 use linkhold_core::tenancy::budget::Grant;
@@ -33,7 +35,8 @@
 use crate::ports::Platform;
 use crate::state::{Confirmation, PeerAnswer};
 
-pub(crate) use questions::{Audience, ask, release, send};
+pub(crate) use acknowledged::own_report;
+pub(crate) use questions::{Audience, PeerFindings, ask, release, send};
 
 /// How long a watcher answers from its last probe: as long as a probe between regions takes
 /// with a new connection.
@@ -103,11 +106,13 @@
                 number,
                 found,
                 primary,
+                acknowledged,
             })) => {
                 let answer = PeerAnswer {
                     from,
                     found,
                     primary: primary.as_deref().map(instance_id),
+                    acknowledged: acknowledged.and_then(acknowledged::decode),
                 };
                 gateway.peers.questions.deliver(number, answer);
             }
@@ -257,10 +262,16 @@
     let is_proved = |it: &Arc<Instance>| may_answer_for(&gateway, it, &subject);
     let primary = instance.filter(|it| reaches_primary && is_proved(it));
     let primary = primary.map(|it| it.id.to_string());
+    // Read after this node has agreed, so that nothing is acknowledged afterwards.
+    let is_replaced = purpose == QuestionPurpose::Replace && found != Reachability::Reached;
+    let service = is_replaced
+        .then(|| service_of(&gateway, &subject))
+        .flatten();
     let message = ReachabilityMessage::Answer {
         number: questioner.number,
         found,
         primary,
+        acknowledged: service.map(|service| acknowledged::commits(&gateway, &service)),
     };
     // A lost answer counts as none.
     let _ = questioner
@@ -272,6 +283,17 @@
         .await;
 }
 
+/// The service that a question is about; `None` if the instance is not known.
+fn service_of<P: Platform>(gateway: &Gateway<P>, subject: &QuestionSubject) -> Option<ServiceName> {
+    match subject {
+        QuestionSubject::Instance(id) => {
+            let instance = gateway.cluster.instance(&instance_id(id))?;
+            Some(instance.service.clone())
+        }
+        QuestionSubject::PrimaryOf(service) => Some(service.as_str().into()),
+    }
+}
+
 /// Whether this node may answer for an instance. An instance that is the known primary
 /// by its entry alone proves nothing about a service's primary.
 fn may_answer_for<P: Platform>(
--- a/crates/linkhold-gateway/src/peers/questions.rs
+++ b/crates/linkhold-gateway/src/peers/questions.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use linkhold_core::service::acknowledged::NodeReport;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::ReachabilityTally;
 use linkhold_core::service::instance::InstanceId;
@@ -16,13 +17,14 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use super::acknowledged::MAX_DELAY;
 use crate::gateway::Gateway;
 use crate::ports::{Platform, StoreError};
 use crate::registration;
 use crate::state::PeerAnswer;
 
 /// How long to wait for answers: a peer tries the instance itself.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(620);
+const ANSWER_TIMEOUT: Duration = MAX_DELAY;
 /// Datagrams may be lost: unanswered peers are asked a second time after this.
 const REPEAT_AFTER: Duration = Duration::from_millis(120);
 
@@ -51,6 +53,12 @@
         }
     }
 
+    /// Whether all of these nodes are asked.
+    pub fn includes_all(&self, nodes: &[SocketAddr]) -> bool {
+        let is_asked = |node| self.nodes.contains(node) || self.former.contains(node);
+        nodes.iter().all(is_asked)
+    }
+
     /// Reduces the audience to at most `max_nodes` random nodes.
     pub fn sample(mut self, max_nodes: usize) -> Self {
         self.nodes.shuffle(&mut rand::rng());
@@ -97,6 +105,10 @@
     pub silent_former: usize,
     /// Instances that nodes reach as the primary of the service they were asked about.
     pub primaries: Vec<InstanceId>,
+    /// What the nodes that agreed know of the commits that they acknowledged.
+    pub acknowledged: Vec<NodeReport>,
+    /// Number of nodes that agreed and do not report that.
+    pub without_report: usize,
 }
 
 impl PeerFindings {
@@ -110,6 +122,12 @@
     }
 
     fn add(&mut self, answer: PeerAnswer, is_former: bool) {
+        if answer.found != Reachability::Reached {
+            match answer.acknowledged {
+                Some(report) => self.acknowledged.push(report),
+                None => self.without_report += 1,
+            }
+        }
         match answer.found {
             Reachability::Reached => {
                 self.tally.reached += 1;
--- a/crates/linkhold-gateway/src/request/primary_answer.rs
+++ b/crates/linkhold-gateway/src/request/primary_answer.rs
@@ -22,6 +22,7 @@
     proved: Option<Position>,
 ) -> bool {
     let position = replies.last().and_then(|reply| reply.position);
+    record_commit(gateway, instance, work, position);
     let is_permitted = !work.may_commit()
         || gateway
             .cluster
@@ -31,6 +32,21 @@
         && !gateway.detect_lost_log(instance, position, proved)
 }
 
+/// Records a commit before the check whether it may be acknowledged: a node that agrees
+/// to a replacement after that check reports the commit.
+fn record_commit<P: Platform>(
+    gateway: &Gateway<P>,
+    instance: &Instance,
+    work: &Work,
+    position: Option<Position>,
+) {
+    if let Some(position) = position.filter(|_| work.may_commit()) {
+        gateway
+            .cluster
+            .record_acknowledged(&instance.service, position);
+    }
+}
+
 /// Whether only a primary may answer a statement: it writes, ends a transaction that may
 /// have written, or must see everything that was acknowledged.
 pub(crate) fn requires_primary<P: Platform>(
@@ -60,7 +76,13 @@
     frame: TransactionFrame,
     attempt: AttemptOutcome<P>,
 ) -> AttemptOutcome<P> {
-    let is_answered = matches!(attempt, AttemptOutcome::Answered(_));
+    let is_answered = match &attempt {
+        AttemptOutcome::Answered(answer) => {
+            record_commit(gateway, instance, work, answer.reply.position);
+            true
+        }
+        _ => false,
+    };
     let commits = work.may_commit() && requires_primary(gateway, instance, work, frame);
     if is_answered && commits && gateway.cluster.is_replaced(instance) {
         return AttemptOutcome::Lost;
--- a/crates/linkhold-gateway/src/state/fleet.rs
+++ b/crates/linkhold-gateway/src/state/fleet.rs
@@ -33,6 +33,8 @@
     nodes: BTreeMap<String, FeedNode>,
     /// The nodes that read the store for others, of all regions.
     readers: Vec<FeedNode>,
+    /// When a node was last found to have left, or to run as another process.
+    departure_at: Option<Instant>,
     /// Recent sizes of the fleet.
     sizes: FleetSizes,
     /// Number of nodes per reader.
@@ -365,6 +367,13 @@
         if have_nodes_changed {
             watchers.set_nodes(nodes.values());
         }
+        let stays = |node: &FeedNode| {
+            let now = nodes.get(&node.name);
+            now.is_some_and(|now| now.address == node.address)
+        };
+        if !view.nodes.values().all(stays) {
+            view.departure_at = Some(Instant::now());
+        }
         let previous_size = view.size;
         view.sizes.record(size, Instant::now());
         let has_changed =
@@ -380,6 +389,11 @@
         }
     }
 
+    /// When a node was last found to have left the fleet, or to run as another process.
+    pub fn departure_at(&self) -> Option<Instant> {
+        lock(&self.view).departure_at
+    }
+
     /// This node's rank in the order of known nodes for a duty; 0 is the first.
     pub fn duty_rank(&self, own_name: &str, duty: &str) -> usize {
         let view = lock(&self.view);
--- a/crates/linkhold-gateway/src/state/peers.rs
+++ b/crates/linkhold-gateway/src/state/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use linkhold_core::service::acknowledged::NodeReport;
 use linkhold_core::service::instance::InstanceId;
 use linkhold_peer::Reachability;
 use tokio::net::{TcpListener, UdpSocket};
@@ -21,6 +22,8 @@
     pub found: Reachability,
     /// The instance that it reaches as the primary, if it was asked about a service.
     pub primary: Option<InstanceId>,
+    /// What it knows of the commits that it acknowledged, as of its answer.
+    pub acknowledged: Option<NodeReport>,
 }
 
 /// A node's answer to a question for a confirmation.
--- a/crates/linkhold-peer/src/lib.rs
+++ b/crates/linkhold-peer/src/lib.rs
@@ -33,8 +33,8 @@
 pub use membership::{decode_message, encode_message};
 pub use packing::{pack, unpack};
 pub use reachability::{
-    QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, decode_reachability,
-    encode_reachability,
+    AcknowledgedCommits, QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage,
+    decode_reachability, encode_reachability,
 };
 pub use table::{TableMessage, decode_table, encode_table};
 
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -56,6 +56,21 @@
     }
 }
 
+/// What a node knows of the commits of a service that it acknowledged. Ages are in
+/// milliseconds, as of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct AcknowledgedCommits {
+    /// How long the node's process has run.
+    #[n(0)]
+    pub running_ms: u64,
+    /// Age of its latest evidence of the primary's log; `None` without evidence.
+    #[n(1)]
+    pub evidence_age_ms: Option<u64>,
+    /// The newest position that it acknowledged or has evidence of, as term and index.
+    #[n(2)]
+    pub newest: Option<(u64, u64)>,
+}
+
 /// A message about the reachability of an instance, or about what a node has agreed
 /// to.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -86,6 +101,10 @@
         /// service.
         #[n(2)]
         primary: Option<String>,
+        /// What the node knows of the commits that it acknowledged, if it agrees to a
+        /// replacement; `None` from a node that does not report it.
+        #[n(3)]
+        acknowledged: Option<AcknowledgedCommits>,
     },
     /// Withdraws a question with the purpose [`QuestionPurpose::Replace`]: the asking
     /// node orders no replacement.
