Take the number of log holders from the node that has seen most of them

A node that starts knows only the instances that are listed then. If it replaced a primary, the number of statuses that proves a log to have every acknowledged commit was too low by those that other nodes had seen before, and a replica that lacked commits was promoted.

Nodes now report with their agreement how many instances may hold commits, and the largest number counts. The new test failed without the report: the replica that had stopped receiving was promoted.

--- a/crates/linkhold-core/src/service/acknowledged.rs
+++ b/crates/linkhold-core/src/service/acknowledged.rs
@@ -21,6 +21,8 @@
     pub evidence_at: Option<Instant>,
     /// The newest position that it acknowledged or has evidence of.
     pub newest: Option<Position>,
+    /// Number of instances that may hold commits of the service.
+    pub log_holders: usize,
 }
 
 /// The position up to which commits may have been acknowledged; `None` if that is not
--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -76,6 +76,7 @@
                 remembers_since: at,
                 evidence_at: None,
                 newest: None,
+                log_holders: 0,
             },
             has_ended: false,
         }
--- a/crates/linkhold-gateway/src/failover/choice.rs
+++ b/crates/linkhold-gateway/src/failover/choice.rs
@@ -67,7 +67,10 @@
         at: agreed_at,
         acknowledged: acknowledged_bound(grounds),
     };
-    let holders = log_holders(gateway, surveyed);
+    let mut holders = log_holders(gateway, surveyed);
+    if let Some(agreement) = &grounds.agreement {
+        holders.instances = holders.instances.max(agreement.log_holders);
+    }
     let reports = ask_again(gateway, surveyed, agreed_at, &holders, grounds).await;
     if has_new_primary(surveyed, &reports) {
         return Err(Unsuitable::OtherPrimary);
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -196,6 +196,9 @@
     /// for [`CONFIRMATION_VALIDITY`](linkhold_core::service::permission::CONFIRMATION_VALIDITY)
     /// after `answered_at`, by what the others confirmed before they agreed.
     pub silent_former: usize,
+    /// The largest number of instances that may hold commits, as any node knows it: one
+    /// that has just started has not seen those that are not listed any more.
+    pub log_holders: usize,
     /// Position up to which the nodes may have acknowledged commits of the primary;
     /// `None` if that is not known.
     pub acknowledged: Option<Position>,
@@ -210,6 +213,7 @@
             asked_at: self.asked_at.min(other.asked_at),
             answered_at: self.answered_at.max(other.answered_at),
             silent_former: self.silent_former.max(other.silent_former),
+            log_holders: self.log_holders.max(other.log_holders),
             // Each node answers both questions, and reports no less in its later answer.
             acknowledged: self
                 .acknowledged
@@ -286,7 +290,9 @@
         return Err(findings.reached_by);
     }
     let acknowledged = acknowledged_bound(gateway, service, &audience, &findings);
+    let log_holders = findings.acknowledged.iter().map(|it| it.log_holders);
     Ok(Agreement {
+        log_holders: log_holders.max().unwrap_or(0),
         acknowledged,
         questions: vec![AgreedQuestion { number, audience }],
         asked_at,
--- a/crates/linkhold-gateway/src/peers/acknowledged.rs
+++ b/crates/linkhold-gateway/src/peers/acknowledged.rs
@@ -16,6 +16,7 @@
         remembers_since: gateway.started_at,
         evidence_at: gateway.cluster.latest_evidence(service),
         newest: gateway.cluster.newest_acknowledged(service),
+        log_holders: gateway.cluster.count_log_holders(service, Instant::now()),
     }
 }
 
@@ -27,6 +28,7 @@
         running_ms: age_ms(report.remembers_since),
         evidence_age_ms: report.evidence_at.map(age_ms),
         newest: report.newest.map(|it| (it.term.0, it.index)),
+        log_holders: report.log_holders as u64,
     }
 }
 
@@ -46,6 +48,7 @@
         newest: commits
             .newest
             .map(|(term, index)| Position::new(term, index)),
+        log_holders: usize::try_from(commits.log_holders).unwrap_or(usize::MAX),
     })
 }
 
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -69,6 +69,9 @@
     /// The newest position that it acknowledged or has evidence of, as term and index.
     #[n(2)]
     pub newest: Option<(u64, u64)>,
+    /// Number of instances that may hold commits of the service.
+    #[n(3)]
+    pub log_holders: u64,
 }
 
 /// A message about the reachability of an instance, or about what a node has agreed
