Keep the lower setting of synchronous replicas in mind after a change

A commit is acknowledged under the setting of its time. Right after a configuration raised the number, the new one was taken to hold for commits of before: with two synchronous replicas of three, one status was enough, while a commit that one replica had received could be on the other alone.

Whether commits may be lost at all is a matter of the present setting, so that operators can give them up for the sake of a primary. The functions that took a number of replicas only to compare it with 0 now take that answer.

The choice after the agreement is a type of its own, and ends as soon as one instance is known to lack nothing.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -284,12 +284,12 @@
 
 /// The instance to promote: the one that has received most, since no commits are given
 /// up for a better region; among equals one in a primary region, then one that is warm,
-/// then one that stays, then the lowest identity, so that all nodes choose alike. With
-/// `synchronous` replicas the received position always decides; without, a leaving
-/// instance is skipped while there is another.
-pub fn choose_successor(candidates: &[Successor], synchronous: usize) -> Option<&Successor> {
+/// then one that stays, then the lowest identity, so that all nodes choose alike. Where no commit
+/// may be lost the received position always decides; elsewhere, a leaving instance is
+/// skipped while there is another.
+pub fn choose_successor(candidates: &[Successor], forbids_loss: bool) -> Option<&Successor> {
     let any_stays = candidates.iter().any(|candidate| !candidate.is_leaving);
-    let skips_leaving = synchronous == 0 && any_stays;
+    let skips_leaving = !forbids_loss && any_stays;
     candidates
         .iter()
         .filter(|candidate| !(skips_leaving && candidate.is_leaving))
@@ -297,10 +297,10 @@
 }
 
 /// Candidates for a planned switch-over, which waits for commits: those that are close
-/// to the one that has received most, warm and not leaving, if there are any. With
-/// `synchronous` replicas the received position always decides, so all candidates stay.
-pub fn switchover_candidates(candidates: Vec<Successor>, synchronous: usize) -> Vec<Successor> {
-    if synchronous > 0 {
+/// to the one that has received most, warm and not leaving, if there are any. Where no
+/// commit may be lost the received position always decides, so all candidates stay.
+pub fn switchover_candidates(candidates: Vec<Successor>, forbids_loss: bool) -> Vec<Successor> {
+    if forbids_loss {
         return candidates;
     }
     let Some(most_advanced) = candidates.iter().map(|it| it.status.received).max() else {
--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -56,8 +56,10 @@
 pub struct LogHolders {
     /// Number of instances, the primary included.
     pub instances: usize,
-    /// Replicas that must have received a commit before it is acknowledged.
+    /// Replicas that have received any acknowledged commit.
     pub synchronous: usize,
+    /// Whether an instance that may lack acknowledged commits is never promoted.
+    pub forbid_loss: bool,
 }
 
 impl LogHolders {
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -25,6 +25,7 @@
 pub mod regions;
 pub mod session;
 pub mod store_revision;
+pub mod synchronous_replicas;
 pub mod waiting;
 pub mod warm_up;
 pub mod watchers;
--- a/crates/linkhold-core/tests/service_failover.rs
+++ b/crates/linkhold-core/tests/service_failover.rs
@@ -138,7 +138,7 @@
         candidate("a", Position::new(2, 10), false),
         candidate("c", Position::new(1, 90), false),
     ];
-    let chosen = choose_successor(&candidates, 0).unwrap();
+    let chosen = choose_successor(&candidates, false).unwrap();
     assert_eq!(chosen.status.id, id("a"));
 }
 
@@ -148,10 +148,16 @@
         candidate("a", Position::new(1, 12), true),
         candidate("b", Position::new(1, 10), false),
     ];
-    assert_eq!(choose_successor(&candidates, 0).unwrap().status.id, id("b"));
-    assert_eq!(choose_successor(&candidates, 1).unwrap().status.id, id("a"));
     assert_eq!(
-        choose_successor(&candidates[..1], 0).unwrap().status.id,
+        choose_successor(&candidates, false).unwrap().status.id,
+        id("b")
+    );
+    assert_eq!(
+        choose_successor(&candidates, true).unwrap().status.id,
+        id("a")
+    );
+    assert_eq!(
+        choose_successor(&candidates[..1], false).unwrap().status.id,
         id("a")
     );
 }
@@ -191,10 +197,10 @@
     let mut outside_region = candidate("a", at(8), false);
     outside_region.is_in_primary_region = false;
     let equal = [outside_region.clone(), candidate("b", at(8), false)];
-    let chosen = choose_successor(&equal, 0).unwrap();
+    let chosen = choose_successor(&equal, false).unwrap();
     assert_eq!(chosen.status.id, id("b"));
     let behind = [outside_region, candidate("b", at(7), false)];
-    let chosen = choose_successor(&behind, 0).unwrap();
+    let chosen = choose_successor(&behind, false).unwrap();
     assert_eq!(chosen.status.id, id("a"));
 }
 
@@ -209,8 +215,12 @@
     let mut cold = candidate("a", at(100), false);
     cold.is_warm = false;
     let chosen = |candidates: Vec<Successor>| {
-        let candidates = switchover_candidates(candidates, 0);
-        choose_successor(&candidates, 0).unwrap().status.id.clone()
+        let candidates = switchover_candidates(candidates, false);
+        choose_successor(&candidates, false)
+            .unwrap()
+            .status
+            .id
+            .clone()
     };
     let close = candidate("b", at(90), false);
     let leaving = candidate("c", at(100), true);
@@ -220,7 +230,7 @@
     assert_eq!(chosen(vec![cold.clone(), leaving.clone(), behind]), id("a"));
     // A commit that a replica had to hold may be on the cold one alone.
     let close = candidate("b", at(90), false);
-    let candidates = switchover_candidates(vec![cold, leaving, close], 1);
+    let candidates = switchover_candidates(vec![cold, leaving, close], true);
     assert_eq!(candidates.len(), 3);
 }
 
--- a/crates/linkhold-gateway/src/cluster_state.rs
+++ b/crates/linkhold-gateway/src/cluster_state.rs
@@ -22,6 +22,7 @@
 use linkhold_core::service::placement::{self, Candidate, Distance};
 use linkhold_core::service::regions::AllowedRegions;
 use linkhold_core::service::store_revision::StoreRevision;
+use linkhold_core::service::synchronous_replicas::SynchronousReplicas;
 use linkhold_core::service::withholding::Withholdings;
 use linkhold_events::Event;
 use tokio::sync::{Notify, watch};
@@ -67,6 +68,8 @@
     /// When the whole fleet was started for the first time; `None` if it runs already.
     first_started_at: Option<Instant>,
     configuration: Mutex<Option<Arc<Configuration>>>,
+    /// Settings of synchronous replicas that are or were in force.
+    synchronous_replicas: Mutex<HashMap<ServiceName, SynchronousReplicas>>,
     /// Regions in which the primary of each region-bound service should be.
     primary_regions: Mutex<Arc<HashMap<ServiceName, AllowedRegions>>>,
     directory_read_at: Mutex<Option<Instant>>,
@@ -96,6 +99,7 @@
             evacuation_bound: settings.evacuation_bound,
             first_started_at: settings.is_first_start.then(Instant::now),
             configuration: Mutex::default(),
+            synchronous_replicas: Mutex::default(),
             primary_regions: Mutex::default(),
             directory_read_at: Mutex::default(),
             instances: Mutex::default(),
@@ -147,11 +151,28 @@
             .field("services", configuration.services.len())
             .log();
         self.adopt_regions(&configuration);
+        self.adopt_synchronous_replicas(&configuration);
         *current = Some(Arc::new(configuration));
         drop(current);
         self.notify_lists_changed();
     }
 
+    fn adopt_synchronous_replicas(&self, configuration: &Configuration) {
+        let now = Instant::now();
+        let mut known = lock(&self.synchronous_replicas);
+        known.retain(|service, _| configuration.services.contains_key(service));
+        for (service, limits) in &configuration.services {
+            let settings = known.entry(service.clone()).or_default();
+            settings.record(limits.synchronous_replicas, now);
+        }
+    }
+
+    /// The settings of a service's synchronous replicas.
+    pub fn synchronous_replicas(&self, service: &str) -> SynchronousReplicas {
+        let known = lock(&self.synchronous_replicas);
+        known.get(service).cloned().unwrap_or_default()
+    }
+
     /// Limits of a service; `None` if it is not configured.
     pub fn limits(&self, service: &str) -> Option<ServiceLimits> {
         self.configuration()?.services.get(service).copied()
--- a/crates/linkhold-gateway/src/failover/choice.rs
+++ b/crates/linkhold-gateway/src/failover/choice.rs
@@ -62,41 +62,130 @@
     surveyed: &ServiceSurvey,
     grounds: &Grounds,
 ) -> Result<InstanceStatus, Unsuitable> {
-    let agreed_at = Instant::now();
-    let end = TermEnd::Agreed {
-        at: agreed_at,
-        acknowledged: acknowledged_bound(grounds),
-    };
-    let mut holders = log_holders(gateway, surveyed);
-    if let Some(agreement) = &grounds.agreement {
-        holders.instances = holders.instances.max(agreement.log_holders);
+    let choice = Choice::new(gateway, surveyed, grounds);
+    let reports = choice.ask_again().await;
+    choice.choose(&reports)
+}
+
+/// The choice of a successor once all nodes have agreed.
+struct Choice<'a, P: Platform> {
+    gateway: &'a Gateway<P>,
+    surveyed: &'a ServiceSurvey,
+    grounds: &'a Grounds,
+    agreed_at: Instant,
+    end: TermEnd,
+    holders: LogHolders,
+}
+
+impl<'a, P: Platform> Choice<'a, P> {
+    fn new(gateway: &'a Gateway<P>, surveyed: &'a ServiceSurvey, grounds: &'a Grounds) -> Self {
+        let agreed_at = Instant::now();
+        let mut holders = log_holders(gateway, surveyed);
+        if let Some(agreement) = &grounds.agreement {
+            holders.instances = holders.instances.max(agreement.log_holders);
+        }
+        Self {
+            gateway,
+            surveyed,
+            grounds,
+            agreed_at,
+            end: TermEnd::Agreed {
+                at: agreed_at,
+                acknowledged: acknowledged_bound(grounds),
+            },
+            holders,
+        }
+    }
+
+    /// Asks the instances for their statuses until enough have answered, or for as long
+    /// as an order may wait.
+    async fn ask_again(&self) -> StatusReports {
+        // Without a proof to gain, instances that did not answer before are not asked.
+        let others = self.surveyed.others.iter();
+        let asked = others.filter(|it| self.holders.forbid_loss || self.has_answered(&it.id));
+        let reports = Mutex::new(self.surveyed.reports());
+        let mut answers: FuturesUnordered<_> = asked
+            .map(|instance| ask_until_answered(self.gateway, instance, &reports))
+            .collect();
+        let deadline = self.deadline();
+        while !self.is_enough(&lock(&reports)) {
+            // Both the deadline and the last answer end the wait.
+            let Ok(Some(())) = timeout_at(deadline.into(), answers.next()).await else {
+                break;
+            };
+        }
+        drop(answers);
+        reports.into_inner().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn deadline(&self) -> Instant {
+        let latest = self.grounds.order_by().checked_sub(ORDER_RESERVE);
+        let latest = latest.unwrap_or(self.agreed_at);
+        let is_proof_needed = self.holders.forbid_loss || self.needs_all_answers();
+        if is_proof_needed {
+            latest
+        } else {
+            latest.min(self.agreed_at + MAX_UNPROVED_WAIT)
+        }
+    }
+
+    /// Whether an instance answered before the nodes agreed.
+    fn has_answered(&self, id: &InstanceId) -> bool {
+        let mut statuses = self.surveyed.statuses.iter();
+        statuses.any(|status| status.id == *id)
+    }
+
+    /// Whether all instances that answered before have to answer again: where no primary
+    /// is known, no node agreed that these are lost.
+    fn needs_all_answers(&self) -> bool {
+        self.grounds.reason == FailoverReason::Unknown
     }
-    let reports = ask_again(gateway, surveyed, agreed_at, &holders, grounds).await;
-    if has_new_primary(surveyed, &reports) {
-        return Err(Unsuitable::OtherPrimary);
+
+    fn have_all_answered_again(&self, reports: &StatusReports) -> bool {
+        let mut statuses = self.surveyed.statuses.iter();
+        statuses.all(|it| reports.since(self.agreed_at).any(|again| again.id == it.id))
     }
-    let is_silent =
-        |status: &InstanceStatus| !reports.since(agreed_at).any(|it| it.id == status.id);
-    // Nobody agreed that an instance which had answered is lost.
-    if grounds.reason == FailoverReason::Unknown && surveyed.statuses.iter().any(is_silent) {
-        return Err(Unsuitable::InstanceSilent);
+
+    /// Whether the successor can be chosen without further answers.
+    fn is_enough(&self, reports: &StatusReports) -> bool {
+        let lacks_nothing = |instance: &Arc<Instance>| self.lacks_nothing(reports, &instance.id);
+        let is_proved = self.surveyed.others.iter().any(lacks_nothing);
+        match (self.holders.forbid_loss, self.needs_all_answers()) {
+            (true, false) => is_proved,
+            (true, true) => is_proved && self.have_all_answered_again(reports),
+            (false, _) => self.have_all_answered_again(reports),
+        }
+    }
+
+    fn lacks_nothing(&self, reports: &StatusReports, id: &InstanceId) -> bool {
+        let completeness = reports.completeness(id, &self.end, &self.holders);
+        completeness > LogCompleteness::MayLackCommits
     }
-    let service = &surveyed.service;
-    let candidates = candidates(gateway, service, grounds.reason, reports.latest());
-    let chosen = failover::choose_successor(&candidates, holders.synchronous);
-    let chosen = chosen.ok_or(Unsuitable::NoSuccessor)?;
-    let completeness = reports.completeness(&chosen.status.id, &end, &holders);
-    if holders.synchronous > 0 && completeness == LogCompleteness::MayLackCommits {
-        Event::warn("no_successor")
-            .field("service", service)
-            .field("log_holders", holders.instances)
-            .field("statuses", reports.since(agreed_at).count())
-            .field("candidates", candidates.len())
-            .field("required", required_statuses(&holders))
-            .log();
-        return Err(Unsuitable::NoSuccessor);
+
+    fn choose(&self, reports: &StatusReports) -> Result<InstanceStatus, Unsuitable> {
+        if has_new_primary(self.surveyed, reports) {
+            return Err(Unsuitable::OtherPrimary);
+        }
+        if self.needs_all_answers() && !self.have_all_answered_again(reports) {
+            return Err(Unsuitable::InstanceSilent);
+        }
+        let service = &self.surveyed.service;
+        let reason = self.grounds.reason;
+        let candidates = candidates(self.gateway, service, reason, reports.latest());
+        let chosen = failover::choose_successor(&candidates, self.holders.forbid_loss);
+        let chosen = chosen.ok_or(Unsuitable::NoSuccessor)?;
+        if self.holders.forbid_loss && !self.lacks_nothing(reports, &chosen.status.id) {
+            Event::warn("no_successor")
+                .field("service", service)
+                .field("log_holders", self.holders.instances)
+                .field("statuses", reports.since(self.agreed_at).count())
+                .field("candidates", candidates.len())
+                .field("required", required_statuses(&self.holders))
+                .log();
+            return Err(Unsuitable::NoSuccessor);
+        }
+        Ok(chosen.status.clone())
     }
-    Ok(chosen.status.clone())
 }
 
 /// Position up to which the old primary's commits may have been acknowledged. While no
@@ -109,53 +198,6 @@
     }
 }
 
-/// Asks the instances of a service for their statuses until enough have answered, or for
-/// as long as an order may wait.
-async fn ask_again<P: Platform>(
-    gateway: &Gateway<P>,
-    surveyed: &ServiceSurvey,
-    agreed_at: Instant,
-    holders: &LogHolders,
-    grounds: &Grounds,
-) -> StatusReports {
-    let latest = grounds.order_by().checked_sub(ORDER_RESERVE);
-    let latest = latest.unwrap_or(agreed_at);
-    let is_proof_possible = holders.synchronous > 0;
-    let needs_known = grounds.reason == FailoverReason::Unknown || !is_proof_possible;
-    let deadline = match grounds.reason {
-        FailoverReason::Lost if !is_proof_possible => latest.min(agreed_at + MAX_UNPROVED_WAIT),
-        _ => latest,
-    };
-    let has_answered_before =
-        |id: &InstanceId| surveyed.statuses.iter().any(|status| status.id == *id);
-    // Without a proof to gain, instances that did not answer before are not waited for.
-    let asked = surveyed
-        .others
-        .iter()
-        .filter(|it| is_proof_possible || has_answered_before(&it.id));
-    let reports = Mutex::new(surveyed.reports());
-    let mut answers: FuturesUnordered<_> = asked
-        .map(|instance| ask_until_answered(gateway, instance, &reports))
-        .collect();
-    let is_enough = || {
-        let reports = lock(&reports);
-        let is_known =
-            |status: &InstanceStatus| reports.since(agreed_at).any(|it| it.id == status.id);
-        let known = !needs_known || surveyed.statuses.iter().all(is_known);
-        let proved =
-            !is_proof_possible || reports.since(agreed_at).count() >= holders.reports_needed();
-        known && proved
-    };
-    while !is_enough() {
-        // Both the deadline and the last answer end the wait.
-        let Ok(Some(())) = timeout_at(deadline.into(), answers.next()).await else {
-            break;
-        };
-    }
-    drop(answers);
-    reports.into_inner().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn ask_until_answered<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -153,15 +153,14 @@
     surveyed: &ServiceSurvey,
 ) -> Option<Successor> {
     let holders = log_holders(gateway, surveyed);
-    let synchronous = holders.synchronous;
     let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
-            failover::switchover_candidates(candidates, synchronous)
+            failover::switchover_candidates(candidates, holders.forbid_loss)
         }
         FailoverReason::Unknown | FailoverReason::Lost => candidates,
     };
-    let chosen = failover::choose_successor(&candidates, synchronous);
+    let chosen = failover::choose_successor(&candidates, holders.forbid_loss);
     let may_be_proved = chosen
         .is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &holders, &chosen.status));
     if !may_be_proved {
@@ -179,9 +178,9 @@
 
 /// Statuses without which no lost primary is replaced.
 pub(super) fn required_statuses(holders: &LogHolders) -> usize {
-    match holders.synchronous {
-        0 => 1,
-        _ => holders.reports_needed(),
+    match holders.forbid_loss {
+        false => 1,
+        true => holders.reports_needed(),
     }
 }
 
@@ -209,12 +208,12 @@
     gateway: &Gateway<P>,
     surveyed: &ServiceSurvey,
 ) -> LogHolders {
-    let limits = gateway.cluster.limits(&surveyed.service);
+    let now = Instant::now();
+    let synchronous = gateway.cluster.synchronous_replicas(&surveyed.service);
     LogHolders {
-        instances: gateway
-            .cluster
-            .count_log_holders(&surveyed.service, Instant::now()),
-        synchronous: limits.map_or(0, |limits| limits.synchronous_replicas),
+        instances: gateway.cluster.count_log_holders(&surveyed.service, now),
+        synchronous: synchronous.guaranteed(now),
+        forbid_loss: synchronous.forbid_loss(),
     }
 }
 
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -153,9 +153,9 @@
     let drain = gateway.settings.drain;
     // With synchronous replicas, a successor that lacks commits is not promoted however
     // long the primary has been leaving.
-    let leaving_for = match log_holders(gateway, surveyed).synchronous {
-        0 => leaving_for,
-        _ => Duration::ZERO,
+    let leaving_for = match log_holders(gateway, surveyed).forbid_loss {
+        false => leaving_for,
+        true => Duration::ZERO,
     };
     if !failover::may_hand_over(present.received, successor.received, leaving_for, drain) {
         Event::info("hand_over_postponed")
@@ -200,7 +200,7 @@
     let chosen = considered
         .iter()
         .find(|it| it.status.id == *preferred && !whole.is_empty())
-        .or_else(|| failover::choose_successor(considered, holders.synchronous));
+        .or_else(|| failover::choose_successor(considered, holders.forbid_loss));
     let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
         reports.completeness(&it.status.id, &end, &holders)
     });
@@ -208,7 +208,7 @@
         gateway,
         &ended.id,
         reason,
-        holders.synchronous,
+        holders.forbid_loss,
         completeness,
     );
     let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
@@ -232,14 +232,14 @@
     gateway: &Gateway<P>,
     old: &InstanceId,
     reason: FailoverReason,
-    synchronous: usize,
+    forbids_loss: bool,
     completeness: LogCompleteness,
 ) -> bool {
     if completeness != LogCompleteness::MayLackCommits {
         return true;
     }
     // A misplaced primary would stay, so nothing is given up for its successor.
-    if reason == FailoverReason::Misplaced || synchronous > 0 {
+    if reason == FailoverReason::Misplaced || forbids_loss {
         return false;
     }
     // Without synchronous replicas, callers may lose commits with a primary that is gone
