Ask again also where the nodes' reports prove a successor already

The instances that answered before are asked again in any case, for up to 250 ms where the answers only show who has received more.

--- a/crates/linkhold-gateway/src/failover/choice.rs
+++ b/crates/linkhold-gateway/src/failover/choice.rs
@@ -29,9 +29,9 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(15);
 /// Time left for the order once the successor is chosen.
 const ORDER_RESERVE: Duration = Duration::from_millis(150);
-/// How long a service without synchronous replicas waits for positions: no position
-/// proves that a commit was not lost with the primary.
-const MAX_UNPROVED_WAIT: Duration = Duration::from_millis(250);
+/// How long answers are waited for without which a successor may be promoted as well:
+/// they may show an instance that has received more.
+const MAX_UNNEEDED_WAIT: Duration = Duration::from_millis(250);
 
 /// Why no instance may be promoted although the nodes agreed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,8 +107,8 @@
         let mut answers: FuturesUnordered<_> = asked
             .map(|instance| ask_until_answered(self.gateway, instance, &reports))
             .collect();
-        let deadline = self.deadline();
         while !self.is_enough(&lock(&reports)) {
+            let deadline = self.deadline(&lock(&reports));
             // Both the deadline and the last answer end the wait.
             let Ok(Some(())) = timeout_at(deadline.into(), answers.next()).await else {
                 break;
@@ -118,14 +118,14 @@
         reports.into_inner().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn deadline(&self) -> Instant {
+    fn deadline(&self, reports: &StatusReports) -> Instant {
         let latest = self.grounds.order_by().checked_sub(ORDER_RESERVE);
         let latest = latest.unwrap_or(self.agreed_at);
-        let is_proof_needed = self.holders.forbid_loss || self.needs_all_answers();
-        if is_proof_needed {
+        let lacks_proof = self.holders.forbid_loss && !self.is_proved(reports);
+        if lacks_proof || self.needs_all_answers() {
             latest
         } else {
-            latest.min(self.agreed_at + MAX_UNPROVED_WAIT)
+            latest.min(self.agreed_at + MAX_UNNEEDED_WAIT)
         }
     }
 
@@ -148,13 +148,14 @@
 
     /// Whether the successor can be chosen without further answers.
     fn is_enough(&self, reports: &StatusReports) -> bool {
-        let lacks_nothing = |instance: &Arc<Instance>| self.lacks_nothing(reports, &instance.id);
-        let is_proved = self.surveyed.others.iter().any(lacks_nothing);
-        match (self.holders.forbid_loss, self.needs_all_answers()) {
-            (true, false) => is_proved,
-            (true, true) => is_proved && self.have_all_answered_again(reports),
-            (false, _) => self.have_all_answered_again(reports),
-        }
+        let is_proved = !self.holders.forbid_loss || self.is_proved(reports);
+        is_proved && self.have_all_answered_again(reports)
+    }
+
+    /// Whether some instance is known to lack no acknowledged commit.
+    fn is_proved(&self, reports: &StatusReports) -> bool {
+        let mut others = self.surveyed.others.iter();
+        others.any(|instance| self.lacks_nothing(reports, &instance.id))
     }
 
     fn lacks_nothing(&self, reports: &StatusReports, id: &InstanceId) -> bool {
