Let a claim count for as long as an order under it may take effect

Cause: a claim that a starting node reads counted for 8 s, from an order timeout of 2.5 s, while an unanswered order is taken to be possible for 10 s elsewhere, and the users' platform carries orders out up to 12 s late.

The delay of an order is 12.5 s now, and the periods of claims and agreements are sums of it, so that none of them can end early. A test holds them together. The test of a returning node renews its listing in between, since a claim now counts for longer than one renewal.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -33,10 +33,14 @@
 /// How long the answer to a promotion order may take. The connection is reset then, so
 /// that the order is not sent later.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long after it was sent an unanswered order may still be carried out: seconds, as
-/// users report. An order that a node had given up overtook the node's new claim after
-/// 1.9 s.
-pub const MAX_ORDER_DELAY: Duration = Duration::from_millis(10_000);
+/// How long after its lease was claimed an order may be sent at the latest, so that it is
+/// answered or given up while the lease lasts.
+pub const LATEST_ORDER_AGE: Duration = LEASE.saturating_sub(ORDER_TIMEOUT);
+/// How long after it was sent an unanswered order may still be carried out: up to 12 s,
+/// as users report, and half a second of margin.
+pub const MAX_ORDER_DELAY: Duration = Duration::from_millis(12_500);
+/// Time that the platform takes to promote an instance once it carries an order out.
+pub const PROMOTION_TIME: Duration = Duration::from_millis(1_000);
 
 /// The failover lease of one service, as kept in the metadata store.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/linkhold-core/src/service/permission.rs
+++ b/crates/linkhold-core/src/service/permission.rs
@@ -38,7 +38,7 @@
 use std::time::{Duration, Instant};
 
 use super::configuration::ServiceName;
-use super::failover::{LEASE, ORDER_TIMEOUT};
+use super::failover::{LATEST_ORDER_AGE, MAX_ORDER_DELAY, PROMOTION_TIME};
 use super::instance::InstanceId;
 use super::listing::{LISTING_MARGIN, LISTING_VALIDITY, Listing};
 use super::readers::ROW_EXPIRY;
@@ -58,12 +58,13 @@
 const MAX_UNLISTED_PERIOD: Duration = LISTING_VALIDITY.saturating_add(EXPIRED_NODE_PERIOD);
 /// Age of a renewal from which a node asks others to confirm that it may go on.
 pub const CONFIRMATION_START_AGE: Duration = Duration::from_millis(8_000);
-/// How long after a lease was claimed a promotion under it may take effect: the lease,
-/// within which an order is sent, the time the order may be on its way, one second that
-/// the platform takes, and half a second of margin.
-pub const CLAIM_EFFECT_PERIOD: Duration = LEASE
-    .saturating_add(ORDER_TIMEOUT)
-    .saturating_add(Duration::from_millis(1_500));
+/// How long after a lease was claimed a promotion under it may take effect: an order is
+/// sent within the lease, is carried out late, and takes the platform's time; and half a
+/// second of margin.
+pub const CLAIM_EFFECT_PERIOD: Duration = LATEST_ORDER_AGE
+    .saturating_add(MAX_ORDER_DELAY)
+    .saturating_add(PROMOTION_TIME)
+    .saturating_add(Duration::from_millis(500));
 
 /// A claim of a service's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/linkhold-core/src/service/withholding.rs
+++ b/crates/linkhold-core/src/service/withholding.rs
@@ -17,16 +17,16 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::failover::MAX_ORDER_DELAY;
+use super::failover::{MAX_ORDER_DELAY, PROMOTION_TIME};
 use super::instance::InstanceId;
 
 /// How long a node acknowledges nothing of an instance after it agreed, at the least:
-/// [`ORDER_WINDOW`], the time in which an unanswered order may be carried out, and one
-/// second that the platform takes to promote. The asking node ends it earlier, as soon
-/// as it knows that its order can no longer take effect.
+/// [`ORDER_WINDOW`], the time in which an unanswered order may be carried out, and the
+/// time that the platform takes to promote. The asking node ends it earlier, as soon as
+/// it knows that its order can no longer take effect.
 pub const WITHHOLDING_PERIOD: Duration = ORDER_WINDOW
     .saturating_add(MAX_ORDER_DELAY)
-    .saturating_add(Duration::from_millis(1_000));
+    .saturating_add(PROMOTION_TIME);
 /// How soon after its question a node must have ordered the promotion.
 pub const ORDER_WINDOW: Duration = Duration::from_millis(1_500);
 /// How long a node that agrees to withhold may rely on an earlier failed attempt to
--- a/crates/linkhold-core/tests/service_permission.rs
+++ b/crates/linkhold-core/tests/service_permission.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use linkhold_core::service::failover::LEASE;
+use linkhold_core::service::failover::{
+    FailoverLease, LATEST_ORDER_AGE, LEASE, MAX_ORDER_DELAY, ORDER_TIMEOUT, PROMOTION_TIME,
+};
 use linkhold_core::service::instance::InstanceId;
 use linkhold_core::service::listing::LISTING_VALIDITY;
 use linkhold_core::service::permission::{
@@ -10,6 +12,7 @@
     FleetSizes, Permission, RecentClaim, RenewalOutcome, agreements_needed, confirmations_needed,
 };
 use linkhold_core::service::readers::ROW_EXPIRY;
+use linkhold_core::service::withholding::{ORDER_WINDOW, WITHHOLDING_PERIOD};
 use proptest::prelude::*;
 
 const SERVICE: &str = "ledger";
@@ -75,6 +78,12 @@
     // The successor is primary: the replacement is over.
     assert!(permission.may_acknowledge_for(SERVICE, &two, returned_at, Some(returned_at)));
     let ends_at = returned_at + CLAIM_EFFECT_PERIOD - milliseconds(1_000);
+    // The node stays listed for longer than the claim counts.
+    let renewed_at = returned_at + LISTING_VALIDITY / 2;
+    assert_eq!(
+        permission.record_renewal(renewed_at, renewed_at),
+        RenewalOutcome::Continued
+    );
     assert!(!permission.may_acknowledge_for(
         SERVICE,
         &one(),
@@ -101,6 +110,28 @@
     assert!(LEASE < CLAIM_EFFECT_PERIOD);
 }
 
+/// A node that starts waits for as long as an order under a claim that it reads may take
+/// effect. It once waited for 8 s where orders could be carried out after 10 s.
+#[test]
+fn a_claim_counts_for_as_long_as_an_order_under_it_may_take_effect() {
+    let longest_delay_reported = Duration::from_secs(12);
+    assert!(MAX_ORDER_DELAY > longest_delay_reported);
+    let latest_effect = LATEST_ORDER_AGE + MAX_ORDER_DELAY + PROMOTION_TIME;
+    assert!(latest_effect < CLAIM_EFFECT_PERIOD);
+    assert_eq!(LATEST_ORDER_AGE + ORDER_TIMEOUT, LEASE);
+    let lease = FailoverLease {
+        holder: "node".to_owned(),
+        token: 1,
+        claimed_at: 0,
+        successor: Some(InstanceId("two".into())),
+        ordered_at: None,
+    };
+    let until = |period: Duration| period.as_millis() as u64;
+    assert!(lease.may_take_effect(until(latest_effect)));
+    // Nodes that agreed withhold for as long.
+    assert!(ORDER_WINDOW + MAX_ORDER_DELAY + PROMOTION_TIME <= WITHHOLDING_PERIOD);
+}
+
 #[test]
 fn confirmations_prolong_a_permission_without_a_gap_and_not_for_ever() {
     let start = Instant::now();
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -6,7 +6,7 @@
 use linkhold_core::position::Term;
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::failover::{
-    self, ClaimDecision, ClaimTime, FailoverLease, LEASE, ORDER_TIMEOUT, era_of_token,
+    self, ClaimDecision, ClaimTime, FailoverLease, LATEST_ORDER_AGE, LEASE, era_of_token,
 };
 use linkhold_core::service::instance::InstanceId;
 use linkhold_core::service::permission::RecentClaim;
@@ -39,7 +39,7 @@
     /// The latest moment to send an order so that it is answered or given up while the
     /// lease lasts.
     pub fn order_by(&self) -> Instant {
-        self.asked_at + (LEASE - ORDER_TIMEOUT)
+        self.asked_at + LATEST_ORDER_AGE
     }
 }
 
