--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -291,11 +291,15 @@
 /// then one that stays, then the lowest identity, so that all nodes choose alike. Where no commit
 /// may be lost the received position always decides; elsewhere, a leaving instance is
 /// skipped while there is another.
-pub fn choose_successor(candidates: &[Successor], forbids_loss: bool) -> Option<&Successor> {
+pub fn choose_successor<'a>(
+    candidates: impl IntoIterator<Item = &'a Successor>,
+    forbids_loss: bool,
+) -> Option<&'a Successor> {
+    let candidates: Vec<&Successor> = candidates.into_iter().collect();
     let any_stays = candidates.iter().any(|candidate| !candidate.is_leaving);
     let skips_leaving = !forbids_loss && any_stays;
     candidates
-        .iter()
+        .into_iter()
         .filter(|candidate| !(skips_leaving && candidate.is_leaving))
         .max_by(|first, second| rank(first).cmp(&rank(second)))
 }
--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -138,7 +138,7 @@
     }
 
     /// Whether the log of an instance has reached a position. It then still has it.
-    fn has_reached(&self, id: &InstanceId, position: Position) -> bool {
+    pub fn has_reached(&self, id: &InstanceId, position: Position) -> bool {
         let own = self.latest().find(|status| status.id == *id);
         own.is_some_and(|own| own.received >= position)
     }
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -6,7 +6,6 @@
 //! rank of a node only spreads their tries.
 
 mod advance_claims;
-mod choice;
 mod diagnosis;
 mod lease;
 mod misplaced;
@@ -14,6 +13,7 @@
 mod promotion;
 mod recorder;
 mod service_survey;
+mod successor_choice;
 mod switch_over;
 
 use std::collections::HashSet;
--- a/crates/linkhold-gateway/src/failover/promotion.rs
+++ b/crates/linkhold-gateway/src/failover/promotion.rs
@@ -8,11 +8,11 @@
 use linkhold_events::Event;
 use tokio::time::sleep_until;
 
-use super::choice::choose_after_agreement;
 use super::diagnosis::{Agreement, confirm_no_primary, confirm_not_replaced};
 use super::lease::{Claim, claim};
 use super::order::{Grounds, order};
 use super::service_survey::{ServiceSurvey, find_primary, select_successor, survey_service};
+use super::successor_choice::choose_after_agreement;
 use super::switch_over::switch_over;
 use super::{FailoverReason, is_diagnosis_current};
 use crate::gateway::Gateway;
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -5,12 +5,10 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use linkhold_core::position::Term;
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
-use linkhold_core::service::log_completeness::{
-    LogCompleteness, LogHolders, StatusReports, TermEnd,
-};
+use linkhold_core::service::log_completeness::{LogCompleteness, StatusReports, TermEnd};
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout_at};
 
@@ -181,56 +179,63 @@
     ended: &InstanceStatus,
     reason: FailoverReason,
 ) -> Option<InstanceStatus> {
-    let service = &surveyed.service;
-    let end = TermEnd::SteppedDown {
-        log_end: ended.received,
-    };
-    let reports = wait_for_whole_log(gateway, surveyed, preferred, &end, reason).await;
+    let log_end = ended.received;
+    let reports = wait_for_whole_log(gateway, surveyed, preferred, log_end, reason).await;
+    let candidates = candidates(gateway, &surveyed.service, reason, reports.latest());
     let holders = log_holders(gateway, surveyed);
-    let candidates = candidates(gateway, service, reason, reports.latest());
-    let is_whole = |it: &&Successor| {
-        reports.completeness(&it.status.id, &end, &holders) == LogCompleteness::Whole
-    };
-    let whole: Vec<Successor> = candidates.iter().filter(is_whole).cloned().collect();
-    let considered = if whole.is_empty() {
-        &candidates
-    } else {
-        &whole
-    };
-    let chosen = considered
-        .iter()
-        .find(|it| it.status.id == *preferred && !whole.is_empty())
-        .or_else(|| failover::choose_successor(considered, holders.forbid_loss));
+    let chosen = choose(
+        &candidates,
+        preferred,
+        &reports,
+        log_end,
+        holders.forbid_loss,
+    );
+    let end = TermEnd::SteppedDown { log_end };
     let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
         reports.completeness(&it.status.id, &end, &holders)
     });
-    let may_promote = may_promote(
-        gateway,
-        &ended.id,
-        reason,
-        holders.forbid_loss,
-        completeness,
-    );
+    let may_promote = may_promote(gateway, ended, reason, holders.forbid_loss, completeness);
     let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
     Event::info("primary_stepped_down")
-        .field("service", service)
+        .field("service", &surveyed.service)
         .field("old", &ended.id)
-        .field("position", ended.received)
+        .field("position", log_end)
         .field("successor", chosen.map_or(preferred, |it| &it.status.id))
         .field("successor_position", position)
         .field("log", format_args!("{completeness:?}"))
         .field("may_promote", may_promote)
         .log();
-    chosen
-        .filter(|_| may_promote)
-        .map(|chosen| chosen.status.clone())
+    let chosen = chosen.filter(|_| may_promote)?;
+    Some(chosen.status.clone())
+}
+
+/// The preferred candidate if it has reached the end of the log, or else the best of those
+/// that have; the best of all if none has.
+fn choose<'a>(
+    candidates: &'a [Successor],
+    preferred: &InstanceId,
+    reports: &StatusReports,
+    log_end: Position,
+    forbids_loss: bool,
+) -> Option<&'a Successor> {
+    let is_whole = |it: &&Successor| reports.has_reached(&it.status.id, log_end);
+    let whole: Vec<&Successor> = candidates.iter().filter(is_whole).collect();
+    let is_preferred = |it: &&&Successor| it.status.id == *preferred;
+    if let Some(preferred) = whole.iter().find(is_preferred) {
+        return Some(preferred);
+    }
+    if whole.is_empty() {
+        failover::choose_successor(candidates, forbids_loss)
+    } else {
+        failover::choose_successor(whole, forbids_loss)
+    }
 }
 
 /// Whether an instance of which this is known may replace a primary that stepped down,
 /// or the old primary is rather restored.
 fn may_promote<P: Platform>(
     gateway: &Gateway<P>,
-    old: &InstanceId,
+    ended: &InstanceStatus,
     reason: FailoverReason,
     forbids_loss: bool,
     completeness: LogCompleteness,
@@ -244,7 +249,7 @@
     }
     // Without synchronous replicas, callers may lose commits with a primary that is gone
     // before a better successor is there.
-    let leaving_for = gateway.cluster.leaving_for(old, Instant::now());
+    let leaving_for = gateway.cluster.leaving_for(&ended.id, Instant::now());
     let leaving_for = leaving_for.unwrap_or(Duration::MAX);
     failover::must_hand_over(leaving_for, gateway.settings.drain)
 }
@@ -256,7 +261,7 @@
     gateway: &Gateway<P>,
     surveyed: &ServiceSurvey,
     preferred: &InstanceId,
-    end: &TermEnd,
+    log_end: Position,
     reason: FailoverReason,
 ) -> StatusReports {
     let limit = match reason {
@@ -266,8 +271,7 @@
         }
     };
     let earlier = surveyed.reports();
-    let holders = log_holders(gateway, surveyed);
-    if earlier.completeness(preferred, end, &holders) == LogCompleteness::Whole {
+    if earlier.has_reached(preferred, log_end) {
         return earlier;
     }
     let started_at = Instant::now();
@@ -276,7 +280,7 @@
     let reports = Mutex::new(earlier);
     let polls = surveyed.others.iter();
     let mut polls: FuturesUnordered<_> = polls
-        .map(|instance| poll_until_whole(gateway, instance, end, &holders, &reports))
+        .map(|instance| poll_until_whole(gateway, instance, log_end, &reports))
         .collect();
     let may_follow = |status: &InstanceStatus| {
         !candidates(gateway, &surveyed.service, reason, [status]).is_empty()
@@ -311,17 +315,14 @@
 async fn poll_until_whole<P: Platform>(
     gateway: &Gateway<P>,
     instance: &Arc<Instance>,
-    end: &TermEnd,
-    holders: &LogHolders,
+    log_end: Position,
     reports: &Mutex<StatusReports>,
 ) -> InstanceStatus {
     loop {
         if let Some(report) = survey::report(gateway, instance).await {
             let status = report.status.clone();
             lock(reports).record(report);
-            let is_whole =
-                lock(reports).completeness(&status.id, end, holders) == LogCompleteness::Whole;
-            if is_whole {
+            if status.received >= log_end {
                 return status;
             }
         }
--- a/crates/linkhold-gateway/src/peers/acknowledged.rs
+++ b/crates/linkhold-gateway/src/peers/acknowledged.rs
@@ -9,6 +9,9 @@
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
+/// Longest time after its question within which an answer counts.
+pub(super) const MAX_DELAY: Duration = Duration::from_millis(620);
+
 /// What this node knows of the commits of a service that it acknowledged. Complete only
 /// once the node acknowledges nothing more.
 pub(crate) fn own_report<P: Platform>(gateway: &Gateway<P>, service: &str) -> NodeReport {
@@ -51,6 +54,3 @@
         log_holders: usize::try_from(commits.log_holders).unwrap_or(usize::MAX),
     })
 }
-
-/// Longest time after its question within which an answer counts.
-pub(super) const MAX_DELAY: Duration = Duration::from_millis(620);
--- a/crates/linkhold-gateway/src/peers/questions.rs
+++ b/crates/linkhold-gateway/src/peers/questions.rs
@@ -55,8 +55,8 @@
 
     /// Whether all of these nodes are asked.
     pub fn includes_all(&self, nodes: &[SocketAddr]) -> bool {
-        let is_asked = |node| self.nodes.contains(node) || self.former.contains(node);
-        nodes.iter().all(is_asked)
+        let asked: HashSet<&SocketAddr> = self.nodes.iter().chain(&self.former).collect();
+        nodes.iter().all(|node| asked.contains(node))
     }
 
     /// Reduces the audience to at most `max_nodes` random nodes.
