--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -59,7 +59,7 @@
     /// Replicas that have received any acknowledged commit.
     pub synchronous: usize,
     /// Whether an instance that may lack acknowledged commits is never promoted.
-    pub forbid_loss: bool,
+    pub forbids_loss: bool,
 }
 
 impl LogHolders {
--- a/crates/linkhold-core/src/service/synchronous_replicas.rs
+++ b/crates/linkhold-core/src/service/synchronous_replicas.rs
@@ -29,7 +29,7 @@
 
     /// Whether no acknowledged commit may be lost: by the present setting alone, so that
     /// operators can give up commits for the sake of a primary.
-    pub fn forbid_loss(&self) -> bool {
+    pub fn forbids_loss(&self) -> bool {
         self.current.is_some_and(|current| current > 0)
     }
 
--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -205,7 +205,7 @@
                 _ => self.received.len(),
             },
             synchronous: self.synchronous,
-            forbid_loss: true,
+            forbids_loss: true,
         }
     }
 
@@ -430,7 +430,7 @@
         let holders = LogHolders {
             instances,
             synchronous,
-            forbid_loss: true,
+            forbids_loss: true,
         };
         holders.reports_needed()
     };
--- a/crates/linkhold-core/tests/service_synchronous_replicas.rs
+++ b/crates/linkhold-core/tests/service_synchronous_replicas.rs
@@ -28,12 +28,12 @@
 fn no_number_of_replicas_is_a_proof_right_after_the_first_is_required() {
     let start = Instant::now();
     let mut settings = SynchronousReplicas::default();
-    assert!(!settings.forbid_loss());
+    assert!(!settings.forbids_loss());
     settings.record(0, start);
-    assert!(!settings.forbid_loss());
+    assert!(!settings.forbids_loss());
     settings.record(1, start);
-    assert!(settings.forbid_loss());
+    assert!(settings.forbids_loss());
     assert_eq!(settings.guaranteed(start), 0);
     settings.record(0, start);
-    assert!(!settings.forbid_loss(), "operators may give up commits");
+    assert!(!settings.forbids_loss(), "operators may give up commits");
 }
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -156,11 +156,11 @@
     let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
-            failover::switchover_candidates(candidates, holders.forbid_loss)
+            failover::switchover_candidates(candidates, holders.forbids_loss)
         }
         FailoverReason::Unknown | FailoverReason::Lost => candidates,
     };
-    let chosen = failover::choose_successor(&candidates, holders.forbid_loss);
+    let chosen = failover::choose_successor(&candidates, holders.forbids_loss);
     let may_be_proved = chosen
         .is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &holders, &chosen.status));
     if !may_be_proved {
@@ -178,7 +178,7 @@
 
 /// Statuses without which no lost primary is replaced.
 pub(super) fn required_statuses(holders: &LogHolders) -> usize {
-    match holders.forbid_loss {
+    match holders.forbids_loss {
         false => 1,
         true => holders.reports_needed(),
     }
@@ -213,7 +213,7 @@
     LogHolders {
         instances: gateway.cluster.count_log_holders(&surveyed.service, now),
         synchronous: synchronous.guaranteed(now),
-        forbid_loss: synchronous.forbid_loss(),
+        forbids_loss: synchronous.forbids_loss(),
     }
 }
 
--- a/crates/linkhold-gateway/src/failover/successor_choice.rs
+++ b/crates/linkhold-gateway/src/failover/successor_choice.rs
@@ -102,7 +102,7 @@
     async fn ask_again(&self) -> StatusReports {
         // Without a proof to gain, instances that did not answer before are not asked.
         let others = self.surveyed.others.iter();
-        let asked = others.filter(|it| self.holders.forbid_loss || self.has_answered(&it.id));
+        let asked = others.filter(|it| self.holders.forbids_loss || self.has_answered(&it.id));
         let reports = Mutex::new(self.surveyed.reports());
         let mut answers: FuturesUnordered<_> = asked
             .map(|instance| ask_until_answered(self.gateway, instance, &reports))
@@ -121,7 +121,7 @@
     fn deadline(&self, reports: &StatusReports) -> Instant {
         let latest = self.grounds.order_by().checked_sub(ORDER_RESERVE);
         let latest = latest.unwrap_or(self.agreed_at);
-        let lacks_proof = self.holders.forbid_loss && !self.is_proved(reports);
+        let lacks_proof = self.holders.forbids_loss && !self.is_proved(reports);
         if lacks_proof || self.needs_all_answers() {
             latest
         } else {
@@ -148,7 +148,7 @@
 
     /// Whether the successor can be chosen without further answers.
     fn is_enough(&self, reports: &StatusReports) -> bool {
-        let is_proved = !self.holders.forbid_loss || self.is_proved(reports);
+        let is_proved = !self.holders.forbids_loss || self.is_proved(reports);
         is_proved && self.have_all_answered_again(reports)
     }
 
@@ -173,9 +173,9 @@
         let service = &self.surveyed.service;
         let reason = self.grounds.reason;
         let candidates = candidates(self.gateway, service, reason, reports.latest());
-        let chosen = failover::choose_successor(&candidates, self.holders.forbid_loss);
+        let chosen = failover::choose_successor(&candidates, self.holders.forbids_loss);
         let chosen = chosen.ok_or(Unsuitable::NoSuccessor)?;
-        if self.holders.forbid_loss && !self.lacks_nothing(reports, &chosen.status.id) {
+        if self.holders.forbids_loss && !self.lacks_nothing(reports, &chosen.status.id) {
             Event::warn("no_successor")
                 .field("service", service)
                 .field("log_holders", self.holders.instances)
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -151,7 +151,7 @@
     let drain = gateway.settings.drain;
     // With synchronous replicas, a successor that lacks commits is not promoted however
     // long the primary has been leaving.
-    let leaving_for = match log_holders(gateway, surveyed).forbid_loss {
+    let leaving_for = match log_holders(gateway, surveyed).forbids_loss {
         false => leaving_for,
         true => Duration::ZERO,
     };
@@ -188,13 +188,13 @@
         preferred,
         &reports,
         log_end,
-        holders.forbid_loss,
+        holders.forbids_loss,
     );
     let end = TermEnd::SteppedDown { log_end };
     let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
         reports.completeness(&it.status.id, &end, &holders)
     });
-    let may_promote = may_promote(gateway, ended, reason, holders.forbid_loss, completeness);
+    let may_promote = may_promote(gateway, ended, reason, holders.forbids_loss, completeness);
     let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
     Event::info("primary_stepped_down")
         .field("service", &surveyed.service)
