Share what the failover change wrote twice

Read again as a newcomer, the change had twins:

- two events no_successor with the same fields: log_no_successor;
- three searches for the survey's status of an instance, one of them older: ServiceSurvey::status_of;
- two names for the time that a question waits for answers: ANSWER_TIMEOUT alone;

No behaviour changes, and the tests keep their assertions.

--- a/crates/linkhold-core/src/service/failover.rs
+++ b/crates/linkhold-core/src/service/failover.rs
@@ -288,9 +288,9 @@
 
 /// The instance to promote: the one that has received most, since no commits are given
 /// up for a better region; among equals one in a primary region, then one that is warm,
-/// then one that stays, then the lowest identity, so that all nodes choose alike. Where no commit
-/// may be lost the received position always decides; elsewhere, a leaving instance is
-/// skipped while there is another.
+/// then one that stays, then the lowest identity, so that all nodes choose alike. Where
+/// no commit may be lost the received position always decides; elsewhere, a leaving
+/// instance is skipped while there is another.
 pub fn choose_successor<'a>(
     candidates: impl IntoIterator<Item = &'a Successor>,
     forbids_loss: bool,
--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -387,21 +387,26 @@
     }
 }
 
+/// Steps before all nodes agree, their agreement, and steps after it.
+fn with_agreement(before: &[Step], after: &[Step]) -> Vec<Step> {
+    let agreement: Vec<Step> = (0..NODES).map(Step::Agree).collect();
+    [before, &agreement, after].concat()
+}
+
 /// A replica is asked, stops receiving, and is promoted after commits that only the
 /// other replica has received.
 #[test]
 fn a_status_from_before_the_agreement_is_no_proof() {
-    let steps = [
-        Step::Ask(1),
-        Step::Ask(2),
-        Step::ToggleReceiving(0),
-        Step::Commit(0),
-        Step::Receive(1),
-        Step::Agree(0),
-        Step::Agree(1),
-        Step::Agree(2),
-        Step::Order,
-    ];
+    let steps = with_agreement(
+        &[
+            Step::Ask(1),
+            Step::Ask(2),
+            Step::ToggleReceiving(0),
+            Step::Commit(0),
+            Step::Receive(1),
+        ],
+        &[Step::Order],
+    );
     assert_eq!(first_loss(3, 1, &steps, Without::Nothing), None);
     assert_eq!(first_loss(3, 1, &steps, Without::Agreement), Some(8));
 }
@@ -409,17 +414,15 @@
 /// The replica that has the commit is not listed, and the other one alone answers.
 #[test]
 fn the_status_of_every_listed_instance_is_no_proof() {
-    let steps = [
-        Step::ToggleReceiving(0),
-        Step::Unlist(1),
-        Step::Commit(0),
-        Step::Receive(1),
-        Step::Agree(0),
-        Step::Agree(1),
-        Step::Agree(2),
-        Step::Ask(1),
-        Step::Order,
-    ];
+    let steps = with_agreement(
+        &[
+            Step::ToggleReceiving(0),
+            Step::Unlist(1),
+            Step::Commit(0),
+            Step::Receive(1),
+        ],
+        &[Step::Ask(1), Step::Order],
+    );
     assert_eq!(first_loss(3, 1, &steps, Without::Nothing), None);
     assert_eq!(first_loss(3, 1, &steps, Without::Unlisted), Some(8));
 }
@@ -446,16 +449,15 @@
 #[test]
 fn a_log_that_reaches_every_reported_commit_lacks_none() {
     let mut run = Run::new(3, 1, Without::Nothing);
-    let steps = [
-        Step::Observe(0),
-        Step::Commit(0),
-        Step::Receive(0),
-        Step::Unlist(1),
-        Step::Agree(0),
-        Step::Agree(1),
-        Step::Agree(2),
-        Step::Ask(1),
-    ];
+    let steps = with_agreement(
+        &[
+            Step::Observe(0),
+            Step::Commit(0),
+            Step::Receive(0),
+            Step::Unlist(1),
+        ],
+        &[Step::Ask(1)],
+    );
     for step in steps {
         run.take(step);
     }
@@ -466,19 +468,17 @@
 /// The node that acknowledged the last commit has started again.
 #[test]
 fn a_node_that_has_forgotten_what_it_acknowledged_proves_nothing() {
-    let steps = [
-        Step::Observe(1),
-        Step::ToggleReceiving(0),
-        Step::Commit(0),
-        Step::Receive(1),
-        Step::Unlist(1),
-        Step::Restart(0),
-        Step::Agree(0),
-        Step::Agree(1),
-        Step::Agree(2),
-        Step::Ask(1),
-        Step::Order,
-    ];
+    let steps = with_agreement(
+        &[
+            Step::Observe(1),
+            Step::ToggleReceiving(0),
+            Step::Commit(0),
+            Step::Receive(1),
+            Step::Unlist(1),
+            Step::Restart(0),
+        ],
+        &[Step::Ask(1), Step::Order],
+    );
     assert_eq!(first_loss(3, 1, &steps, Without::Nothing), None);
     assert_eq!(first_loss(3, 1, &steps, Without::EndedNodes), Some(10));
 }
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -376,11 +376,7 @@
     }
     let mut agreement = confirm_no_primary_reached(gateway, service).await?;
     for instance in &surveyed.others {
-        let answered = surveyed
-            .statuses
-            .iter()
-            .any(|status| status.id == instance.id);
-        if !answered {
+        if surveyed.status_of(&instance.id).is_none() {
             let lost = confirm_lost(gateway, instance).await;
             agreement = combine_or_release(gateway, Some(agreement), lost).await?;
         }
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -32,6 +32,11 @@
 }
 
 impl ServiceSurvey {
+    /// The status of an instance; `None` if it did not answer.
+    pub(super) fn status_of(&self, id: &InstanceId) -> Option<&InstanceStatus> {
+        self.statuses.iter().find(|status| status.id == *id)
+    }
+
     /// The statuses with the time of the question.
     pub(super) fn reports(&self) -> StatusReports {
         let mut reports = StatusReports::default();
@@ -164,20 +169,30 @@
     let may_be_proved = chosen
         .is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &holders, &chosen.status));
     if !may_be_proved {
-        Event::warn("no_successor")
-            .field("service", service)
-            .field("log_holders", holders.instances)
-            .field("statuses", surveyed.statuses.len())
-            .field("candidates", candidates.len())
-            .field("required", required_statuses(&holders))
-            .log();
+        log_no_successor(service, &holders, surveyed.statuses.len(), candidates.len());
         return None;
     }
     chosen.cloned()
 }
 
+/// Logs that no instance may be promoted, and of how many which were required.
+pub(super) fn log_no_successor(
+    service: &str,
+    holders: &LogHolders,
+    statuses: usize,
+    candidates: usize,
+) {
+    Event::warn("no_successor")
+        .field("service", service)
+        .field("log_holders", holders.instances)
+        .field("statuses", statuses)
+        .field("candidates", candidates)
+        .field("required", required_statuses(holders))
+        .log();
+}
+
 /// Statuses without which no lost primary is replaced.
-pub(super) fn required_statuses(holders: &LogHolders) -> usize {
+fn required_statuses(holders: &LogHolders) -> usize {
     match holders.forbids_loss {
         false => 1,
         true => holders.reports_needed(),
--- a/crates/linkhold-gateway/src/failover/successor_choice.rs
+++ b/crates/linkhold-gateway/src/failover/successor_choice.rs
@@ -14,12 +14,11 @@
 use linkhold_core::service::log_completeness::{
     LogCompleteness, LogHolders, StatusReports, TermEnd,
 };
-use linkhold_events::Event;
 use tokio::time::{sleep, timeout_at};
 
 use super::FailoverReason;
 use super::order::Grounds;
-use super::service_survey::{ServiceSurvey, candidates, log_holders, required_statuses};
+use super::service_survey::{ServiceSurvey, candidates, log_holders, log_no_successor};
 use crate::cluster_state::lock;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
@@ -102,7 +101,8 @@
     async fn ask_again(&self) -> StatusReports {
         // Without a proof to gain, instances that did not answer before are not asked.
         let others = self.surveyed.others.iter();
-        let asked = others.filter(|it| self.holders.forbids_loss || self.has_answered(&it.id));
+        let has_answered = |it: &&Arc<Instance>| self.surveyed.status_of(&it.id).is_some();
+        let asked = others.filter(|it| self.holders.forbids_loss || has_answered(it));
         let reports = Mutex::new(self.surveyed.reports());
         let mut answers: FuturesUnordered<_> = asked
             .map(|instance| ask_until_answered(self.gateway, instance, &reports))
@@ -129,12 +129,6 @@
         }
     }
 
-    /// Whether an instance answered before the nodes agreed.
-    fn has_answered(&self, id: &InstanceId) -> bool {
-        let mut statuses = self.surveyed.statuses.iter();
-        statuses.any(|status| status.id == *id)
-    }
-
     /// Whether all instances that answered before have to answer again: where no primary
     /// is known, no node agreed that these are lost.
     fn needs_all_answers(&self) -> bool {
@@ -176,13 +170,8 @@
         let chosen = failover::choose_successor(&candidates, self.holders.forbids_loss);
         let chosen = chosen.ok_or(Unsuitable::NoSuccessor)?;
         if self.holders.forbids_loss && !self.lacks_nothing(reports, &chosen.status.id) {
-            Event::warn("no_successor")
-                .field("service", service)
-                .field("log_holders", self.holders.instances)
-                .field("statuses", reports.since(self.agreed_at).count())
-                .field("candidates", candidates.len())
-                .field("required", required_statuses(&self.holders))
-                .log();
+            let statuses = reports.since(self.agreed_at).count();
+            log_no_successor(service, &self.holders, statuses, candidates.len());
             return Err(Unsuitable::NoSuccessor);
         }
         Ok(chosen.status.clone())
@@ -216,8 +205,8 @@
 /// Whether an instance that did not report being primary before does so now.
 fn has_new_primary(surveyed: &ServiceSurvey, reports: &StatusReports) -> bool {
     let was_primary = |id: &InstanceId| {
-        let mut statuses = surveyed.statuses.iter();
-        statuses.any(|it| it.id == *id && it.role == Role::Primary)
+        let status = surveyed.status_of(id);
+        status.is_some_and(|status| status.role == Role::Primary)
     };
     reports
         .latest()
--- a/crates/linkhold-gateway/src/peers/acknowledged.rs
+++ b/crates/linkhold-gateway/src/peers/acknowledged.rs
@@ -6,12 +6,10 @@
 use linkhold_core::service::acknowledged::NodeReport;
 use linkhold_peer::{AcknowledgedCommits, milliseconds};
 
+use super::questions::ANSWER_TIMEOUT;
 use crate::gateway::Gateway;
 use crate::ports::Platform;
 
-/// Longest time after its question within which an answer counts.
-pub(super) const MAX_DELAY: Duration = Duration::from_millis(620);
-
 /// What this node knows of the commits of a service that it acknowledged. Complete only
 /// once the node acknowledges nothing more.
 pub(crate) fn own_report<P: Platform>(gateway: &Gateway<P>, service: &str) -> NodeReport {
@@ -36,13 +34,13 @@
 }
 
 /// The report in an answer that has just arrived, in this node's time; `None` if it has
-/// impossible ages. The answer was on its way for up to [`MAX_DELAY`]: the process
+/// impossible ages. The answer was on its way for up to [`ANSWER_TIMEOUT`]: the process
 /// started no later, and the evidence is no older, than is assumed.
 pub(super) fn decode(commits: AcknowledgedCommits) -> Option<NodeReport> {
     let now = Instant::now();
     let before = |age_ms: u64| now.checked_sub(Duration::from_millis(age_ms));
     let evidence_at = match commits.evidence_age_ms {
-        Some(age_ms) => Some(before(age_ms)?.checked_sub(MAX_DELAY)?),
+        Some(age_ms) => Some(before(age_ms)?.checked_sub(ANSWER_TIMEOUT)?),
         None => None,
     };
     Some(NodeReport {
--- a/crates/linkhold-gateway/src/peers/questions.rs
+++ b/crates/linkhold-gateway/src/peers/questions.rs
@@ -17,14 +17,13 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
-use super::acknowledged::MAX_DELAY;
 use crate::gateway::Gateway;
 use crate::ports::{Platform, StoreError};
 use crate::registration;
 use crate::state::PeerAnswer;
 
 /// How long to wait for answers: a peer tries the instance itself.
-const ANSWER_TIMEOUT: Duration = MAX_DELAY;
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(620);
 /// Datagrams may be lost: unanswered peers are asked a second time after this.
 const REPEAT_AFTER: Duration = Duration::from_millis(120);
 
