--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -142,6 +142,11 @@
         self.nodes.iter().position(|node| node.place.name == holder)
     }
 
+    /// Milliseconds of the case.
+    fn ms(&self) -> u64 {
+        (self.start + CALM).elapsed().as_millis() as u64
+    }
+
     /// Waits until a moment of the case.
     fn until(&self, ms: u64) {
         let at = self.start + CALM + Duration::from_millis(ms);
@@ -301,29 +306,40 @@
     Ok(world.end(was_served, Rule::Lost))
 }
 
-/// The same loss of power ends the primary, one replica and all nodes. The nodes are back after
-/// 3.9 s, the replica, with its log, after 7 s; the primary is lost for good. The other replica
-/// receives nothing for 6 s, from 1.5 s before the loss.
+/// The same loss of power ends the primary, one replica and all nodes. The nodes are back once the
+/// entries of the two instances have lapsed, 3.9 s later at the latest; the log of the replica is
+/// back after 7 s; the primary is lost for good. The other replica receives nothing for 6 s, from
+/// 1.5 s before the loss or a little more.
 fn forgotten_instances(folder: &str, trouble: bool) -> std::io::Result<i32> {
     let mut world = World::start(folder, 3, 1)?;
     world.until(0);
     let was_served = world.was_served();
     if trouble {
-        world.group.set_deaf(2, true);
+        let group = world.group.clone();
+        group.set_deaf(2, true);
         world.until(1_500);
-        world.group.crash(0);
-        world.group.crash(1);
+        // The later after their entries were written, the sooner these lapse.
+        let is_late = |index| group.entry_age(index) > Duration::from_millis(900);
+        while !(is_late(0) && is_late(1)) && world.ms() < 3_500 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        group.crash(0);
+        group.crash(1);
         for node in &mut world.nodes {
             node.kill();
         }
-        world.until(5_400);
+        let lost_at = world.ms();
+        let is_listed = |index| world.store.read("servers", &group.name(index)).is_some();
+        while (is_listed(0) || is_listed(1)) && world.ms() < lost_at + 3_900 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
         for node in &mut world.nodes {
             node.run()?;
         }
         world.until(6_000);
-        world.group.set_deaf(2, false);
-        world.until(8_500);
-        world.group.restart(1, false);
+        group.set_deaf(2, false);
+        world.until(lost_at + 7_000);
+        group.restart(1, false);
     }
     world.until(20_000);
     Ok(world.end(was_served, Rule::Lost))
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -191,6 +191,17 @@
         member.map_or(0, |it| commits.iter().filter(|id| !it.has(id)).count())
     }
 
+    /// How long ago an instance wrote its entry.
+    pub fn entry_age(&self, index: usize) -> Duration {
+        let beat_at = self.lock().members[index].beat_at;
+        beat_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// The name of an instance.
+    pub fn name(&self, index: usize) -> String {
+        self.lock().members[index].name.clone()
+    }
+
     /// Ends the process of an instance. Its connections are reset or closed by its system.
     pub fn crash(&self, index: usize) {
         let mut inner = self.lock();
@@ -208,16 +219,20 @@
         self.changed.notify_all();
     }
 
-    /// Starts an instance again. It has its log, or holds nothing of before.
+    /// Starts an instance again: under its id, and then it holds nothing of before, or with its log,
+    /// as a new instance at its address.
     pub fn restart(&self, index: usize, holds_nothing: bool) {
         let mut inner = self.lock();
         let newest = inner.members.iter().map(|it| it.term).max().unwrap_or(0);
         let member = &mut inner.members[index];
+        member.sequence = 0;
         if holds_nothing {
             member.log.clear();
             member.term = 0;
             member.leads = false;
-            member.sequence = 0;
+        } else {
+            // Under its old id an instance would hold nothing.
+            member.name.push_str("-again");
         }
         // A crashed primary is a replica if another was promoted.
         member.leads &= member.term == newest;
