Keep in the store which logs may hold acknowledged commits

Cause, shared by both: the proof that a log is complete counts the logs that answer against those that may hold a commit. Which these are was a number in the memory of each node, and ended with the nodes; and a status counted as the log of its instance, whether or not that still had it.

The store now keeps the members of each log group. No commit is sent or acknowledged before the stored record names every instance that the node knows, so that a record which is read after all nodes have agreed names every log that counts. A member whose instance starts again has lost its log, which counts for nothing and is missing all the same until it has reached a position that was proved since. Nothing leaves the record without such a proof. A hand-over takes only positions from after the primary has stepped down, where no commit may be lost: the same fault on another path.

A primary lost alone with all nodes is replaced as before, and so is one beside a replica that has caught up.

Services without synchronous replicas read and write nothing more.

--- a/crates/linkhold-core/src/service/directory/mod.rs
+++ b/crates/linkhold-core/src/service/directory/mod.rs
@@ -384,6 +384,13 @@
         self.entries.get(id).map(|entry| &entry.instance)
     }
 
+    /// The instances of all services that are currently listed.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Instance>> {
+        let listed = self.entries.values();
+        let listed = listed.filter(|entry| entry.missing_since.is_none());
+        listed.map(|entry| &entry.instance)
+    }
+
     /// The instances of a service.
     pub fn instances(&self, service: &str) -> impl Iterator<Item = &Arc<Instance>> {
         let ids = self.by_service.get(service).into_iter().flatten();
--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -15,6 +15,7 @@
 pub mod instance;
 pub mod listing;
 pub mod log_completeness;
+pub mod log_group;
 pub mod owners;
 pub mod permission;
 pub mod placement;
--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -10,6 +10,7 @@
 use linkhold_core::service::log_completeness::{
     LogCompleteness, LogHolders, StatusReport, StatusReports, TermEnd,
 };
+use linkhold_core::service::log_group::{LogGroup, LogMember, LogState};
 use proptest::prelude::*;
 
 const NODES: usize = 3;
@@ -19,6 +20,16 @@
     InstanceId(format!("instance-{index}").into())
 }
 
+fn intact_log(index: usize) -> LogMember {
+    LogMember {
+        id: id(index),
+        former: Vec::new(),
+        address: None,
+        state: LogState::Intact,
+        is_leaving: false,
+    }
+}
+
 /// A step of a service whose primary is instance 0, and of the nodes that use it.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -198,12 +209,14 @@
     }
 
     fn holders(&self) -> LogHolders {
-        let listed = self.is_listed.iter().filter(|is_listed| **is_listed);
+        let counts = |index: &usize| self.without != Without::Unlisted || self.is_listed[*index];
+        let members = (0..self.received.len()).filter(counts).map(intact_log);
         LogHolders {
-            instances: match self.without {
-                Without::Unlisted => listed.count(),
-                _ => self.received.len(),
+            group: LogGroup {
+                members: members.collect(),
+                synchronous: self.synchronous,
             },
+            instances: 0,
             synchronous: self.synchronous,
             forbids_loss: true,
         }
@@ -287,6 +300,7 @@
             }
             Step::EndTerm if !self.has_stepped_down() => {
                 self.end = Some(TermEnd::SteppedDown {
+                    at: self.now,
                     log_end: Position::new(1, self.received[0]),
                 });
                 self.ended_at = self.now;
@@ -431,6 +445,7 @@
 fn enough_instances_must_have_reported_so_that_one_has_every_commit() {
     let needed = |instances, synchronous| {
         let holders = LogHolders {
+            group: LogGroup::default(),
             instances,
             synchronous,
             forbids_loss: true,
--- a/crates/linkhold-gateway/src/cluster_state.rs
+++ b/crates/linkhold-gateway/src/cluster_state.rs
@@ -8,6 +8,7 @@
 mod primaries;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -173,6 +174,21 @@
         known.get(service).cloned().unwrap_or_default()
     }
 
+    /// Whether no acknowledged commit of a service may be lost.
+    pub fn forbids_loss(&self, service: &str) -> bool {
+        let known = lock(&self.synchronous_replicas);
+        known
+            .get(service)
+            .is_some_and(SynchronousReplicas::forbids_loss)
+    }
+
+    /// Services of which no acknowledged commit may be lost.
+    pub fn services_that_forbid_loss(&self) -> Vec<ServiceName> {
+        let known = lock(&self.synchronous_replicas);
+        let services = known.iter().filter(|(_, settings)| settings.forbids_loss());
+        services.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Limits of a service; `None` if it is not configured.
     pub fn limits(&self, service: &str) -> Option<ServiceLimits> {
         self.configuration()?.services.get(service).copied()
@@ -352,6 +368,22 @@
             .collect()
     }
 
+    /// The instances of a service that are listed at present.
+    pub fn listed_instances(&self, service: &str) -> Vec<Arc<Instance>> {
+        let instances = lock(&self.instances);
+        let known = instances.directory.instances(service);
+        let listed = known.filter(|instance| instances.directory.is_listed(&instance.id));
+        listed.cloned().collect()
+    }
+
+    /// The addresses of the listed instances of other services.
+    pub fn addresses_of_other_services(&self, service: &str) -> HashSet<SocketAddr> {
+        let instances = lock(&self.instances);
+        let others = instances.directory.listed();
+        let others = others.filter(|instance| *instance.service != *service);
+        others.map(|instance| instance.address).collect()
+    }
+
     /// Number of instances that may hold commits of a service, listed or not.
     pub fn count_log_holders(&self, service: &str, now: Instant) -> usize {
         lock(&self.instances)
--- a/crates/linkhold-gateway/src/failover/mod.rs
+++ b/crates/linkhold-gateway/src/failover/mod.rs
@@ -35,7 +35,7 @@
 
 pub(crate) use advance_claims::claim_leases_in_advance;
 pub(crate) use lease::{read_promotion_record, recent_claims};
-pub(crate) use recorder::update_promotion_records;
+pub(crate) use recorder::{is_recorder, update_promotion_records};
 
 /// How often services are checked for leaving primaries.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/linkhold-gateway/src/failover/recorder.rs
+++ b/crates/linkhold-gateway/src/failover/recorder.rs
@@ -57,7 +57,7 @@
 /// Whether this node records a service's terms: it is the first owner of its primary's
 /// connections, which sees the log, or first in rank where every node has connections
 /// of its own.
-fn is_recorder<P: Platform>(gateway: &Gateway<P>, service: &ServiceName) -> bool {
+pub(crate) fn is_recorder<P: Platform>(gateway: &Gateway<P>, service: &ServiceName) -> bool {
     let primary = gateway.cluster.primary(service);
     let owners = primary.and_then(|it| gateway.pools.designated_owners(&it, &gateway.cluster));
     match owners {
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -16,6 +16,7 @@
 use super::diagnosis::learn_primary;
 use crate::evidence::{primary_verification, survey};
 use crate::gateway::Gateway;
+use crate::log_group;
 use crate::ports::Platform;
 
 /// Instances of a service and their statuses, as surveyed before its primary is
@@ -28,6 +29,8 @@
     asked_at: Instant,
     /// Statuses of those of `others` that answered.
     pub(super) statuses: Vec<InstanceStatus>,
+    /// The logs that may hold commits, as read while the instances were asked.
+    holders: LogHolders,
     pub(super) old: Option<Arc<Instance>>,
 }
 
@@ -37,6 +40,14 @@
         self.statuses.iter().find(|status| status.id == *id)
     }
 
+    /// Number of logs of which the statuses tell, or of statuses where they prove nothing.
+    fn count_logs(&self) -> usize {
+        match self.holders.forbids_loss {
+            true => self.reports().count_logs(self.asked_at, &self.holders),
+            false => self.statuses.len(),
+        }
+    }
+
     /// The statuses with the time of the question.
     pub(super) fn reports(&self) -> StatusReports {
         let mut reports = StatusReports::default();
@@ -63,7 +74,10 @@
         .filter(|instance| old.as_ref().is_none_or(|old| old.id != instance.id))
         .collect();
     let asked_at = Instant::now();
-    let statuses = survey::statuses(gateway, &others).await;
+    let (statuses, holders) = tokio::join!(
+        survey::statuses(gateway, &others),
+        log_group::read_holders(gateway, service),
+    );
     for status in &statuses {
         gateway.cluster.observe_term(service, status.term);
     }
@@ -72,6 +86,7 @@
         others,
         asked_at,
         statuses,
+        holders,
         old,
     }
 }
@@ -135,6 +150,9 @@
     let evidence = newest_evidence(gateway, service);
     statuses
         .into_iter()
+        // An order names an instance without its incarnation: one that has ended would
+        // promote the one that has begun.
+        .filter(|status| gateway.cluster.instance(&status.id).is_some())
         .filter(|status| failover::has_current_term(status, evidence))
         .map(|status| Successor {
             status: status.clone(),
@@ -157,7 +175,7 @@
     reason: FailoverReason,
     surveyed: &ServiceSurvey,
 ) -> Option<Successor> {
-    let holders = log_holders(gateway, surveyed);
+    let holders = &surveyed.holders;
     let candidates = candidates(gateway, service, reason, &surveyed.statuses);
     let candidates = match reason {
         FailoverReason::Leaving | FailoverReason::Misplaced => {
@@ -166,10 +184,10 @@
         FailoverReason::Unknown | FailoverReason::Lost => candidates,
     };
     let chosen = failover::choose_successor(&candidates, holders.forbids_loss);
-    let may_be_proved = chosen
-        .is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &holders, &chosen.status));
+    let may_be_proved =
+        chosen.is_some_and(|chosen| may_be_proved(gateway, reason, surveyed, &chosen.status));
     if !may_be_proved {
-        log_no_successor(service, &holders, surveyed.statuses.len(), candidates.len());
+        log_no_successor(service, holders, surveyed.count_logs(), candidates.len());
         return None;
     }
     chosen.cloned()
@@ -184,7 +202,7 @@
 ) {
     Event::warn("no_successor")
         .field("service", service)
-        .field("log_holders", holders.instances)
+        .field("log_holders", holders.logs())
         .field("statuses", statuses)
         .field("candidates", candidates)
         .field("required", required_statuses(holders))
@@ -205,7 +223,6 @@
     gateway: &Gateway<P>,
     reason: FailoverReason,
     surveyed: &ServiceSurvey,
-    holders: &LogHolders,
     most_advanced: &InstanceStatus,
 ) -> bool {
     match reason {
@@ -213,25 +230,11 @@
         FailoverReason::Lost | FailoverReason::Unknown => {
             let known = gateway.cluster.newest_acknowledged(&surveyed.service);
             let has_known = reason == FailoverReason::Lost && Some(most_advanced.received) >= known;
-            has_known || surveyed.statuses.len() >= required_statuses(holders)
+            has_known || surveyed.count_logs() >= required_statuses(&surveyed.holders)
         }
     }
 }
 
-/// The instances that may hold commits of a surveyed service.
-pub(super) fn log_holders<P: Platform>(
-    gateway: &Gateway<P>,
-    surveyed: &ServiceSurvey,
-) -> LogHolders {
-    let now = Instant::now();
-    let synchronous = gateway.cluster.synchronous_replicas(&surveyed.service);
-    LogHolders {
-        instances: gateway.cluster.count_log_holders(&surveyed.service, now),
-        synchronous: synchronous.guaranteed(now),
-        forbids_loss: synchronous.forbids_loss(),
-    }
-}
-
 /// The lowest position at which a log lacks nothing that is proved, nor the newest
 /// proved term.
 fn newest_evidence<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Position> {
--- a/crates/linkhold-gateway/src/failover/successor_choice.rs
+++ b/crates/linkhold-gateway/src/failover/successor_choice.rs
@@ -14,14 +14,15 @@
 use linkhold_core::service::log_completeness::{
     LogCompleteness, LogHolders, StatusReports, TermEnd,
 };
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{sleep, sleep_until};
 
 use super::FailoverReason;
 use super::order::Grounds;
-use super::service_survey::{ServiceSurvey, candidates, log_holders, log_no_successor};
+use super::service_survey::{ServiceSurvey, candidates, log_no_successor};
 use crate::cluster_state::lock;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
+use crate::log_group;
 use crate::ports::Platform;
 
 /// Pause between status requests to an instance that has not answered.
@@ -73,16 +74,15 @@
     grounds: &'a Grounds,
     agreed_at: Instant,
     end: TermEnd,
-    holders: LogHolders,
+    forbids_loss: bool,
+    /// The logs that may hold commits, once their record has been read.
+    holders: Mutex<LogHolders>,
 }
 
 impl<'a, P: Platform> Choice<'a, P> {
     fn new(gateway: &'a Gateway<P>, surveyed: &'a ServiceSurvey, grounds: &'a Grounds) -> Self {
         let agreed_at = Instant::now();
-        let mut holders = log_holders(gateway, surveyed);
-        if let Some(agreement) = &grounds.agreement {
-            holders.instances = holders.instances.max(agreement.log_holders);
-        }
+        let forbids_loss = gateway.cluster.forbids_loss(&surveyed.service);
         Self {
             gateway,
             surveyed,
@@ -92,8 +92,25 @@
                 at: agreed_at,
                 acknowledged: acknowledged_bound(grounds),
             },
-            holders,
+            forbids_loss,
+            // Until the record has been read, no statuses are a proof.
+            holders: Mutex::new(LogHolders {
+                forbids_loss,
+                ..LogHolders::default()
+            }),
+        }
+    }
+
+    /// Reads which logs may hold commits: after the agreement, so that every commit that
+    /// was acknowledged before it counts on logs in the record.
+    async fn read_holders(&self) {
+        let mut holders = log_group::read_holders(self.gateway, &self.surveyed.service).await;
+        if let Some(agreement) = &self.grounds.agreement {
+            holders.instances = holders.instances.max(agreement.log_holders);
         }
+        // A setting that changed meanwhile counts for the next choice.
+        holders.forbids_loss = self.forbids_loss;
+        *lock(&self.holders) = holders;
     }
 
     /// Asks the instances for their statuses until enough have answered, or for as long
@@ -102,17 +119,25 @@
         // Without a proof to gain, instances that did not answer before are not asked.
         let others = self.surveyed.others.iter();
         let has_answered = |it: &&Arc<Instance>| self.surveyed.status_of(&it.id).is_some();
-        let asked = others.filter(|it| self.holders.forbids_loss || has_answered(it));
+        let asked = others.filter(|it| self.forbids_loss || has_answered(it));
         let reports = Mutex::new(self.surveyed.reports());
         let mut answers: FuturesUnordered<_> = asked
             .map(|instance| ask_until_answered(self.gateway, instance, &reports))
             .collect();
-        while !self.is_enough(&lock(&reports)) {
-            let deadline = self.deadline(&lock(&reports));
-            // Both the deadline and the last answer end the wait.
-            let Ok(Some(())) = timeout_at(deadline.into(), answers.next()).await else {
+        let reading = self.read_holders();
+        tokio::pin!(reading);
+        let mut is_read = !self.forbids_loss;
+        loop {
+            let has_every_answer = is_read && answers.is_empty();
+            if has_every_answer || self.is_enough(&lock(&reports)) {
                 break;
-            };
+            }
+            let deadline = self.deadline(&lock(&reports));
+            tokio::select! {
+                () = &mut reading, if !is_read => is_read = true,
+                Some(()) = answers.next() => {}
+                () = sleep_until(deadline.into()) => break,
+            }
         }
         drop(answers);
         reports.into_inner().unwrap_or_else(PoisonError::into_inner)
@@ -121,7 +146,7 @@
     fn deadline(&self, reports: &StatusReports) -> Instant {
         let latest = self.grounds.order_by().checked_sub(ORDER_RESERVE);
         let latest = latest.unwrap_or(self.agreed_at);
-        let lacks_proof = self.holders.forbids_loss && !self.is_proved(reports);
+        let lacks_proof = self.forbids_loss && !self.is_proved(reports);
         if lacks_proof || self.needs_all_answers() {
             latest
         } else {
@@ -142,7 +167,7 @@
 
     /// Whether the successor can be chosen without further answers.
     fn is_enough(&self, reports: &StatusReports) -> bool {
-        let is_proved = !self.holders.forbids_loss || self.is_proved(reports);
+        let is_proved = !self.forbids_loss || self.is_proved(reports);
         is_proved && self.have_all_answered_again(reports)
     }
 
@@ -153,7 +178,7 @@
     }
 
     fn lacks_nothing(&self, reports: &StatusReports, id: &InstanceId) -> bool {
-        let completeness = reports.completeness(id, &self.end, &self.holders);
+        let completeness = reports.completeness(id, &self.end, &lock(&self.holders));
         completeness > LogCompleteness::MayLackCommits
     }
 
@@ -167,11 +192,12 @@
         let service = &self.surveyed.service;
         let reason = self.grounds.reason;
         let candidates = candidates(self.gateway, service, reason, reports.latest());
-        let chosen = failover::choose_successor(&candidates, self.holders.forbids_loss);
+        let chosen = failover::choose_successor(&candidates, self.forbids_loss);
         let chosen = chosen.ok_or(Unsuitable::NoSuccessor)?;
-        if self.holders.forbids_loss && !self.lacks_nothing(reports, &chosen.status.id) {
-            let statuses = reports.since(self.agreed_at).count();
-            log_no_successor(service, &self.holders, statuses, candidates.len());
+        if self.forbids_loss && !self.lacks_nothing(reports, &chosen.status.id) {
+            let holders = lock(&self.holders);
+            let logs = reports.count_logs(self.agreed_at, &holders);
+            log_no_successor(service, &holders, logs, candidates.len());
             return Err(Unsuitable::NoSuccessor);
         }
         Ok(chosen.status.clone())
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -8,13 +8,15 @@
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::failover::{self, FailoverLease, InstanceStatus, Successor};
 use linkhold_core::service::instance::{Instance, InstanceId, Role};
-use linkhold_core::service::log_completeness::{LogCompleteness, StatusReports, TermEnd};
+use linkhold_core::service::log_completeness::{
+    LogCompleteness, LogHolders, StatusReports, TermEnd,
+};
 use linkhold_events::Event;
 use tokio::time::{sleep, timeout_at};
 
 use super::lease::claim;
 use super::order::{Grounds, OrderOutcome, order};
-use super::service_survey::{ServiceSurvey, candidates, log_holders};
+use super::service_survey::{ServiceSurvey, candidates};
 use super::{FailoverReason, is_diagnosis_current};
 use crate::cluster_state::lock;
 use crate::evidence::survey;
@@ -151,7 +153,7 @@
     let drain = gateway.settings.drain;
     // With synchronous replicas, a successor that lacks commits is not promoted however
     // long the primary has been leaving.
-    let leaving_for = match log_holders(gateway, surveyed).forbids_loss {
+    let leaving_for = match gateway.cluster.forbids_loss(&surveyed.service) {
         false => leaving_for,
         true => Duration::ZERO,
     };
@@ -169,6 +171,25 @@
     Some(ended)
 }
 
+/// The log of a primary that stepped down.
+struct EndedLog {
+    end: Position,
+    /// When the primary had stepped down.
+    ended_at: Instant,
+    /// Whether no acknowledged commit may be lost.
+    forbids_loss: bool,
+}
+
+impl EndedLog {
+    /// Whether an instance has received all of it. Where no commit may be lost, only what
+    /// the instance reported since the end counts: it may have started again with an
+    /// empty log.
+    fn is_reached_by(&self, id: &InstanceId, reports: &StatusReports) -> bool {
+        let since = self.forbids_loss.then_some(self.ended_at);
+        reports.has_reached(id, self.end, since)
+    }
+}
+
 /// Waits until an instance has received the whole log of a primary that stepped down,
 /// and returns its status. Any candidate may take over: the one that was ahead before
 /// may have stopped receiving since. `None` if the old primary is to be restored.
@@ -179,27 +200,32 @@
     ended: &InstanceStatus,
     reason: FailoverReason,
 ) -> Option<InstanceStatus> {
-    let log_end = ended.received;
-    let reports = wait_for_whole_log(gateway, surveyed, preferred, log_end, reason).await;
+    let forbids_loss = gateway.cluster.forbids_loss(&surveyed.service);
+    let log = EndedLog {
+        end: ended.received,
+        ended_at: Instant::now(),
+        forbids_loss,
+    };
+    let reports = wait_for_whole_log(gateway, surveyed, preferred, &log, reason).await;
     let candidates = candidates(gateway, &surveyed.service, reason, reports.latest());
-    let holders = log_holders(gateway, surveyed);
-    let chosen = choose(
-        &candidates,
-        preferred,
-        &reports,
-        log_end,
-        holders.forbids_loss,
-    );
-    let end = TermEnd::SteppedDown { log_end };
+    let chosen = choose(&candidates, preferred, &reports, &log);
+    let end = TermEnd::SteppedDown {
+        at: log.ended_at,
+        log_end: log.end,
+    };
+    let holders = LogHolders {
+        forbids_loss,
+        ..LogHolders::default()
+    };
     let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
         reports.completeness(&it.status.id, &end, &holders)
     });
-    let may_promote = may_promote(gateway, ended, reason, holders.forbids_loss, completeness);
+    let may_promote = may_promote(gateway, ended, reason, forbids_loss, completeness);
     let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
     Event::info("primary_stepped_down")
         .field("service", &surveyed.service)
         .field("old", &ended.id)
-        .field("position", log_end)
+        .field("position", log.end)
         .field("successor", chosen.map_or(preferred, |it| &it.status.id))
         .field("successor_position", position)
         .field("log", format_args!("{completeness:?}"))
@@ -215,19 +241,18 @@
     candidates: &'a [Successor],
     preferred: &InstanceId,
     reports: &StatusReports,
-    log_end: Position,
-    forbids_loss: bool,
+    log: &EndedLog,
 ) -> Option<&'a Successor> {
-    let is_whole = |it: &&Successor| reports.has_reached(&it.status.id, log_end);
+    let is_whole = |it: &&Successor| log.is_reached_by(&it.status.id, reports);
     let whole: Vec<&Successor> = candidates.iter().filter(is_whole).collect();
     let is_preferred = |it: &&&Successor| it.status.id == *preferred;
     if let Some(preferred) = whole.iter().find(is_preferred) {
         return Some(preferred);
     }
     if whole.is_empty() {
-        failover::choose_successor(candidates, forbids_loss)
+        failover::choose_successor(candidates, log.forbids_loss)
     } else {
-        failover::choose_successor(whole, forbids_loss)
+        failover::choose_successor(whole, log.forbids_loss)
     }
 }
 
@@ -261,7 +286,7 @@
     gateway: &Gateway<P>,
     surveyed: &ServiceSurvey,
     preferred: &InstanceId,
-    log_end: Position,
+    log: &EndedLog,
     reason: FailoverReason,
 ) -> StatusReports {
     let limit = match reason {
@@ -271,7 +296,7 @@
         }
     };
     let earlier = surveyed.reports();
-    if earlier.has_reached(preferred, log_end) {
+    if log.is_reached_by(preferred, &earlier) {
         return earlier;
     }
     let started_at = Instant::now();
@@ -280,7 +305,7 @@
     let reports = Mutex::new(earlier);
     let polls = surveyed.others.iter();
     let mut polls: FuturesUnordered<_> = polls
-        .map(|instance| poll_until_whole(gateway, instance, log_end, &reports))
+        .map(|instance| poll_until_whole(gateway, instance, log.end, &reports))
         .collect();
     let may_follow = |status: &InstanceStatus| {
         !candidates(gateway, &surveyed.service, reason, [status]).is_empty()
--- a/crates/linkhold-gateway/src/gateway.rs
+++ b/crates/linkhold-gateway/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::ports::{BackendConnector, Platform};
 use crate::settings::GatewaySettings;
 use crate::state::{
-    EvidenceQuestions, Fleet, FleetSource, Forwarding, OwnRow, Peers, PrimaryVerifications,
-    PromotionRecords, ReaderLink, Relays, Sources, WarmUps,
+    EvidenceQuestions, Fleet, FleetSource, Forwarding, LogGroups, OwnRow, Peers,
+    PrimaryVerifications, PromotionRecords, ReaderLink, Relays, Sources, WarmUps,
 };
 use crate::store_era::StoreEra;
 use crate::watchers::Watchers;
@@ -59,6 +59,7 @@
     pub(crate) watchers: Watchers,
     pub(crate) primary_verifications: PrimaryVerifications,
     pub(crate) promotion_records: PromotionRecords,
+    pub(crate) log_groups: LogGroups,
     pub(crate) store_era: StoreEra,
     pub(crate) quotas: Quotas,
     pub(crate) warm_ups: WarmUps,
@@ -118,6 +119,7 @@
             watchers: Watchers::default(),
             primary_verifications: PrimaryVerifications::default(),
             promotion_records: PromotionRecords::default(),
+            log_groups: LogGroups::default(),
             store_era: StoreEra::default(),
             quotas: Quotas::default(),
             warm_ups: WarmUps::default(),
--- a/crates/linkhold-gateway/src/lib.rs
+++ b/crates/linkhold-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod lease_format;
 pub mod lifecycle;
 mod liveness;
+mod log_group;
 pub mod metrics;
 mod name_conflicts;
 mod observations;
@@ -67,5 +68,7 @@
     tokio::spawn(failover::watch_primaries(gateway.clone()));
     tokio::spawn(failover::claim_leases_in_advance(gateway.clone()));
     tokio::spawn(failover::update_promotion_records(gateway.clone()));
+    tokio::spawn(log_group::keep_recorded(gateway.clone()));
+    tokio::spawn(log_group::keep_proved(gateway.clone()));
     tokio::spawn(warm_up::watch_instances(gateway.clone()));
 }
--- a/crates/linkhold-gateway/src/peers/acknowledged.rs
+++ b/crates/linkhold-gateway/src/peers/acknowledged.rs
@@ -17,10 +17,17 @@
         remembers_since: gateway.started_at,
         evidence_at: gateway.cluster.latest_evidence(service),
         newest: gateway.cluster.newest_acknowledged(service),
-        log_holders: gateway.cluster.count_log_holders(service, Instant::now()),
+        log_holders: count_log_holders(gateway, service),
     }
 }
 
+/// Number of logs that may hold commits of a service, as this node knows.
+fn count_log_holders<P: Platform>(gateway: &Gateway<P>, service: &str) -> usize {
+    let recorded = gateway.log_groups.latest(service);
+    let recorded = recorded.map_or(0, |group| group.members.len());
+    recorded.max(gateway.cluster.count_log_holders(service, Instant::now()))
+}
+
 /// [`own_report`] as other nodes receive it.
 pub(super) fn commits<P: Platform>(gateway: &Gateway<P>, service: &str) -> AcknowledgedCommits {
     let report = own_report(gateway, service);
--- a/crates/linkhold-gateway/src/ports/store.rs
+++ b/crates/linkhold-gateway/src/ports/store.rs
@@ -154,6 +154,8 @@
     Leases,
     /// Leases that were claimed for a successor, as they were last claimed.
     Claims,
+    /// The logs that may hold commits of each service with synchronous replicas.
+    LogGroups,
 }
 
 /// Small rows that persist without any node, with conditional writes.
--- a/crates/linkhold-gateway/src/request/attempt/own_connection.rs
+++ b/crates/linkhold-gateway/src/request/attempt/own_connection.rs
@@ -10,6 +10,7 @@
 use super::outcome::{answered_outcome, broken_outcome};
 use super::{AttemptOutcome, BeginReply, ConnectionOf, NotRunCause};
 use crate::gateway::Gateway;
+use crate::log_group;
 use crate::pool::Lease;
 use crate::ports::{BackendConnection, BackendErrorKind, Platform};
 use crate::request::batch::{self, Batch, TransactionFrame, Work};
@@ -54,8 +55,15 @@
     if let Err(after) = gateway.admit_to_instance(lease.instance(), opened_at, is_urgent) {
         return refuse_for_warm_up(lease, frame, after);
     }
-    let sent_at = Instant::now();
     let needs_permission = requires_primary(gateway, lease.instance(), work, frame);
+    let commits = needs_permission && work.may_commit();
+    let service = lease.instance().service.clone();
+    let record_by = answer_by.min(Instant::now() + log_group::RECORD_TIMEOUT);
+    if commits && !log_group::wait_until_recorded(gateway, &service, record_by).await {
+        // This closes the connection, which undoes an open transaction.
+        return AttemptOutcome::NotRun(NotRunCause::Refused(BackendErrorKind::Busy));
+    }
+    let sent_at = Instant::now();
     // Without this check, nodes that a failover may not have taken into account
     // acknowledged 20 commits of the old primary during a network cut of 26 s.
     if needs_permission
@@ -65,9 +73,14 @@
     {
         return AttemptOutcome::NotRun(NotRunCause::Unreachable);
     }
-    let service = &lease.instance().service;
-    let proved = needs_permission.then(|| gateway.cluster.newest_position(service));
-    match exchange_commands(gateway, &mut lease, &batch.commands, answer_by).await {
+    let proved = needs_permission.then(|| gateway.cluster.newest_position(&service));
+    let outcome = exchange_commands(gateway, &mut lease, &batch.commands, answer_by).await;
+    // An instance that appeared meanwhile may be one that the commit counts on.
+    let is_answered = matches!(outcome, ExchangeOutcome::Answered(_));
+    let is_recorded = !commits
+        || !is_answered
+        || log_group::wait_until_recorded(gateway, &service, answer_by).await;
+    match outcome {
         ExchangeOutcome::Silent => {
             log_unanswered(work, &lease, sent_at, "silent");
             AttemptOutcome::TimedOut
@@ -94,6 +107,10 @@
                 AttemptOutcome::NotRun(NotRunCause::Refused(BackendErrorKind::ReadOnly))
             }
         }
+        ExchangeOutcome::Answered(_) if !is_recorded => {
+            log_unanswered(work, &lease, sent_at, "log_group_not_recorded");
+            AttemptOutcome::Lost
+        }
         ExchangeOutcome::Answered(replies) => {
             if frame == TransactionFrame::ProvingPrimary {
                 begin = Some((sent_at, replies[0].clone()));
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -36,6 +36,8 @@
     List,
     /// A node's row is removed.
     Remove,
+    /// The logs of a service are read or written.
+    LogGroup,
 }
 
 impl Label for CallReason {
@@ -49,6 +51,7 @@
         "lease",
         "list",
         "remove",
+        "log_group",
     ];
 
     fn index(self) -> usize {
