Ask the agreeing nodes and the lease's row for the newest term

A replica that has fallen behind is promoted, acknowledges commits of its term and crashes; the old primary returns with its longer log of the older term, and leads again.

Cause: whether a log may be promoted was asked of the deciding node's own memory. One node had no answer of the newer term. The row of the lease that it claimed held that term, and the nodes that agreed knew it.

Ruled out: that no node knew the term (eight of nine refused the log with `no_successor candidates=0`), and that the store had not kept it yet (`lead_recorded term=2 is_kept=true` came before the order).

Each read of a lease's row now takes in the proved term that it holds, and each agreement the newest term that a node reports, which is stored then if its recorder missed it. Orders and hand-overs pass through both. Since the row may change until the order, the term is looked at once more right before it. Evidence of an older term than any node knows no longer bounds what was acknowledged.

Evidence: in `older_log` the row alone, or a node alone, knows the newer term. Before: both tests end in `promotion_ordered successor=one received=1/2`. After: no order. The property `service_agreed_term` breaks without either source.

No call more: the row was read and the nodes were asked before.

--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -87,6 +87,7 @@
                 remembers_since: at,
                 evidence_at: None,
                 newest: None,
+                proved_term: None,
                 log_holders: 0,
             },
             has_ended: false,
--- a/crates/linkhold-gateway/src/cluster_state.rs
+++ b/crates/linkhold-gateway/src/cluster_state.rs
@@ -537,6 +537,22 @@
         evidence.record_proved_term(term);
     }
 
+    /// Takes in a term in which another node knows that a primary's log ends. The store
+    /// may not hold it yet.
+    pub fn observe_reported_term(&self, service: &ServiceName, term: Term) {
+        if Some(term) <= self.newest_proved_term(service) {
+            return;
+        }
+        self.observe_proved_term(service, term);
+        lock(&self.terms_to_store).insert(service.clone(), term);
+        self.term_to_store_added.notify_one();
+        Event::info("term_reported")
+            .field("service", service)
+            .field("term", term)
+            .log();
+        self.notify_changed();
+    }
+
     /// Waits until a term is added to those that the store is to keep.
     pub async fn wait_for_term_to_store(&self) {
         self.term_to_store_added.notified().await;
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -276,6 +276,9 @@
     let asked_at = Instant::now();
     let purpose = QuestionPurpose::Replace;
     let findings = peers::ask(gateway, number, subject, purpose, &audience).await;
+    if let Some(term) = acknowledged::newest_term(&findings.acknowledged) {
+        gateway.cluster.observe_reported_term(service, term);
+    }
     let mut tally = findings.tally;
     tally.unreached += 1;
     log_tally(service, &instance, tally);
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -102,9 +102,13 @@
         .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
         .transpose()?;
     let (lease, record) = current.unzip();
+    let record: PromotionRecord = record.unwrap_or_default();
+    if let Some(term) = record.proved_term {
+        gateway.cluster.observe_proved_term(service, term);
+    }
     Ok(LeaseRead {
         lease,
-        record: record.unwrap_or_default(),
+        record,
         version: row.map_or_else(StoreRevision::default, |row| row.version),
         read_at: ClaimTime {
             now: rows.now,
--- a/crates/linkhold-gateway/src/failover/order.rs
+++ b/crates/linkhold-gateway/src/failover/order.rs
@@ -15,6 +15,7 @@
 use super::FailoverReason;
 use super::diagnosis::Agreement;
 use super::lease::{Claim, claim, prepare_order, settle_order};
+use super::service_survey::has_current_term;
 use crate::evidence::survey;
 use crate::gateway::Gateway;
 use crate::ports::{Platform, PromoteAnswer, PromoteOrder};
@@ -124,6 +125,11 @@
         return OrderOutcome::NotCarriedOut;
     };
     grounds.claim = claim;
+    // The lease's row may tell a term that was proved after the successor was chosen.
+    if !has_current_term(gateway, service, successor) {
+        grounds.give_up(gateway, service, "newer_term").await;
+        return OrderOutcome::NotCarriedOut;
+    }
     let order_by = grounds.order_by();
     if Instant::now() >= order_by {
         grounds.give_up(gateway, service, "too_late").await;
--- a/crates/linkhold-gateway/src/failover/service_survey.rs
+++ b/crates/linkhold-gateway/src/failover/service_survey.rs
@@ -147,13 +147,12 @@
     statuses: impl IntoIterator<Item = &'a InstanceStatus>,
 ) -> Vec<Successor> {
     let now = Instant::now();
-    let evidence = newest_evidence(gateway, service);
     statuses
         .into_iter()
         // An order names an instance without its incarnation: one that has ended would
         // promote the one that has begun.
         .filter(|status| gateway.cluster.instance(&status.id).is_some())
-        .filter(|status| failover::has_current_term(status, evidence))
+        .filter(|status| has_current_term(gateway, service, status))
         .map(|status| Successor {
             status: status.clone(),
             is_leaving: gateway.cluster.is_leaving(&status.id, now),
@@ -235,6 +234,15 @@
     }
 }
 
+/// Whether the log of an instance ends in the newest proved term.
+pub(super) fn has_current_term<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    status: &InstanceStatus,
+) -> bool {
+    failover::has_current_term(status, newest_evidence(gateway, service))
+}
+
 /// The lowest position at which a log lacks nothing that is proved, nor the newest
 /// proved term.
 fn newest_evidence<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<Position> {
--- a/crates/linkhold-gateway/src/peers/acknowledged.rs
+++ b/crates/linkhold-gateway/src/peers/acknowledged.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use linkhold_core::position::Position;
+use linkhold_core::position::{Position, Term};
 use linkhold_core::service::acknowledged::NodeReport;
 use linkhold_peer::{AcknowledgedCommits, milliseconds};
 
@@ -17,6 +17,7 @@
         remembers_since: gateway.started_at,
         evidence_at: gateway.cluster.latest_evidence(service),
         newest: gateway.cluster.newest_acknowledged(service),
+        proved_term: gateway.cluster.newest_proved_term(service),
         log_holders: count_log_holders(gateway, service),
     }
 }
@@ -37,6 +38,7 @@
         evidence_age_ms: report.evidence_at.map(age_ms),
         newest: report.newest.map(|it| (it.term.0, it.index)),
         log_holders: report.log_holders as u64,
+        proved_term: report.proved_term.map(|term| term.0),
     }
 }
 
@@ -56,6 +58,7 @@
         newest: commits
             .newest
             .map(|(term, index)| Position::new(term, index)),
+        proved_term: commits.proved_term.map(Term),
         log_holders: usize::try_from(commits.log_holders).unwrap_or(usize::MAX),
     })
 }
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -72,6 +72,9 @@
     /// Number of instances that may hold commits of the service.
     #[n(3)]
     pub log_holders: u64,
+    /// The newest term of which the node knows that a primary's log ends in it.
+    #[n(4)]
+    pub proved_term: Option<u64>,
 }
 
 /// A message about the reachability of an instance, or about what a node has agreed
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -217,6 +217,7 @@
             evidence_age_ms: Some(12),
             newest: Some((3, 1_209)),
             log_holders: 3,
+            proved_term: Some(3),
         }),
     };
     for message in [question, answer] {
