Ask nodes that were added since the list of nodes was read

The store turns away the node that holds a service's lease, three nodes are added, and the primary is cut off from its replicas and the older nodes. The holder promotes a replica; an added node goes on with the old primary.

Cause: a node that cannot read the list of nodes asks those that it knows to agree, however old that knowledge is. The added nodes had been listed for two seconds, and each node that agreed knew them.

Ruled out: that the fence should have refused the old primary's commits (no other token was used), and that the added nodes read a claim (an order on a lease held ready leaves none).

The question now tells the age of the list, if the store did not give it just now, and each node that agrees names those that such a list may lack. They are asked too. If a node that agrees cannot name them, nothing is promoted.

A holder without the store promotes as before if no node was added.

--- a/crates/linkhold-core/src/service/mod.rs
+++ b/crates/linkhold-core/src/service/mod.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod incarnations;
 pub mod instance;
+pub mod joins;
 pub mod listing;
 pub mod log_completeness;
 pub mod log_group;
--- a/crates/linkhold-gateway/src/failover/diagnosis.rs
+++ b/crates/linkhold-gateway/src/failover/diagnosis.rs
@@ -21,6 +21,10 @@
 use crate::ports::Platform;
 use crate::state::RelayPeer;
 
+/// How often the nodes are asked to agree if they know of further ones: they read the
+/// store, so that each round adds all that were listed before it.
+const AUDIENCE_ROUNDS: usize = 3;
+
 /// Why the primary is to be replaced; `None` if it is not, or if that is not known yet.
 pub(super) async fn diagnose<P: Platform>(
     gateway: &Gateway<P>,
@@ -260,48 +264,75 @@
     subject: QuestionSubject,
 ) -> Result<Agreement, Vec<SocketAddr>> {
     ask_watchers_first(gateway, service, &subject).await?;
-    let audience = match Audience::all_nodes(gateway).await {
+    let mut audience = match Audience::all_nodes(gateway).await {
         Ok(audience) => audience,
         Err(reason) => {
             log_withheld(service, reason);
             return Err(Vec::new());
         }
     };
+    for _ in 0..AUDIENCE_ROUNDS {
+        if let Some(agreement) = ask_audience(gateway, service, &subject, &mut audience).await? {
+            return Ok(agreement);
+        }
+    }
+    log_withheld(service, "more_nodes_are_added");
+    Err(Vec::new())
+}
+
+/// Asks the nodes of an audience to agree; `None` if they know of others, which are added
+/// to the audience.
+async fn ask_audience<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &ServiceName,
+    subject: &QuestionSubject,
+    audience: &mut Audience,
+) -> Result<Option<Agreement>, Vec<SocketAddr>> {
     let number = rand::random();
-    gateway.cluster.permission.agree(&subject, number);
-    let instance = match &subject {
-        QuestionSubject::Instance(id) => id.clone(),
-        QuestionSubject::PrimaryOf(_) => "any".to_owned(),
-    };
+    gateway.cluster.permission.agree(subject, number);
     let asked_at = Instant::now();
     let purpose = QuestionPurpose::Replace;
-    let findings = peers::ask(gateway, number, subject, purpose, &audience).await;
+    let findings = peers::ask(gateway, number, subject.clone(), purpose, audience).await;
     if let Some(term) = acknowledged::newest_term(&findings.acknowledged) {
         gateway.cluster.observe_reported_term(service, term);
     }
     let mut tally = findings.tally;
     tally.unreached += 1;
-    log_tally(service, &instance, tally);
-    let refusal = match (tally.is_lost(), findings.have_enough_agreed()) {
-        (false, _) => Some("not_all_nodes_agree"),
-        (true, false) => Some("too_few_agree"),
-        (true, true) => None,
+    let instance = match subject {
+        QuestionSubject::Instance(id) => id,
+        QuestionSubject::PrimaryOf(_) => "any",
+    };
+    log_tally(service, instance, tally);
+    let has_added = match (tally.is_lost(), findings.have_enough_agreed()) {
+        (false, _) => Err("not_all_nodes_agree"),
+        (true, false) => Err("too_few_agree"),
+        (true, true) => audience.add_joined(&findings, gateway.peers.address()),
     };
-    if let Some(reason) = refusal {
-        log_withheld(service, reason);
-        peers::release(gateway, number, &audience).await;
-        return Err(findings.reached_by);
+    match has_added {
+        Err(reason) => {
+            log_withheld(service, reason);
+            peers::release(gateway, number, audience).await;
+            Err(findings.reached_by)
+        }
+        Ok(true) => {
+            peers::release(gateway, number, audience).await;
+            Ok(None)
+        }
+        Ok(false) => {
+            let log_holders = findings.acknowledged.iter().map(|it| it.log_holders);
+            Ok(Some(Agreement {
+                log_holders: log_holders.max().unwrap_or(0),
+                acknowledged: acknowledged_bound(gateway, service, audience, &findings),
+                questions: vec![AgreedQuestion {
+                    number,
+                    audience: audience.clone(),
+                }],
+                asked_at,
+                answered_at: Instant::now(),
+                silent_former: findings.silent_former,
+            }))
+        }
     }
-    let acknowledged = acknowledged_bound(gateway, service, &audience, &findings);
-    let log_holders = findings.acknowledged.iter().map(|it| it.log_holders);
-    Ok(Agreement {
-        log_holders: log_holders.max().unwrap_or(0),
-        acknowledged,
-        questions: vec![AgreedQuestion { number, audience }],
-        asked_at,
-        answered_at: Instant::now(),
-        silent_former: findings.silent_former,
-    })
 }
 
 /// Position up to which commits may have been acknowledged, by the reports of the nodes
--- a/crates/linkhold-gateway/src/peers/mod.rs
+++ b/crates/linkhold-gateway/src/peers/mod.rs
@@ -93,12 +93,14 @@
                 number,
                 subject,
                 purpose,
+                list_age_ms,
             })) => {
                 let questioner = Questioner {
                     socket: socket.clone(),
                     key,
                     address: from,
                     number,
+                    list_age: list_age_ms.map(Duration::from_millis),
                 };
                 tokio::spawn(answer(gateway.clone(), questioner, subject, purpose));
             }
@@ -107,12 +109,14 @@
                 found,
                 primary,
                 acknowledged,
+                joined,
             })) => {
                 let answer = PeerAnswer {
                     from,
                     found,
                     primary: primary.as_deref().map(instance_id),
                     acknowledged: acknowledged.and_then(acknowledged::decode),
+                    joined: joined.and_then(decode_addresses),
                 };
                 gateway.peers.questions.deliver(number, answer);
             }
@@ -218,6 +222,8 @@
     key: PeerKey,
     address: SocketAddr,
     number: u64,
+    /// Age of its list of nodes, if it could not read it from the store.
+    list_age: Option<Duration>,
 }
 
 async fn answer<P: Platform>(
@@ -272,6 +278,7 @@
         found,
         primary,
         acknowledged: service.map(|service| acknowledged::commits(&gateway, &service)),
+        joined: questioner.list_age.and_then(|age| joined(&gateway, age)),
     };
     // A lost answer counts as none.
     let _ = questioner
@@ -283,6 +290,17 @@
         .await;
 }
 
+/// Nodes that a list of this age may lack, as they are sent.
+fn joined<P: Platform>(gateway: &Gateway<P>, list_age: Duration) -> Option<Vec<String>> {
+    let nodes = gateway.fleet.joined_since(list_age)?;
+    Some(nodes.iter().map(SocketAddr::to_string).collect())
+}
+
+/// The addresses in an answer; `None` if one of them is none.
+fn decode_addresses(addresses: Vec<String>) -> Option<Vec<SocketAddr>> {
+    addresses.iter().map(|it| it.parse().ok()).collect()
+}
+
 /// The service that a question is about; `None` if the instance is not known.
 fn service_of<P: Platform>(gateway: &Gateway<P>, subject: &QuestionSubject) -> Option<ServiceName> {
     match subject {
--- a/crates/linkhold-gateway/src/peers/questions.rs
+++ b/crates/linkhold-gateway/src/peers/questions.rs
@@ -1,6 +1,6 @@
 //! Asks other nodes about primaries, and tallies their answers.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use linkhold_core::service::permission::agreements_needed;
 use linkhold_peer::{
     QuestionPurpose, QuestionSubject, Reachability, ReachabilityMessage, encode_reachability,
+    milliseconds,
 };
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -35,6 +36,8 @@
     /// Nodes whose entries expired recently without a leave notice: their answers
     /// count, their silence does not.
     former: Vec<SocketAddr>,
+    /// Age of the list of nodes, if the store did not give it just now.
+    list_age: Option<Duration>,
 }
 
 impl Audience {
@@ -49,6 +52,7 @@
         Self {
             nodes,
             former: Vec::new(),
+            list_age: None,
         }
     }
 
@@ -74,6 +78,7 @@
                 return Ok(Self {
                     nodes: listed.present,
                     former: listed.former,
+                    list_age: None,
                 });
             }
             // A restored store may lack nodes, and this node may not know them either.
@@ -86,8 +91,32 @@
         Ok(Self {
             nodes,
             former: Vec::new(),
+            list_age: Some(gateway.fleet.list_age().ok_or("fleet_not_known")?),
         })
     }
+
+    /// Adds the nodes that those that agreed know, and that were not asked; returns
+    /// whether there are any. The error is the reason why they are not known, for the
+    /// log.
+    pub fn add_joined(
+        &mut self,
+        findings: &PeerFindings,
+        own_address: Option<SocketAddr>,
+    ) -> Result<bool, &'static str> {
+        if self.list_age.is_none() {
+            return Ok(false);
+        }
+        if findings.without_joined > 0 {
+            return Err("added_nodes_not_told");
+        }
+        let joined = findings.joined.iter().copied();
+        let is_unasked =
+            |node: &SocketAddr| Some(*node) != own_address && !self.nodes.contains(node);
+        let unasked: BTreeSet<SocketAddr> = joined.filter(is_unasked).collect();
+        let has_unasked = !unasked.is_empty();
+        self.nodes.extend(unasked);
+        Ok(has_unasked)
+    }
 }
 
 /// Tally of other nodes' answers.
@@ -108,6 +137,11 @@
     pub acknowledged: Vec<NodeReport>,
     /// Number of nodes that agreed and do not report that.
     pub without_report: usize,
+    /// Nodes that the list of those that were asked may lack, as the nodes that agreed
+    /// know them.
+    pub joined: Vec<SocketAddr>,
+    /// Number of nodes that agreed and do not tell these.
+    pub without_joined: usize,
 }
 
 impl PeerFindings {
@@ -126,6 +160,10 @@
                 Some(report) => self.acknowledged.push(report),
                 None => self.without_report += 1,
             }
+            match answer.joined {
+                Some(joined) => self.joined.extend(joined),
+                None => self.without_joined += 1,
+            }
         }
         match answer.found {
             Reachability::Reached => {
@@ -179,6 +217,7 @@
         number,
         subject,
         purpose,
+        list_age_ms: audience.list_age.map(milliseconds),
     };
     let datagram = encode_reachability(&message, &key);
     let silent = collect(&socket, audience, &datagram, receiver, &mut findings).await;
--- a/crates/linkhold-gateway/src/state/fleet.rs
+++ b/crates/linkhold-gateway/src/state/fleet.rs
@@ -7,6 +7,7 @@
 
 use linkhold_core::membership::NodeId;
 use linkhold_core::rendezvous;
+use linkhold_core::service::joins::JoinTimes;
 use linkhold_core::service::permission::FleetSizes;
 use linkhold_core::service::readers::{self, Source};
 use linkhold_core::service::regions::RegionName;
@@ -31,6 +32,10 @@
     size: usize,
     /// Nodes by name.
     nodes: BTreeMap<String, FeedNode>,
+    /// Since when they have been known.
+    joins: JoinTimes,
+    /// When the nodes were last read or received.
+    adopted_at: Option<Instant>,
     /// The nodes that read the store for others, of all regions.
     readers: Vec<FeedNode>,
     /// When a node was last found to have left, or to run as another process.
@@ -152,6 +157,18 @@
             .then(|| self.peer_addresses(own_name))
     }
 
+    /// Age of the list of nodes, from when it was last read or received; `None` before.
+    pub fn list_age(&self) -> Option<Duration> {
+        let adopted_at = lock(&self.view).adopted_at;
+        adopted_at.map(|at| at.elapsed())
+    }
+
+    /// Nodes that a list may lack which another node adopted this long ago; `None` if
+    /// there are too many to name.
+    pub fn joined_since(&self, list_age: Duration) -> Option<Vec<SocketAddr>> {
+        lock(&self.view).joins.since(list_age, Instant::now())
+    }
+
     /// Whether this node knows all nodes.
     pub fn knows_all_nodes(&self) -> bool {
         let view = lock(&self.view);
@@ -378,6 +395,10 @@
         view.sizes.record(size, Instant::now());
         let has_changed =
             have_nodes_changed || view.readers != readers || view.is_settled != is_settled;
+        let now = Instant::now();
+        let addresses = nodes.values().filter_map(|node| node.address);
+        view.joins.record(addresses, now);
+        view.adopted_at = Some(now);
         view.size = size;
         view.followers_per_reader = nodes.len().div_ceil(readers.len().max(1));
         view.nodes = nodes;
--- a/crates/linkhold-gateway/src/state/peers.rs
+++ b/crates/linkhold-gateway/src/state/peers.rs
@@ -24,6 +24,8 @@
     pub primary: Option<InstanceId>,
     /// What it knows of the commits that it acknowledged, as of its answer.
     pub acknowledged: Option<NodeReport>,
+    /// Nodes that the list of the asking node may lack; `None` if they were not told.
+    pub joined: Option<Vec<SocketAddr>>,
 }
 
 /// A node's answer to a question for a confirmation.
--- a/crates/linkhold-peer/src/reachability.rs
+++ b/crates/linkhold-peer/src/reachability.rs
@@ -93,6 +93,10 @@
         /// Purpose of the question.
         #[n(2)]
         purpose: QuestionPurpose,
+        /// Age in milliseconds of the list of nodes that are asked to agree, if the
+        /// asking node could not read it from the store.
+        #[n(3)]
+        list_age_ms: Option<u64>,
     },
     /// Answers a question.
     #[n(1)]
@@ -111,6 +115,10 @@
         /// replacement; `None` from a node that does not report it.
         #[n(3)]
         acknowledged: Option<AcknowledgedCommits>,
+        /// Addresses of the nodes that a list of the age in the question may lack;
+        /// `None` if there are too many, or the question tells no age.
+        #[n(4)]
+        joined: Option<Vec<String>>,
     },
     /// Withdraws a question with the purpose [`QuestionPurpose::Replace`]: the asking
     /// node orders no replacement.
--- a/crates/linkhold-peer/tests/feed.rs
+++ b/crates/linkhold-peer/tests/feed.rs
@@ -207,6 +207,7 @@
         number: 9,
         subject: QuestionSubject::Instance("one".to_owned()),
         purpose: QuestionPurpose::Replace,
+        list_age_ms: Some(2_000),
     };
     let answer = ReachabilityMessage::Answer {
         number: 9,
@@ -219,6 +220,7 @@
             log_holders: 3,
             proved_term: Some(3),
         }),
+        joined: Some(vec!["10.0.0.7:9443".to_owned()]),
     };
     for message in [question, answer] {
         let bytes = encode_reachability(&message, &key());
