State rules of the last changes once

Whether an instance has all of a log that ended was decided in the hand-over and again by the reports; one row was read and checked the same way for leases and for log groups; the number of guaranteed replicas was put together in five places; the proofs of log groups filtered a list back to the one it was made from.

Change, without another behaviour: the hand-over asks the reports alone; `read_row` reads a row for both; `guaranteed_replicas` and `services_that_forbid_loss` are called where they were written out.

--- a/crates/linkhold-core/src/service/log_completeness.rs
+++ b/crates/linkhold-core/src/service/log_completeness.rs
@@ -149,6 +149,7 @@
         holders: &LogHolders,
     ) -> LogCompleteness {
         let is_complete = match end {
+            // An instance that reported before the end may have started again since.
             TermEnd::SteppedDown { at, log_end } => {
                 let since = holders.forbids_loss.then_some(*at);
                 self.has_reached(id, *log_end, since)
@@ -168,7 +169,7 @@
 
     /// Whether the log of an instance has reached a position, by a status that was asked
     /// for at a moment or after it, if one is given.
-    pub fn has_reached(&self, id: &InstanceId, position: Position, since: Option<Instant>) -> bool {
+    fn has_reached(&self, id: &InstanceId, position: Position, since: Option<Instant>) -> bool {
         let own = self.reports.iter().find(|report| report.status.id == *id);
         own.is_some_and(|own| Some(own.asked_at) >= since && own.status.received >= position)
     }
--- a/crates/linkhold-gateway/src/failover/lease.rs
+++ b/crates/linkhold-gateway/src/failover/lease.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::lease_format::{KnownClaims, decode_lease, encode_lease};
 use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
-use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, with_timeout};
+use crate::store_call::{CALL_TIMEOUT, CallReason, READ_TIMEOUT, read_row, with_timeout};
 
 /// Timeout of a claim, which is a read and a write of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -91,17 +91,10 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
 ) -> Result<LeaseRead, StoreError> {
-    gateway.metrics.store_calls.count(CallReason::Lease);
-    let rows = gateway
-        .platform
-        .read_rows(FleetTable::Leases, RowRange::Key(service))
-        .await?;
-    let row = rows.rows.first();
     // A row that cannot be decoded may hold any token, so no token is issued over it.
-    let current = row
-        .map(|row| decode_lease(&row.value).ok_or(StoreError::Malformed))
-        .transpose()?;
-    let (lease, record) = current.unzip();
+    let table = FleetTable::Leases;
+    let row = read_row(gateway, table, service, CallReason::Lease, decode_lease).await?;
+    let (lease, record) = row.value.unzip();
     let record: PromotionRecord = record.unwrap_or_default();
     if let Some(term) = record.proved_term {
         gateway.cluster.observe_proved_term(service, term);
@@ -109,10 +102,10 @@
     Ok(LeaseRead {
         lease,
         record,
-        version: row.map_or_else(StoreRevision::default, |row| row.version),
+        version: row.version,
         read_at: ClaimTime {
-            now: rows.now,
-            era: rows.era,
+            now: row.now,
+            era: row.era,
         },
     })
 }
--- a/crates/linkhold-gateway/src/failover/switch_over.rs
+++ b/crates/linkhold-gateway/src/failover/switch_over.rs
@@ -181,12 +181,20 @@
 }
 
 impl EndedLog {
-    /// Whether an instance has received all of it. Where no commit may be lost, only what
-    /// the instance reported since the end counts: it may have started again with an
-    /// empty log.
+    fn completeness(&self, id: &InstanceId, reports: &StatusReports) -> LogCompleteness {
+        let end = TermEnd::SteppedDown {
+            at: self.ended_at,
+            log_end: self.end,
+        };
+        let holders = LogHolders {
+            forbids_loss: self.forbids_loss,
+            ..LogHolders::default()
+        };
+        reports.completeness(id, &end, &holders)
+    }
+
     fn is_reached_by(&self, id: &InstanceId, reports: &StatusReports) -> bool {
-        let since = self.forbids_loss.then_some(self.ended_at);
-        reports.has_reached(id, self.end, since)
+        self.completeness(id, reports) == LogCompleteness::Whole
     }
 }
 
@@ -200,27 +208,18 @@
     ended: &InstanceStatus,
     reason: FailoverReason,
 ) -> Option<InstanceStatus> {
-    let forbids_loss = gateway.cluster.forbids_loss(&surveyed.service);
     let log = EndedLog {
         end: ended.received,
         ended_at: Instant::now(),
-        forbids_loss,
+        forbids_loss: gateway.cluster.forbids_loss(&surveyed.service),
     };
     let reports = wait_for_whole_log(gateway, surveyed, preferred, &log, reason).await;
     let candidates = candidates(gateway, &surveyed.service, reason, reports.latest());
     let chosen = choose(&candidates, preferred, &reports, &log);
-    let end = TermEnd::SteppedDown {
-        at: log.ended_at,
-        log_end: log.end,
-    };
-    let holders = LogHolders {
-        forbids_loss,
-        ..LogHolders::default()
-    };
     let completeness = chosen.map_or(LogCompleteness::MayLackCommits, |it| {
-        reports.completeness(&it.status.id, &end, &holders)
+        log.completeness(&it.status.id, &reports)
     });
-    let may_promote = may_promote(gateway, ended, reason, forbids_loss, completeness);
+    let may_promote = may_promote(gateway, ended, reason, log.forbids_loss, completeness);
     let position = chosen.map_or_else(|| "-".to_owned(), |it| it.status.received.to_string());
     Event::info("primary_stepped_down")
         .field("service", &surveyed.service)
--- a/crates/linkhold-gateway/src/log_group/mod.rs
+++ b/crates/linkhold-gateway/src/log_group/mod.rs
@@ -7,7 +7,6 @@
 mod proof;
 mod record;
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use linkhold_core::service::configuration::ServiceName;
@@ -55,21 +54,11 @@
     if !gateway.cluster.forbids_loss(service) {
         return true;
     }
-    let replicas = gateway.cluster.synchronous_replicas(service);
     let instances = gateway.cluster.listed_instances(service);
     gateway.log_groups.covers(
         service,
         instances.iter().map(|instance| &instance.id),
-        replicas.guaranteed(Instant::now()),
+        gateway.cluster.guaranteed_replicas(service),
         gateway.store_era.latest(),
     )
 }
-
-/// Services whose record this node may have to change: those with synchronous replicas,
-/// and those that had some.
-fn recorded_services<P: Platform>(gateway: &Arc<Gateway<P>>) -> Vec<ServiceName> {
-    let mut services = gateway.cluster.services_that_forbid_loss();
-    let known = gateway.log_groups.services().into_iter();
-    services.extend(known.filter(|service| !gateway.cluster.forbids_loss(service)));
-    services
-}
--- a/crates/linkhold-gateway/src/log_group/proof.rs
+++ b/crates/linkhold-gateway/src/log_group/proof.rs
@@ -16,8 +16,8 @@
 use linkhold_events::Event;
 use tokio::time::sleep;
 
+use super::is_recorded;
 use super::record::change;
-use super::{is_recorded, recorded_services};
 use crate::evidence::{probe, survey};
 use crate::failover::is_recorder;
 use crate::gateway::Gateway;
@@ -44,10 +44,8 @@
     let mut absences: HashMap<ServiceName, Absences> = HashMap::new();
     loop {
         sleep(CHECK_INTERVAL).await;
-        let mut services = recorded_services(&gateway);
-        services.retain(|service| {
-            gateway.cluster.forbids_loss(service) && is_recorder(&gateway, service)
-        });
+        let mut services = gateway.cluster.services_that_forbid_loss();
+        services.retain(|service| is_recorder(&gateway, service));
         absences.retain(|service, _| services.contains(service));
         let mut due = Vec::new();
         for service in services {
@@ -105,15 +103,10 @@
 ) -> bool {
     let has_lost = |member: &LogMember| member.state == LogState::Lost;
     !ended.is_empty()
-        || group.synchronous < guaranteed(gateway, service)
+        || group.synchronous < gateway.cluster.guaranteed_replicas(service)
         || group.members.iter().any(has_lost)
 }
 
-fn guaranteed<P: Platform>(gateway: &Gateway<P>, service: &str) -> usize {
-    let replicas = gateway.cluster.synchronous_replicas(service);
-    replicas.guaranteed(Instant::now())
-}
-
 /// Asks the primary for the end of its log and then all instances for their positions,
 /// and changes the record by what that proves.
 async fn prove<P: Platform>(
@@ -124,7 +117,7 @@
 ) {
     // Everything that changed before now is covered by evidence from now on.
     let since = Instant::now();
-    let synchronous = guaranteed(gateway, &service);
+    let synchronous = gateway.cluster.guaranteed_replicas(&service);
     let deadline = since + EVIDENCE_TIMEOUT;
     let Some(position) = probe::fence(gateway, &service, since, deadline).await else {
         return;
--- a/crates/linkhold-gateway/src/log_group/record.rs
+++ b/crates/linkhold-gateway/src/log_group/record.rs
@@ -7,16 +7,16 @@
 use linkhold_core::service::configuration::ServiceName;
 use linkhold_core::service::log_completeness::LogHolders;
 use linkhold_core::service::log_group::LogGroup;
-use linkhold_core::service::store_revision::{Era, StoreRevision};
+use linkhold_core::service::store_revision::StoreRevision;
 use linkhold_events::Event;
 use tokio::time::sleep;
 
 use super::format::{decode, encode};
-use super::{is_recorded, recorded_services};
+use super::is_recorded;
 use crate::failover::is_recorder;
 use crate::gateway::Gateway;
-use crate::ports::{FleetTable, Platform, RowRange, RowWrite, StoreError, WriteResult};
-use crate::store_call::{CALL_TIMEOUT, CallReason, with_timeout};
+use crate::ports::{FleetTable, Platform, RowWrite, StoreError, WriteResult};
+use crate::store_call::{CALL_TIMEOUT, CallReason, RowRead, read_row, with_timeout};
 
 /// How often records are checked that nothing asked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -27,14 +27,6 @@
 /// Maximum number of records that are changed at once.
 const MAX_CONCURRENT: usize = 16;
 
-/// A record as it was read.
-struct RecordRead {
-    /// `None` if the store has none.
-    group: Option<LogGroup>,
-    version: StoreRevision,
-    era: Era,
-}
-
 /// Records instances that appear, and lower promises of synchronous replicas. Runs until
 /// the process ends.
 pub(crate) async fn keep_recorded<P: Platform>(gateway: Arc<Gateway<P>>) {
@@ -56,15 +48,24 @@
     }
 }
 
+/// Services whose record this node may have to change: those with synchronous replicas,
+/// and those that had some.
+fn recorded_services<P: Platform>(gateway: &Gateway<P>) -> Vec<ServiceName> {
+    let mut services = gateway.cluster.services_that_forbid_loss();
+    let known = gateway.log_groups.services().into_iter();
+    services.extend(known.filter(|service| !gateway.cluster.forbids_loss(service)));
+    services
+}
+
 /// Brings the record of a service up to date if this node is its recorder or has commits
 /// that wait for it.
 async fn update<P: Platform>(gateway: Arc<Gateway<P>>, service: ServiceName) {
     let (gateway, service) = (&*gateway, &service);
-    let is_outdated = || match gateway.cluster.forbids_loss(service) {
+    let is_outdated = match gateway.cluster.forbids_loss(service) {
         true => !is_recorded(gateway, service),
         false => promises_too_much(gateway, service),
     };
-    if !is_outdated() {
+    if !is_outdated {
         return;
     }
     if !is_recorder(gateway, service) {
@@ -84,8 +85,7 @@
 /// Whether the record of a service promises more synchronous replicas than its commits
 /// had lately.
 fn promises_too_much<P: Platform>(gateway: &Gateway<P>, service: &str) -> bool {
-    let guaranteed = gateway.cluster.synchronous_replicas(service);
-    let guaranteed = guaranteed.guaranteed(Instant::now());
+    let guaranteed = gateway.cluster.guaranteed_replicas(service);
     let recorded = gateway.log_groups.latest(service);
     recorded.is_some_and(|group| group.synchronous > guaranteed)
 }
@@ -100,7 +100,7 @@
         let read = read(gateway, service).await?;
         let mut group = completed(gateway, service, &read);
         change(&mut group);
-        let is_stored = read.group.as_ref() == Some(&group);
+        let is_stored = read.value.as_ref() == Some(&group);
         if is_stored || write(gateway, service, &group, read.version).await? {
             if !is_stored {
                 log_recorded(service, &group);
@@ -117,13 +117,12 @@
 fn completed<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
-    read: &RecordRead,
+    read: &RowRead<LogGroup>,
 ) -> LogGroup {
-    let replicas = gateway.cluster.synchronous_replicas(service);
-    let guaranteed = replicas.guaranteed(Instant::now());
+    let guaranteed = gateway.cluster.guaranteed_replicas(service);
     // Without a record no commit was acknowledged under an earlier setting that this node
     // does not know: the record is written when the first setting appears.
-    let mut group = read.group.clone().unwrap_or_else(|| LogGroup {
+    let mut group = read.value.clone().unwrap_or_else(|| LogGroup {
         members: Vec::new(),
         synchronous: guaranteed,
     });
@@ -151,9 +150,9 @@
     gateway: &Gateway<P>,
     service: &ServiceName,
 ) -> LogHolders {
-    let replicas = gateway.cluster.synchronous_replicas(service);
+    let forbids_loss = gateway.cluster.forbids_loss(service);
     let mut group = LogGroup::default();
-    if replicas.forbids_loss() {
+    if forbids_loss {
         match read(gateway, service).await {
             Ok(read) => group = completed(gateway, service, &read),
             Err(error) => {
@@ -165,34 +164,22 @@
             }
         }
     }
-    let now = Instant::now();
+    let guaranteed = gateway.cluster.guaranteed_replicas(service);
     LogHolders {
-        synchronous: group.synchronous.min(replicas.guaranteed(now)),
+        synchronous: group.synchronous.min(guaranteed),
         group,
-        instances: gateway.cluster.count_log_holders(service, now),
-        forbids_loss: replicas.forbids_loss(),
+        instances: gateway.cluster.count_log_holders(service, Instant::now()),
+        forbids_loss,
     }
 }
 
 async fn read<P: Platform>(
     gateway: &Gateway<P>,
     service: &ServiceName,
-) -> Result<RecordRead, StoreError> {
-    gateway.metrics.store_calls.count(CallReason::LogGroup);
-    let call = gateway
-        .platform
-        .read_rows(FleetTable::LogGroups, RowRange::Key(service));
-    let rows = with_timeout(call, CALL_TIMEOUT).await?;
-    let row = rows.rows.first();
-    // Nothing is promoted by a record that cannot be decoded, and none is written over it.
-    let group = row
-        .map(|row| decode(&row.value).ok_or(StoreError::Malformed))
-        .transpose()?;
-    Ok(RecordRead {
-        group,
-        version: row.map_or_else(StoreRevision::default, |row| row.version),
-        era: rows.era,
-    })
+) -> Result<RowRead<LogGroup>, StoreError> {
+    let table = FleetTable::LogGroups;
+    let call = read_row(gateway, table, service, CallReason::LogGroup, decode);
+    with_timeout(call, CALL_TIMEOUT).await
 }
 
 /// Writes a record if it has not changed since it was read; returns whether it was
--- a/crates/linkhold-gateway/src/store_call.rs
+++ b/crates/linkhold-gateway/src/store_call.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use linkhold_core::service::store_revision::{Era, StoreRevision};
 use tokio::time::timeout;
 
+use crate::gateway::Gateway;
 use crate::metrics::Label;
-use crate::ports::StoreError;
+use crate::ports::{FleetTable, Platform, RowRange, StoreError};
 
 /// How long the store may take until the beginning of its answer to a call that it need
 /// not hold.
@@ -68,3 +70,39 @@
         .await
         .unwrap_or(Err(StoreError::NoAnswer))
 }
+
+/// A row as it was read.
+pub(crate) struct RowRead<T> {
+    /// `None` if the store has none.
+    pub value: Option<T>,
+    /// The version under which the row may be written.
+    pub version: StoreRevision,
+    /// The store's clock, in Unix milliseconds, when the row was read.
+    pub now: u64,
+    /// The store's era when the row was read.
+    pub era: Era,
+}
+
+/// Reads one row. One that cannot be decoded is an error, so that nothing is decided by
+/// it and nothing is written over it.
+pub(crate) async fn read_row<P: Platform, T>(
+    gateway: &Gateway<P>,
+    table: FleetTable,
+    key: &str,
+    reason: CallReason,
+    decode: impl FnOnce(&[u8]) -> Option<T>,
+) -> Result<RowRead<T>, StoreError> {
+    gateway.metrics.store_calls.count(reason);
+    let call = gateway.platform.read_rows(table, RowRange::Key(key));
+    let rows = call.await?;
+    let row = rows.rows.first();
+    let value = row
+        .map(|row| decode(&row.value).ok_or(StoreError::Malformed))
+        .transpose()?;
+    Ok(RowRead {
+        value,
+        version: row.map_or_else(StoreRevision::default, |row| row.version),
+        now: rows.now,
+        era: rows.era,
+    })
+}
