--- a/crates/linkhold-core/tests/service_agreed_term.rs
+++ b/crates/linkhold-core/tests/service_agreed_term.rs
@@ -4,15 +4,17 @@
 //! Guards against a node that missed a term and promotes a log of an older one: it asked
 //! neither the nodes that agreed nor the row of the lease that it had claimed.
 
+mod common;
+
 use std::time::Instant;
 
+use common::is_broken;
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::acknowledged::{NodeReport, acknowledged_bound, newest_term};
 use linkhold_core::service::failover::{InstanceStatus, has_current_term};
 use linkhold_core::service::instance::{InstanceId, Role};
 use linkhold_core::service::primary_verification::PromotionRecord;
 use proptest::prelude::*;
-use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
 const NODES: usize = 3;
 const INSTANCES: usize = 3;
@@ -178,19 +180,8 @@
 #[test]
 fn a_log_of_an_older_term_is_promoted_without_each_source() {
     for without in [Without::Reports, Without::Row] {
-        let config = ProptestConfig {
-            cases: 8_192,
-            max_shrink_iters: 0,
-            failure_persistence: None,
-            ..ProptestConfig::default()
-        };
-        let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-        let mut runner = TestRunner::new_with_rng(config, rng);
-        let result = runner.run(&runs(), |steps| {
-            prop_assert!(keeps_terms(&steps, without));
-            Ok(())
-        });
-        assert!(result.is_err(), "nothing is broken without {without:?}");
+        let is_broken = is_broken(8_192, &runs(), |steps| keeps_terms(&steps, without));
+        assert!(is_broken, "nothing is broken without {without:?}");
     }
 }
 
--- a/crates/linkhold-core/tests/service_joins.rs
+++ b/crates/linkhold-core/tests/service_joins.rs
@@ -2,13 +2,15 @@
 //!
 //! Guards against nodes that were added after that list was read, and that are not asked.
 
+mod common;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use common::is_broken;
 use linkhold_core::service::joins::{JoinTimes, MAX_LIST_LAG, MAX_NAMED};
 use proptest::prelude::*;
-use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
 const NODES: u16 = 10;
 /// Index of the node that replaces the primary, and of the one that agrees.
@@ -101,19 +103,9 @@
 /// The property without the lag of lists: a node is found that is not asked.
 #[test]
 fn added_nodes_are_missed_if_lists_count_as_new_as_their_adoption() {
-    let config = ProptestConfig {
-        cases: 4_096,
-        max_shrink_iters: 0,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&steps(), |steps| {
-        prop_assert!(are_all_asked(&steps, false));
-        Ok(())
-    });
-    assert!(result.is_err());
+    assert!(is_broken(4_096, &steps(), |steps| are_all_asked(
+        &steps, false
+    )));
 }
 
 /// A fleet that has just started cannot name all of its nodes, and says so.
--- a/crates/linkhold-core/tests/service_log_completeness.rs
+++ b/crates/linkhold-core/tests/service_log_completeness.rs
@@ -1,8 +1,11 @@
 //! Whether an instance that is promoted has every acknowledged commit.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use common::is_broken;
 use linkhold_core::position::{Position, Term};
 use linkhold_core::service::acknowledged::{NodeReport, acknowledged_bound};
 use linkhold_core::service::failover::InstanceStatus;
@@ -381,24 +384,10 @@
         Without::Unlisted,
         Without::EndedNodes,
     ] {
-        let config = ProptestConfig {
-            cases: 65_536,
-            max_shrink_iters: 0,
-            failure_persistence: None,
-            ..ProptestConfig::default()
-        };
-        let mut runner = proptest::test_runner::TestRunner::new_with_rng(
-            config,
-            proptest::test_runner::TestRng::deterministic_rng(
-                proptest::test_runner::RngAlgorithm::ChaCha,
-            ),
-        );
-        let result = runner.run(&runs(), |(instances, synchronous, steps)| {
-            let loss = first_loss(instances, synchronous, &steps, without);
-            prop_assert_eq!(loss, None);
-            Ok(())
+        let is_broken = is_broken(65_536, &runs(), |(instances, synchronous, steps)| {
+            first_loss(instances, synchronous, &steps, without).is_none()
         });
-        assert!(result.is_err(), "{without:?} loses nothing");
+        assert!(is_broken, "{without:?} loses nothing");
     }
 }
 
